Lay out the workspace, the shared types and the protocols

Cause: the repository was empty; every crate needs the same ids, tokens, assignments, events and ports before it can be written on its own. Conclusion: the crates can now be written side by side.

--- /dev/null
+++ b/crates/carawayrill-core/src/time.rs
@@ -0,0 +1,64 @@
+//! Points in time, one type per clock, so that readings of two clocks can't be mixed.
+
+use std::fmt;
+use std::ops::Add;
+use std::ops::Sub;
+use std::time::Duration;
+
+use crate::number;
+
+number! {
+    /// A reading of this process's monotonic clock, in milliseconds since the process started.
+    Time;
+
+    /// A reading of one server incarnation's own clock, in milliseconds. It can only be compared
+    /// with other readings of the same incarnation.
+    ServerTime;
+
+    /// A reading of the wall clock, in milliseconds since 1970. For people, never for decisions.
+    WallTime;
+}
+
+/// Returns a duration in whole milliseconds; a longer one than fits counts as the largest.
+#[must_use]
+pub fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
+
+macro_rules! clock_reading {
+    ($($name:ident)+) => {
+        $(
+            impl Add<Duration> for $name {
+                type Output = Self;
+
+                fn add(self, span: Duration) -> Self {
+                    Self(self.0.saturating_add(millis(span)))
+                }
+            }
+
+            impl Sub<Duration> for $name {
+                type Output = Self;
+
+                fn sub(self, span: Duration) -> Self {
+                    Self(self.0.saturating_sub(millis(span)))
+                }
+            }
+
+            impl $name {
+                /// Returns the time passed since `earlier`, or zero if that lies ahead.
+                #[must_use]
+                pub fn since(self, earlier: Self) -> Duration {
+                    Duration::from_millis(self.0.saturating_sub(earlier.0))
+                }
+            }
+
+            impl fmt::Display for $name {
+                fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                    write!(f, "{}ms", self.0)
+                }
+            }
+        )+
+    };
+}
+
+clock_reading!(Time ServerTime WallTime);
--- /dev/null
+++ b/crates/carawayrill-protogen/src/main.rs
@@ -0,0 +1,26 @@
+//! Generates the Rust code of the protocol between the system's own processes.
+//!
+//! Run it from the root of the workspace after a change to `peer.proto`:
+//!
+//! ```text
+//! cargo run -p carawayrill-protogen
+//! ```
+//!
+//! It needs no `protoc`: the proto file is compiled by a library.
+
+use std::error::Error;
+
+/// The directory of the proto files.
+const PROTO_DIR: &str = "crates/carawayrill-proto/proto";
+/// Where the generated code is committed.
+const OUT_DIR: &str = "crates/carawayrill-proto/src/generated";
+
+fn main() -> Result<(), Box<dyn Error>> {
+    let files = protox::compile(["peer.proto"], [PROTO_DIR])?;
+    tonic_prost_build::configure()
+        .out_dir(OUT_DIR)
+        .bytes(".")
+        .emit_rerun_if_changed(false)
+        .compile_fds(files)?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/carawayrill-store/src/error.rs
@@ -0,0 +1,110 @@
+//! The error of this layer.
+
+use std::fmt;
+
+use carawayrill_core::id::Version;
+use quick_error::quick_error;
+
+/// An error of a call to an outside system.
+#[derive(Debug)]
+pub struct Error {
+    kind: ErrorKind,
+}
+
+/// What may have become of a call that failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fate {
+    /// The call had no effect.
+    NotDone,
+    /// The call may have had its effect; only reading back tells.
+    Unknown,
+}
+
+quick_error! {
+    /// What went wrong. Private, so that kinds can be added without breaking callers.
+    #[derive(Debug)]
+    pub enum ErrorKind {
+        /// A conditional update found another version.
+        Conflict { found: Version } {
+            display("the object is at version {found}")
+        }
+        /// The system can't be reached, or answered that it does not serve now.
+        Unavailable { reason: String } {
+            display("not available: {reason}")
+        }
+        /// The call was sent, but no whole answer came in time.
+        NoAnswer { reason: String } {
+            display("no answer: {reason}")
+        }
+        /// The answer does not have the agreed form.
+        Malformed { reason: String } {
+            display("malformed answer: {reason}")
+        }
+    }
+}
+
+impl Error {
+    /// Makes the error of a conditional update that found version `found`.
+    #[must_use]
+    pub fn conflict(found: Version) -> Self {
+        Self {
+            kind: ErrorKind::Conflict { found },
+        }
+    }
+
+    /// Makes the error of a call that was not carried out.
+    #[must_use]
+    pub fn unavailable(reason: impl Into<String>) -> Self {
+        Self {
+            kind: ErrorKind::Unavailable {
+                reason: reason.into(),
+            },
+        }
+    }
+
+    /// Makes the error of a call that was sent and not answered.
+    #[must_use]
+    pub fn no_answer(reason: impl Into<String>) -> Self {
+        Self {
+            kind: ErrorKind::NoAnswer {
+                reason: reason.into(),
+            },
+        }
+    }
+
+    /// Makes the error of an answer that can't be read.
+    #[must_use]
+    pub fn malformed(reason: impl Into<String>) -> Self {
+        Self {
+            kind: ErrorKind::Malformed {
+                reason: reason.into(),
+            },
+        }
+    }
+
+    /// Tells what may have become of the call.
+    #[must_use]
+    pub fn fate(&self) -> Fate {
+        match self.kind {
+            ErrorKind::Conflict { .. } | ErrorKind::Unavailable { .. } => Fate::NotDone,
+            ErrorKind::NoAnswer { .. } | ErrorKind::Malformed { .. } => Fate::Unknown,
+        }
+    }
+
+    /// Returns the version that a conditional update found instead of the expected one.
+    #[must_use]
+    pub fn conflicting_version(&self) -> Option<Version> {
+        match self.kind {
+            ErrorKind::Conflict { found } => Some(found),
+            _ => None,
+        }
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.kind.fmt(f)
+    }
+}
+
+impl std::error::Error for Error {}
--- /dev/null
+++ b/crates/carawayrill-store/src/lib.rs
@@ -0,0 +1,11 @@
+//! The outside systems as traits, with their HTTP clients: the platform's object store, its list
+//! of VMs, and the servers' orders.
+//!
+//! Decision code and daemons see only the traits in [`port`], so that tests put small fakes in
+//! their place.
+
+mod error;
+pub mod port;
+
+pub use crate::error::Error;
+pub use crate::error::Fate;
--- /dev/null
+++ b/crates/carawayrill-telemetry/src/error.rs
@@ -0,0 +1,52 @@
+//! The error of this layer.
+
+use std::fmt;
+
+use quick_error::quick_error;
+
+/// An error in setting up events, logs or metrics.
+#[derive(Debug)]
+pub struct Error {
+    kind: ErrorKind,
+}
+
+quick_error! {
+    /// What went wrong.
+    #[derive(Debug)]
+    pub enum ErrorKind {
+        /// Set up twice.
+        Twice {
+            display("events and logs are set up already")
+        }
+        /// No socket for metrics.
+        Metrics { reason: String } {
+            display("no socket for metrics: {reason}")
+        }
+    }
+}
+
+impl Error {
+    /// Makes the error of a second set-up.
+    pub(crate) fn twice() -> Self {
+        Self {
+            kind: ErrorKind::Twice,
+        }
+    }
+
+    /// Makes the error of metrics that can't be sent.
+    pub(crate) fn metrics(reason: &str) -> Self {
+        Self {
+            kind: ErrorKind::Metrics {
+                reason: reason.to_owned(),
+            },
+        }
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.kind.fmt(f)
+    }
+}
+
+impl std::error::Error for Error {}
--- /dev/null
+++ b/crates/carawayrill-telemetry/src/lib.rs
@@ -0,0 +1,179 @@
+//! Events, logs and metrics of a process.
+//!
+//! [`init`] is called once, first thing in `main`. After that, [`emit`] writes an event and the
+//! macros of the `log` crate write messages; both come out on standard error as JSON lines of the
+//! schema in [`carawayrill_core::event`]. `RUST_LOG` filters messages as usual; events are always
+//! written, but for those of single requests, which need the target `request` at `debug`.
+
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::UdpSocket;
+use std::sync::Mutex;
+use std::sync::OnceLock;
+use std::sync::PoisonError;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use cadence::NopMetricSink;
+use cadence::QueuingMetricSink;
+use cadence::StatsdClient;
+use cadence::UdpMetricSink;
+use carawayrill_core::event::Event;
+use carawayrill_core::event::EventKind;
+use carawayrill_core::hlc::HybridClock;
+use carawayrill_core::hlc::Stamp;
+use carawayrill_core::id::NodeId;
+use carawayrill_core::time::WallTime;
+use carawayrill_core::time::millis;
+use compact_str::format_compact;
+use env_logger::Builder;
+use env_logger::Env;
+use env_logger::WriteStyle;
+use log::LevelFilter;
+
+mod error;
+
+pub use crate::error::Error;
+
+/// The log target of events that are serialised already.
+const EVENT_TARGET: &str = "event";
+/// The log target of events of single requests.
+const REQUEST_TARGET: &str = "request";
+
+/// The prefix of all metric names.
+const METRIC_PREFIX: &str = "carawayrill";
+
+/// What an event needs besides its kind.
+#[derive(Debug)]
+struct Source {
+    node: NodeId,
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    clock: HybridClock,
+    seq: u64,
+}
+
+static SOURCE: OnceLock<Source> = OnceLock::new();
+
+/// Sets up events and logs for the process named `node`.
+///
+/// # Errors
+///
+/// Fails if it was called before, or if another logger is set.
+pub fn init(node: NodeId) -> Result<(), Error> {
+    let source = Source {
+        node,
+        state: Mutex::new(State::default()),
+    };
+    SOURCE.set(source).map_err(|_source| Error::twice())?;
+    Builder::from_env(Env::default().default_filter_or("info"))
+        .filter_module(EVENT_TARGET, LevelFilter::Info)
+        .write_style(WriteStyle::Never)
+        .format(|out, record| {
+            if record.target() == EVENT_TARGET || record.target() == REQUEST_TARGET {
+                return writeln!(out, "{}", record.args());
+            }
+            writeln!(out, "{}", line(message_of(record)))
+        })
+        .try_init()
+        .map_err(|_err| Error::twice())
+}
+
+/// Turns a log record into an event.
+fn message_of(record: &log::Record<'_>) -> EventKind {
+    EventKind::Message {
+        level: format_compact!("{}", record.level()).to_lowercase(),
+        target: record.target().into(),
+        text: record.args().to_string(),
+    }
+}
+
+/// Serialises an event with its stamp and number.
+fn line(kind: EventKind) -> String {
+    let Some(source) = SOURCE.get() else {
+        return String::new();
+    };
+    let (at, seq) = {
+        let mut state = source.state.lock().unwrap_or_else(PoisonError::into_inner);
+        let at = state.clock.tick(wall_now());
+        let seq = state.seq;
+        state.seq += 1;
+        (at, seq)
+    };
+    let event = Event {
+        at,
+        node: source.node.clone(),
+        seq,
+        kind,
+    };
+    serde_json::to_string(&event)
+        .unwrap_or_else(|err| format!("{{\"event\":\"unwritable\",\"why\":\"{err}\"}}"))
+}
+
+/// Writes an event. Does nothing before [`init`].
+pub fn emit(kind: EventKind) {
+    if SOURCE.get().is_some() {
+        log::info!(target: EVENT_TARGET, "{}", line(kind));
+    }
+}
+
+/// Writes an event of a single request, if `RUST_LOG` asks for the target `request`.
+pub fn emit_request(kind: impl FnOnce() -> EventKind) {
+    if SOURCE.get().is_some() && log::log_enabled!(target: REQUEST_TARGET, log::Level::Debug) {
+        log::debug!(target: REQUEST_TARGET, "{}", line(kind()));
+    }
+}
+
+/// Stamps a message that is about to be sent.
+#[must_use]
+pub fn stamp() -> Stamp {
+    with_clock(|clock| clock.tick(wall_now()))
+}
+
+/// Takes in the stamp of a received message, so that later events here follow it.
+pub fn observe(remote: Stamp) {
+    with_clock(|clock| clock.observe(remote, wall_now()));
+}
+
+/// Runs `f` on the process's clock; before [`init`], on a fresh one.
+fn with_clock(f: impl FnOnce(&mut HybridClock) -> Stamp) -> Stamp {
+    match SOURCE.get() {
+        Some(source) => f(&mut source
+            .state
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clock),
+        None => f(&mut HybridClock::default()),
+    }
+}
+
+/// Reads the wall clock.
+#[must_use]
+pub fn wall_now() -> WallTime {
+    WallTime(
+        SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .map_or(0, millis),
+    )
+}
+
+/// Makes the metrics client: to the statsd `address` if there is one, else to nowhere.
+///
+/// # Errors
+///
+/// Fails if no UDP socket can be opened.
+pub fn metrics(address: Option<SocketAddr>) -> Result<StatsdClient, Error> {
+    let Some(address) = address else {
+        return Ok(StatsdClient::from_sink(METRIC_PREFIX, NopMetricSink));
+    };
+    let socket = UdpSocket::bind("0.0.0.0:0").map_err(|err| Error::metrics(&err.to_string()))?;
+    let sink =
+        UdpMetricSink::from(address, socket).map_err(|err| Error::metrics(&err.to_string()))?;
+    Ok(StatsdClient::from_sink(
+        METRIC_PREFIX,
+        QueuingMetricSink::from(sink),
+    ))
+}
