--- a/crates/carawayrill-core/src/lib.rs
+++ b/crates/carawayrill-core/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod hlc;
 pub mod id;
 mod macros;
+pub mod object;
 pub mod order;
 pub mod outcome;
 pub mod time;
