Add the HTTP clients of the outside systems and a store in memory

The daemons need the platform's store, the servers' orders and the VM list behind the traits of carawayrill-store. A failed call tells its fate: only a failure to connect, a 503 or a 413 proves that nothing was done; a timeout or an answer that breaks off leaves it open.

--- /dev/null
+++ b/crates/carawayrill-store/src/client.rs
@@ -0,0 +1,81 @@
+//! What all HTTP clients here share: limits, and how a failed call's fate is told.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use reqwest::Client;
+use reqwest::Response;
+use reqwest::StatusCode;
+use reqwest::redirect::Policy;
+
+use crate::Error;
+
+/// The time within which a connection has to be open.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long an unused connection is kept.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Makes a client that connects to stated addresses only: no proxy, no redirect.
+pub(crate) fn client() -> Result<Client, Error> {
+    Client::builder()
+        .connect_timeout(CONNECT_TIMEOUT)
+        .pool_idle_timeout(IDLE_TIMEOUT)
+        .redirect(Policy::none())
+        .no_proxy()
+        .tcp_nodelay(true)
+        .build()
+        .map_err(|err| Error::unavailable(err.to_string()))
+}
+
+/// Tells a call that can't have been sent from one that may have been.
+///
+/// Only a failure to connect proves that nothing was sent. A timeout proves nothing, even if it
+/// may have run out while connecting.
+pub(crate) fn call_error(err: &reqwest::Error) -> Error {
+    let reason = describe(err);
+    if err.is_connect() || err.is_builder() {
+        return Error::unavailable(reason);
+    }
+    Error::no_answer(reason)
+}
+
+/// Returns the error with its causes, without the address.
+fn describe(err: &reqwest::Error) -> String {
+    let mut text = err.to_string();
+    let mut source = std::error::Error::source(err);
+    while let Some(cause) = source {
+        text.push_str(": ");
+        text.push_str(&cause.to_string());
+        source = cause.source();
+    }
+    text
+}
+
+/// Reads the whole body, of at most `limit` bytes.
+pub(crate) async fn body(mut resp: Response, limit: usize) -> Result<Bytes, Error> {
+    let mut buf = BytesMut::new();
+    while let Some(chunk) = resp.chunk().await.map_err(|err| broken_off(&err))? {
+        if buf.len() + chunk.len() > limit {
+            return Err(Error::malformed(format!("more than {limit} bytes")));
+        }
+        buf.extend_from_slice(&chunk);
+    }
+    Ok(buf.freeze())
+}
+
+/// Returns the error of an answer that began and did not end.
+fn broken_off(err: &reqwest::Error) -> Error {
+    Error::no_answer(describe(err))
+}
+
+/// Returns the error for a status that the protocol does not give to this call.
+///
+/// A 503 is the agreed sign that the system did not take the call; all others leave it open.
+pub(crate) fn status_error(status: StatusCode) -> Error {
+    match status {
+        StatusCode::SERVICE_UNAVAILABLE => Error::unavailable("status 503"),
+        StatusCode::PAYLOAD_TOO_LARGE => Error::unavailable("status 413"),
+        other => Error::malformed(format!("unexpected status {other}")),
+    }
+}
--- /dev/null
+++ b/crates/carawayrill-store/src/http_servers.rs
@@ -0,0 +1,104 @@
+//! The control side of servers over HTTP, as in `docs/PROTOCOLS.md`.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use carawayrill_core::order::Order;
+use carawayrill_core::order::OrderReply;
+use reqwest::Client;
+use reqwest::StatusCode;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::Error;
+use crate::client;
+use crate::port::ServerControl;
+
+/// The longest answer of a server to orders, in bytes.
+const MAX_REPLY_BYTES: usize = 8 << 20;
+
+/// A message of orders, as written on the wire.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WireOrders {
+    /// The orders, to be processed in turn.
+    pub orders: Vec<Order>,
+}
+
+/// A request to stop another request, as written on the wire.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WireCancel {
+    /// The request to stop.
+    pub request: String,
+}
+
+/// A client of all servers' control side.
+#[derive(Debug, Clone)]
+pub struct HttpServers {
+    client: Client,
+}
+
+impl HttpServers {
+    /// Makes the client. Nothing is sent yet.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no HTTP client can be made.
+    pub fn new() -> Result<Self, Error> {
+        Ok(Self {
+            client: client::client()?,
+        })
+    }
+
+    /// Posts a message and reads the whole answer.
+    async fn post<T: Serialize + Sync>(
+        &self,
+        url: String,
+        message: &T,
+        wait: Duration,
+    ) -> Result<Bytes, Error> {
+        let call = self.client.post(url).json(message).timeout(wait);
+        let resp = call.send().await.map_err(|err| client::call_error(&err))?;
+        if resp.status() != StatusCode::OK {
+            return Err(client::status_error(resp.status()));
+        }
+        client::body(resp, MAX_REPLY_BYTES).await
+    }
+}
+
+#[async_trait]
+impl ServerControl for HttpServers {
+    async fn order(
+        &self,
+        address: SocketAddr,
+        orders: Vec<Order>,
+        wait: Duration,
+    ) -> Result<OrderReply, Error> {
+        let asked = orders.len();
+        let url = format!("http://{address}/carawayrill/orders");
+        let body = self.post(url, &WireOrders { orders }, wait).await?;
+        let reply: OrderReply =
+            serde_json::from_slice(&body).map_err(|err| Error::malformed(err.to_string()))?;
+        if reply.acks.len() != asked {
+            return Err(Error::malformed(format!(
+                "{} acknowledgements of {asked} orders",
+                reply.acks.len()
+            )));
+        }
+        Ok(reply)
+    }
+
+    async fn cancel(
+        &self,
+        address: SocketAddr,
+        request: &str,
+        wait: Duration,
+    ) -> Result<(), Error> {
+        let url = format!("http://{address}/carawayrill/cancel");
+        let message = WireCancel {
+            request: request.to_owned(),
+        };
+        self.post(url, &message, wait).await.map(|_body| ())
+    }
+}
--- /dev/null
+++ b/crates/carawayrill-store/src/http_vms.rs
@@ -0,0 +1,52 @@
+//! The platform's list of VMs over HTTP, as in `docs/PROTOCOLS.md`.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use reqwest::Client;
+use reqwest::StatusCode;
+
+use crate::Error;
+use crate::client;
+use crate::port::Vm;
+use crate::port::VmList;
+
+/// The time limit of a call.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// The longest list, in bytes.
+const MAX_LIST_BYTES: usize = 4 << 20;
+
+/// A client of the list of VMs.
+#[derive(Debug, Clone)]
+pub struct HttpVmList {
+    client: Client,
+    url: String,
+}
+
+impl HttpVmList {
+    /// Makes a client of the list at `address`. Nothing is sent yet.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no HTTP client can be made.
+    pub fn new(address: SocketAddr) -> Result<Self, Error> {
+        Ok(Self {
+            client: client::client()?,
+            url: format!("http://{address}/vms"),
+        })
+    }
+}
+
+#[async_trait]
+impl VmList for HttpVmList {
+    async fn vms(&self) -> Result<Vec<Vm>, Error> {
+        let call = self.client.get(&self.url).timeout(CALL_TIMEOUT);
+        let resp = call.send().await.map_err(|err| client::call_error(&err))?;
+        if resp.status() != StatusCode::OK {
+            return Err(client::status_error(resp.status()));
+        }
+        let body = client::body(resp, MAX_LIST_BYTES).await?;
+        serde_json::from_slice(&body).map_err(|err| Error::malformed(err.to_string()))
+    }
+}
--- a/crates/carawayrill-store/src/lib.rs
+++ b/crates/carawayrill-store/src/lib.rs
@@ -4,7 +4,12 @@
 //! Decision code and daemons see only the traits in [`port`], so that tests put small fakes in
 //! their place.
 
+mod client;
 mod error;
+pub mod http_servers;
+pub mod http_store;
+pub mod http_vms;
+pub mod memory;
 pub mod port;
 
 pub use crate::error::Error;
--- /dev/null
+++ b/crates/carawayrill-store/src/memory.rs
@@ -0,0 +1,364 @@
+//! An object store in memory, for tests and for the stand-in store.
+//!
+//! It keeps the promises of the real store (linearizable calls, versions that never repeat) and
+//! breaks them off by [`Fault`] where a test wants that.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use carawayrill_core::data;
+use carawayrill_core::id::Revision;
+use carawayrill_core::id::Version;
+use compact_str::CompactString;
+use tokio::sync::watch;
+
+use crate::Error;
+use crate::port::Changes;
+use crate::port::MAX_VALUE_BYTES;
+use crate::port::Object;
+use crate::port::ObjectStore;
+
+data! {
+    /// What goes wrong with calls.
+    #[derive(Copy)]
+    #[serde(rename_all = "snake_case")]
+    pub enum Fault {
+        /// Nothing.
+        None,
+        /// Calls are refused without effect.
+        Down,
+        /// Answers come late; the effect is there at once.
+        Slow,
+        /// Updates take effect, and their answers are lost.
+        LoseAnswer,
+        /// Calls wait, without effect, until the fault ends.
+        Freeze,
+        /// Watches tell of a state that is old.
+        Lag,
+    }
+
+    /// Calls that the store has taken, by kind. Calls that were refused count too.
+    #[derive(Copy, Default)]
+    pub struct Calls {
+        /// Reads of a value or version.
+        pub reads: u64,
+        /// Updates and deletions.
+        pub writes: u64,
+        /// Watches.
+        pub watches: u64,
+    }
+}
+
+/// The fault in force.
+#[derive(Debug, Clone, Copy)]
+struct Active {
+    fault: Fault,
+    span: Duration,
+    /// Calls that it still hits; `None` is all of them.
+    left: Option<u64>,
+}
+
+/// Called with the kind and name of each call before it takes effect.
+type Hook = Arc<dyn Fn(&str, &str) + Send + Sync>;
+
+/// One object or the trace of a deleted one.
+#[derive(Debug, Clone)]
+struct Entry {
+    /// The revision of its last change, which is also its version.
+    changed: u64,
+    value: Option<Bytes>,
+}
+
+#[derive(Debug, Default)]
+struct Table {
+    entries: BTreeMap<CompactString, Entry>,
+}
+
+/// The store. Clones share the same objects.
+///
+/// # Examples
+///
+/// ```
+/// use bytes::Bytes;
+/// use carawayrill_core::id::Version;
+/// use carawayrill_store::Fate;
+/// use carawayrill_store::memory::Fault;
+/// use carawayrill_store::memory::MemoryStore;
+/// use carawayrill_store::port::ObjectStore;
+///
+/// # tokio::runtime::Builder::new_current_thread().build().expect("a runtime").block_on(async {
+/// let store = MemoryStore::new();
+/// store.set_fault_for(Fault::LoseAnswer, 1);
+/// let lost = store.put("a", Bytes::from("1"), Version(0)).await.expect_err("lost");
+/// assert_eq!(Fate::Unknown, lost.fate());
+/// // The change took effect all the same; reading back settles it.
+/// assert!(store.get("a").await.expect("a read").is_some());
+/// # });
+/// ```
+#[derive(Clone)]
+pub struct MemoryStore {
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    table: Mutex<Table>,
+    calls: Mutex<Calls>,
+    /// The revision of the last change.
+    revision: watch::Sender<u64>,
+    active: watch::Sender<Active>,
+    hook: Mutex<Option<Hook>>,
+}
+
+impl fmt::Debug for MemoryStore {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("MemoryStore")
+            .field("revision", &*self.shared.revision.borrow())
+            .finish_non_exhaustive()
+    }
+}
+
+impl Default for MemoryStore {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// Locks even if a panicking test has left the lock poisoned.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl MemoryStore {
+    /// Makes an empty store.
+    #[must_use]
+    pub fn new() -> Self {
+        let none = Active {
+            fault: Fault::None,
+            span: Duration::ZERO,
+            left: None,
+        };
+        // The first revision is 1: a watch from revision 0 asks for everything, so a watcher of
+        // an empty store has to be told a later one.
+        Self {
+            shared: Arc::new(Shared {
+                table: Mutex::default(),
+                calls: Mutex::default(),
+                revision: watch::Sender::new(1),
+                active: watch::Sender::new(none),
+                hook: Mutex::default(),
+            }),
+        }
+    }
+
+    /// Puts `fault` on all calls until another is set.
+    pub fn set_fault(&self, fault: Fault) {
+        self.set(fault, Duration::ZERO, None);
+    }
+
+    /// Puts `fault` on the next `count` calls that it can hit.
+    pub fn set_fault_for(&self, fault: Fault, count: u64) {
+        self.set(fault, Duration::ZERO, Some(count));
+    }
+
+    /// Puts `fault` on the next `count` calls (`None`: on all), with `span` as the delay of
+    /// [`Fault::Slow`] and [`Fault::Lag`].
+    pub fn set(&self, fault: Fault, span: Duration, count: Option<u64>) {
+        let left = count;
+        self.shared
+            .active
+            .send_replace(Active { fault, span, left });
+    }
+
+    /// Calls `hook` with the kind (`get`, `version`, `put`, `delete`, `watch`) and the name or
+    /// prefix of each call, before it takes effect. A test may change the store or the fault there.
+    pub fn set_hook(&self, hook: impl Fn(&str, &str) + Send + Sync + 'static) {
+        *lock(&self.shared.hook) = Some(Arc::new(hook));
+    }
+
+    /// Returns the counts of calls so far.
+    #[must_use]
+    pub fn calls(&self) -> Calls {
+        *lock(&self.shared.calls)
+    }
+
+    /// Takes the fault for one call, if `hits` says that it can hit it.
+    fn take(&self, hits: impl Fn(Fault) -> bool) -> Option<Active> {
+        let mut taken = None;
+        self.shared.active.send_if_modified(|active| {
+            if active.left == Some(0) || !hits(active.fault) {
+                return false;
+            }
+            taken = Some(*active);
+            active.left = active.left.map(|left| left - 1);
+            false
+        });
+        taken
+    }
+
+    /// Admits a call: runs the hook, waits out a freeze, refuses while down.
+    async fn admit(&self, kind: &str, name: &str) -> Result<(), Error> {
+        let hook = lock(&self.shared.hook).clone();
+        if let Some(hook) = hook {
+            hook(kind, name);
+        }
+        let mut active = self.shared.active.subscribe();
+        if self.take(|fault| fault == Fault::Freeze).is_some() {
+            // The sender lives as long as `self`, so that this can't fail.
+            let _thawed = active.wait_for(|now| now.fault != Fault::Freeze).await;
+        }
+        if self.take(|fault| fault == Fault::Down).is_some() {
+            return Err(Error::unavailable("the store is down"));
+        }
+        Ok(())
+    }
+
+    /// Delays the answer of a call that has taken effect, if the fault says so.
+    async fn delay(&self) {
+        if let Some(active) = self.take(|fault| fault == Fault::Slow) {
+            tokio::time::sleep(active.span).await;
+        }
+    }
+
+    /// Ends an update: its answer may be late or lost.
+    async fn answer<T>(&self, result: Result<T, Error>) -> Result<T, Error> {
+        self.delay().await;
+        if self.take(|fault| fault == Fault::LoseAnswer).is_some() {
+            return Err(Error::no_answer("the answer was lost"));
+        }
+        result
+    }
+
+    fn count(&self, add: impl FnOnce(&mut Calls)) {
+        add(&mut lock(&self.shared.calls));
+    }
+
+    fn read(&self, name: &str) -> Option<(u64, Bytes)> {
+        let table = lock(&self.shared.table);
+        let entry = table.entries.get(name)?;
+        Some((entry.changed, entry.value.clone()?))
+    }
+
+    /// Changes one object if its version is `expected`.
+    fn update(
+        &self,
+        name: &str,
+        value: Option<Bytes>,
+        expected: Version,
+    ) -> Result<Version, Error> {
+        let mut table = lock(&self.shared.table);
+        let found = table
+            .entries
+            .get(name)
+            .map_or(0, |entry| entry.value.as_ref().map_or(0, |_| entry.changed));
+        if found != expected.0 {
+            return Err(Error::conflict(Version(found)));
+        }
+        let changed = *self.shared.revision.borrow() + 1;
+        table.entries.insert(name.into(), Entry { changed, value });
+        // Told under the table's lock, so that a watcher never sees a revision without its change.
+        self.shared.revision.send_replace(changed);
+        Ok(Version(changed))
+    }
+
+    /// Returns what changed after `after`.
+    fn changes(&self, prefix: &str, after: Revision) -> Changes {
+        let table = lock(&self.shared.table);
+        let revision = Revision(*self.shared.revision.borrow());
+        let start = CompactString::from(prefix);
+        let objects = table
+            .entries
+            .range(start..)
+            .take_while(|(name, _)| name.starts_with(prefix))
+            .filter(|(_, entry)| entry.changed > after.0)
+            .filter(|(_, entry)| after.0 > 0 || entry.value.is_some())
+            .map(|(name, entry)| object(name, entry))
+            .collect();
+        Changes { revision, objects }
+    }
+
+    /// Waits up to `wait` for changes after `after`.
+    async fn wait_for_changes(&self, prefix: &str, after: Revision, wait: Duration) -> Changes {
+        let mut revision = self.shared.revision.subscribe();
+        let deadline = tokio::time::Instant::now() + wait;
+        loop {
+            revision.mark_unchanged();
+            let found = self.changes(prefix, after);
+            if after.0 == 0 || !found.objects.is_empty() {
+                return found;
+            }
+            if tokio::time::timeout_at(deadline, revision.changed())
+                .await
+                .is_err()
+            {
+                return found;
+            }
+        }
+    }
+}
+
+/// Returns a table entry as an object of a watch's answer.
+fn object(name: &CompactString, entry: &Entry) -> Object {
+    Object {
+        name: name.clone(),
+        version: Version(entry.value.as_ref().map_or(0, |_| entry.changed)),
+        value: entry.value.clone().unwrap_or_default(),
+    }
+}
+
+#[async_trait]
+impl ObjectStore for MemoryStore {
+    async fn get(&self, name: &str) -> Result<Option<Object>, Error> {
+        self.count(|calls| calls.reads += 1);
+        self.admit("get", name).await?;
+        let found = self.read(name);
+        self.delay().await;
+        Ok(found.map(|(version, value)| Object {
+            name: name.into(),
+            version: Version(version),
+            value,
+        }))
+    }
+
+    async fn version(&self, name: &str) -> Result<Version, Error> {
+        self.count(|calls| calls.reads += 1);
+        self.admit("version", name).await?;
+        let found = self.read(name);
+        self.delay().await;
+        Ok(Version(found.map_or(0, |(version, _)| version)))
+    }
+
+    async fn put(&self, name: &str, value: Bytes, expected: Version) -> Result<Version, Error> {
+        self.count(|calls| calls.writes += 1);
+        self.admit("put", name).await?;
+        if value.len() > MAX_VALUE_BYTES {
+            return Err(Error::unavailable("the value is too long"));
+        }
+        let result = self.update(name, Some(value), expected);
+        self.answer(result).await
+    }
+
+    async fn delete(&self, name: &str, expected: Version) -> Result<(), Error> {
+        self.count(|calls| calls.writes += 1);
+        self.admit("delete", name).await?;
+        let result = self.update(name, None, expected);
+        self.answer(result).await.map(|_version| ())
+    }
+
+    async fn watch(&self, prefix: &str, after: Revision, wait: Duration) -> Result<Changes, Error> {
+        self.count(|calls| calls.watches += 1);
+        self.admit("watch", prefix).await?;
+        let found = self.wait_for_changes(prefix, after, wait).await;
+        if let Some(active) = self.take(|fault| fault == Fault::Lag) {
+            tokio::time::sleep(active.span).await;
+        }
+        self.delay().await;
+        Ok(found)
+    }
+}
