--- a/crates/carawayrill-core/src/order.rs
+++ b/crates/carawayrill-core/src/order.rs
@@ -95,3 +95,15 @@
         pub draining: bool,
     }
 }
+
+impl Order {
+    /// Returns the shard that the order is about.
+    #[must_use]
+    pub fn shard(&self) -> &ShardId {
+        match self {
+            Self::Grant { shard, .. } | Self::Revoke { shard, .. } | Self::Fence { shard, .. } => {
+                shard
+            }
+        }
+    }
+}
