Give each refusal its outcome, status and time to come back

A reason fixes the outcome, so that no code path calls a request not run on its own judgement: before and after bytes may have reached a server are different reasons.

--- /dev/null
+++ b/crates/carawayrill-core/src/answer/refusal.rs
@@ -0,0 +1,331 @@
+//! Why a request got no answer of a server, in the terms that a caller is told.
+//!
+//! Each reason fixes the outcome and the HTTP status, so that no code path can call a request
+//! "not run" on its own judgement: a reason that may follow bytes written to a server is a
+//! different reason from the one before them.
+
+use std::fmt;
+use std::str::FromStr;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use compact_str::format_compact;
+
+use crate::Error;
+use crate::data;
+use crate::outcome::Outcome;
+use crate::outcome::Outcome::NotRun;
+use crate::outcome::Outcome::Unknown;
+
+macro_rules! reasons {
+    ($($(#[$meta:meta])* $name:ident = $word:literal, $outcome:ident, $status:literal, $retry_ms:expr;)+) => {
+        crate::small_data! {
+            /// Why a request got no answer of a server.
+            #[serde(rename_all = "kebab-case")]
+            pub enum RefusalReason {
+                $($(#[$meta])* $name,)+
+            }
+        }
+
+        impl RefusalReason {
+            /// All reasons, in the order of their declaration.
+            pub const ALL: &'static [Self] = &[$(Self::$name),+];
+
+            const fn row(self) -> Row {
+                match self {
+                    $(Self::$name => Row {
+                        word: $word,
+                        outcome: $outcome,
+                        status: $status,
+                        retry_ms: $retry_ms,
+                    },)+
+                }
+            }
+        }
+    };
+}
+
+/// What is fixed for a reason.
+struct Row {
+    word: &'static str,
+    outcome: Outcome,
+    status: u16,
+    retry_ms: Option<u64>,
+}
+
+/// Time to come back after a condition that ends by itself within moments, in milliseconds.
+const SOON_MS: Option<u64> = Some(1_000);
+/// Time to come back after a condition that ends with a failover, in milliseconds.
+const AFTER_FAILOVER_MS: Option<u64> = Some(5_000);
+/// Coming back with the same request does not help, or is not known to be safe.
+const NEVER: Option<u64> = None;
+
+reasons! {
+    /// No service of this name is declared.
+    UnknownService = "unknown-service", NotRun, 404, NEVER;
+    /// The request carries no key where the service declares it.
+    NoKey = "no-key", NotRun, 400, NEVER;
+    /// A header of the request can't be read.
+    BadRequest = "bad-request", NotRun, 400, NEVER;
+    /// The request must not run twice and carries no idempotency key.
+    NoIdempotencyKey = "no-idempotency-key", NotRun, 400, NEVER;
+    /// The body is longer than the service takes.
+    TooLarge = "too-large", NotRun, 413, NEVER;
+    /// The body ended before its declared length.
+    Truncated = "truncated", NotRun, 400, NEVER;
+
+    /// The router has no configuration or no assignments yet.
+    NotReady = "not-ready", NotRun, 503, SOON_MS;
+    /// No home of the key's shard is known.
+    NoHome = "no-home", NotRun, 503, AFTER_FAILOVER_MS;
+    /// The home could not be connected to; nothing was written to it.
+    HomeUnreachable = "home-unreachable", NotRun, 503, AFTER_FAILOVER_MS;
+    /// The router that was asked is not the home of the shard.
+    NotHome = "not-home", NotRun, 503, SOON_MS;
+    /// The home's authority has ended.
+    NoAuthority = "no-authority", NotRun, 503, AFTER_FAILOVER_MS;
+    /// The store can't be reached and the service stops then.
+    StoreOutage = "store-outage", NotRun, 503, AFTER_FAILOVER_MS;
+    /// The owning server is held to be lost and no other is active yet.
+    ServerLost = "server-lost", NotRun, 503, AFTER_FAILOVER_MS;
+    /// The server could not be connected to; nothing was written to it.
+    ServerUnreachable = "server-unreachable", NotRun, 503, AFTER_FAILOVER_MS;
+    /// The shard is on its way to another server.
+    Moving = "moving", NotRun, 503, SOON_MS;
+    /// The server knows a higher fencing token and refused to run the request.
+    Fenced = "fenced", NotRun, 503, SOON_MS;
+    /// The server holds no grant in force and refused to run the request.
+    NoGrant = "no-grant", NotRun, 503, SOON_MS;
+
+    /// The queue for the server is full.
+    QueueFull = "queue-full", NotRun, 503, SOON_MS;
+    /// The caller has more requests waiting than its share.
+    CallerLimit = "caller-limit", NotRun, 429, SOON_MS;
+    /// The request could not be answered before its deadline.
+    CannotMeetDeadline = "cannot-meet-deadline", NotRun, 503, SOON_MS;
+    /// The deadline passed before the request ran.
+    DeadlinePassed = "deadline-passed", NotRun, 504, NEVER;
+    /// The server shed the request.
+    Shed = "shed", NotRun, 503, SOON_MS;
+    /// The server or router is leaving.
+    Draining = "draining", NotRun, 503, SOON_MS;
+    /// The table of requests in flight is full.
+    TableFull = "table-full", NotRun, 503, SOON_MS;
+    /// The caller hung up before the request ran.
+    CallerGone = "caller-gone", NotRun, 499, NEVER;
+
+    /// The claims of the shard's former home are not known; ends with the claim window.
+    ClaimsNotKnown = "claims-not-known", NotRun, 503, AFTER_FAILOVER_MS;
+    /// The claim could not be mirrored to the standby home.
+    ClaimNotMirrored = "claim-not-mirrored", NotRun, 503, SOON_MS;
+    /// The table of claims is full.
+    ClaimTableFull = "claim-table-full", NotRun, 503, AFTER_FAILOVER_MS;
+    /// The idempotency key was used with another request.
+    BodyDiffers = "body-differs", NotRun, 422, NEVER;
+    /// The first request with this idempotency key may run now.
+    InProgress = "in-progress", Unknown, 409, SOON_MS;
+    /// The first request with this idempotency key may have run; its answer is lost.
+    FirstAnswerLost = "first-answer-lost", Unknown, 409, NEVER;
+    /// The first request with this idempotency key was answered; its answer is too long to keep.
+    AnswerNotKept = "answer-not-kept", Unknown, 409, NEVER;
+
+    /// The home took the request and its reply is lost.
+    HomeLost = "home-lost", Unknown, 502, NEVER;
+    /// The server took bytes of the request and its answer is lost.
+    AnswerLost = "answer-lost", Unknown, 502, NEVER;
+    /// The server broke off in the middle of its answer.
+    AnswerBrokenOff = "answer-broken-off", Unknown, 502, NEVER;
+    /// The server's answer is longer than a router takes.
+    AnswerTooLarge = "answer-too-large", Unknown, 502, NEVER;
+    /// The deadline passed while the request may have run.
+    AnswerLate = "answer-late", Unknown, 504, NEVER;
+    /// The caller hung up while the request may have run.
+    CallerGoneAfterSend = "caller-gone-after-send", Unknown, 499, NEVER;
+}
+
+impl RefusalReason {
+    /// Returns the stable word for programs, as in `queue-full`.
+    #[must_use]
+    pub const fn word(self) -> &'static str {
+        self.row().word
+    }
+
+    /// Returns what the caller is told of the request.
+    #[must_use]
+    pub const fn outcome(self) -> Outcome {
+        self.row().outcome
+    }
+
+    /// Returns the HTTP status.
+    #[must_use]
+    pub const fn status(self) -> u16 {
+        self.row().status
+    }
+
+    /// Returns when to come back if nothing better is known.
+    #[must_use]
+    pub fn retry_after(self) -> Option<Duration> {
+        self.row().retry_ms.map(Duration::from_millis)
+    }
+}
+
+impl fmt::Display for RefusalReason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.word())
+    }
+}
+
+impl FromStr for RefusalReason {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self, Error> {
+        Self::ALL
+            .iter()
+            .copied()
+            .find(|reason| reason.word() == text)
+            .ok_or_else(|| Error::syntax("RefusalReason", text, "the word of a reason"))
+    }
+}
+
+data! {
+    /// A server's statement that it has not run a request: the value of `x-carawayrill-refused`.
+    #[derive(Copy, Hash)]
+    #[serde(rename_all = "kebab-case")]
+    pub enum ServerRefusal {
+        /// It knows a higher token.
+        Fenced,
+        /// It has no grant, or the grant has ended on its clock.
+        NoGrant,
+        /// It has too much work.
+        Shed,
+        /// It is leaving.
+        Draining,
+        /// The deadline had passed.
+        Deadline,
+        /// The request was cancelled before it ran.
+        Cancelled,
+    }
+
+    /// The JSON body of a refusal.
+    pub struct RefusalBody {
+        /// What the caller is told of the request.
+        pub outcome: Outcome,
+        /// The reason, for programs.
+        pub reason: RefusalReason,
+        /// The reason, for people.
+        pub detail: CompactString,
+    }
+
+    /// The final answer to a request that no server answered.
+    pub struct Refusal {
+        /// Why.
+        pub reason: RefusalReason,
+        /// When to come back, if coming back may help.
+        pub retry_after: Option<Duration>,
+        /// The reason, for people.
+        pub detail: CompactString,
+    }
+}
+
+impl FromStr for ServerRefusal {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self, Error> {
+        match text {
+            "fenced" => Ok(Self::Fenced),
+            "no-grant" => Ok(Self::NoGrant),
+            "shed" => Ok(Self::Shed),
+            "draining" => Ok(Self::Draining),
+            "deadline" => Ok(Self::Deadline),
+            "cancelled" => Ok(Self::Cancelled),
+            _ => Err(Error::syntax("ServerRefusal", text, "a server's refusal")),
+        }
+    }
+}
+
+impl From<ServerRefusal> for RefusalReason {
+    fn from(refusal: ServerRefusal) -> Self {
+        match refusal {
+            ServerRefusal::Fenced => Self::Fenced,
+            ServerRefusal::NoGrant => Self::NoGrant,
+            ServerRefusal::Shed => Self::Shed,
+            ServerRefusal::Draining => Self::Draining,
+            ServerRefusal::Deadline => Self::DeadlinePassed,
+            ServerRefusal::Cancelled => Self::CallerGone,
+        }
+    }
+}
+
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use carawayrill_core::answer::refusal::Refusal;
+/// use carawayrill_core::answer::refusal::RefusalReason;
+/// use carawayrill_core::outcome::Outcome;
+///
+/// let refusal = Refusal::from(RefusalReason::QueueFull).after(Duration::from_millis(1_200));
+/// assert_eq!(refusal.outcome(), Outcome::NotRun);
+/// assert_eq!(refusal.status(), 503);
+/// assert_eq!(refusal.retry_after_secs(), Some(2));
+/// ```
+impl Refusal {
+    /// Makes a refusal that says `detail` to people.
+    #[must_use]
+    pub fn new(reason: RefusalReason, detail: impl Into<CompactString>) -> Self {
+        Self {
+            reason,
+            retry_after: reason.retry_after(),
+            detail: detail.into(),
+        }
+    }
+
+    /// Sets when to come back.
+    #[must_use]
+    pub fn after(mut self, span: Duration) -> Self {
+        self.retry_after = Some(span);
+        self
+    }
+
+    /// Returns what the caller is told of the request.
+    #[must_use]
+    pub const fn outcome(&self) -> Outcome {
+        self.reason.outcome()
+    }
+
+    /// Returns the HTTP status.
+    #[must_use]
+    pub const fn status(&self) -> u16 {
+        self.reason.status()
+    }
+
+    /// Returns the value of `Retry-After`: whole seconds, rounded up, at least 1.
+    #[must_use]
+    pub fn retry_after_secs(&self) -> Option<u64> {
+        let millis = crate::time::millis(self.retry_after?);
+        Some(millis.div_ceil(1_000).max(1))
+    }
+
+    /// Returns the JSON body.
+    #[must_use]
+    pub fn body(&self) -> RefusalBody {
+        RefusalBody {
+            outcome: self.outcome(),
+            reason: self.reason,
+            detail: self.detail.clone(),
+        }
+    }
+}
+
+impl From<RefusalReason> for Refusal {
+    fn from(reason: RefusalReason) -> Self {
+        Self::new(reason, format_compact!("{reason}"))
+    }
+}
+
+impl fmt::Display for Refusal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} ({}): {}", self.reason, self.outcome(), self.detail)
+    }
+}
--- a/crates/carawayrill-core/src/lib.rs
+++ b/crates/carawayrill-core/src/lib.rs
@@ -19,6 +19,7 @@
 //! assert_eq!(Term(5), reserved.term);
 //! ```
 
+pub mod answer;
 pub mod assignment;
 mod error;
 pub mod event;
