--- a/crates/carawayrill-core/src/lib.rs
+++ b/crates/carawayrill-core/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod order;
 pub mod outcome;
 pub mod ownership;
+pub mod route;
 pub mod time;
 pub mod token;
 pub mod unit;
--- /dev/null
+++ b/crates/carawayrill-core/src/route.rs
@@ -0,0 +1,149 @@
+//! The routing table: which assignment a key's request goes by.
+//!
+//! Every router holds one. It is keyed by shard, never by key, so its size follows the number of
+//! shards. Blocks enter by version, and a version never goes back.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use crate::assignment::Assignment;
+use crate::assignment::Block;
+use crate::assignment::BlockId;
+use crate::id::KeyHash;
+use crate::id::ServiceId;
+use crate::id::ShardId;
+use crate::id::ShardPart;
+use crate::id::Version;
+
+/// Which shard holds which assignment, for all services.
+///
+/// # Examples
+///
+/// ```
+/// use carawayrill_core::id::KeyHash;
+/// use carawayrill_core::id::ServiceId;
+/// use carawayrill_core::route::RouteTable;
+///
+/// let forms = ServiceId::try_from("forms")?;
+/// let table = RouteTable::default();
+/// let shard = table.shard_of(&forms, KeyHash::of(b"leicester"), 64);
+/// assert_eq!(forms, shard.service);
+/// assert!(table.row(&shard).is_none());
+/// # Ok::<(), carawayrill_core::Error>(())
+/// ```
+#[derive(Debug, Default)]
+pub struct RouteTable {
+    services: HashMap<ServiceId, ServiceRoutes>,
+    blocks: HashMap<BlockId, SeenBlock>,
+}
+
+/// The rows of one service.
+#[derive(Debug, Default)]
+struct ServiceRoutes {
+    ranges: Vec<Option<Arc<Assignment>>>,
+    hot: HashMap<KeyHash, Arc<Assignment>>,
+}
+
+/// What was last taken in of one block.
+#[derive(Debug)]
+struct SeenBlock {
+    version: Version,
+    shards: Vec<ShardId>,
+}
+
+impl ServiceRoutes {
+    /// Puts a row in, or takes the shard's row out.
+    fn put(&mut self, part: ShardPart, row: Option<Arc<Assignment>>) {
+        match part {
+            ShardPart::Range(index) => self.put_range(index as usize, row),
+            ShardPart::Hot(key) => {
+                if let Some(row) = row {
+                    self.hot.insert(key, row);
+                } else {
+                    self.hot.remove(&key);
+                }
+            }
+        }
+    }
+
+    fn put_range(&mut self, index: usize, row: Option<Arc<Assignment>>) {
+        if index >= self.ranges.len() {
+            self.ranges.resize(index + 1, None);
+        }
+        self.ranges[index] = row;
+    }
+}
+
+impl RouteTable {
+    /// Takes a block in. Returns false, and changes nothing, unless `version` is higher than the
+    /// one taken in before.
+    pub fn apply(&mut self, version: Version, block: Block) -> bool {
+        let former = self.blocks.get(&block.id);
+        if former.is_some_and(|seen| seen.version >= version) {
+            return false;
+        }
+        let routes = self.services.entry(block.id.service.clone()).or_default();
+        for shard in former.iter().flat_map(|seen| &seen.shards) {
+            routes.put(shard.part, None);
+        }
+        let shards = block.rows.iter().map(|row| row.shard.clone()).collect();
+        for row in block.rows {
+            routes.put(row.shard.part, Some(Arc::new(row)));
+        }
+        self.blocks.insert(block.id, SeenBlock { version, shards });
+        true
+    }
+
+    /// Returns the version of the block taken in last, or 0.
+    #[must_use]
+    pub fn version(&self, block: &BlockId) -> Version {
+        self.blocks
+            .get(block)
+            .map_or_else(Version::default, |seen| seen.version)
+    }
+
+    /// Returns the shard that holds a key: its own if it is split out, else its hash range.
+    #[must_use]
+    pub fn shard_of(&self, service: &ServiceId, key: KeyHash, ranges: u32) -> ShardId {
+        let split = self
+            .services
+            .get(service)
+            .is_some_and(|routes| routes.hot.contains_key(&key));
+        if split {
+            ShardId::hot(service.clone(), key)
+        } else {
+            ShardId::range(service.clone(), key.range_of(ranges))
+        }
+    }
+
+    /// Returns the assignment of a shard.
+    #[must_use]
+    pub fn row(&self, shard: &ShardId) -> Option<&Arc<Assignment>> {
+        let routes = self.services.get(&shard.service)?;
+        match shard.part {
+            ShardPart::Range(index) => routes.ranges.get(index as usize)?.as_ref(),
+            ShardPart::Hot(key) => routes.hot.get(&key),
+        }
+    }
+
+    /// Returns all assignments, in no particular order.
+    pub fn rows(&self) -> impl Iterator<Item = &Arc<Assignment>> {
+        self.services
+            .values()
+            .flat_map(|routes| routes.ranges.iter().flatten().chain(routes.hot.values()))
+    }
+}
+
+/// Returns the block that holds a shard, given the service's number of ranges and of shards a
+/// block. A hot key's shard lies in the block of the range it was split out of.
+#[must_use]
+pub fn block_of(shard: &ShardId, ranges: u32, shards_per_block: u32) -> BlockId {
+    let range = match shard.part {
+        ShardPart::Range(index) => index,
+        ShardPart::Hot(key) => key.range_of(ranges),
+    };
+    BlockId {
+        service: shard.service.clone(),
+        index: range / shards_per_block.max(1),
+    }
+}
--- /dev/null
+++ b/crates/carawayrill-router/src/cache.rs
@@ -0,0 +1,173 @@
+//! A copy of the store's objects under one prefix, kept up to date by watches.
+//!
+//! The relay of a data centre fills its copy from the store and the others fill theirs from the
+//! relay, so that the store's calls grow with data centres and not with routers. A copy is only
+//! for routing and configuration. Authority is never read from it.
+
+use std::collections::BTreeMap;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use carawayrill_core::id::Revision;
+use carawayrill_core::id::Version;
+use carawayrill_store::Error;
+use carawayrill_store::port::Changes;
+use carawayrill_store::port::Object;
+use carawayrill_store::port::ObjectStore;
+use compact_str::CompactString;
+use tokio::sync::watch;
+
+/// The copy.
+#[derive(Debug)]
+pub struct ObjectCache {
+    prefix: CompactString,
+    state: Mutex<State>,
+    revision: watch::Sender<Revision>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    objects: BTreeMap<CompactString, Cached>,
+}
+
+/// One object with the revision at which this copy learned of it. A deleted object stays with
+/// version 0, so that followers learn of the deletion.
+#[derive(Debug)]
+struct Cached {
+    version: Version,
+    value: Bytes,
+    learned: Revision,
+}
+
+impl ObjectCache {
+    /// Makes an empty copy of the objects whose names start with `prefix`.
+    #[must_use]
+    pub fn new(prefix: &str) -> Self {
+        Self {
+            prefix: prefix.into(),
+            state: Mutex::default(),
+            revision: watch::Sender::new(Revision::default()),
+        }
+    }
+
+    /// Returns the prefix of the names.
+    #[must_use]
+    pub fn prefix(&self) -> &str {
+        &self.prefix
+    }
+
+    /// Returns the revision up to which this copy is whole; 0 before the first changes.
+    #[must_use]
+    pub fn revision(&self) -> Revision {
+        *self.revision.borrow()
+    }
+
+    /// Returns a receiver that is told of each new revision.
+    #[must_use]
+    pub fn subscribe(&self) -> watch::Receiver<Revision> {
+        self.revision.subscribe()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes changes in and returns the objects that are news here. Changes up to a revision that
+    /// is already held are dropped, so a slow source never sets the copy back.
+    pub fn apply(&self, changes: Changes) -> Vec<Object> {
+        if changes.revision <= self.revision() {
+            return Vec::new();
+        }
+        let mut news = Vec::new();
+        {
+            let mut state = self.lock();
+            for object in changes.objects {
+                let known = state.objects.get(&object.name).map(|cached| cached.version);
+                if known == Some(object.version) {
+                    continue;
+                }
+                let cached = Cached {
+                    version: object.version,
+                    value: object.value.clone(),
+                    learned: changes.revision,
+                };
+                state.objects.insert(object.name.clone(), cached);
+                news.push(object);
+            }
+        }
+        self.revision.send_replace(changes.revision);
+        news
+    }
+
+    /// Returns the objects that this copy learned of after `after`.
+    #[must_use]
+    pub fn after(&self, after: Revision) -> Changes {
+        let state = self.lock();
+        let objects = state
+            .objects
+            .iter()
+            .filter(|(_, cached)| cached.learned > after)
+            .map(|(name, cached)| Object {
+                name: name.clone(),
+                version: cached.version,
+                value: cached.value.clone(),
+            })
+            .collect();
+        Changes { revision: self.revision(), objects }
+    }
+
+    /// Waits up to `wait` until this copy is beyond `after`, and returns what changed since then.
+    pub async fn wait_after(&self, after: Revision, wait: Duration) -> Changes {
+        let mut rx = self.subscribe();
+        let newer = rx.wait_for(|revision| *revision > after);
+        if tokio::time::timeout(wait, newer).await.is_err() {
+            return Changes { revision: after, objects: Vec::new() };
+        }
+        self.after(after)
+    }
+
+    /// Returns all live objects.
+    #[must_use]
+    pub fn all(&self) -> Vec<Object> {
+        let mut objects = self.after(Revision::default()).objects;
+        objects.retain(|object| object.version != Version::default());
+        objects
+    }
+}
+
+/// Reading a copy through the store's trait lets code that reads the store read the copy instead.
+/// It can't be written.
+#[async_trait]
+impl ObjectStore for ObjectCache {
+    async fn get(&self, name: &str) -> Result<Option<Object>, Error> {
+        let state = self.lock();
+        let cached = state.objects.get(name).filter(|cached| cached.version != Version::default());
+        Ok(cached.map(|cached| Object {
+            name: name.into(),
+            version: cached.version,
+            value: cached.value.clone(),
+        }))
+    }
+
+    async fn version(&self, name: &str) -> Result<Version, Error> {
+        Ok(self.get(name).await?.map_or_else(Version::default, |object| object.version))
+    }
+
+    async fn put(&self, _name: &str, _value: Bytes, _expected: Version) -> Result<Version, Error> {
+        Err(Error::unavailable("a copy of the store is read-only"))
+    }
+
+    async fn delete(&self, _name: &str, _expected: Version) -> Result<(), Error> {
+        Err(Error::unavailable("a copy of the store is read-only"))
+    }
+
+    async fn watch(&self, prefix: &str, after: Revision, wait: Duration) -> Result<Changes, Error> {
+        let mut changes = self.wait_after(after, wait).await;
+        changes.objects.retain(|object| object.name.starts_with(prefix));
+        Ok(changes)
+    }
+}
--- /dev/null
+++ b/crates/carawayrill-router/src/context.rs
@@ -0,0 +1,167 @@
+//! What all parts of a router share.
+
+use std::fmt;
+use std::sync::Arc;
+use std::sync::PoisonError;
+use std::sync::RwLock;
+use std::sync::RwLockReadGuard;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use arc_swap::ArcSwapOption;
+use cadence::StatsdClient;
+use carawayrill_config::daemon::RouterSettings;
+use carawayrill_config::deployment::Deployment;
+use carawayrill_core::id::Generation;
+use carawayrill_core::id::Incarnation;
+use carawayrill_core::id::RequestId;
+use carawayrill_core::object::ASSIGNMENTS;
+use carawayrill_core::object::MEMBERS;
+use carawayrill_core::route::RouteTable;
+use carawayrill_core::time::Time;
+use carawayrill_store::port::ObjectStore;
+use compact_str::format_compact;
+
+use crate::cache::ObjectCache;
+use crate::clock::MonotonicClock;
+use crate::members::MemberTable;
+use crate::peer::pool::PeerPool;
+
+/// The prefix of the configuration's objects.
+const CONFIG: &str = "config/";
+/// How often heartbeats are sent before there is a configuration.
+const DEFAULT_HEARTBEAT: Duration = Duration::from_millis(300);
+
+/// What all parts of a router share.
+pub struct Context {
+    /// What the process was started with.
+    pub settings: RouterSettings,
+    /// The present run.
+    pub incarnation: Incarnation,
+    /// The process's clock.
+    pub clock: MonotonicClock,
+    /// The platform's store.
+    pub store: Arc<dyn ObjectStore>,
+    /// Copies of the store's objects.
+    pub caches: Caches,
+    /// The configuration in force, once there is one.
+    pub deployment: ArcSwapOption<Deployment>,
+    /// Which assignment a key's request goes by.
+    pub routes: RwLock<RouteTable>,
+    /// The routers that run.
+    pub members: MemberTable,
+    /// Connections to other routers.
+    pub peers: PeerPool,
+    /// Metrics.
+    pub metrics: StatsdClient,
+    /// Set once the planned stop has begun.
+    pub stopping: AtomicBool,
+    /// Requests of callers that are not answered yet.
+    pub in_flight: AtomicU32,
+    requests: AtomicU64,
+}
+
+/// Copies of the store's objects, one a prefix.
+#[derive(Debug)]
+pub struct Caches {
+    /// The configuration.
+    pub config: ObjectCache,
+    /// Assignments.
+    pub assignments: ObjectCache,
+    /// Routers.
+    pub members: ObjectCache,
+}
+
+impl Caches {
+    fn new() -> Self {
+        Self {
+            config: ObjectCache::new(CONFIG),
+            assignments: ObjectCache::new(ASSIGNMENTS),
+            members: ObjectCache::new(MEMBERS),
+        }
+    }
+
+    /// Returns the copy that holds the objects under `prefix`.
+    #[must_use]
+    pub fn find(&self, prefix: &str) -> Option<&ObjectCache> {
+        [&self.config, &self.assignments, &self.members]
+            .into_iter()
+            .find(|cache| cache.prefix() == prefix)
+    }
+}
+
+impl Context {
+    /// Makes the context of a run that starts now.
+    #[must_use]
+    pub fn new(
+        settings: RouterSettings,
+        incarnation: Incarnation,
+        store: Arc<dyn ObjectStore>,
+        metrics: StatsdClient,
+    ) -> Self {
+        Self {
+            settings,
+            incarnation,
+            clock: MonotonicClock::start(),
+            store,
+            caches: Caches::new(),
+            deployment: ArcSwapOption::empty(),
+            routes: RwLock::default(),
+            members: MemberTable::default(),
+            peers: PeerPool::default(),
+            metrics,
+            stopping: AtomicBool::new(false),
+            in_flight: AtomicU32::new(0),
+            requests: AtomicU64::new(0),
+        }
+    }
+
+    /// Reads the process's clock.
+    #[must_use]
+    pub fn now(&self) -> Time {
+        self.clock.now()
+    }
+
+    /// Returns the number of the configuration in force; 0 if there is none.
+    #[must_use]
+    pub fn generation(&self) -> Generation {
+        self.deployment.load().as_ref().map_or_else(Generation::default, |whole| whole.generation)
+    }
+
+    /// Returns the routing table for reading.
+    pub fn routes(&self) -> RwLockReadGuard<'_, RouteTable> {
+        self.routes.read().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns how often heartbeats are sent.
+    #[must_use]
+    pub fn heartbeat_every(&self) -> Duration {
+        let whole = self.deployment.load();
+        whole.as_ref().map_or(DEFAULT_HEARTBEAT, |whole| whole.timing.heartbeat_every.0)
+    }
+
+    /// Makes the identifier of a new request: unique over all routers and their runs.
+    ///
+    /// # Panics
+    ///
+    /// Never: a router's name is at most 39 characters long when its run and a counter follow it.
+    #[must_use]
+    pub fn next_request(&self) -> RequestId {
+        let count = self.requests.fetch_add(1, Ordering::Relaxed);
+        let text = format_compact!("{}-{:x}-{count:x}", self.settings.router, self.incarnation.0);
+        let short = text.get(text.len().saturating_sub(63)..).unwrap_or_default();
+        RequestId::try_from(short).unwrap_or_else(|_err| unreachable!("made of allowed characters"))
+    }
+}
+
+impl fmt::Debug for Context {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Context")
+            .field("settings", &self.settings)
+            .field("incarnation", &self.incarnation)
+            .finish_non_exhaustive()
+    }
+}
--- /dev/null
+++ b/crates/carawayrill-router/src/entry/check.rs
@@ -0,0 +1,107 @@
+//! From a caller's HTTP request to a checked [`Request`].
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use carawayrill_config::deployment::Deployment;
+use carawayrill_config::deployment::KeySource;
+use carawayrill_config::deployment::Service;
+use carawayrill_core::answer::refusal::RefusalReason;
+use carawayrill_core::id::KeyHash;
+use carawayrill_core::id::ServiceId;
+use compact_str::CompactString;
+use http::HeaderMap;
+use http::Uri;
+
+/// The header with a request's time limit in milliseconds.
+pub const DEADLINE_HEADER: &str = "x-carawayrill-deadline-ms";
+/// The header that marks a request that may not run twice.
+pub const IDEMPOTENCY_HEADER: &str = "idempotency-key";
+/// The longest idempotency key, in bytes.
+const MAX_IDEMPOTENCY_KEY_BYTES: usize = 128;
+
+/// Finds the service that a path is for.
+///
+/// # Errors
+///
+/// Fails if there is none of that name.
+pub fn service<'a>(whole: &'a Deployment, uri: &Uri) -> Result<&'a Service, RefusalReason> {
+    let name = segments(uri).next().ok_or(RefusalReason::UnknownService)?;
+    let id = ServiceId::try_from(name).map_err(|_err| RefusalReason::UnknownService)?;
+    whole.service(&id).ok_or(RefusalReason::UnknownService)
+}
+
+fn segments(uri: &Uri) -> impl Iterator<Item = &str> {
+    uri.path().split('/').filter(|segment| !segment.is_empty())
+}
+
+/// Finds the key of a request and hashes it.
+///
+/// # Errors
+///
+/// Fails if there is no key, or an empty one.
+pub fn key(service: &Service, uri: &Uri, headers: &HeaderMap) -> Result<KeyHash, RefusalReason> {
+    let found = match &service.key {
+        KeySource::Header(name) => headers.get(name.as_str()).map(|value| value.as_bytes()),
+        KeySource::Query(name) => query_value(uri, name).map(str::as_bytes),
+        KeySource::Path(index) => segments(uri).nth(*index as usize + 1).map(str::as_bytes),
+    };
+    let key = found.filter(|key| !key.is_empty()).ok_or(RefusalReason::NoKey)?;
+    Ok(KeyHash::of(key))
+}
+
+/// Returns a query parameter as written. Two spellings of one value, such as `a+b` and `a%20b`,
+/// are two keys; callers of one service are expected to write a key in one way.
+fn query_value<'a>(uri: &'a Uri, name: &str) -> Option<&'a str> {
+    let pairs = uri.query()?.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.into_iter().find(|(key, _)| *key == name).map(|(_, value)| value)
+}
+
+/// Reads the time limit of a request, bounded by what the service allows.
+///
+/// # Errors
+///
+/// Fails if the header is not a whole number above 0.
+pub fn time_limit(service: &Service, headers: &HeaderMap) -> Result<Duration, RefusalReason> {
+    let Some(value) = headers.get(DEADLINE_HEADER) else {
+        return Ok(service.default_deadline.0);
+    };
+    let text = value.to_str().map_err(|_err| RefusalReason::BadRequest)?;
+    let limit: u64 = text.parse().map_err(|_err| RefusalReason::BadRequest)?;
+    if limit == 0 {
+        return Err(RefusalReason::BadRequest);
+    }
+    Ok(Duration::from_millis(limit).min(service.max_deadline.0))
+}
+
+/// Reads the idempotency key, if there is one.
+///
+/// # Errors
+///
+/// Fails if it is empty, too long or not text.
+pub fn idempotency_key(headers: &HeaderMap) -> Result<Option<CompactString>, RefusalReason> {
+    let Some(value) = headers.get(IDEMPOTENCY_HEADER) else {
+        return Ok(None);
+    };
+    let text = value.to_str().map_err(|_err| RefusalReason::BadRequest)?;
+    if text.is_empty() || text.len() > MAX_IDEMPOTENCY_KEY_BYTES {
+        return Err(RefusalReason::BadRequest);
+    }
+    Ok(Some(text.into()))
+}
+
+/// Checks a body that was read up to one byte beyond the limit against the announced length.
+///
+/// # Errors
+///
+/// Fails if it is too large or shorter than announced.
+pub fn body(service: &Service, announced: Option<u64>, body: Bytes) -> Result<Bytes, RefusalReason> {
+    let length = body.len() as u64;
+    if length > service.max_body.0 {
+        return Err(RefusalReason::TooLarge);
+    }
+    if announced.is_some_and(|announced| announced != length) {
+        return Err(RefusalReason::Truncated);
+    }
+    Ok(body)
+}
--- /dev/null
+++ b/crates/carawayrill-router/src/entry/http.rs
@@ -0,0 +1,205 @@
+//! The HTTP endpoint that callers reach.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use bytes::Bytes;
+use carawayrill_config::deployment::Deployment;
+use carawayrill_config::deployment::Service;
+use carawayrill_core::answer::refusal::RefusalReason;
+use carawayrill_core::event::EventKind;
+use carawayrill_core::id::RequestId;
+use carawayrill_core::time::Time;
+use compact_str::CompactString;
+use compact_str::ToCompactString;
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+use http::StatusCode;
+use poem::Body;
+use poem::Endpoint;
+use poem::Response;
+
+use crate::context::Context;
+use crate::entry::check;
+use crate::entry::pass;
+use crate::headers;
+use crate::home::Home;
+use crate::message::Answer;
+use crate::message::Request;
+
+/// The path at which the platform's balancer asks whether to send requests here.
+pub const READY_PATH: &str = "/carawayrill/ready";
+
+/// The endpoint.
+#[derive(Debug, Clone)]
+pub struct Entry {
+    cx: Arc<Context>,
+    home: Arc<Home>,
+}
+
+/// Counts a request as in flight until it is dropped.
+struct InFlight<'a>(&'a Context);
+
+impl<'a> InFlight<'a> {
+    fn new(cx: &'a Context) -> Self {
+        cx.in_flight.fetch_add(1, Ordering::Relaxed);
+        Self(cx)
+    }
+}
+
+impl Drop for InFlight<'_> {
+    fn drop(&mut self) {
+        self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl Entry {
+    /// Makes the endpoint.
+    #[must_use]
+    pub fn new(cx: Arc<Context>, home: Arc<Home>) -> Self {
+        Self { cx, home }
+    }
+
+    /// Answers one request.
+    async fn answer(&self, id: RequestId, started: Time, req: poem::Request) -> Answer {
+        let Some(whole) = self.cx.deployment.load_full() else {
+            return Answer::from(RefusalReason::NotReady);
+        };
+        let (parts, body) = req.into_parts();
+        let checked = self.check(id, started, &whole, parts, body).await;
+        match checked {
+            Ok(req) => {
+                let (request, service) = (req.id.clone(), req.service.clone());
+                let shard = Some(req.shard.clone());
+                carawayrill_telemetry::emit_request(|| EventKind::RequestReceived {
+                    request,
+                    service,
+                    shard,
+                });
+                pass::pass(&self.cx, &self.home, req).await
+            }
+            Err(reason) => Answer::from(reason),
+        }
+    }
+
+    async fn check(
+        &self,
+        id: RequestId,
+        started: Time,
+        whole: &Deployment,
+        parts: poem::RequestParts,
+        body: Body,
+    ) -> Result<Request, RefusalReason> {
+        let service = check::service(whole, &parts.uri)?;
+        let key = check::key(service, &parts.uri, &parts.headers)?;
+        let limit = check::time_limit(service, &parts.headers)?;
+        let idempotency_key = check::idempotency_key(&parts.headers)?;
+        let body = read_body(service, &parts.headers, body).await?;
+        let shard = self.cx.routes().shard_of(&service.id, key, service.shards);
+        Ok(Request {
+            id,
+            service: service.id.clone(),
+            shard,
+            key,
+            caller: caller_of(&parts),
+            method: parts.method,
+            path_and_query: parts.uri.path_and_query().map_or("/", |path| path.as_str()).into(),
+            headers: headers::end_to_end(&parts.headers),
+            body,
+            deadline: started + limit,
+            idempotency_key,
+            on_behalf: None,
+        })
+    }
+}
+
+/// Reads a body up to the service's limit.
+async fn read_body(service: &Service, headers: &HeaderMap, body: Body) -> Result<Bytes, RefusalReason> {
+    let announced = headers
+        .get(http::header::CONTENT_LENGTH)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|text| text.parse::<u64>().ok());
+    if announced.is_some_and(|length| length > service.max_body.0) {
+        return Err(RefusalReason::TooLarge);
+    }
+    let limit = usize::try_from(service.max_body.0).unwrap_or(usize::MAX);
+    let bytes = body.into_bytes_limit(limit).await.map_err(|err| match err {
+        poem::error::ReadBodyError::PayloadTooLarge => RefusalReason::TooLarge,
+        _ => RefusalReason::Truncated,
+    })?;
+    check::body(service, announced, bytes)
+}
+
+/// Tells callers apart by their address: the balancer's header if there is one, else the peer's.
+fn caller_of(parts: &poem::RequestParts) -> CompactString {
+    let forwarded = parts.headers.get("x-forwarded-for").and_then(|value| value.to_str().ok());
+    let first = forwarded.and_then(|list| list.split(',').next()).map(str::trim);
+    match (first, parts.state.remote_addr.as_socket_addr()) {
+        (Some(address), _) => address.into(),
+        (None, Some(address)) => address.ip().to_compact_string(),
+        (None, None) => CompactString::default(),
+    }
+}
+
+impl Endpoint for Entry {
+    type Output = Response;
+
+    async fn call(&self, req: poem::Request) -> poem::Result<Response> {
+        if req.uri().path() == READY_PATH {
+            return Ok(self.ready());
+        }
+        let _in_flight = InFlight::new(&self.cx);
+        let started = self.cx.now();
+        let clock = std::time::Instant::now();
+        let id = self.cx.next_request();
+        let answer = self.answer(id.clone(), started, req).await;
+        let took_us = u64::try_from(clock.elapsed().as_micros()).unwrap_or(u64::MAX);
+        let (outcome, status) = (answer.outcome, answer.status);
+        let request = id.clone();
+        carawayrill_telemetry::emit_request(|| EventKind::RequestAnswered {
+            request,
+            outcome,
+            status,
+            took_us,
+        });
+        Ok(to_response(&id, answer))
+    }
+}
+
+impl Entry {
+    fn ready(&self) -> Response {
+        let ready = !self.cx.stopping.load(Ordering::Relaxed) && self.cx.generation().0 > 0;
+        let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+        Response::builder().status(status).finish()
+    }
+}
+
+/// Turns an answer into an HTTP response with the outcome's headers.
+fn to_response(id: &RequestId, answer: Answer) -> Response {
+    let mut response = Response::builder()
+        .status(StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY))
+        .body(answer.body);
+    let headers = response.headers_mut();
+    headers.extend(answer.headers);
+    put(headers, "x-carawayrill-request", id);
+    put(headers, "x-carawayrill-outcome", &answer.outcome);
+    if let Some(server) = answer.server {
+        put(headers, "x-carawayrill-server", &server);
+    }
+    if let Some(token) = answer.token {
+        put(headers, "x-carawayrill-token", &token);
+    }
+    if let Some(after) = answer.retry_after {
+        // The header has whole seconds; rounding up keeps a caller from coming back too early.
+        let seconds = after.as_millis().div_ceil(1_000).max(1);
+        put(headers, "retry-after", &seconds);
+    }
+    response
+}
+
+fn put(headers: &mut HeaderMap, name: &'static str, value: &impl ToString) {
+    if let Ok(value) = HeaderValue::try_from(value.to_string()) {
+        headers.insert(HeaderName::from_static(name), value);
+    }
+}
--- /dev/null
+++ b/crates/carawayrill-router/src/entry/mod.rs
@@ -0,0 +1,7 @@
+//! The entry role: what callers reach.
+//!
+//! It checks a request, finds its shard and the shard's home, and passes it there.
+
+pub mod check;
+pub mod http;
+pub mod pass;
--- /dev/null
+++ b/crates/carawayrill-router/src/feed.rs
@@ -0,0 +1,166 @@
+//! Keeps the copies of the store's objects up to date.
+//!
+//! The relay of the data centre watches the store. The other routers watch the relay.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use carawayrill_config::accept;
+use carawayrill_core::assignment::Block;
+use carawayrill_core::event::EventKind;
+use carawayrill_core::id::RouterId;
+use carawayrill_core::object::CONFIG_HEAD;
+use carawayrill_core::object::MEMBERS;
+use carawayrill_core::object::Member;
+use carawayrill_core::time::millis;
+use carawayrill_proto::wire;
+use carawayrill_store::port::Changes;
+use carawayrill_store::port::Object;
+use std::sync::PoisonError;
+
+use crate::cache::ObjectCache;
+use crate::context::Context;
+use crate::peer::convert;
+
+/// How long one watch waits for a change.
+const WATCH_WAIT: Duration = Duration::from_secs(5);
+/// How much longer than its wait a watch at the relay may take.
+const WATCH_SLACK: Duration = Duration::from_secs(1);
+/// The pause after a failed watch.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// Silence after which another router is taken as the relay.
+const RELAY_SILENCE: Duration = Duration::from_secs(1);
+
+/// Which kind of objects a copy holds, and so what a change of it means.
+#[derive(Debug, Clone, Copy)]
+pub enum Feed {
+    /// The configuration.
+    Config,
+    /// Assignments.
+    Assignments,
+    /// Routers.
+    Members,
+}
+
+impl Feed {
+    fn cache(self, cx: &Context) -> &ObjectCache {
+        match self {
+            Self::Config => &cx.caches.config,
+            Self::Assignments => &cx.caches.assignments,
+            Self::Members => &cx.caches.members,
+        }
+    }
+
+    /// Keeps this kind of objects up to date for as long as the process runs.
+    pub async fn run(self, cx: Arc<Context>) {
+        loop {
+            if let Some(changes) = self.next(&cx).await {
+                let news = self.cache(&cx).apply(changes);
+                self.take_in(&cx, news).await;
+            } else {
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+
+    /// Waits for the next changes, from the relay or, for the relay itself, from the store.
+    async fn next(self, cx: &Context) -> Option<Changes> {
+        let cache = self.cache(cx);
+        match relay_of(cx) {
+            Some(relay) if relay != cx.settings.router => from_relay(cx, &relay, cache).await,
+            _ => from_store(cx, cache).await,
+        }
+    }
+
+    async fn take_in(self, cx: &Context, news: Vec<Object>) {
+        match self {
+            Self::Config => take_in_config(cx, &news).await,
+            Self::Assignments => take_in_blocks(cx, news),
+            Self::Members => take_in_members(cx, news),
+        }
+    }
+}
+
+/// Returns the relay of this data centre.
+#[must_use]
+pub fn relay_of(cx: &Context) -> Option<RouterId> {
+    cx.members.relay(&cx.settings.data_centre, cx.now(), RELAY_SILENCE)
+}
+
+async fn from_store(cx: &Context, cache: &ObjectCache) -> Option<Changes> {
+    let changes = cx.store.watch(cache.prefix(), cache.revision(), WATCH_WAIT).await;
+    changes.inspect_err(|err| log::warn!("watching {} at the store: {err}", cache.prefix())).ok()
+}
+
+async fn from_relay(cx: &Context, relay: &RouterId, cache: &ObjectCache) -> Option<Changes> {
+    let address = cx.members.peer(relay)?;
+    let mut req = tonic::Request::new(wire::WatchRequest {
+        stamp: convert::stamp(),
+        router: cx.settings.router.to_string(),
+        prefix: cache.prefix().to_owned(),
+        after: cache.revision().0,
+        wait_ms: millis(WATCH_WAIT),
+    });
+    req.set_timeout(WATCH_WAIT + WATCH_SLACK);
+    let reply = cx.peers.router(address).watch(req).await;
+    cx.members.note_call(relay, reply.is_ok(), cx.now());
+    match reply {
+        Ok(reply) => Some(convert::changes_from_wire(reply.into_inner())),
+        Err(status) => {
+            log::warn!("watching {} at {relay}: {status}", cache.prefix());
+            None
+        }
+    }
+}
+
+/// Puts a new configuration in force, once all its parts are here.
+async fn take_in_config(cx: &Context, news: &[Object]) {
+    if news.is_empty() {
+        return;
+    }
+    match accept::fetch(&cx.caches.config).await {
+        Ok(Some(accepted)) if accepted.generation > cx.generation() => {
+            let generation = accepted.generation;
+            cx.deployment.store(Some(Arc::new(accepted.deployment)));
+            carawayrill_telemetry::emit(EventKind::ConfigInForce { generation });
+        }
+        Ok(_) => {}
+        Err(err) => log::error!("{CONFIG_HEAD}: {err}"),
+    }
+}
+
+fn take_in_blocks(cx: &Context, news: Vec<Object>) {
+    for object in news {
+        if object.version.0 == 0 {
+            continue;
+        }
+        match serde_json::from_slice::<Block>(&object.value) {
+            Ok(block) => take_in_block(cx, &object, block),
+            Err(err) => log::error!("{}: {err}", object.name),
+        }
+    }
+}
+
+fn take_in_block(cx: &Context, object: &Object, block: Block) {
+    let id = block.id.clone();
+    let mut routes = cx.routes.write().unwrap_or_else(PoisonError::into_inner);
+    if routes.apply(object.version, block) {
+        carawayrill_telemetry::emit(EventKind::BlockSeen { block: id, version: object.version });
+    }
+}
+
+fn take_in_members(cx: &Context, news: Vec<Object>) {
+    for object in news {
+        if object.version.0 == 0 {
+            let name = object.name.strip_prefix(MEMBERS).unwrap_or_default();
+            if let Ok(router) = RouterId::try_from(name) {
+                cx.members.remove(&router);
+            }
+            continue;
+        }
+        match serde_json::from_slice::<Member>(&object.value) {
+            Ok(member) => cx.members.put(member),
+            Err(err) => log::error!("{}: {err}", object.name),
+        }
+    }
+}
--- /dev/null
+++ b/crates/carawayrill-router/src/headers.rs
@@ -0,0 +1,47 @@
+//! Which headers travel end to end.
+
+use http::HeaderMap;
+use http::HeaderName;
+
+/// Headers that belong to one connection (RFC 9110, section 7.6.1), and those that the HTTP
+/// library writes by itself.
+const ONE_HOP: &[&str] = &[
+    "connection",
+    "content-length",
+    "expect",
+    "host",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// The prefix of the system's own headers. A caller can't set these towards a server.
+const OWN_PREFIX: &str = "x-carawayrill-";
+
+/// Returns the headers that are passed on.
+#[must_use]
+pub fn end_to_end(headers: &HeaderMap) -> HeaderMap {
+    let named = connection_named(headers);
+    let passes = |name: &HeaderName| {
+        let text = name.as_str();
+        !ONE_HOP.contains(&text) && !text.starts_with(OWN_PREFIX) && !named.contains(name)
+    };
+    let pairs = headers.iter().filter(|(name, _)| passes(name));
+    pairs.map(|(name, value)| (name.clone(), value.clone())).collect()
+}
+
+/// Returns the headers that the `connection` header names.
+fn connection_named(headers: &HeaderMap) -> Vec<HeaderName> {
+    headers
+        .get_all(http::header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|list| list.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect()
+}
--- /dev/null
+++ b/crates/carawayrill-router/src/home/mod.rs
@@ -0,0 +1,7 @@
+//! The home role: the one router that sends to a server.
+
+pub mod control;
+pub mod send;
+pub mod serve;
+
+pub use crate::home::serve::Home;
--- /dev/null
+++ b/crates/carawayrill-router/src/members.rs
@@ -0,0 +1,97 @@
+//! The routers that are known to run, and which of them is the relay of a data centre.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::RwLock;
+use std::sync::RwLockReadGuard;
+use std::sync::RwLockWriteGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use carawayrill_core::id::DataCentreId;
+use carawayrill_core::id::RouterId;
+use carawayrill_core::object::Member;
+use carawayrill_core::time::Time;
+
+/// The table of routers.
+#[derive(Debug, Default)]
+pub struct MemberTable {
+    rows: RwLock<BTreeMap<RouterId, Row>>,
+}
+
+#[derive(Debug)]
+struct Row {
+    member: Arc<Member>,
+    /// Calls to this router have failed since then without one success.
+    silent_since: Option<Time>,
+}
+
+impl MemberTable {
+    fn read(&self) -> RwLockReadGuard<'_, BTreeMap<RouterId, Row>> {
+        self.rows.read().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn write(&self) -> RwLockWriteGuard<'_, BTreeMap<RouterId, Row>> {
+        self.rows.write().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes a router's run in, unless a later run of it is known.
+    pub fn put(&self, member: Member) {
+        let mut rows = self.write();
+        let known = rows.get(&member.router).map(|row| row.member.incarnation);
+        if known.is_some_and(|incarnation| incarnation > member.incarnation) {
+            return;
+        }
+        let silent_since = match known {
+            Some(incarnation) if incarnation == member.incarnation => {
+                rows.get(&member.router).and_then(|row| row.silent_since)
+            }
+            _ => None,
+        };
+        rows.insert(member.router.clone(), Row { member: Arc::new(member), silent_since });
+    }
+
+    /// Takes a router out.
+    pub fn remove(&self, router: &RouterId) {
+        self.write().remove(router);
+    }
+
+    /// Returns a router's run.
+    #[must_use]
+    pub fn get(&self, router: &RouterId) -> Option<Arc<Member>> {
+        self.read().get(router).map(|row| Arc::clone(&row.member))
+    }
+
+    /// Returns where a router takes calls of other processes.
+    #[must_use]
+    pub fn peer(&self, router: &RouterId) -> Option<SocketAddr> {
+        self.read().get(router).map(|row| row.member.peer)
+    }
+
+    /// Returns all routers.
+    #[must_use]
+    pub fn all(&self) -> Vec<Arc<Member>> {
+        self.read().values().map(|row| Arc::clone(&row.member)).collect()
+    }
+
+    /// Notes whether a call to a router got an answer.
+    pub fn note_call(&self, router: &RouterId, answered: bool, now: Time) {
+        if let Some(row) = self.write().get_mut(router) {
+            row.silent_since = if answered { None } else { Some(row.silent_since.unwrap_or(now)) };
+        }
+    }
+
+    /// Returns the relay of a data centre: its router with the lowest name, of those that have not
+    /// been silent for `silence`. Two routers may name different relays for a while; that costs
+    /// store calls and nothing else.
+    #[must_use]
+    pub fn relay(&self, dc: &DataCentreId, now: Time, silence: Duration) -> Option<RouterId> {
+        let answers = |row: &&Row| row.silent_since.is_none_or(|at| now.since(at) < silence);
+        self.read()
+            .values()
+            .filter(|row| row.member.data_centre == *dc)
+            .find(answers)
+            .map(|row| row.member.router.clone())
+    }
+}
--- /dev/null
+++ b/crates/carawayrill-router/src/membership.rs
@@ -0,0 +1,107 @@
+//! This router's own run: its entry in the store and its heartbeats to the relay.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use carawayrill_core::id::RouterId;
+use carawayrill_core::id::Version;
+use carawayrill_core::object::Member;
+use carawayrill_core::object::member_name;
+use carawayrill_proto::wire;
+use carawayrill_store::Error;
+
+use crate::context::Context;
+use crate::feed;
+use crate::home::Home;
+use crate::peer::convert;
+use crate::relay::HeartbeatTable;
+
+/// The pause after a failed write of the entry.
+const RETRY_PAUSE: Duration = Duration::from_millis(300);
+/// The time limit of one heartbeat.
+const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Returns this router's entry as it should stand in the store now.
+#[must_use]
+pub fn own_member(cx: &Context) -> Member {
+    Member {
+        router: cx.settings.router.clone(),
+        incarnation: cx.incarnation,
+        data_centre: cx.settings.data_centre.clone(),
+        peer: cx.settings.peer,
+        http: cx.settings.http,
+        draining: cx.stopping.load(Ordering::Relaxed),
+    }
+}
+
+/// Writes this router's entry, however long the store is away.
+pub async fn register(cx: &Context) {
+    while let Err(err) = write_entry(cx).await {
+        log::warn!("entry not written: {err}");
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+}
+
+async fn write_entry(cx: &Context) -> Result<Version, Error> {
+    let member = own_member(cx);
+    let name = member_name(&member.router);
+    let value = serde_json::to_vec(&member).map_err(|err| Error::malformed(err.to_string()))?;
+    let value = Bytes::from(value);
+    // An earlier write may have taken effect without an answer: reading first settles that.
+    let found = cx.store.get(&name).await?;
+    let version = found.as_ref().map_or_else(Version::default, |object| object.version);
+    if found.is_some_and(|object| object.value == value) {
+        return Ok(version);
+    }
+    cx.store.put(&name, value, version).await
+}
+
+/// Takes this router's entry out of the store, at the end of a planned stop. Tries once: an entry
+/// that stays is taken out by the controller.
+pub async fn deregister(cx: &Context) {
+    let name = member_name(&cx.settings.router);
+    let removed = match cx.store.version(&name).await {
+        Ok(version) => cx.store.delete(&name, version).await,
+        Err(err) => Err(err),
+    };
+    if let Err(err) = removed {
+        log::warn!("entry not taken out: {err}");
+    }
+}
+
+/// Sends heartbeats to the relay for as long as the process runs.
+pub async fn heartbeats(cx: Arc<Context>, home: Arc<Home>, beats: Arc<HeartbeatTable>) {
+    loop {
+        tokio::time::sleep(cx.heartbeat_every()).await;
+        let beat = heartbeat(&cx, &home);
+        match feed::relay_of(&cx) {
+            Some(relay) if relay != cx.settings.router => send(&cx, &relay, beat).await,
+            _ => beats.put(cx.settings.router.clone(), beat),
+        }
+    }
+}
+
+/// Makes the heartbeat of now.
+pub fn heartbeat(cx: &Context, home: &Home) -> wire::HeartbeatRequest {
+    wire::HeartbeatRequest {
+        stamp: convert::stamp(),
+        router: cx.settings.router.to_string(),
+        incarnation: cx.incarnation.0,
+        data_centre: cx.settings.data_centre.to_string(),
+        generation: cx.generation().0,
+        draining: cx.stopping.load(Ordering::Relaxed),
+        in_flight: cx.in_flight.load(Ordering::Relaxed),
+        servers: home.servers_seen(),
+        loads: home.take_loads(),
+    }
+}
+
+async fn send(cx: &Context, relay: &RouterId, beat: wire::HeartbeatRequest) {
+    let Some(address) = cx.members.peer(relay) else { return };
+    let mut req = tonic::Request::new(beat);
+    req.set_timeout(HEARTBEAT_TIMEOUT);
+    let reply = cx.peers.router(address).heartbeat(req).await;
+    cx.members.note_call(relay, reply.is_ok(), cx.now());
+}
--- /dev/null
+++ b/crates/carawayrill-router/src/peer/mod.rs
@@ -0,0 +1,5 @@
+//! Calls between the system's own processes.
+
+pub mod convert;
+pub mod pool;
+pub mod service;
--- /dev/null
+++ b/crates/carawayrill-router/src/peer/service.rs
@@ -0,0 +1,174 @@
+//! What other processes may ask of a router.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use carawayrill_core::id::Revision;
+use carawayrill_core::id::RouterId;
+use carawayrill_proto::wire;
+use carawayrill_proto::wire::router_server::Router;
+use compact_str::CompactString;
+use tonic::Request;
+use tonic::Response;
+use tonic::Status;
+
+use crate::context::Context;
+use crate::home::Home;
+use crate::peer::convert;
+use crate::relay::HeartbeatTable;
+use crate::relay::VersionReader;
+use crate::status;
+
+/// The longest wait of a watch.
+const MAX_WATCH_WAIT: Duration = Duration::from_secs(10);
+
+/// The service.
+#[derive(Debug, Clone)]
+pub struct PeerService {
+    cx: Arc<Context>,
+    home: Arc<Home>,
+    versions: Arc<VersionReader>,
+    beats: Arc<HeartbeatTable>,
+}
+
+impl PeerService {
+    /// Makes the service.
+    #[must_use]
+    pub fn new(
+        cx: Arc<Context>,
+        home: Arc<Home>,
+        versions: Arc<VersionReader>,
+        beats: Arc<HeartbeatTable>,
+    ) -> Self {
+        Self { cx, home, versions, beats }
+    }
+}
+
+#[tonic::async_trait]
+impl Router for PeerService {
+    async fn forward(
+        &self,
+        request: Request<wire::ForwardRequest>,
+    ) -> Result<Response<wire::ForwardReply>, Status> {
+        let wire = request.into_inner();
+        convert::observe(wire.stamp);
+        let id = wire.request_id.clone();
+        let req = convert::request_from_wire(wire, self.cx.now())
+            .map_err(|err| Status::invalid_argument(err.to_string()))?;
+        let answer = self.home.serve(&self.cx, req).await;
+        Ok(Response::new(convert::answer_to_wire(&id, &answer)))
+    }
+
+    async fn cancel(
+        &self,
+        request: Request<wire::CancelRequest>,
+    ) -> Result<Response<wire::CancelReply>, Status> {
+        let wire = request.into_inner();
+        convert::observe(wire.stamp);
+        self.home.cancel(&wire.request_id);
+        Ok(Response::new(wire::CancelReply {}))
+    }
+
+    async fn mirror(
+        &self,
+        request: Request<wire::MirrorRequest>,
+    ) -> Result<Response<wire::MirrorReply>, Status> {
+        let wire = request.into_inner();
+        convert::observe(wire.stamp);
+        let kept = self.home.keep_mirror(&self.cx, wire);
+        Ok(Response::new(wire::MirrorReply { kept, incarnation: self.cx.incarnation.0 }))
+    }
+
+    async fn heartbeat(
+        &self,
+        request: Request<wire::HeartbeatRequest>,
+    ) -> Result<Response<wire::HeartbeatReply>, Status> {
+        let wire = request.into_inner();
+        convert::observe(wire.stamp);
+        let router = RouterId::try_from(wire.router.as_str())
+            .map_err(|err| Status::invalid_argument(err.to_string()))?;
+        if wire.data_centre == self.cx.settings.data_centre.as_str() {
+            self.beats.put(router, wire);
+        }
+        Ok(Response::new(wire::HeartbeatReply {
+            stamp: convert::stamp(),
+            router: self.cx.settings.router.to_string(),
+            incarnation: self.cx.incarnation.0,
+            generation: self.cx.generation().0,
+        }))
+    }
+
+    async fn check_versions(
+        &self,
+        request: Request<wire::CheckVersionsRequest>,
+    ) -> Result<Response<wire::CheckVersionsReply>, Status> {
+        let wire = request.into_inner();
+        convert::observe(wire.stamp);
+        let names: Vec<_> = wire.names.into_iter().map(CompactString::from).collect();
+        let reads = self
+            .versions
+            .check(&self.cx, &names)
+            .await
+            .map_err(|err| Status::unavailable(err.to_string()))?;
+        let now = self.cx.now();
+        let oldest = reads.iter().map(|read| now.since(read.started)).max().unwrap_or_default();
+        let versions = names.iter().zip(&reads).map(|(name, read)| wire::ObjectVersion {
+            name: name.to_string(),
+            version: read.version.0,
+        });
+        Ok(Response::new(wire::CheckVersionsReply {
+            stamp: convert::stamp(),
+            versions: versions.collect(),
+            age_ms: carawayrill_core::time::millis(oldest),
+        }))
+    }
+
+    async fn watch(
+        &self,
+        request: Request<wire::WatchRequest>,
+    ) -> Result<Response<wire::WatchReply>, Status> {
+        let wire = request.into_inner();
+        convert::observe(wire.stamp);
+        let cache = self
+            .cx
+            .caches
+            .find(&wire.prefix)
+            .ok_or_else(|| Status::not_found(format!("no copy of `{}` is kept", wire.prefix)))?;
+        let wait = Duration::from_millis(wire.wait_ms).min(MAX_WATCH_WAIT);
+        let changes = cache.wait_after(Revision(wire.after), wait).await;
+        Ok(Response::new(convert::changes_to_wire(changes)))
+    }
+
+    async fn release(
+        &self,
+        request: Request<wire::ReleaseRequest>,
+    ) -> Result<Response<wire::ReleaseReply>, Status> {
+        let wire = request.into_inner();
+        convert::observe(wire.stamp);
+        let released = self.home.control().release(&self.cx, wire).await;
+        Ok(Response::new(wire::ReleaseReply { stamp: convert::stamp(), released }))
+    }
+
+    async fn promise(
+        &self,
+        request: Request<wire::PromiseRequest>,
+    ) -> Result<Response<wire::PromiseReply>, Status> {
+        let wire = request.into_inner();
+        convert::observe(wire.stamp);
+        let promised = self.home.control().promise(&self.cx, wire).await;
+        Ok(Response::new(wire::PromiseReply { stamp: convert::stamp(), promised }))
+    }
+
+    async fn status(
+        &self,
+        request: Request<wire::StatusRequest>,
+    ) -> Result<Response<wire::StatusReply>, Status> {
+        let wire = request.into_inner();
+        convert::observe(wire.stamp);
+        Ok(Response::new(wire::StatusReply {
+            stamp: convert::stamp(),
+            node: self.cx.settings.router.to_string(),
+            json: status::page(&self.cx, &wire.shard).into(),
+        }))
+    }
+}
--- /dev/null
+++ b/crates/carawayrill-testkit/src/fleet/mod.rs
@@ -0,0 +1,283 @@
+//! A whole deployment as separate processes on loopback: stand-ins, routers and controllers.
+//!
+//! The processes are this workspace's own binaries, found beside the running program. Each writes
+//! its event lines to a file of its own in the fleet's folder. Processes are ended by their own id
+//! only, and whatever still runs is ended when the [`Fleet`] is dropped.
+
+pub mod process;
+
+use std::collections::BTreeMap;
+use std::fs;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::path::Path;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use carawayrill_config::deployment::Deployment;
+use carawayrill_core::id::DataCentreId;
+
+use crate::fleet::process::Process;
+
+/// An error in starting or steering processes.
+pub type Error = Box<dyn std::error::Error + Send + Sync>;
+
+/// How long a planned stop of a router may take, in its settings.
+const STOP_GRACE: &str = "10s";
+
+/// One router of the fleet.
+#[derive(Debug, Clone)]
+pub struct RouterPlace {
+    /// Its name.
+    pub name: String,
+    /// Its data centre.
+    pub data_centre: DataCentreId,
+    /// Where callers reach it.
+    pub http: SocketAddr,
+    /// Where other processes reach it.
+    pub peer: SocketAddr,
+}
+
+/// Which processes a fleet has.
+#[derive(Debug, Clone)]
+pub struct FleetConfig {
+    routers_per_data_centre: usize,
+    controllers: usize,
+    server_options: Vec<String>,
+}
+
+impl Default for FleetConfig {
+    fn default() -> Self {
+        Self { routers_per_data_centre: 1, controllers: 2, server_options: Vec::new() }
+    }
+}
+
+impl FleetConfig {
+    /// Sets how many routers each data centre has. 1 by default.
+    #[must_use]
+    pub fn routers_per_data_centre(mut self, count: usize) -> Self {
+        self.routers_per_data_centre = count;
+        self
+    }
+
+    /// Sets how many controllers there are. 2 by default.
+    #[must_use]
+    pub fn controllers(mut self, count: usize) -> Self {
+        self.controllers = count;
+        self
+    }
+
+    /// Adds an option for each stand-in of servers.
+    #[must_use]
+    pub fn server_option(mut self, option: impl Into<String>) -> Self {
+        self.server_options.push(option.into());
+        self
+    }
+}
+
+/// A running fleet.
+#[derive(Debug)]
+pub struct Fleet {
+    dir: PathBuf,
+    cfg: FleetConfig,
+    store: SocketAddr,
+    vms: SocketAddr,
+    routers: BTreeMap<String, RouterPlace>,
+    processes: BTreeMap<String, Process>,
+}
+
+/// Picks a free loopback port. Another process may take it before it is used; the start then
+/// fails with a clear error.
+///
+/// # Errors
+///
+/// Fails if there is no free port.
+pub fn free_address() -> Result<SocketAddr, Error> {
+    Ok(TcpListener::bind("127.0.0.1:0")?.local_addr()?)
+}
+
+impl Fleet {
+    /// Starts the stand-ins, routers and controllers for a deployment. Files go to `dir`, which is
+    /// made if it is missing.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a file can't be written or a process can't be started.
+    pub fn start(dir: &Path, deployment: &Deployment, cfg: FleetConfig) -> Result<Self, Error> {
+        fs::create_dir_all(dir)?;
+        let mut fleet = Self {
+            dir: dir.to_owned(),
+            cfg,
+            store: free_address()?,
+            vms: free_address()?,
+            routers: BTreeMap::new(),
+            processes: BTreeMap::new(),
+        };
+        fleet.start_platform()?;
+        for dc in &deployment.data_centres {
+            fleet.start_servers(deployment, &dc.id)?;
+        }
+        for dc in &deployment.data_centres {
+            for index in 0..fleet.cfg.routers_per_data_centre {
+                fleet.start_router(&format!("r-{}-{index}", dc.id), &dc.id)?;
+            }
+        }
+        for index in 0..fleet.cfg.controllers {
+            let dc = &deployment.data_centres[index % deployment.data_centres.len()].id;
+            fleet.start_controller(&format!("c-{index}"), dc)?;
+        }
+        Ok(fleet)
+    }
+
+    fn start_platform(&mut self) -> Result<(), Error> {
+        let store = self.store.to_string();
+        let vms = self.vms.to_string();
+        self.spawn("store", "standin-store", &["--listen", &store])?;
+        self.spawn("vms", "standin-vms", &["--listen", &vms])
+    }
+
+    /// Starts one process for all servers of a data centre, so that they can be lost together.
+    fn start_servers(&mut self, whole: &Deployment, dc: &DataCentreId) -> Result<(), Error> {
+        for service in &whole.services {
+            let here = |server: &&carawayrill_config::deployment::Server| {
+                server.service == service.id && server.data_centre == *dc
+            };
+            let servers: Vec<_> = whole.servers.iter().filter(here).collect();
+            if servers.is_empty() {
+                continue;
+            }
+            let mut args = vec![
+                "--slots".to_owned(),
+                service.slots.to_string(),
+                "--connections".to_owned(),
+                service.connections.to_string(),
+            ];
+            if !service.fencing {
+                args.push("--no-fencing".to_owned());
+            }
+            for server in servers {
+                args.push("--server".to_owned());
+                args.push(format!("{}={}", server.id, server.address));
+            }
+            args.extend(self.cfg.server_options.iter().cloned());
+            let args: Vec<&str> = args.iter().map(String::as_str).collect();
+            self.spawn(&format!("servers-{dc}-{}", service.id), "standin-server", &args)?;
+        }
+        Ok(())
+    }
+
+    /// Starts a router, or starts it again at the same addresses.
+    ///
+    /// # Errors
+    ///
+    /// Fails if its settings can't be written or it can't be started.
+    pub fn start_router(&mut self, name: &str, dc: &DataCentreId) -> Result<(), Error> {
+        let place = match self.routers.get(name) {
+            Some(place) => place.clone(),
+            None => RouterPlace {
+                name: name.to_owned(),
+                data_centre: dc.clone(),
+                http: free_address()?,
+                peer: free_address()?,
+            },
+        };
+        let settings = format!(
+            "router: {name}\ndata_centre: {dc}\nhttp: {}\npeer: {}\nstore: http://{}\n\
+             vm_list: http://{}\nstop_grace: {STOP_GRACE}\n",
+            place.http, place.peer, self.store, self.vms
+        );
+        self.routers.insert(name.to_owned(), place);
+        let path = self.write(&format!("{name}.yaml"), &settings)?;
+        self.spawn(name, "carawayrill-router", &["--settings", &path])
+    }
+
+    /// Starts a controller.
+    ///
+    /// # Errors
+    ///
+    /// Fails if its settings can't be written or it can't be started.
+    pub fn start_controller(&mut self, name: &str, dc: &DataCentreId) -> Result<(), Error> {
+        let settings = format!(
+            "controller: {name}\ndata_centre: {dc}\npeer: {}\nstore: http://{}\n\
+             vm_list: http://{}\nstop_grace: {STOP_GRACE}\n",
+            free_address()?,
+            self.store,
+            self.vms
+        );
+        let path = self.write(&format!("{name}.yaml"), &settings)?;
+        self.spawn(name, "carawayrill-controller", &["--settings", &path])
+    }
+
+    fn write(&self, name: &str, text: &str) -> Result<String, Error> {
+        let path = self.dir.join(name);
+        fs::write(&path, text)?;
+        Ok(path.to_string_lossy().into_owned())
+    }
+
+    fn spawn(&mut self, name: &str, program: &str, args: &[&str]) -> Result<(), Error> {
+        let process = Process::start(&self.dir, name, program, args)?;
+        self.processes.insert(name.to_owned(), process);
+        Ok(())
+    }
+
+    /// Returns the address of the stand-in of the store.
+    #[must_use]
+    pub fn store(&self) -> SocketAddr {
+        self.store
+    }
+
+    /// Returns the address of the stand-in of the VM list.
+    #[must_use]
+    pub fn vms(&self) -> SocketAddr {
+        self.vms
+    }
+
+    /// Returns all routers, started or ended.
+    #[must_use]
+    pub fn routers(&self) -> Vec<RouterPlace> {
+        self.routers.values().cloned().collect()
+    }
+
+    /// Returns the names of the processes that have not been ended here.
+    #[must_use]
+    pub fn running(&self) -> Vec<String> {
+        let running = self.processes.iter().filter(|(_, process)| process.is_started());
+        running.map(|(name, _)| name.clone()).collect()
+    }
+
+    /// Returns one process.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is none of that name.
+    pub fn process(&mut self, name: &str) -> Result<&mut Process, Error> {
+        self.processes.get_mut(name).ok_or_else(|| format!("no process `{name}`").into())
+    }
+
+    /// Returns the files with the event lines of all processes.
+    #[must_use]
+    pub fn logs(&self) -> Vec<PathBuf> {
+        self.processes.values().map(|process| process.log().to_owned()).collect()
+    }
+
+    /// Stops all processes by plan: controllers and routers first, the stand-ins last.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a process does not stop within `limit`, or ends with an error.
+    pub fn stop(&mut self, limit: Duration) -> Result<(), Error> {
+        let names = self.running();
+        let (platform, own): (Vec<_>, Vec<_>) = names.into_iter().partition(|name| {
+            name == "store" || name == "vms" || name.starts_with("servers-")
+        });
+        for group in [own, platform] {
+            for name in &group {
+                self.process(name)?.terminate()?;
+            }
+            for name in &group {
+                self.process(name)?.wait(limit)?;
+            }
+        }
+        Ok(())
+    }
+}
