Place shards, standby servers and homes

A shard needs an owner, a standby server, a home and a standby home by rule 1 of ownership. One server has one home, so that the home counts its slots exactly. Standby servers of one owner spread over many, so that its loss loads none of them much. Too few data centres degrade the placement with a stated reason. What is in force stays.

--- a/crates/carawayrill-core/src/lib.rs
+++ b/crates/carawayrill-core/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod object;
 pub mod order;
 pub mod outcome;
+pub mod placement;
 pub mod time;
 pub mod token;
 pub mod unit;
--- /dev/null
+++ b/crates/carawayrill-core/src/placement/initial.rs
@@ -0,0 +1,141 @@
+//! The first placement of shards that have no owner.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use super::homes::Homes;
+use super::rows::Degraded;
+use super::rows::Fleet;
+use super::rows::NodeState;
+use super::rows::Placed;
+use super::rows::ServerRow;
+use super::rows::list_shortfalls;
+use super::standby::Standbys;
+use super::standby::WEIGHT_SCALE;
+use crate::data;
+use crate::id::ServerId;
+use crate::id::ServiceId;
+use crate::id::ShardId;
+
+data! {
+    /// What placement decided.
+    #[derive(Default)]
+    pub struct Plan {
+        /// New placements, in the order of the shards asked for.
+        pub placed: Vec<Placed>,
+        /// What falls short of rule 1 or of a preference beside it.
+        pub degraded: Vec<Degraded>,
+        /// Shards that can't be placed: their service has no live server, or there is no live
+        /// router.
+        pub open: Vec<ShardId>,
+    }
+}
+
+/// Places the `shards` that have no placement in `current`.
+///
+/// Shards are spread over the servers of their service in relation to the servers' weights, and
+/// homes over the routers. What is in force stays as it is and counts.
+#[must_use]
+pub fn initial(fleet: &Fleet, shards: &[ShardId], current: &[Placed]) -> Plan {
+    let fleet = &fleet.sorted();
+    let homes = Homes::assign(fleet, current);
+    let mut standbys = Standbys::new(fleet);
+    for row in current {
+        if let Some(standby) = &row.standby {
+            standbys.count(&row.owner, standby);
+        }
+    }
+    let mut owners = Owners::new(fleet, &homes, current);
+    let taken: BTreeSet<&ShardId> = current.iter().map(|row| &row.shard).collect();
+    let mut plan = Plan::default();
+    for shard in shards.iter().filter(|shard| !taken.contains(shard)) {
+        match place(fleet, &homes, &mut owners, &mut standbys, shard) {
+            Some(placed) => plan.push(fleet, placed),
+            None => plan.open.push(shard.clone()),
+        }
+    }
+    plan
+}
+
+/// Places one shard.
+fn place(
+    fleet: &Fleet,
+    homes: &Homes,
+    owners: &mut Owners<'_>,
+    standbys: &mut Standbys<'_>,
+    shard: &ShardId,
+) -> Option<Placed> {
+    let owner = owners.take(&shard.service)?;
+    let owner = fleet.find_server(&owner)?;
+    let pair = homes.pair(&owner.id)?;
+    Some(Placed {
+        shard: shard.clone(),
+        owner: owner.id.clone(),
+        standby: standbys.choose(owner, pair),
+        home: pair.home.clone(),
+        standby_home: pair.standby_home.clone(),
+    })
+}
+
+impl Plan {
+    /// Adds a placement and what falls short in it. `fleet` has to be sorted.
+    pub(crate) fn push(&mut self, fleet: &Fleet, placed: Placed) {
+        let shortfalls = list_shortfalls(
+            &placed,
+            fleet.find_server(&placed.owner),
+            placed.standby.as_ref().and_then(|id| fleet.find_server(id)),
+            fleet.find_router(&placed.home),
+            placed
+                .standby_home
+                .as_ref()
+                .and_then(|id| fleet.find_router(id)),
+        );
+        for shortfall in shortfalls {
+            let shard = placed.shard.clone();
+            self.degraded.push(Degraded { shard, shortfall });
+        }
+        self.placed.push(placed);
+    }
+}
+
+/// The live servers of each service, the least loaded first.
+#[derive(Debug)]
+pub(crate) struct Owners<'a> {
+    by_service: BTreeMap<&'a ServiceId, BTreeSet<(u64, &'a ServerId)>>,
+    weights: BTreeMap<&'a ServerId, u32>,
+}
+
+impl<'a> Owners<'a> {
+    /// Ranks the servers that have a home by the shards they own now.
+    pub(crate) fn new(fleet: &'a Fleet, homes: &Homes, current: &[Placed]) -> Self {
+        let mut counts: BTreeMap<&ServerId, u32> = BTreeMap::new();
+        for row in current {
+            *counts.entry(&row.owner).or_default() += 1;
+        }
+        let mut owners = Self {
+            by_service: BTreeMap::new(),
+            weights: BTreeMap::new(),
+        };
+        let usable = |server: &&ServerRow| {
+            server.state == NodeState::Live && homes.pair(&server.id).is_some()
+        };
+        for server in fleet.servers.iter().filter(usable) {
+            let weight = server.weight.max(1);
+            let count = counts.get(&server.id).copied().unwrap_or(0);
+            let load = u64::from(count) * WEIGHT_SCALE / u64::from(weight);
+            let ranked = owners.by_service.entry(&server.service).or_default();
+            ranked.insert((load, &server.id));
+            owners.weights.insert(&server.id, weight);
+        }
+        owners
+    }
+
+    /// Takes the least loaded server of a service and counts one more shard for it.
+    pub(crate) fn take(&mut self, service: &ServiceId) -> Option<ServerId> {
+        let ranked = self.by_service.get_mut(service)?;
+        let (load, server) = ranked.pop_first()?;
+        let weight = self.weights.get(server).copied().unwrap_or(1);
+        ranked.insert((load + WEIGHT_SCALE / u64::from(weight), server));
+        Some(server.clone())
+    }
+}
--- /dev/null
+++ b/crates/carawayrill-core/tests/placement_initial.rs
@@ -0,0 +1,179 @@
+//! The first placement: spread, rule 1 and its stated shortfalls.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use carawayrill_core::id::ShardId;
+use carawayrill_core::placement::Fleet;
+use carawayrill_core::placement::NodeState;
+use carawayrill_core::placement::Placed;
+use carawayrill_core::placement::Plan;
+use carawayrill_core::placement::RouterRow;
+use carawayrill_core::placement::ServerRow;
+use carawayrill_core::placement::Shortfall;
+use carawayrill_core::placement::initial;
+use carawayrill_core::placement::shortfalls;
+use proptest::prelude::*;
+use rstest::rstest;
+
+/// Lays out `regions` x `centres` data centres with so many servers and routers in each.
+fn fleet(regions: u32, centres: u32, servers: u32, routers: u32) -> Fleet {
+    let mut fleet = Fleet::default();
+    for (region, centre) in (0..regions).flat_map(|r| (0..centres).map(move |c| (r, c))) {
+        let region_id = format!("r{region}").as_str().try_into().unwrap();
+        let dc = format!("r{region}-{centre}").as_str().try_into().unwrap();
+        for index in 0..servers {
+            fleet.servers.push(ServerRow {
+                id: format!("s-{region}{centre}{index}").parse().unwrap(),
+                service: "forms".parse().unwrap(),
+                data_centre: Clone::clone(&dc),
+                region: Clone::clone(&region_id),
+                weight: 1,
+                state: NodeState::Live,
+            });
+        }
+        for index in 0..routers {
+            fleet.routers.push(RouterRow {
+                id: format!("g-{region}{centre}{index}").parse().unwrap(),
+                data_centre: Clone::clone(&dc),
+                region: Clone::clone(&region_id),
+                state: NodeState::Live,
+            });
+        }
+    }
+    fleet
+}
+
+fn shards(count: u32) -> Vec<ShardId> {
+    (0..count)
+        .map(|index| ShardId::range("forms".parse().unwrap(), index))
+        .collect()
+}
+
+/// Writes a plan one line a row, then what falls short.
+fn show(plan: &Plan) -> String {
+    let placed = plan.placed.iter().map(ToString::to_string);
+    let degraded = plan
+        .degraded
+        .iter()
+        .map(|row| format!("{}: {}", row.shard, row.shortfall));
+    let open = plan.open.iter().map(|shard| format!("{shard}: open"));
+    placed
+        .chain(degraded)
+        .chain(open)
+        .collect::<Vec<_>>()
+        .join("\n")
+}
+
+fn spread<K: Ord>(keys: impl Iterator<Item = K>) -> (u32, u32) {
+    let mut counts: BTreeMap<K, u32> = BTreeMap::new();
+    for key in keys {
+        *counts.entry(key).or_default() += 1;
+    }
+    let least = counts.values().min().copied().unwrap_or(0);
+    (least, counts.values().max().copied().unwrap_or(0))
+}
+
+#[test]
+fn two_regions_of_two_data_centres() {
+    let plan = initial(&fleet(2, 2, 1, 1), &shards(8), &[]);
+    insta::assert_snapshot!(show(&plan));
+}
+
+/// Too few data centres degrade with a stated reason, never silently.
+#[rstest]
+#[case::one_of_all(fleet(1, 1, 1, 1), &[Shortfall::NoStandbyServer,
+    Shortfall::HomeSharesDataCentreWithOwner, Shortfall::NoStandbyHome])]
+#[case::one_data_centre(fleet(1, 1, 2, 2), &[Shortfall::StandbySharesDataCentre,
+    Shortfall::HomeSharesDataCentreWithOwner, Shortfall::HomeSharesDataCentreWithStandby,
+    Shortfall::HomesShareDataCentre])]
+#[case::two_data_centres(fleet(1, 2, 2, 1), &[Shortfall::StandbySharesDataCentre])]
+#[case::two_data_centres_one_server_each(fleet(1, 2, 1, 1),
+    &[Shortfall::HomeSharesDataCentreWithStandby])]
+#[case::two_regions(fleet(2, 1, 1, 1), &[Shortfall::HomeOutsideRegion,
+    Shortfall::HomeSharesDataCentreWithStandby])]
+#[case::three_data_centres(fleet(1, 3, 1, 1), &[])]
+#[case::users_today(fleet(3, 2, 4, 2), &[])]
+fn shortfalls_are_stated(#[case] fleet: Fleet, #[case] expected: &[Shortfall]) {
+    let plan = initial(&fleet, &shards(24), &[]);
+    let found: BTreeSet<Shortfall> = plan.degraded.iter().map(|row| row.shortfall).collect();
+    assert_eq!(found, expected.iter().copied().collect());
+    assert_eq!(plan.placed.len(), 24);
+}
+
+#[rstest]
+#[case::no_server(fleet(1, 3, 0, 1))]
+#[case::no_router(fleet(1, 3, 1, 0))]
+fn without_servers_or_routers_shards_stay_open(#[case] fleet: Fleet) {
+    let plan = initial(&fleet, &shards(3), &[]);
+    assert_eq!(plan.open, shards(3));
+}
+
+#[test]
+fn weights_count() {
+    let mut fleet = fleet(1, 3, 1, 1);
+    fleet.servers[0].weight = 3;
+    let plan = initial(&fleet, &shards(50), &[]);
+    let heavy = plan
+        .placed
+        .iter()
+        .filter(|row| row.owner == fleet.servers[0].id);
+    assert_eq!(heavy.count(), 30);
+}
+
+#[test]
+fn draining_and_lost_get_nothing() {
+    let mut fleet = fleet(3, 2, 2, 2);
+    fleet.servers[0].state = NodeState::Draining;
+    fleet.servers[1].state = NodeState::Lost;
+    fleet.routers[0].state = NodeState::Draining;
+    fleet.routers[1].state = NodeState::Lost;
+    let plan = initial(&fleet, &shards(100), &[]);
+    let servers: BTreeSet<_> = plan
+        .placed
+        .iter()
+        .flat_map(|r| [Some(&r.owner), r.standby.as_ref()])
+        .flatten()
+        .collect();
+    let routers: BTreeSet<_> = plan
+        .placed
+        .iter()
+        .flat_map(|r| [Some(&r.home), r.standby_home.as_ref()])
+        .flatten()
+        .collect();
+    assert!(
+        fleet.servers[..2]
+            .iter()
+            .all(|row| !servers.contains(&row.id))
+    );
+    assert!(
+        fleet.routers[..2]
+            .iter()
+            .all(|row| !routers.contains(&row.id))
+    );
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: prop::test_runner::RngSeed::Fixed(6), ..ProptestConfig::with_cases(200) })]
+
+    /// Three data centres a region suffice for all of rule 1; shards, homes and standby servers
+    /// are even; the order of the rows does not matter; a second call adds nothing.
+    #[test]
+    fn invariants(regions in 1_u32..4, centres in 3_u32..5, servers in 1_u32..4, routers in 1_u32..4, count in 1_u32..300) {
+        let mut fleet = fleet(regions, centres, servers, routers);
+        let plan = initial(&fleet, &shards(count), &[]);
+        prop_assert!(plan.degraded.is_empty(), "{}", show(&plan));
+        prop_assert!(plan.placed.iter().all(|row| shortfalls(&fleet, row).is_empty()));
+        let (least, most) = spread(plan.placed.iter().map(|row| &row.owner));
+        prop_assert!(most - least <= 1);
+        let homes: BTreeMap<_, _> = plan.placed.iter().map(|row| (&row.owner, &row.home)).collect();
+        prop_assert!(plan.placed.iter().all(|row| homes[&row.owner] == &row.home));
+        fleet.servers.reverse();
+        fleet.routers.reverse();
+        prop_assert_eq!(&initial(&fleet, &shards(count), &[]), &plan);
+        let part: Vec<Placed> = plan.placed.iter().take(plan.placed.len() / 2).cloned().collect();
+        let rest = initial(&fleet, &shards(count), &part);
+        prop_assert_eq!(rest.placed.len() + part.len(), plan.placed.len());
+        prop_assert!(initial(&fleet, &shards(count), &plan.placed).placed.is_empty());
+    }
+}
