--- a/crates/carawayrill-core/src/lib.rs
+++ b/crates/carawayrill-core/src/lib.rs
@@ -19,6 +19,7 @@
 //! assert_eq!(Term(5), reserved.term);
 //! ```
 
+pub mod answer;
 pub mod assignment;
 mod error;
 pub mod event;
@@ -28,6 +29,7 @@
 pub mod object;
 pub mod order;
 pub mod outcome;
+pub mod ownership;
 pub mod placement;
 pub mod time;
 pub mod token;
