--- a/crates/carawayrill-core/src/lib.rs
+++ b/crates/carawayrill-core/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod outcome;
 pub mod ownership;
 pub mod route;
+pub mod placement;
 pub mod time;
 pub mod token;
 pub mod unit;
