Read deployments and daemon settings from YAML to checked types

Cause: the daemons had checked types but nothing to fill them from.

One table of settings gives path, form, range, default, scope and effect of each; a file is read against it, so that unknown fields, missing units and numbers out of range are refused with file, line, field and what was expected, all of them at once. Overlays adjust services and declare the servers of their site; each value keeps where it was written.

Excluded: serde's derive on the raw types. It stops at the first wrong field and loses the place of the values that a cross-check needs.

The table of bad inputs found three faults before this commit: a second YAML document was left out without a word; one unreadable file raised complaints about all files that refer to it; a server's wrong address hid its wrong service. Each has its row now.

--- /dev/null
+++ b/crates/carawayrill-config/src/checked.rs
@@ -0,0 +1,485 @@
+//! From the values of the files to the checked types.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::str::FromStr;
+
+use carawayrill_core::id::DataCentreId;
+use carawayrill_core::id::Generation;
+use compact_str::CompactString;
+
+use crate::Error;
+use crate::Origin;
+use crate::Problem;
+use crate::deployment::DataCentre;
+use crate::deployment::Deployment;
+use crate::deployment::OnStoreOutage;
+use crate::deployment::Server;
+use crate::deployment::Service;
+use crate::deployment::SiteService;
+use crate::deployment::Timing;
+use crate::fields::Fields;
+use crate::fields::join;
+use crate::loaded::Files;
+use crate::parts::BASE_FILE;
+use crate::parts::site_file;
+use crate::schema;
+use crate::schema::Setting;
+use crate::settings::DEPLOYMENT;
+
+/// The fields of one entity, as an overlay adjusts them.
+#[derive(Debug)]
+pub(crate) struct Row<'a> {
+    /// The settings that it may have.
+    pub(crate) table: &'a [Setting],
+    /// The path of the entity; empty for the root.
+    pub(crate) path: String,
+    /// Where the fields are written; the first layer that has a field wins.
+    pub(crate) layers: Vec<&'a Fields>,
+    /// The place of the entity's first field.
+    pub(crate) origin: Origin,
+}
+
+impl Row<'_> {
+    /// Returns where a field is written, or where its entity is.
+    fn origin_of(&self, name: &str) -> &Origin {
+        let path = join(&self.path, name);
+        self.layers
+            .iter()
+            .find_map(|fields| fields.get(&path))
+            .map_or(&self.origin, |value| &value.origin)
+    }
+
+    /// Returns the text of a field or of its default.
+    fn raw(&self, name: &str) -> Option<&str> {
+        let path = join(&self.path, name);
+        self.layers
+            .iter()
+            .find_map(|fields| fields.get(&path))
+            .map(|value| value.text.as_str())
+            .or_else(|| schema::find(self.table, &path)?.default)
+    }
+
+    /// Returns a field as a checked value.
+    pub(crate) fn get<T: FromStr>(&self, name: &str) -> Result<T, Problem> {
+        let text = self.raw(name).ok_or_else(|| self.missing(name))?;
+        text.parse().map_err(|_err| {
+            let kind = schema::find(self.table, &join(&self.path, name));
+            let expected = kind.map_or_else(String::new, |setting| setting.kind.expected());
+            Problem::value(
+                self.origin_of(name),
+                &join(&self.path, name),
+                text,
+                &expected,
+            )
+        })
+    }
+
+    /// Returns a field that may be left out.
+    pub(crate) fn get_if_written<T: FromStr>(&self, name: &str) -> Result<Option<T>, Problem> {
+        match self.raw(name) {
+            None | Some("") => Ok(None),
+            Some(_) => self.get(name).map(Some),
+        }
+    }
+
+    /// Makes the problem of a field that has to be written.
+    fn missing(&self, name: &str) -> Problem {
+        let path = join(&self.path, name);
+        let expected = schema::find(self.table, &path)
+            .map_or_else(String::new, |setting| setting.kind.expected());
+        Problem::new(&self.origin, path, format!("missing; expected {expected}"))
+    }
+
+    /// Lists required fields that are not written.
+    pub(crate) fn missing_fields(&self) -> Vec<Problem> {
+        self.table
+            .iter()
+            .filter(|setting| setting.default.is_none())
+            .filter(|setting| setting.is_at(&join(&self.path, setting.name())))
+            .filter(|setting| self.raw(setting.name()).is_none())
+            .map(|setting| self.missing(setting.name()))
+            .collect()
+    }
+
+    /// Makes the problem of a field that doesn't fit another.
+    fn clash(&self, name: &str, text: &str) -> Problem {
+        Problem::new(self.origin_of(name), join(&self.path, name), text)
+    }
+}
+
+impl TryFrom<&Row<'_>> for Service {
+    type Error = Problem;
+
+    fn try_from(row: &Row<'_>) -> Result<Self, Problem> {
+        let name = row.path.rsplit('.').next().unwrap_or_default();
+        let id = name
+            .try_into()
+            .map_err(|_err| row.clash("key", "wrong name"))?;
+        Ok(Self {
+            id,
+            key: row.get("key")?,
+            shards: row.get("shards")?,
+            shards_per_block: row.get("shards_per_block")?,
+            slots: row.get("slots")?,
+            connections: row.get("connections")?,
+            repeat: row.get("repeat")?,
+            claim_window: row.get("claim_window")?,
+            default_deadline: row.get("default_deadline")?,
+            max_deadline: row.get("max_deadline")?,
+            max_body: row.get("max_body")?,
+            queue_limit: row.get("queue_limit")?,
+            warm_up: row.get("warm_up")?,
+            on_store_outage: row.get("on_store_outage")?,
+            fencing: row.get("fencing")?,
+        })
+    }
+}
+
+impl TryFrom<&Row<'_>> for Timing {
+    type Error = Problem;
+
+    fn try_from(row: &Row<'_>) -> Result<Self, Problem> {
+        Ok(Self {
+            grant_ttl: row.get("grant_ttl")?,
+            renew_every: row.get("renew_every")?,
+            authority: row.get("authority")?,
+            check_every: row.get("check_every")?,
+            server_silence: row.get("server_silence")?,
+            router_silence: row.get("router_silence")?,
+            heartbeat_every: row.get("heartbeat_every")?,
+            controller_lease: row.get("controller_lease")?,
+            drift_ppm: row.get("drift_ppm")?,
+        })
+    }
+}
+
+/// Checks the values of all files and collects everything that is wrong.
+#[derive(Debug)]
+pub(crate) struct Checker<'a> {
+    files: &'a Files,
+    problems: Vec<Problem>,
+}
+
+impl<'a> Checker<'a> {
+    /// Makes a checker that has found `problems` already.
+    pub(crate) fn new(files: &'a Files, problems: Vec<Problem>) -> Self {
+        Self { files, problems }
+    }
+
+    /// Returns the deployment, or all problems.
+    pub(crate) fn check(mut self) -> Result<Deployment, Error> {
+        let data_centres = self.data_centres();
+        let timing = self.timing();
+        let services = self.services(timing.as_ref());
+        let site_services = self.site_services(&data_centres, timing.as_ref());
+        let servers = self.servers();
+        let root = row_of("", &[&self.files.base], &start_of(BASE_FILE));
+        let head = root.get("name");
+        let region_link = root.get("region_link");
+        self.problems.extend(root.missing_fields());
+        match (head, region_link, timing) {
+            (Ok(name), Ok(region_link), Some(timing)) if self.problems.is_empty() => {
+                Ok(Deployment {
+                    generation: Generation::default(),
+                    name,
+                    data_centres,
+                    region_link,
+                    services,
+                    site_services,
+                    servers,
+                    timing,
+                })
+            }
+            _ => Err(Error::problems(self.problems)),
+        }
+    }
+
+    /// Adds the problem of a failed conversion. One of a value that was found wrong when its file
+    /// was read is the same and falls away later.
+    fn keep<T>(&mut self, made: Result<T, Problem>) -> Option<T> {
+        match made {
+            Ok(value) => Some(value),
+            Err(problem) => {
+                self.problems.push(problem);
+                None
+            }
+        }
+    }
+
+    /// Checks the data centres.
+    fn data_centres(&mut self) -> Vec<DataCentre> {
+        let names = self.files.base.names("data_centres");
+        if names.is_empty() {
+            let text = "missing; expected at least one data centre with its region";
+            self.problems
+                .push(Problem::new(&start_of(BASE_FILE), "data_centres", text));
+        }
+        let mut data_centres = Vec::new();
+        for (name, origin) in names {
+            let row = row_of(&join("data_centres", &name), &[&self.files.base], &origin);
+            let region = self.keep(row.get("region"));
+            let id = DataCentreId::try_from(name).ok();
+            if let (Some(id), Some(region)) = (id, region) {
+                data_centres.push(DataCentre { id, region });
+            }
+        }
+        data_centres
+    }
+
+    /// Checks the time limits of the control path.
+    fn timing(&mut self) -> Option<Timing> {
+        let row = row_of("timing", &[&self.files.base], &start_of(BASE_FILE));
+        let timing = self.keep(Timing::try_from(&row))?;
+        let halves = [
+            (
+                "renew_every",
+                timing.renew_every,
+                "grant_ttl",
+                timing.grant_ttl,
+            ),
+            (
+                "renew_every",
+                timing.renew_every,
+                "server_silence",
+                timing.server_silence,
+            ),
+            (
+                "check_every",
+                timing.check_every,
+                "authority",
+                timing.authority,
+            ),
+            (
+                "heartbeat_every",
+                timing.heartbeat_every,
+                "router_silence",
+                timing.router_silence,
+            ),
+        ];
+        for (name, short, other, long) in halves {
+            if short.0 * 2 > long.0 {
+                let text = format!(
+                    "found {short}, expected at most half of {other} ({long}), so that one lost message changes nothing"
+                );
+                self.problems.push(row.clash(name, &text));
+            }
+        }
+        if timing.grant_ttl.0 > timing.authority.0 {
+            let text = format!(
+                "found {}, expected at most authority ({})",
+                timing.grant_ttl, timing.authority
+            );
+            self.problems.push(row.clash("grant_ttl", &text));
+        }
+        Some(timing)
+    }
+
+    /// Checks the services as the base file declares them.
+    fn services(&mut self, timing: Option<&Timing>) -> Vec<Service> {
+        let names = self.files.base.names("services");
+        if names.is_empty() {
+            let text = "missing; expected at least one service";
+            self.problems
+                .push(Problem::new(&start_of(BASE_FILE), "services", text));
+        }
+        let mut services = Vec::new();
+        for (name, origin) in names {
+            let row = row_of(&join("services", &name), &[&self.files.base], &origin);
+            self.problems.extend(row.missing_fields());
+            services.extend(self.service(&row, timing));
+        }
+        services
+    }
+
+    /// Checks one service; its required fields have been looked for.
+    fn service(&mut self, row: &Row<'_>, timing: Option<&Timing>) -> Option<Service> {
+        let service = self.keep(Service::try_from(row))?;
+        self.fits(row, &service, timing);
+        Some(service)
+    }
+
+    /// Checks that the fields of a service fit each other.
+    fn fits(&mut self, row: &Row<'_>, service: &Service, timing: Option<&Timing>) {
+        let mut refuse = |name: &str, text: String| self.problems.push(row.clash(name, &text));
+        if service.default_deadline.0 > service.max_deadline.0 {
+            refuse(
+                "default_deadline",
+                format!(
+                    "found {}, expected at most max_deadline ({})",
+                    service.default_deadline, service.max_deadline
+                ),
+            );
+        }
+        if service.claim_window.0 < service.max_deadline.0 {
+            refuse(
+                "claim_window",
+                format!(
+                    "found {}, expected at least max_deadline ({})",
+                    service.claim_window, service.max_deadline
+                ),
+            );
+        }
+        if let (OnStoreOutage::Hold(hold), Some(timing)) = (service.on_store_outage, timing)
+            && hold.0 < timing.authority.0
+        {
+            refuse(
+                "on_store_outage",
+                format!(
+                    "found hold {hold}, expected at least timing.authority ({})",
+                    timing.authority
+                ),
+            );
+        }
+    }
+
+    /// Checks what the overlays adjust on services.
+    fn site_services(
+        &mut self,
+        data_centres: &[DataCentre],
+        timing: Option<&Timing>,
+    ) -> Vec<SiteService> {
+        let files = self.files;
+        let mut adjusted = Vec::new();
+        for (site, fields) in &files.sites {
+            if !data_centres.iter().any(|dc| dc.id == *site) {
+                let text = format!(
+                    "the file is named after `{site}`, which is no data centre of the base file"
+                );
+                self.problems
+                    .push(Problem::new(&start_of(&site_file(site)), "", text));
+            }
+            for (name, origin) in fields.names("services") {
+                let path = join("services", &name);
+                if !files.base.names("services").contains_key(&name) {
+                    self.problems.push(unknown_service(&origin, &path, &name));
+                    continue;
+                }
+                let row = row_of(&path, &[fields, &files.base], &origin);
+                adjusted.extend(self.service(&row, timing).map(|service| SiteService {
+                    data_centre: site.clone(),
+                    service,
+                }));
+            }
+        }
+        adjusted
+    }
+
+    /// Checks the servers of all files.
+    fn servers(&mut self) -> Vec<Server> {
+        let files = self.files;
+        let mut first: BTreeMap<CompactString, Origin> = BTreeMap::new();
+        let mut servers = Vec::new();
+        let layers = std::iter::once((None, &files.base));
+        let layers = layers.chain(
+            files
+                .sites
+                .iter()
+                .map(|(site, fields)| (Some(site), fields)),
+        );
+        for (site, fields) in layers {
+            for (name, origin) in fields.names("servers") {
+                let path = join("servers", &name);
+                if let Some(earlier) = first.get(&name) {
+                    let text = format!(
+                        "declared twice, first at {}:{}; expected one declaration",
+                        earlier.file, earlier.line
+                    );
+                    self.problems.push(Problem::new(&origin, path, text));
+                    continue;
+                }
+                first.insert(name, origin.clone());
+                let row = row_of(&path, &[fields], &origin);
+                let server = self.server(&row, site);
+                servers.extend(server.map(|server| (server, origin)));
+            }
+        }
+        self.addresses(&servers);
+        servers.into_iter().map(|(server, _)| server).collect()
+    }
+
+    /// Checks one server.
+    fn server(&mut self, row: &Row<'_>, site: Option<&DataCentreId>) -> Option<Server> {
+        let name = row.path.rsplit('.').next().unwrap_or_default();
+        let service = self.keep(row.get("service"));
+        let address = self.keep(row.get::<SocketAddr>("address"));
+        let data_centre = match site {
+            Some(site) => Some(site.clone()),
+            None => self.keep(row.get("data_centre")),
+        };
+        self.references(row);
+        Some(Server {
+            id: name.try_into().ok()?,
+            service: service?,
+            data_centre: data_centre?,
+            address: address?,
+        })
+    }
+
+    /// Checks that the service and the data centre of a server are declared.
+    fn references(&mut self, row: &Row<'_>) {
+        let base = &self.files.base;
+        if let Some(service) = row.raw("service")
+            && !is_declared(base, "services", service)
+        {
+            let path = join(&row.path, "service");
+            self.problems
+                .push(unknown_service(row.origin_of("service"), &path, service));
+        }
+        if let Some(site) = row.raw("data_centre")
+            && !is_declared(base, "data_centres", site)
+        {
+            let text = format!("found `{site}`, expected a data centre of the base file");
+            self.problems.push(row.clash("data_centre", &text));
+        }
+    }
+
+    /// Checks that no two servers have the same address.
+    fn addresses(&mut self, servers: &[(Server, Origin)]) {
+        let mut first: BTreeMap<SocketAddr, &Server> = BTreeMap::new();
+        for (server, origin) in servers {
+            if let Some(earlier) = first.insert(server.address, server) {
+                let path = format!("servers.{}.address", server.id);
+                let text = format!(
+                    "found {}, which server `{}` has too; expected one server an address",
+                    server.address, earlier.id
+                );
+                self.problems.push(Problem::new(origin, path, text));
+            }
+        }
+    }
+}
+
+/// Makes the row of one entity.
+fn row_of<'a>(path: &str, layers: &[&'a Fields], origin: &Origin) -> Row<'a> {
+    Row {
+        table: DEPLOYMENT,
+        path: path.to_owned(),
+        layers: layers.to_vec(),
+        origin: origin.clone(),
+    }
+}
+
+/// Tells whether the base file has an entity of this name.
+fn is_declared(base: &Fields, section: &str, name: &str) -> bool {
+    let prefix = format!("{section}.{name}.");
+    base.values
+        .range(prefix.clone()..)
+        .next()
+        .is_some_and(|(path, _)| path.starts_with(&prefix))
+}
+
+/// Makes the problem of a reference to a service that is not declared.
+fn unknown_service(origin: &Origin, path: &str, name: &str) -> Problem {
+    let text = format!("found `{name}`, expected a service of the base file");
+    Problem::new(origin, path, text)
+}
+
+/// Returns the start of a file, for what is missing in it.
+pub(crate) fn start_of(file: &str) -> Origin {
+    Origin {
+        file: file.into(),
+        line: 1,
+        column: 1,
+    }
+}
--- /dev/null
+++ b/crates/carawayrill-config/src/daemon.rs
@@ -0,0 +1,247 @@
+//! The settings of one process: its name, its place and its addresses.
+//!
+//! They are written in a small YAML file of their own and read at the start. Everything else a
+//! daemon learns from the store.
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use carawayrill_core::data;
+use carawayrill_core::id::ControllerId;
+use carawayrill_core::id::DataCentreId;
+use carawayrill_core::id::RouterId;
+use carawayrill_core::unit::Span;
+use compact_str::CompactString;
+
+use crate::Error;
+use crate::Problem;
+use crate::checked::Row;
+use crate::checked::start_of;
+use crate::fields::FileReader;
+use crate::parts::read_text;
+use crate::schema::Kind;
+use crate::schema::Scope;
+use crate::schema::Setting;
+
+data! {
+    /// The settings of a router daemon.
+    pub struct RouterSettings {
+        /// Its name.
+        pub router: RouterId,
+        /// Where it stands.
+        pub data_centre: DataCentreId,
+        /// Where it takes requests of callers.
+        pub http: SocketAddr,
+        /// Where it takes calls of other processes.
+        pub peer: SocketAddr,
+        /// The root of the object store, as in `http://127.0.0.1:20000`.
+        pub store: CompactString,
+        /// The root of the VM list.
+        pub vm_list: Option<CompactString>,
+        /// Where metrics go.
+        pub statsd: Option<SocketAddr>,
+        /// How long a planned stop waits for requests in flight.
+        pub stop_grace: Span,
+    }
+
+    /// The settings of a controller daemon.
+    pub struct ControllerSettings {
+        /// Its name.
+        pub controller: ControllerId,
+        /// Where it stands.
+        pub data_centre: DataCentreId,
+        /// Where it takes calls of other processes.
+        pub peer: SocketAddr,
+        /// The root of the object store, as in `http://127.0.0.1:20000`.
+        pub store: CompactString,
+        /// The root of the VM list.
+        pub vm_list: Option<CompactString>,
+        /// Where metrics go.
+        pub statsd: Option<SocketAddr>,
+        /// How long a planned stop may take.
+        pub stop_grace: Span,
+    }
+}
+
+/// The longest grace of a planned stop, in milliseconds.
+const MAX_GRACE_MS: u64 = 600_000;
+
+/// Makes a setting.
+const fn setting(
+    path: &'static str,
+    kind: Kind,
+    default: Option<&'static str>,
+    effect: &'static str,
+) -> Setting {
+    Setting {
+        path,
+        kind,
+        default,
+        scope: Scope::Base,
+        effect,
+    }
+}
+
+const DATA_CENTRE: Setting = setting(
+    "data_centre",
+    Kind::Name,
+    None,
+    "Data centre that the process stands in.",
+);
+const PEER: Setting = setting(
+    "peer",
+    Kind::Address,
+    None,
+    "Where it takes calls of other processes.",
+);
+const STORE: Setting = setting("store", Kind::Url, None, "Root of the object store.");
+const VM_LIST: Setting = setting(
+    "vm_list",
+    Kind::Url,
+    Some(""),
+    "Root of the VM list. Without it, leaving VMs are not seen in advance.",
+);
+const STATSD: Setting = setting(
+    "statsd",
+    Kind::Address,
+    Some(""),
+    "Where metrics go, by UDP. Without it they go nowhere.",
+);
+const STOP_GRACE: Setting = setting(
+    "stop_grace",
+    Kind::Span {
+        min_ms: 0,
+        max_ms: MAX_GRACE_MS,
+    },
+    Some("30s"),
+    "How long a planned stop waits for requests in flight.",
+);
+
+/// All settings of a router daemon.
+pub const ROUTER: &[Setting] = &[
+    setting("router", Kind::Name, None, "Name of the router."),
+    DATA_CENTRE,
+    setting(
+        "http",
+        Kind::Address,
+        None,
+        "Where it takes requests of callers.",
+    ),
+    PEER,
+    STORE,
+    VM_LIST,
+    STATSD,
+    STOP_GRACE,
+];
+
+/// All settings of a controller daemon.
+pub const CONTROLLER: &[Setting] = &[
+    setting("controller", Kind::Name, None, "Name of the controller."),
+    DATA_CENTRE,
+    PEER,
+    STORE,
+    VM_LIST,
+    STATSD,
+    STOP_GRACE,
+];
+
+/// Reads the settings of a router daemon.
+///
+/// # Errors
+///
+/// Fails if the file can't be read, or with all problems found.
+pub fn load_router(path: &Path) -> Result<RouterSettings, Error> {
+    parse_router(&path.display().to_string(), &read_text(path)?)
+}
+
+/// Reads the settings of a controller daemon.
+///
+/// # Errors
+///
+/// Fails if the file can't be read, or with all problems found.
+pub fn load_controller(path: &Path) -> Result<ControllerSettings, Error> {
+    parse_controller(&path.display().to_string(), &read_text(path)?)
+}
+
+/// Checks the `text` of a router's settings; problems name the `file`.
+///
+/// # Errors
+///
+/// Fails with all problems found.
+pub fn parse_router(file: &str, text: &str) -> Result<RouterSettings, Error> {
+    parse(file, text, ROUTER, |row| RouterSettings::try_from(row))
+}
+
+/// Checks the `text` of a controller's settings; problems name the `file`.
+///
+/// # Errors
+///
+/// Fails with all problems found.
+pub fn parse_controller(file: &str, text: &str) -> Result<ControllerSettings, Error> {
+    parse(file, text, CONTROLLER, |row| {
+        ControllerSettings::try_from(row)
+    })
+}
+
+/// Reads a file with fields at the root only, and makes its checked type.
+fn parse<T>(
+    file: &str,
+    text: &str,
+    table: &[Setting],
+    make: impl Fn(&Row<'_>) -> Result<T, Problem>,
+) -> Result<T, Error> {
+    let mut reader = FileReader::new(file, table, false);
+    let fields = reader.read(text);
+    let mut problems = reader.problems;
+    if reader.unreadable {
+        return Err(Error::problems(problems));
+    }
+    let row = Row {
+        table,
+        path: String::new(),
+        layers: vec![&fields],
+        origin: start_of(file),
+    };
+    problems.extend(row.missing_fields());
+    match make(&row) {
+        Ok(settings) if problems.is_empty() => Ok(settings),
+        Ok(_) => Err(Error::problems(problems)),
+        Err(problem) => {
+            problems.push(problem);
+            Err(Error::problems(problems))
+        }
+    }
+}
+
+impl TryFrom<&Row<'_>> for RouterSettings {
+    type Error = Problem;
+
+    fn try_from(row: &Row<'_>) -> Result<Self, Problem> {
+        Ok(Self {
+            router: row.get("router")?,
+            data_centre: row.get("data_centre")?,
+            http: row.get("http")?,
+            peer: row.get("peer")?,
+            store: row.get("store")?,
+            vm_list: row.get_if_written("vm_list")?,
+            statsd: row.get_if_written("statsd")?,
+            stop_grace: row.get("stop_grace")?,
+        })
+    }
+}
+
+impl TryFrom<&Row<'_>> for ControllerSettings {
+    type Error = Problem;
+
+    fn try_from(row: &Row<'_>) -> Result<Self, Problem> {
+        Ok(Self {
+            controller: row.get("controller")?,
+            data_centre: row.get("data_centre")?,
+            peer: row.get("peer")?,
+            store: row.get("store")?,
+            vm_list: row.get_if_written("vm_list")?,
+            statsd: row.get_if_written("statsd")?,
+            stop_grace: row.get("stop_grace")?,
+        })
+    }
+}
--- a/crates/carawayrill-config/src/deployment.rs
+++ b/crates/carawayrill-config/src/deployment.rs
@@ -24,8 +24,10 @@
         pub data_centres: Vec<DataCentre>,
         /// Bandwidth between each pair of regions, each way.
         pub region_link: BitRate,
-        /// Services.
+        /// Services, as the base file declares them.
         pub services: Vec<Service>,
+        /// Services as overlays adjust them, one row for each site that adjusts a service.
+        pub site_services: Vec<SiteService>,
         /// Servers of all services.
         pub servers: Vec<Server>,
         /// Time limits of the control path.
@@ -74,6 +76,14 @@
         pub fencing: bool,
     }
 
+    /// One service as one site adjusts it.
+    pub struct SiteService {
+        /// The site.
+        pub data_centre: DataCentreId,
+        /// The service in force there.
+        pub service: Service,
+    }
+
     /// Where a request carries its key.
     #[serde(rename_all = "snake_case")]
     pub enum KeySource {
@@ -150,6 +160,30 @@
         self.services.iter().find(|service| service.id == *id)
     }
 
+    /// Returns a service as it is in force at one site.
+    ///
+    /// A process that judges another one's authority asks for the site where that one stands.
+    #[must_use]
+    pub fn service_at(&self, id: &ServiceId, site: &DataCentreId) -> Option<&Service> {
+        self.site_services
+            .iter()
+            .find(|row| row.data_centre == *site && row.service.id == *id)
+            .map(|row| &row.service)
+            .or_else(|| self.service(id))
+    }
+
+    /// Returns the deployment as one site sees it: its services are those in force there.
+    #[must_use]
+    pub fn at_site(&self, site: &DataCentreId) -> Self {
+        let mut view = self.clone();
+        for service in &mut view.services {
+            if let Some(adjusted) = self.service_at(&service.id, site) {
+                service.clone_from(adjusted);
+            }
+        }
+        view
+    }
+
     /// Returns the declaration of a server.
     #[must_use]
     pub fn server(&self, id: &ServerId) -> Option<&Server> {
--- a/crates/carawayrill-config/src/lib.rs
+++ b/crates/carawayrill-config/src/lib.rs
@@ -1,6 +1,50 @@
 //! What operators declare: from YAML text to checked settings.
 //!
-//! A deployment is written as one base file and an overlay a site. [`deployment`] holds the
-//! checked types that the daemons work with.
+//! A deployment is written as one base file and an overlay a site; each data centre is one site.
+//! [`Parts`] holds these files as text, [`Loaded`] the merged and checked whole together with the
+//! place where each value was written. [`deployment`] has the checked types that the daemons work
+//! with, [`daemon`] the settings of a single process.
+//!
+//! # Examples
+//!
+//! ```
+//! use carawayrill_config::Parts;
+//!
+//! let base = "
+//! name: example
+//! region_link: 1Gbit/s
+//! data_centres:
+//!   north-1: {region: north}
+//! services:
+//!   forms: {key: header x-form, shards: 16, slots: 4, connections: 20}
+//! ";
+//! let site = "
+//! servers:
+//!   forms-1: {service: forms, address: 127.0.0.1:21001}
+//! ";
+//! let parts = Parts::new(base).with_site("north-1", site)?;
+//! let loaded = parts.check()?;
+//! assert_eq!(loaded.deployment.servers.len(), 1);
+//! # Ok::<(), carawayrill_config::Error>(())
+//! ```
 
+mod checked;
+pub mod daemon;
 pub mod deployment;
+mod error;
+mod fields;
+mod forms;
+mod loaded;
+mod parts;
+mod problem;
+pub mod schema;
+mod settings;
+
+pub use crate::error::Error;
+pub use crate::loaded::Loaded;
+pub use crate::loaded::ShownValue;
+pub use crate::loaded::load;
+pub use crate::parts::Parts;
+pub use crate::problem::Origin;
+pub use crate::problem::Problem;
+pub use crate::settings::DEPLOYMENT;
--- /dev/null
+++ b/crates/carawayrill-config/src/loaded.rs
@@ -0,0 +1,155 @@
+//! A deployment as merged and checked, with the place where each value was written.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::path::Path;
+
+use carawayrill_core::id::DataCentreId;
+
+use crate::Error;
+use crate::Origin;
+use crate::Parts;
+use crate::checked::Checker;
+use crate::deployment::Deployment;
+use crate::fields::Fields;
+use crate::fields::FileReader;
+use crate::fields::join;
+use crate::parts::BASE_FILE;
+use crate::parts::site_file;
+use crate::schema::Setting;
+use crate::settings::DEPLOYMENT;
+
+/// The values of all files of a deployment.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Files {
+    /// Those of the base file.
+    pub(crate) base: Fields,
+    /// Those of each overlay.
+    pub(crate) sites: BTreeMap<DataCentreId, Fields>,
+}
+
+/// A checked deployment and where its values come from.
+#[derive(Debug, Clone)]
+pub struct Loaded {
+    /// The merged whole.
+    pub deployment: Deployment,
+    files: Files,
+}
+
+/// One value in force and where it comes from.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ShownValue {
+    /// The site, if the value is an overlay's.
+    pub site: Option<DataCentreId>,
+    /// The path of the setting.
+    pub path: String,
+    /// The value as written.
+    pub value: String,
+    /// Where it is written; `None` for a default.
+    pub origin: Option<Origin>,
+}
+
+/// Reads, merges and checks `base.yaml` and `sites/*.yaml` below `dir`.
+///
+/// # Errors
+///
+/// Fails if a file can't be read, or with all problems found.
+pub fn load(dir: &Path) -> Result<Loaded, Error> {
+    Parts::read(dir)?.check()
+}
+
+impl TryFrom<&Parts> for Loaded {
+    type Error = Error;
+
+    fn try_from(parts: &Parts) -> Result<Self, Error> {
+        let mut problems = Vec::new();
+        let mut unreadable = false;
+        let mut read = |file: &str, text: &str, overlay: bool| {
+            let mut reader = FileReader::new(file, DEPLOYMENT, overlay);
+            let fields = reader.read(text);
+            problems.append(&mut reader.problems);
+            unreadable |= reader.unreadable;
+            fields
+        };
+        let base = read(BASE_FILE, &parts.base, false);
+        let sites = parts
+            .sites
+            .iter()
+            .map(|(site, text)| (site.clone(), read(&site_file(site), text, true)))
+            .collect();
+        if unreadable {
+            // Whatever the other files refer to may stand in the unreadable one.
+            return Err(Error::problems(problems));
+        }
+        let files = Files { base, sites };
+        let deployment = Checker::new(&files, problems).check()?;
+        Ok(Self { deployment, files })
+    }
+}
+
+impl Loaded {
+    /// Lists every value in force with its origin: the base's with its defaults, then what each
+    /// overlay adjusts.
+    #[must_use]
+    pub fn shown(&self) -> Vec<ShownValue> {
+        let mut shown: Vec<ShownValue> = DEPLOYMENT
+            .iter()
+            .flat_map(|setting| self.shown_of_base(setting))
+            .collect();
+        for (site, fields) in &self.files.sites {
+            shown.extend(fields.values.iter().map(|(path, value)| ShownValue {
+                site: Some(site.clone()),
+                path: path.clone(),
+                value: value.text.clone(),
+                origin: Some(value.origin.clone()),
+            }));
+        }
+        shown
+    }
+
+    /// Lists the base's values of one setting.
+    fn shown_of_base(&self, setting: &Setting) -> Vec<ShownValue> {
+        let paths = match setting.path.split_once(".*.") {
+            None => vec![setting.path.to_owned()],
+            Some((section, name)) => self
+                .files
+                .base
+                .names(section)
+                .keys()
+                .map(|entity| join(&join(section, entity), name))
+                .collect(),
+        };
+        paths
+            .into_iter()
+            .filter_map(|path| self.shown_at(setting, path))
+            .collect()
+    }
+
+    /// Returns the base's value at `path`, or the default of its setting.
+    fn shown_at(&self, setting: &Setting, path: String) -> Option<ShownValue> {
+        let written = self.files.base.get(&path);
+        let value = match written {
+            Some(value) => value.text.clone(),
+            None => setting.default?.to_owned(),
+        };
+        Some(ShownValue {
+            site: None,
+            path,
+            value,
+            origin: written.map(|value| value.origin.clone()),
+        })
+    }
+}
+
+impl fmt::Display for ShownValue {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if let Some(site) = &self.site {
+            write!(f, "[{site}] ")?;
+        }
+        write!(f, "{} = {}", self.path, self.value)?;
+        match &self.origin {
+            Some(origin) => write!(f, "  # {}:{}", origin.file, origin.line),
+            None => f.write_str("  # default"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/carawayrill-config/src/schema.rs
@@ -0,0 +1,226 @@
+//! The description of settings: path, type, range, default and effect of each.
+//!
+//! A settings file is checked against a table of [`Setting`]s, and the table of the pages for
+//! operators is written from it, so that the two can't differ.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use carawayrill_core::id::check_text;
+use carawayrill_core::unit::BitRate;
+use carawayrill_core::unit::ByteSize;
+use carawayrill_core::unit::Span;
+
+use crate::deployment::KeySource;
+use crate::deployment::OnStoreOutage;
+use crate::deployment::Repeat;
+
+/// The head of the table for operators.
+const MARKDOWN_HEAD: &str =
+    "| setting | value | default | in overlays | effect |\n|---|---|---|---|---|\n";
+
+/// One setting.
+#[derive(Debug, Clone, Copy)]
+pub struct Setting {
+    /// Its path; `*` stands for a name that the operator chooses.
+    pub path: &'static str,
+    /// The form of its value.
+    pub kind: Kind,
+    /// The value if none is written. `None`: one has to be written.
+    pub default: Option<&'static str>,
+    /// The files in which it may be written.
+    pub scope: Scope,
+    /// What it does.
+    pub effect: &'static str,
+}
+
+/// The files in which a setting may be written.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Scope {
+    /// The base file only.
+    Base,
+    /// The base file, and an overlay for its site.
+    Both,
+}
+
+/// The form of a value.
+#[derive(Debug, Clone, Copy)]
+pub enum Kind {
+    /// An identifier.
+    Name,
+    /// A whole number in a range.
+    Number {
+        /// The smallest value.
+        min: u32,
+        /// The largest value.
+        max: u32,
+    },
+    /// A length of time in a range, in milliseconds.
+    Span {
+        /// The smallest value.
+        min_ms: u64,
+        /// The largest value.
+        max_ms: u64,
+    },
+    /// A number of bytes in a range.
+    Size {
+        /// The smallest value.
+        min: u64,
+        /// The largest value.
+        max: u64,
+    },
+    /// A bandwidth of at least one bit a second.
+    BitRate,
+    /// `true` or `false`.
+    Bool,
+    /// IP number and port.
+    Address,
+    /// The root of an HTTP service: `http://` with IP number and port.
+    Url,
+    /// A [`KeySource`].
+    Key,
+    /// A [`Repeat`].
+    Repeat,
+    /// An [`OnStoreOutage`].
+    Outage,
+}
+
+impl Kind {
+    /// Says in words what is expected.
+    #[must_use]
+    pub fn expected(self) -> String {
+        match self {
+            Self::Name => "1 to 63 characters out of a-z, 0-9, - and _".into(),
+            Self::Number { min, max } => format!("a whole number from {min} to {max}"),
+            Self::Span { min_ms, max_ms } => format!(
+                "a whole number with its unit (ms, s, min or h), from {} to {}",
+                Span::from_millis(min_ms),
+                Span::from_millis(max_ms)
+            ),
+            Self::Size { min, max } => format!(
+                "a whole number with its unit (B, KiB, MiB or GiB), from {} to {}",
+                ByteSize(min),
+                ByteSize(max)
+            ),
+            Self::BitRate => {
+                "a whole number above 0 with its unit (bit/s, kbit/s, Mbit/s or Gbit/s)".into()
+            }
+            Self::Bool => "`true` or `false`".into(),
+            Self::Address => "an IP number and a port, as in 127.0.0.1:21001".into(),
+            Self::Url => {
+                "`http://` with an IP number and a port, as in http://127.0.0.1:20000".into()
+            }
+            Self::Key => {
+                "`header` and its name, `query` and its name, or `path` and a segment's number"
+                    .into()
+            }
+            Self::Repeat => "`all`, `safe_methods` or `never`".into(),
+            Self::Outage => "`stop`, or `hold` and a length of time, as in `hold 15min`".into(),
+        }
+    }
+
+    /// Tells whether `text` is a value of this form.
+    #[must_use]
+    pub fn accepts(self, text: &str) -> bool {
+        match self {
+            Self::Name => check_text("Name", text).is_ok(),
+            Self::Number { min, max } => text
+                .parse::<u32>()
+                .is_ok_and(|found| (min..=max).contains(&found)),
+            Self::Span { min_ms, max_ms } => text.parse::<Span>().is_ok_and(|found| {
+                let range = Duration::from_millis(min_ms)..=Duration::from_millis(max_ms);
+                range.contains(&found.0)
+            }),
+            Self::Size { min, max } => text
+                .parse::<ByteSize>()
+                .is_ok_and(|found| (min..=max).contains(&found.0)),
+            Self::BitRate => text.parse::<BitRate>().is_ok_and(|found| found.0 > 0),
+            Self::Bool => text.parse::<bool>().is_ok(),
+            Self::Address => is_address(text),
+            Self::Url => text.strip_prefix("http://").is_some_and(is_address),
+            Self::Key => text.parse::<KeySource>().is_ok(),
+            Self::Repeat => text.parse::<Repeat>().is_ok(),
+            Self::Outage => text.parse::<OnStoreOutage>().is_ok(),
+        }
+    }
+}
+
+/// Tells whether `text` is an IP number with a port other than 0.
+fn is_address(text: &str) -> bool {
+    text.parse::<SocketAddr>()
+        .is_ok_and(|found| found.port() != 0)
+}
+
+impl Setting {
+    /// Tells whether this is the setting at `path`.
+    #[must_use]
+    pub fn is_at(&self, path: &str) -> bool {
+        let mut pattern = self.path.split('.');
+        let mut found = path.split('.');
+        loop {
+            match (pattern.next(), found.next()) {
+                (None, None) => return true,
+                (Some(p), Some(f)) if p == "*" || p == f => {}
+                _ => return false,
+            }
+        }
+    }
+
+    /// Tells whether this setting lies below the mapping at `path`; the root is the empty path.
+    #[must_use]
+    pub fn is_below(&self, path: &str) -> bool {
+        self.name_below(path).is_some()
+    }
+
+    /// Returns the next segment of this setting's path below the mapping at `path`.
+    #[must_use]
+    pub fn name_below(&self, path: &str) -> Option<&'static str> {
+        let mut pattern = self.path.split('.');
+        if !path.is_empty() {
+            for found in path.split('.') {
+                let wanted = pattern.next()?;
+                if wanted != "*" && wanted != found {
+                    return None;
+                }
+            }
+        }
+        pattern.next()
+    }
+
+    /// Returns the last segment of this setting's path.
+    #[must_use]
+    pub fn name(&self) -> &'static str {
+        self.path.rsplit('.').next().unwrap_or(self.path)
+    }
+}
+
+/// Returns the setting at `path`.
+#[must_use]
+pub fn find<'a>(table: &'a [Setting], path: &str) -> Option<&'a Setting> {
+    table.iter().find(|setting| setting.is_at(path))
+}
+
+/// Writes the table for operators: one line of Markdown a setting.
+#[must_use]
+pub fn markdown(table: &[Setting]) -> String {
+    let rows = table.iter().map(|setting| {
+        let default = match setting.default {
+            None => "required".to_owned(),
+            Some("") => "none".to_owned(),
+            Some(value) => format!("`{value}`"),
+        };
+        let scope = match setting.scope {
+            Scope::Base => "no",
+            Scope::Both => "yes",
+        };
+        format!(
+            "| `{}` | {} | {default} | {scope} | {} |\n",
+            setting.path,
+            setting.kind.expected(),
+            setting.effect
+        )
+    });
+    std::iter::once(MARKDOWN_HEAD.to_owned())
+        .chain(rows)
+        .collect()
+}
--- /dev/null
+++ b/crates/carawayrill-config/tests/bad_settings.rs
@@ -0,0 +1,275 @@
+//! Wrong settings and what the operator is told about them.
+
+use std::fmt::Write;
+
+use carawayrill_config::Parts;
+use carawayrill_config::daemon::parse_controller;
+use carawayrill_config::daemon::parse_router;
+use insta::assert_snapshot;
+
+/// A base file without faults.
+const BASE: &str = "\
+name: example
+region_link: 1Gbit/s
+data_centres:
+  north-1: {region: north}
+  south-1: {region: south}
+services:
+  forms:
+    key: header x-form
+    shards: 16
+    slots: 4
+    connections: 20
+";
+
+/// An overlay without faults.
+const SITE: &str = "\
+servers:
+  forms-1: {service: forms, address: 127.0.0.1:21001}
+";
+
+/// Each case: what is wrong, a text of the base to replace, its replacement, the overlay.
+const BASES: &[(&str, &str, &str, &str)] = &[
+    (
+        "unknown field at the root",
+        "name: example",
+        "nane: example",
+        SITE,
+    ),
+    ("unknown field of a service", "slots: 4", "slot: 4", SITE),
+    (
+        "missing unit",
+        "region_link: 1Gbit/s",
+        "region_link: 1000",
+        SITE,
+    ),
+    (
+        "wrong unit",
+        "slots: 4",
+        "slots: 4\n    warm_up: 3 days",
+        SITE,
+    ),
+    ("number out of range", "shards: 16", "shards: 0", SITE),
+    (
+        "number too large for its type",
+        "shards: 16",
+        "shards: 99999999999",
+        SITE,
+    ),
+    ("negative number", "slots: 4", "slots: -4", SITE),
+    (
+        "mapping in place of a value",
+        "slots: 4",
+        "slots: {a: 4}",
+        SITE,
+    ),
+    (
+        "value in place of a mapping",
+        "  north-1: {region: north}",
+        "  north-1: north",
+        SITE,
+    ),
+    (
+        "list in place of a mapping",
+        "  north-1: {region: north}",
+        "  north-1: [north]",
+        SITE,
+    ),
+    (
+        "empty entity",
+        "  north-1: {region: north}",
+        "  north-1: {}",
+        SITE,
+    ),
+    ("wrong name", "north-1: {", "North_1!: {", SITE),
+    (
+        "key written twice",
+        "slots: 4",
+        "slots: 4\n    slots: 5",
+        SITE,
+    ),
+    (
+        "two files of one text",
+        "slots: 4",
+        "slots: 4\n---\nname: other",
+        SITE,
+    ),
+    (
+        "text that ends early",
+        "region: south}",
+        "region: south",
+        SITE,
+    ),
+    ("tab", "  forms:", "\tforms:", SITE),
+    ("anchor", "region: north", "region: &a north", SITE),
+    ("no shards", "    shards: 16\n", "", SITE),
+    ("wrong key", "header x-form", "cookie x-form", SITE),
+    ("wrong path segment", "header x-form", "path first", SITE),
+    (
+        "wrong choice",
+        "slots: 4",
+        "slots: 4\n    on_store_outage: hold",
+        SITE,
+    ),
+    (
+        "hold without unit",
+        "slots: 4",
+        "slots: 4\n    on_store_outage: hold 15",
+        SITE,
+    ),
+    (
+        "hold under authority",
+        "slots: 4",
+        "slots: 4\n    on_store_outage: hold 1s",
+        SITE,
+    ),
+    (
+        "deadlines that don't fit",
+        "slots: 4",
+        "slots: 4\n    default_deadline: 1min",
+        SITE,
+    ),
+    (
+        "claim window too short",
+        "slots: 4",
+        "slots: 4\n    claim_window: 10s",
+        SITE,
+    ),
+    (
+        "timing that doesn't fit",
+        "name: example",
+        "name: example\ntiming: {grant_ttl: 3s, renew_every: 900ms, check_every: 2s}",
+        SITE,
+    ),
+    (
+        "two servers of one address",
+        "",
+        "",
+        "servers:\n  a: {service: forms, address: 127.0.0.1:1}\n  b: {service: forms, address: 127.0.0.1:1}\n",
+    ),
+    (
+        "server twice in one file",
+        "",
+        "",
+        "servers:\n  a: {service: forms, address: 127.0.0.1:1}\n  a: {service: forms, address: 127.0.0.1:2}\n",
+    ),
+    (
+        "server in base and overlay",
+        "name: example",
+        "name: example\nservers:\n  forms-1: {service: forms, address: 127.0.0.1:1, data_centre: south-1}",
+        SITE,
+    ),
+    (
+        "server in an unknown data centre",
+        "name: example",
+        "name: example\nservers:\n  s: {service: forms, address: 127.0.0.1:1, data_centre: west-1}",
+        SITE,
+    ),
+    (
+        "server of an unknown service",
+        "",
+        "",
+        "servers:\n  a: {service: froms, address: 127.0.0.1:1}\n",
+    ),
+    (
+        "address without port",
+        "",
+        "",
+        "servers:\n  a: {service: forms, address: 127.0.0.1}\n",
+    ),
+    (
+        "address with a host name",
+        "",
+        "",
+        "servers:\n  a: {service: forms, address: localhost:21001}\n",
+    ),
+    (
+        "port 0",
+        "",
+        "",
+        "servers:\n  a: {service: forms, address: 127.0.0.1:0}\n",
+    ),
+    (
+        "overlay sets a base setting",
+        "",
+        "",
+        "services: {forms: {shards: 32}}\n",
+    ),
+    (
+        "overlay adjusts an unknown service",
+        "",
+        "",
+        "services: {froms: {queue_limit: 3}}\n",
+    ),
+    (
+        "overlay moves its server",
+        "",
+        "",
+        "servers:\n  a: {service: forms, address: 127.0.0.1:1, data_centre: south-1}\n",
+    ),
+    ("overlay is a list", "", "", "- servers\n"),
+    (
+        "many at once",
+        "slots: 4",
+        "slots: none\n    warm_up: 3",
+        "servers:\n  a: {service: froms, address: here}\nextra: 1\n",
+    ),
+];
+
+#[test]
+fn wrong_deployments_are_refused() {
+    let mut told = String::new();
+    for (what, old, new, site) in BASES {
+        let base = if old.is_empty() {
+            BASE.to_owned()
+        } else {
+            assert!(BASE.contains(old), "{what}: nothing to replace");
+            BASE.replacen(old, new, 1)
+        };
+        let parts = Parts::new(base).with_site("north-1", *site).expect("site");
+        let answer = match parts.check() {
+            Ok(_) => "ACCEPTED".to_owned(),
+            Err(err) => err.to_string(),
+        };
+        writeln!(told, "## {what}\n{answer}\n").expect("write");
+    }
+    assert!(!told.contains("ACCEPTED"), "{told}");
+    assert_snapshot!("wrong_deployments", told);
+}
+
+#[test]
+fn missing_parts_are_refused() {
+    let mut told = String::new();
+    let empty = Parts::new("# nothing\n").check().expect_err("empty base");
+    writeln!(told, "## empty base\n{empty}\n").expect("write");
+    let stranger = Parts::new(BASE).with_site("west-1", SITE).expect("site");
+    let err = stranger.check().expect_err("unknown site");
+    writeln!(told, "## overlay of an unknown site\n{err}\n").expect("write");
+    let err = Parts::new(BASE)
+        .with_site("West 1", SITE)
+        .expect_err("site");
+    writeln!(told, "## overlay of a wrong name\n{err}").expect("write");
+    assert_snapshot!("missing_parts", told);
+}
+
+#[test]
+fn wrong_daemon_settings_are_refused() {
+    let right = "router: r1\ndata_centre: north-1\nhttp: 127.0.0.1:8000\npeer: 127.0.0.1:8001\nstore: http://127.0.0.1:20000\n";
+    let cases = [
+        ("empty", String::new()),
+        ("unknown field", format!("{right}port: 3\n")),
+        ("store without scheme", right.replace("http://", "")),
+        ("grace without unit", format!("{right}stop_grace: 30\n")),
+        ("grace too long", format!("{right}stop_grace: 3h\n")),
+        ("statsd by name", format!("{right}statsd: metrics:8125\n")),
+        ("mapping", right.replace("r1", "{name: r1}")),
+    ];
+    let mut told = String::new();
+    for (what, text) in cases {
+        let err = parse_router("router.yaml", &text).expect_err(what);
+        writeln!(told, "## {what}\n{err}\n").expect("write");
+    }
+    let err = parse_controller("controller.yaml", right).expect_err("controller");
+    writeln!(told, "## a router's settings for a controller\n{err}").expect("write");
+    assert_snapshot!("wrong_daemon_settings", told);
+}
