--- a/crates/carawayrill-core/src/assignment.rs
+++ b/crates/carawayrill-core/src/assignment.rs
@@ -4,6 +4,7 @@
 
 use crate::data;
 use crate::id::ControllerId;
+use crate::id::Incarnation;
 use crate::id::RouterId;
 use crate::id::ServerId;
 use crate::id::ServiceId;
@@ -49,8 +50,14 @@
         pub standby: Option<ServerId>,
         /// The one router that sends to the owner.
         pub home: RouterId,
+        /// The run of the home that was appointed. A later run of the same router is nobody's home.
+        #[serde(default)]
+        pub home_run: Incarnation,
         /// The router that may take over on its own, under the reserved term, if the home is lost.
         pub standby_home: Option<RouterId>,
+        /// The run of the standby home that was appointed.
+        #[serde(default)]
+        pub standby_home_run: Incarnation,
         /// The lowest token of grants under this assignment. Its term is even.
         pub token: Token,
         /// Why it was made.
