Add the home's table of ownership

Reads give authority, grants follow it and end with it; a lost owner is replaced once its last possible grant has ended, a lost home on two rounds of acknowledgements of both servers. Not run against failures yet.

--- /dev/null
+++ b/crates/carawayrill-core/src/ownership/home/failover.rs
@@ -0,0 +1,206 @@
+//! Suspecting the lost, and replacing a lost owner by the standby server.
+
+use super::HomeTable;
+use super::message::Action;
+use super::row::LaneId;
+use super::row::Row;
+use crate::event::EventKind;
+use crate::id::Incarnation;
+use crate::id::NodeId;
+use crate::id::RouterId;
+use crate::id::ServerId;
+use crate::id::ShardId;
+use crate::ownership::evidence::Run;
+use crate::ownership::limits::after;
+use crate::ownership::limits::elapsed;
+use crate::time::Time;
+use crate::time::millis;
+
+/// What a router knows of another router.
+#[derive(Debug)]
+pub(super) struct Peer {
+    /// The latest run that was heard of.
+    run: Option<Incarnation>,
+    /// When it was last heard, or when we began to listen.
+    heard: Time,
+}
+
+impl HomeTable {
+    /// Gives the others the benefit of a pause of our own: their answers may wait unread.
+    pub(super) fn note_pause(&mut self, now: Time) {
+        let gap = self.ticked.map_or(0, |ticked| elapsed(now, ticked));
+        self.ticked = Some(now);
+        if gap <= self.limits.server_silence.min(self.limits.router_silence) / 2 {
+            return;
+        }
+        for server in self.servers.values_mut() {
+            server.heard = after(server.heard, gap).min(now);
+        }
+        for peer in self.peers.values_mut() {
+            peer.heard = after(peer.heard, gap).min(now);
+        }
+    }
+
+    /// Starts to listen for a router.
+    pub(super) fn watch_peer(&mut self, now: Time, router: &RouterId) {
+        if !self.peers.contains_key(router) {
+            let peer = Peer {
+                run: None,
+                heard: now,
+            };
+            self.peers.insert(router.clone(), peer);
+        }
+    }
+
+    /// Takes in a heartbeat.
+    pub(super) fn take_heartbeat(&mut self, now: Time, from: &RouterId, run: Incarnation) {
+        self.watch_peer(now, from);
+        if let Some(peer) = self.peers.get_mut(from) {
+            peer.heard = peer.heard.max(now);
+            peer.run = peer.run.max(Some(run));
+        }
+    }
+
+    /// Returns whether a run of a router seems lost.
+    pub(super) fn seems_lost(&self, now: Time, run: &Run) -> bool {
+        self.peers.get(&run.router).is_some_and(|peer| {
+            let replaced = peer.run.is_some_and(|latest| latest > run.incarnation);
+            replaced || elapsed(now, peer.heard) > self.limits.router_silence
+        })
+    }
+
+    /// Marks servers that have been silent for too long.
+    pub(super) fn suspect_servers(&mut self, now: Time) {
+        let limit = self.limits.server_silence;
+        let mut found = Vec::new();
+        for (id, server) in &mut self.servers {
+            let lost = server.gone || server.silent(now) > limit;
+            if lost && !server.lost {
+                found.push((id.clone(), server.silent(now)));
+            }
+            server.lost = lost;
+        }
+        for (id, silent_ms) in found {
+            self.touch_server(&id);
+            if let Ok(peer) = NodeId::try_from(id.as_str()) {
+                self.emit(EventKind::Suspected { peer, silent_ms });
+            }
+        }
+    }
+
+    /// Returns the server that may replace a lost owner now.
+    pub(super) fn successor(&self, row: &Row) -> Option<ServerId> {
+        if !row.is_live() || row.pledged || row.blocked {
+            return None;
+        }
+        let owner = self.servers.get(&row.serving)?;
+        let is_over = owner.lost && (owner.gone || self.fences(row));
+        let other = row.other(&row.serving)?;
+        let known = self.servers.get(other)?;
+        let takes = !known.lost && !known.leaving && !known.draining && self.trusts(row, other);
+        (is_over && takes).then(|| other.clone())
+    }
+
+    /// Replaces a lost owner once its grants have ended.
+    pub(super) fn fail_over(&mut self, now: Time, shard: &ShardId) {
+        let Some(row) = self.rows.get(shard) else {
+            return;
+        };
+        let Some(next) = self.successor(row) else {
+            return;
+        };
+        let lost = row.serving.clone();
+        let gone = self.servers.get(&lost).is_some_and(|known| known.gone);
+        let fencing = self.fences(row);
+        let waits = self.mechanisms.wait_for_grant_end && !gone;
+        let authority = self.has_authority(now, row);
+        let token = row.token;
+        let Some(row) = self.rows.get_mut(shard) else {
+            return;
+        };
+        if !authority || (waits && !row.lanes_ended(now, fencing, None)) {
+            return;
+        }
+        if gone {
+            row.lanes.retain(|id, _| id.server != lost);
+        }
+        row.serving = next;
+        row.token = token.next_epoch();
+        self.emit(EventKind::Revoked {
+            shard: shard.clone(),
+            server: lost,
+            token,
+        });
+    }
+
+    /// Ends this router's part for good: a higher term is known.
+    pub(super) fn supersede(&mut self, now: Time, shard: &ShardId) {
+        let Some(row) = self.rows.get_mut(shard) else {
+            return;
+        };
+        let first = !row.ended;
+        row.ended = true;
+        let block = row.block.clone();
+        if row.stop() {
+            self.actions.push(Action::Quiesce {
+                shard: shard.clone(),
+            });
+        }
+        if first {
+            self.emit(EventKind::AuthorityLost {
+                shard: shard.clone(),
+                reason: "a higher term is known".into(),
+            });
+            self.want_read(now, &block);
+        }
+    }
+
+    /// Tells of authority that has run out.
+    pub(super) fn note_authority(&mut self, now: Time, shard: &ShardId) {
+        let Some(row) = self.rows.get(shard) else {
+            return;
+        };
+        let has = row.is_live() && self.has_authority(now, row);
+        let lost = row.had_authority && !has && row.is_live();
+        if let Some(row) = self.rows.get_mut(shard) {
+            row.had_authority = has;
+        }
+        if lost {
+            self.emit(EventKind::AuthorityLost {
+                shard: shard.clone(),
+                reason: "the last read of the store is too old".into(),
+            });
+        }
+    }
+
+    /// Tells of a row that this router has no part in any more.
+    pub(super) fn tell_end(&mut self, row: &Row, reason: &str) {
+        if row.is_live() {
+            self.emit(EventKind::AuthorityLost {
+                shard: row.stored.shard.clone(),
+                reason: reason.into(),
+            });
+        }
+    }
+
+    /// Returns the time until the last possible grant of a row has ended, in milliseconds.
+    pub(super) fn grant_left(&self, now: Time, row: &Row) -> u64 {
+        let fencing = self.fences(row);
+        let open = row
+            .lanes
+            .values()
+            .filter(|lane| !lane.has_ended(now, fencing));
+        open.map(|lane| millis(lane.possible_end.since(now)).max(1))
+            .max()
+            .unwrap_or(0)
+    }
+
+    /// Returns the lane of the present owner's present run.
+    pub(super) fn serving_lane(&self, row: &Row) -> Option<LaneId> {
+        let run = self.servers.get(&row.serving)?.run?;
+        Some(LaneId {
+            server: row.serving.clone(),
+            run,
+        })
+    }
+}
--- /dev/null
+++ b/crates/carawayrill-core/src/ownership/home/gate.rs
@@ -0,0 +1,81 @@
+//! The check of each request: on arrival, and again directly before it is sent.
+
+use super::HomeTable;
+use super::message::Denial;
+use super::message::Permit;
+use super::row::Row;
+use crate::id::ShardId;
+use crate::time::Time;
+
+impl HomeTable {
+    /// Chooses the server and token for a request that has just arrived.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the reason why no request of the shard may be sent now.
+    pub fn permit(&self, now: Time, shard: &ShardId) -> Result<Permit, Denial> {
+        let row = self.rows.get(shard);
+        let row = row.ok_or(Denial::NotHome { home: None })?;
+        let latest = self.open_until(now, row)?;
+        Ok(Permit {
+            shard: shard.clone(),
+            server: row.serving.clone(),
+            token: row.token,
+            via: self.via(row),
+            latest,
+        })
+    }
+
+    /// Checks a permit directly before the request is written to the server.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the reason why the request may not be sent any more. A request that was not
+    /// written may ask for a new permit.
+    pub fn confirm(&self, now: Time, permit: &Permit) -> Result<(), Denial> {
+        if !self.mechanisms.check_before_send {
+            return Ok(());
+        }
+        let row = self.rows.get(&permit.shard);
+        let row = row.ok_or(Denial::NotHome { home: None })?;
+        self.open_until(now, row)?;
+        if row.token != permit.token || row.serving != permit.server {
+            return Err(Denial::Changed);
+        }
+        Ok(())
+    }
+
+    /// Returns until when requests of a row may be sent.
+    fn open_until(&self, now: Time, row: &Row) -> Result<Time, Denial> {
+        if !row.acting {
+            let home = Some(row.stored.home.clone());
+            return Err(Denial::NotHome { home });
+        }
+        if row.ended {
+            let home = row.stored.standby_home.clone();
+            return Err(Denial::NotHome { home });
+        }
+        if row.stopping.is_some() {
+            return Err(Denial::Moving);
+        }
+        let deadline = self.deadline(row).ok_or(Denial::NoAuthority)?;
+        if now >= deadline {
+            return Err(Denial::NoAuthority);
+        }
+        let owner = self.servers.get(&row.serving).ok_or(Denial::NoGrant)?;
+        let lane = self.serving_lane(row).and_then(|id| row.lanes.get(&id));
+        let lane = lane.filter(|lane| lane.token == row.token && !owner.lost);
+        let end = lane.and_then(|lane| lane.certain_end);
+        match end {
+            Some(end) if now < end => Ok(end.min(deadline)),
+            _ => Err(Denial::NoGrant),
+        }
+    }
+
+    /// Returns the router that has to send for us, because it counts the server's slots. A server
+    /// without fencing is sent to directly: our own check before the send is all there is.
+    fn via(&self, row: &Row) -> Option<crate::id::RouterId> {
+        let home = self.servers.get(&row.serving)?.home.as_ref()?;
+        (*home != self.me.router && self.fences(row)).then(|| home.clone())
+    }
+}
--- /dev/null
+++ b/crates/carawayrill-core/src/ownership/home/record.rs
@@ -0,0 +1,149 @@
+//! Recording in the store what was changed without it.
+
+use super::HomeTable;
+use super::blocks::PendingWrite;
+use super::message::Action;
+use super::row::Role;
+use super::row::Row;
+use crate::assignment::Assignment;
+use crate::assignment::Block;
+use crate::assignment::BlockId;
+use crate::assignment::Reason;
+use crate::event::EventKind;
+use crate::id::Incarnation;
+use crate::id::Version;
+use crate::ownership::limits::elapsed;
+use crate::time::Time;
+use crate::token::Epoch;
+use crate::token::Token;
+
+impl HomeTable {
+    /// Writes blocks whose rows have changed, one write a block at a time.
+    pub(super) fn record(&mut self, now: Time) {
+        let retry = self.limits.retry_after;
+        let overdue = |sent: Time| elapsed(now, sent) >= retry;
+        let late: Vec<BlockId> = self
+            .blocks
+            .iter()
+            .filter(|(_, row)| {
+                row.writing
+                    .as_ref()
+                    .is_some_and(|write| overdue(write.sent))
+            })
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in late {
+            // The write may still take effect; only a read tells.
+            self.want_read(now, &id);
+        }
+        let ready: Vec<BlockId> = self
+            .blocks
+            .iter()
+            .filter(|(_, row)| row.writing.is_none() && !row.read_wanted)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in ready {
+            self.record_block(now, &id);
+        }
+    }
+
+    fn record_block(&mut self, now: Time, id: &BlockId) {
+        let rows = self.rows.values().filter(|row| row.block == *id);
+        let changes: Vec<Assignment> = rows.filter_map(|row| self.change(now, row)).collect();
+        let Some(known) = self.blocks.get_mut(id) else {
+            return;
+        };
+        if changes.is_empty() {
+            return;
+        }
+        let mut block = known.content.clone();
+        for change in changes {
+            block.set(change);
+        }
+        known.writing = Some(PendingWrite {
+            sent: now,
+            content: block.clone(),
+        });
+        self.actions.push(Action::WriteBlock {
+            expected: known.version,
+            block,
+        });
+    }
+
+    /// Returns the assignment to record for a row, if it differs from the stored one.
+    fn change(&self, now: Time, row: &Row) -> Option<Assignment> {
+        let block = self.blocks.get(&row.block)?;
+        if !row.is_live() || block.content.intent(&row.stored.shard).is_some() {
+            return None;
+        }
+        let lane = row.lanes.get(&self.serving_lane(row)?)?;
+        let is_granted = lane.token == row.token && lane.certain_end.is_some_and(|end| end > now);
+        let taken_over = row.role == Role::Standby;
+        if !is_granted || !(taken_over || row.serving != row.stored.owner) {
+            return None;
+        }
+        let swapped = Assignment {
+            owner: row.serving.clone(),
+            standby: row.other(&row.serving).cloned(),
+            token: row.token,
+            reason: Reason::ServerLost,
+            ..row.stored.clone()
+        };
+        if !taken_over {
+            return Some(swapped);
+        }
+        Some(Assignment {
+            home: self.me.router.clone(),
+            home_run: self.me.incarnation,
+            standby_home: None,
+            standby_home_run: Incarnation(0),
+            token: Token {
+                term: row.stored.token.term.next_stored(),
+                epoch: Epoch(1),
+            },
+            reason: Reason::HomeLost,
+            ..swapped
+        })
+    }
+
+    /// Takes in a write that took effect.
+    pub(super) fn take_written(&mut self, now: Time, id: &BlockId, version: Version) {
+        let Some(known) = self.blocks.get_mut(id) else {
+            return;
+        };
+        let Some(write) = known.writing.take() else {
+            return;
+        };
+        let changed = changed_rows(&known.content, &write.content);
+        if version <= known.version {
+            return;
+        }
+        self.emit(EventKind::BlockWritten {
+            block: id.clone(),
+            version,
+            changed,
+        });
+        self.adopt(now, version, write.content, None);
+    }
+
+    /// Takes in a write that was refused or whose fate is unknown.
+    pub(super) fn take_write_failed(&mut self, now: Time, id: &BlockId) {
+        if self.mechanisms.read_back {
+            self.want_read(now, id);
+            return;
+        }
+        let version = self.blocks.get(id).map(|known| known.version.next());
+        if let Some(version) = version {
+            self.take_written(now, id, version);
+        }
+    }
+}
+
+/// Counts rows of `new` that `old` does not have in the same state.
+fn changed_rows(old: &Block, new: &Block) -> u32 {
+    let changed = new
+        .rows
+        .iter()
+        .filter(|row| old.row(&row.shard) != Some(row));
+    u32::try_from(changed.count()).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/carawayrill-core/src/ownership/home/release.rs
@@ -0,0 +1,104 @@
+//! Giving up shards by plan, and promises of a standby home.
+
+use super::HomeTable;
+use super::message::Action;
+use super::row::Role;
+use super::row::Row;
+use super::row::Stopping;
+use crate::id::ShardId;
+use crate::ownership::evidence::Claimed;
+use crate::ownership::evidence::Released;
+use crate::ownership::evidence::Standing;
+use crate::time::Time;
+
+impl HomeTable {
+    /// Answers a question for release. The stop itself follows from the intent in the store, so
+    /// that a question alone stops nothing.
+    pub(super) fn answer_release(&mut self, now: Time, ask: u64, rows: &[Claimed]) {
+        let released = rows
+            .iter()
+            .map(|claimed| self.released(now, claimed))
+            .collect();
+        self.actions.push(Action::AnswerRelease { ask, released });
+    }
+
+    fn released(&mut self, now: Time, claimed: &Claimed) -> Released {
+        let row = self.rows.get(&claimed.shard);
+        let row = row.filter(|row| row.stored.token.term == claimed.token.term && row.acting);
+        let Some(row) = row else {
+            return not_released(claimed.clone());
+        };
+        let quiesced = row.stopping == Some(Stopping::Quiesced);
+        let left = self.grant_left(now, row);
+        let lane = self.serving_lane(row).and_then(|id| row.lanes.get(&id));
+        let released = Released {
+            claimed: claimed.clone(),
+            stopped: quiesced && row.lanes_ended(now, self.fences(row), None),
+            pledged: row.pledged && row.is_live(),
+            highest: row.token,
+            server: Some(row.serving.clone()),
+            revoked: lane.is_some_and(|lane| lane.revoked),
+            grant_left: left,
+        };
+        let unaware = row.is_live() && !row.pledged;
+        let block = row.block.clone();
+        if unaware {
+            self.want_read(now, &block);
+        }
+        released
+    }
+
+    /// Notes that no request of a shard is in flight here any more.
+    pub(super) fn take_quiesced(&mut self, shard: &ShardId) {
+        if let Some(row) = self.rows.get_mut(shard)
+            && row.stopping.is_some()
+        {
+            row.stopping = Some(Stopping::Quiesced);
+            self.touched.insert(shard.clone());
+        }
+    }
+
+    /// Answers what this router did as standby home, and promises if asked to.
+    pub(super) fn answer_standby(&mut self, ask: u64, promise: bool, rows: &[Claimed]) {
+        let standings = rows
+            .iter()
+            .map(|claimed| self.standing(promise, claimed))
+            .collect();
+        self.actions.push(Action::AnswerStandby { ask, standings });
+    }
+
+    fn standing(&mut self, promise: bool, claimed: &Claimed) -> Standing {
+        let acts = |row: &Row| row.acting && row.role == Role::Standby;
+        let row = self.rows.get_mut(&claimed.shard);
+        let row = row.filter(|row| row.stored.token.term == claimed.token.term);
+        let acted = row.as_deref().is_some_and(acts);
+        let promised = promise && !acted;
+        if promised {
+            // An assignment that is not read yet is covered too.
+            let term = claimed.token.term;
+            let known = self.promised.entry(claimed.shard.clone()).or_insert(term);
+            *known = (*known).max(term);
+            if let Some(row) = row {
+                row.ended |= row.role == Role::Standby;
+            }
+        }
+        Standing {
+            claimed: claimed.clone(),
+            acted,
+            promised,
+        }
+    }
+}
+
+/// The answer of a router that knows of no authority of its own.
+fn not_released(claimed: Claimed) -> Released {
+    Released {
+        claimed,
+        stopped: false,
+        pledged: false,
+        highest: crate::token::Token::default(),
+        server: None,
+        revoked: false,
+        grant_left: 0,
+    }
+}
