--- /dev/null
+++ b/crates/carawayrill-core/src/ownership/takeover/evidence.rs
@@ -0,0 +1,218 @@
+//! Gathering and judging evidence that the old authority has ended.
+
+use std::collections::BTreeMap;
+
+use super::TakeoverTable;
+use super::message::Action;
+use super::task::FenceAck;
+use super::task::Task;
+use crate::assignment::Assignment;
+use crate::id::RouterId;
+use crate::id::ServerId;
+use crate::id::ShardId;
+use crate::order::Order;
+use crate::order::OrderReply;
+use crate::ownership::evidence::Claimed;
+use crate::ownership::evidence::Released;
+use crate::ownership::evidence::Run;
+use crate::ownership::evidence::Standing;
+use crate::ownership::limits::elapsed;
+use crate::time::Time;
+
+/// Questions that are sent together.
+#[derive(Debug, Default)]
+struct Questions {
+    releases: BTreeMap<RouterId, Vec<Claimed>>,
+    promises: BTreeMap<RouterId, Vec<Claimed>>,
+    orders: BTreeMap<ServerId, Vec<Order>>,
+}
+
+impl TakeoverTable {
+    /// Asks homes, standby homes and servers for evidence.
+    pub(super) fn gather(&mut self, now: Time) {
+        let mut questions = Questions::default();
+        let shards: Vec<ShardId> = self.tasks.keys().cloned().collect();
+        for shard in shards {
+            self.question(now, &shard, &mut questions);
+        }
+        for (router, rows) in questions.releases {
+            self.actions.push(Action::AskRelease { router, rows });
+        }
+        for (router, rows) in questions.promises {
+            self.actions.push(Action::AskPromise { router, rows });
+        }
+        for (server, orders) in questions.orders {
+            self.actions.push(Action::Order { server, orders });
+        }
+    }
+
+    fn question(&mut self, now: Time, shard: &ShardId, questions: &mut Questions) {
+        let every = self.ask_every();
+        let silence = self.limits.router_silence;
+        let fencing = self.policy(&shard.service).fencing;
+        let Some(row) = self.row(shard).cloned() else {
+            return;
+        };
+        let Some(task) = self.tasks.get_mut(shard) else {
+            return;
+        };
+        let waits = task.asked.is_some_and(|at| elapsed(now, at) < every);
+        if task.intent.is_none() || waits {
+            return;
+        }
+        task.asked = Some(now);
+        let claimed = Claimed {
+            shard: shard.clone(),
+            token: row.token,
+        };
+        let releases = &mut questions.releases;
+        let homes = releases.entry(row.home.clone()).or_default();
+        homes.push(claimed.clone());
+        if let Some(standby_home) = &row.standby_home {
+            if task.evidence.standby_acted {
+                let standby_homes = releases.entry(standby_home.clone()).or_default();
+                standby_homes.push(claimed.clone());
+            }
+            let promises = questions.promises.entry(standby_home.clone()).or_default();
+            promises.push(claimed);
+        }
+        let home_silent = elapsed(now, task.home_heard) > silence;
+        if fencing && home_silent && !task.keeps_home(&row) && !task.evidence.fenced {
+            let order = Order::Fence {
+                shard: shard.clone(),
+                term: row.token.term.next_stored(),
+            };
+            for server in servers_of(&row) {
+                let orders = questions.orders.entry(server.clone()).or_default();
+                orders.push(order.clone());
+            }
+        }
+    }
+
+    /// Takes in what a router says about shards whose home it is or acted as.
+    pub(super) fn take_released(&mut self, now: Time, from: &Run, said: &[Released]) {
+        for said in said {
+            let shard = &said.claimed.shard;
+            let Some(row) = self.row(shard).cloned() else {
+                continue;
+            };
+            let Some(task) = self.tasks.get_mut(shard) else {
+                continue;
+            };
+            if row.token.term != said.claimed.token.term {
+                continue;
+            }
+            if *from == home_of(&row) {
+                task.home_heard = now;
+                task.evidence.take_home(said);
+            } else if Some(from) == standby_home_of(&row).as_ref() {
+                task.evidence.standby_stopped |= said.stopped;
+            }
+        }
+    }
+
+    /// Takes in what a standby home says.
+    pub(super) fn take_standings(&mut self, from: &Run, said: &[Standing]) {
+        for said in said {
+            let shard = &said.claimed.shard;
+            let Some(row) = self.row(shard).cloned() else {
+                continue;
+            };
+            let Some(task) = self.tasks.get_mut(shard) else {
+                continue;
+            };
+            let concerns = row.token.term == said.claimed.token.term
+                && Some(from) == standby_home_of(&row).as_ref();
+            if concerns {
+                task.evidence.standby_promised |= said.promised;
+                task.evidence.standby_acted |= said.acted;
+            }
+        }
+    }
+
+    /// Takes in a server's acknowledgements of fences.
+    pub(super) fn take_reply(
+        &mut self,
+        now: Time,
+        sent: Time,
+        orders: &[Order],
+        reply: &OrderReply,
+    ) {
+        for (order, ack) in orders.iter().zip(&reply.acks) {
+            let Order::Fence { shard, term } = order else {
+                continue;
+            };
+            let Some(row) = self.row(shard).cloned() else {
+                continue;
+            };
+            let Some(task) = self.tasks.get_mut(shard) else {
+                continue;
+            };
+            let asked = row.token.term.next_stored();
+            if *term != asked || ack.highest.term != asked || sent <= task.evidence.opened {
+                continue;
+            }
+            let ack = FenceAck {
+                run: reply.incarnation,
+                held: ack.held.map(|held| held.token),
+            };
+            task.evidence.round.insert(reply.server.clone(), ack);
+            end_round(now, task, &row);
+        }
+    }
+
+    /// Returns whether the evidence suffices to put the change in force.
+    pub(super) fn suffices(&self, now: Time, task: &Task, row: &Assignment) -> bool {
+        let Some((_, since)) = task.intent else {
+            return false;
+        };
+        let policy = self.policy(&row.shard.service);
+        let wait = self.limits.longest(policy.validity);
+        let waited = elapsed(now, since) >= wait || !self.mechanisms.wait_for_authority;
+        let evidence = &task.evidence;
+        let keeps = task.keeps_home(row);
+        // A kept home reads its intent and goes on, so time says nothing about it.
+        let home_ended = evidence.home_stopped || (keeps && evidence.pledged.is_some());
+        let standby_ended = row.standby_home.is_none()
+            || evidence.standby_promised
+            || evidence.standby_stopped
+            || waited
+            || !self.mechanisms.promise;
+        let by_routers = home_ended && standby_ended;
+        let by_standby = evidence.standby_acted && evidence.standby_stopped;
+        by_routers || by_standby || evidence.fenced || (waited && !keeps)
+    }
+}
+
+/// Closes a round once all servers have acknowledged it.
+fn end_round(now: Time, task: &mut Task, row: &Assignment) {
+    let evidence = &mut task.evidence;
+    if evidence.fenced || !servers_of(row).all(|id| evidence.round.contains_key(id)) {
+        return;
+    }
+    if evidence.repeats() {
+        evidence.fenced = true;
+    } else {
+        evidence.open_round(now);
+        task.asked = None;
+    }
+}
+
+/// Returns the owner and the standby server of an assignment.
+fn servers_of(row: &Assignment) -> impl Iterator<Item = &ServerId> {
+    std::iter::once(&row.owner).chain(row.standby.as_ref())
+}
+
+fn home_of(row: &Assignment) -> Run {
+    Run {
+        router: row.home.clone(),
+        incarnation: row.home_run,
+    }
+}
+
+fn standby_home_of(row: &Assignment) -> Option<Run> {
+    Some(Run {
+        router: row.standby_home.clone()?,
+        incarnation: row.standby_home_run,
+    })
+}
--- a/crates/carawayrill-core/src/ownership/takeover/mod.rs
+++ b/crates/carawayrill-core/src/ownership/takeover/mod.rs
@@ -1,23 +1,54 @@
 //! A controller's side of ownership: changes of assignments by intent and evidence.
+//!
+//! A change is announced beside the assignment in force by an intent, which ends the authority of
+//! routers that read it. It replaces the assignment by a second conditional update, once there is
+//! evidence that the old authority has ended:
+//!
+//! - the home has stopped, or pledged to keep the owner if the change keeps the home, and the
+//!   standby home has promised not to act or has stopped; or
+//! - both servers have acknowledged the coming term in two rounds; or
+//! - the intent has stood for as long as a read gives authority.
 
+mod evidence;
 mod message;
+mod store;
+mod task;
+
+use std::collections::BTreeMap;
 
 pub use self::message::Action;
 pub use self::message::Change;
 pub use self::message::Input;
+use self::store::BlockRow;
+use self::task::Task;
+use super::evidence::Run;
 use super::limits::Limits;
 use super::limits::Mechanisms;
+use super::limits::Policy;
+use crate::assignment::BlockId;
 use crate::id::ControllerId;
+use crate::id::ServiceId;
+use crate::id::ShardId;
 use crate::time::Time;
+use crate::time::WallTime;
+
+/// Questions are asked this many times within the time after which a call is tried again.
+const ASKS_PER_RETRY: u64 = 4;
 
 /// The changes that a controller is carrying out.
 ///
-/// It starts with nothing: what it needs is in the store, the routers and the servers.
+/// It starts with nothing: what it needs is in the store, the routers and the servers. Feed it
+/// each block as read; it takes up changes that another controller has announced.
 #[derive(Debug)]
 pub struct TakeoverTable {
     me: ControllerId,
     limits: Limits,
     mechanisms: Mechanisms,
+    policies: BTreeMap<ServiceId, Policy>,
+    leading: bool,
+    blocks: BTreeMap<BlockId, BlockRow>,
+    tasks: BTreeMap<ShardId, Task>,
+    actions: Vec<Action>,
 }
 
 impl TakeoverTable {
@@ -28,6 +59,11 @@
             me,
             limits,
             mechanisms: Mechanisms::ALL,
+            policies: BTreeMap::new(),
+            leading: false,
+            blocks: BTreeMap::new(),
+            tasks: BTreeMap::new(),
+            actions: Vec::new(),
         }
     }
 
@@ -40,19 +76,104 @@
 
     /// Takes one input and returns the actions that follow from it at once.
     pub fn input(&mut self, now: Time, input: Input) -> Vec<Action> {
-        let _ = (now, input, &self.me, &self.limits, &self.mechanisms);
-        Vec::new()
+        self.take(now, input);
+        if self.leading {
+            self.write_blocks(now);
+            self.gather(now);
+        }
+        std::mem::take(&mut self.actions)
     }
 
     /// Runs the systems: call it every 50 ms or so.
     pub fn tick(&mut self, now: Time) -> Vec<Action> {
-        let _ = now;
-        Vec::new()
+        if self.leading {
+            self.read_blocks(now);
+            self.write_blocks(now);
+            self.gather(now);
+        }
+        std::mem::take(&mut self.actions)
     }
 
-    /// Returns the number of changes that are not in force yet.
-    #[must_use]
-    pub fn pending(&self) -> usize {
-        0
+    /// Returns the shards whose changes are not in force yet.
+    pub fn pending(&self) -> impl Iterator<Item = &ShardId> {
+        self.tasks.keys()
+    }
+
+    fn take(&mut self, now: Time, input: Input) {
+        match input {
+            Input::Policy { service, policy } => {
+                self.policies.insert(service, policy);
+            }
+            Input::Leading { leading } => self.lead(leading),
+            Input::Wanted { change, wall } => self.want(now, change, wall),
+            Input::Block { version, block } => self.take_block(now, version, block),
+            Input::Written { block, version } => self.take_written(now, &block, version),
+            Input::WriteFailed { block } => self.take_write_failed(now, &block),
+            Input::OrderReply {
+                sent,
+                orders,
+                reply,
+            } => self.take_reply(now, sent, &orders, &reply),
+            Input::ReleaseReply {
+                router,
+                incarnation,
+                rows,
+            } => {
+                let from = Run {
+                    router,
+                    incarnation,
+                };
+                self.take_released(now, &from, &rows);
+            }
+            Input::StandbyReply {
+                router,
+                incarnation,
+                rows,
+            } => {
+                let from = Run {
+                    router,
+                    incarnation,
+                };
+                self.take_standings(&from, &rows);
+            }
+        }
+    }
+
+    /// Starts afresh when the lease is won or lost: others may have acted in between.
+    fn lead(&mut self, leading: bool) {
+        if leading != self.leading {
+            self.blocks.clear();
+            self.tasks.clear();
+        }
+        self.leading = leading;
+    }
+
+    fn want(&mut self, now: Time, change: Change, wall: WallTime) {
+        if !self.leading {
+            return;
+        }
+        let block = change.block.clone();
+        let shard = change.shard.clone();
+        let former = self.tasks.remove(&shard);
+        let mut task = Task::new(now, change, wall);
+        if let Some(former) = former.filter(|former| former.change.from == task.change.from) {
+            if former.change == task.change {
+                task = former;
+            } else {
+                task.intent = former.intent;
+                task.home_heard = former.home_heard;
+            }
+        }
+        self.tasks.insert(shard, task);
+        self.want_read(now, &block);
+    }
+
+    /// Returns the time between two questions about one change, in milliseconds.
+    fn ask_every(&self) -> u64 {
+        self.limits.retry_after / ASKS_PER_RETRY
+    }
+
+    fn policy(&self, service: &ServiceId) -> Policy {
+        self.policies.get(service).copied().unwrap_or_default()
     }
 }
