--- a/crates/carawayrill-core/src/ownership/home/blocks.rs
+++ b/crates/carawayrill-core/src/ownership/home/blocks.rs
@@ -197,14 +197,13 @@
         self.rows.insert(stored.shard.clone(), row);
     }
 
-    /// Takes in what an intent means for the row: an end, a pledge or nothing.
+    /// Takes in what an intent means for the row: an end, leave to go on, or nothing.
     fn heed_intent(&mut self, block: &Block, row: &mut Row) {
         let intent = block.intent(&row.stored.shard);
-        let keeps = intent.is_some_and(|intent| {
-            intent.next.home == row.stored.home && intent.next.home_run == row.stored.home_run
-        });
-        row.blocked = intent.is_some() && !(keeps && row.role == Role::Home);
-        row.pledged = keeps && row.role == Role::Home;
+        let keeps = intent.is_some_and(|intent| row.stored.is_kept_by(&intent.next));
+        row.keeping = keeps && row.role == Role::Home;
+        row.blocked = intent.is_some() && !row.keeping;
+        row.pledged &= row.keeping;
         if !self.mechanisms.intent_blocks {
             row.blocked = false;
         }
--- a/crates/carawayrill-core/src/ownership/home/gate.rs
+++ b/crates/carawayrill-core/src/ownership/home/gate.rs
@@ -4,6 +4,8 @@
 use super::message::Denial;
 use super::message::Permit;
 use super::row::Row;
+use crate::id::Incarnation;
+use crate::id::ServerId;
 use crate::id::ShardId;
 use crate::time::Time;
 
@@ -45,6 +47,13 @@
         Ok(())
     }
 
+    /// Returns what is known of the servers of this router's shards: name, latest run and whether
+    /// the server is held to be lost.
+    pub fn servers(&self) -> impl Iterator<Item = (&ServerId, Option<Incarnation>, bool)> {
+        let servers = self.servers.iter();
+        servers.map(|(id, known)| (id, known.run, known.lost))
+    }
+
     /// Returns until when requests of a row may be sent.
     fn open_until(&self, now: Time, row: &Row) -> Result<Time, Denial> {
         if !row.acting {
--- a/crates/carawayrill-core/src/ownership/home/release.rs
+++ b/crates/carawayrill-core/src/ownership/home/release.rs
@@ -23,6 +23,7 @@
     }
 
     fn released(&mut self, now: Time, claimed: &Claimed) -> Released {
+        self.pledge(now, &claimed.shard);
         let row = self.rows.get(&claimed.shard);
         let row = row.filter(|row| row.stored.token.term == claimed.token.term && row.acting);
         let Some(row) = row else {
@@ -40,7 +41,7 @@
             revoked: lane.is_some_and(|lane| lane.revoked),
             grant_left: left,
         };
-        let unaware = row.is_live() && !row.pledged;
+        let unaware = row.is_live() && !row.keeping;
         let block = row.block.clone();
         if unaware {
             self.want_read(now, &block);
@@ -48,6 +49,24 @@
         released
     }
 
+    /// Keeps the owner from now on if an intent asks for it. A home that is about to replace a lost
+    /// owner does that first.
+    fn pledge(&mut self, now: Time, shard: &ShardId) {
+        let Some(row) = self.rows.get(shard) else {
+            return;
+        };
+        let lane = self.serving_lane(row).and_then(|id| row.lanes.get(&id));
+        let end = lane.and_then(|lane| lane.certain_end);
+        let serves = row.is_live() && end.is_some_and(|end| now < end);
+        let lost = self
+            .servers
+            .get(&row.serving)
+            .is_none_or(|owner| owner.lost);
+        if let Some(row) = self.rows.get_mut(shard) {
+            row.pledged |= row.keeping && serves && !lost;
+        }
+    }
+
     /// Notes that no request of a shard is in flight here any more.
     pub(super) fn take_quiesced(&mut self, shard: &ShardId) {
         if let Some(row) = self.rows.get_mut(shard)
--- a/crates/carawayrill-core/src/ownership/home/row.rs
+++ b/crates/carawayrill-core/src/ownership/home/row.rs
@@ -74,7 +74,9 @@
     pub(super) basis: Option<Time>,
     /// Whether an intent takes the shard away, so that reads give no authority.
     pub(super) blocked: bool,
-    /// Whether the owner is kept as it is until a change that keeps the home is in force.
+    /// Whether an intent stands that leaves home and owner as they are.
+    pub(super) keeping: bool,
+    /// Whether this router has pledged to keep the owner until that change is in force.
     pub(super) pledged: bool,
     /// Whether this router never sends again under this assignment.
     pub(super) ended: bool,
@@ -105,6 +107,7 @@
             acting: role == Role::Home,
             basis: None,
             blocked: false,
+            keeping: false,
             pledged: false,
             ended: false,
             stopping: None,
--- a/crates/carawayrill-core/src/ownership/takeover/task.rs
+++ b/crates/carawayrill-core/src/ownership/takeover/task.rs
@@ -75,9 +75,9 @@
         }
     }
 
-    /// Returns whether the change leaves the home as it is, so that it may go on.
+    /// Returns whether the change leaves home and owner as they are, so that the home may go on.
     pub(super) fn keeps_home(&self, row: &Assignment) -> bool {
-        self.change.home.router == row.home && self.change.home.incarnation == row.home_run
+        row.is_kept_by(&self.next(Some(row)))
     }
 
     /// Returns the assignment that the change makes out of the one in force.
--- /dev/null
+++ b/crates/carawayrill-core/tests/world/check.rs
@@ -0,0 +1,208 @@
+//! What must hold after every step.
+
+use std::collections::BTreeMap;
+
+use carawayrill_core::id::ShardId;
+use carawayrill_core::token::Token;
+
+use super::World;
+use super::message::NodeIx;
+use super::node::Kind;
+use super::topology::ROUTERS;
+use super::topology::SERVERS;
+
+/// A statement that was broken.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Broken {
+    /// Two servers would run a request for one shard at the same moment.
+    TwoOwners,
+    /// A server ran a request of a former owner after the next owner had run one.
+    LateRun,
+    /// A granted stored token is not in the store's history, or the store's row went back.
+    LostAssignment,
+    /// The highest token of a server went back within its run.
+    TokenBack,
+    /// A shard was not served in time.
+    NotServed,
+}
+
+/// What the checks remember.
+#[derive(Debug, Default)]
+pub struct Checks {
+    pub broken: Option<(u64, Broken, String)>,
+    last_run: BTreeMap<ShardId, (Token, NodeIx)>,
+    highest: BTreeMap<(NodeIx, u64, ShardId), Token>,
+    rows: BTreeMap<ShardId, Token>,
+}
+
+impl World {
+    /// Returns the servers that would run a request for a shard now: they would accept one that
+    /// some router may send or has sent.
+    pub fn runnable(&self, shard: &ShardId) -> Vec<(NodeIx, Token)> {
+        let mut found = Vec::new();
+        for (ix, token) in self.sendable(shard) {
+            let node = &self.nodes[ix];
+            let Kind::Server(fence) = &node.kind else {
+                continue;
+            };
+            let accepts = fence
+                .check(node.clock.server(self.now), shard, token)
+                .is_ok();
+            if node.up && accepts {
+                found.push((ix, token));
+            }
+        }
+        found
+    }
+
+    fn sendable(&self, shard: &ShardId) -> Vec<(NodeIx, Token)> {
+        let mut found: Vec<(NodeIx, Token)> = self
+            .in_flight
+            .get(shard)
+            .into_iter()
+            .flatten()
+            .copied()
+            .collect();
+        for ix in ROUTERS {
+            let node = &self.nodes[ix];
+            let Kind::Router(table) = &node.kind else {
+                continue;
+            };
+            if node.up
+                && let Ok(permit) = table.permit(node.clock.local(self.now), shard)
+            {
+                found.push((
+                    super::topology::node_ix(permit.server.as_str()),
+                    permit.token,
+                ));
+            }
+        }
+        found
+    }
+
+    pub fn check(&mut self) {
+        if self.checks.broken.is_some() {
+            return;
+        }
+        for shard in self.shards.clone() {
+            self.check_owners(&shard);
+            self.check_tokens(&shard);
+        }
+    }
+
+    fn check_owners(&mut self, shard: &ShardId) {
+        let runnable = self.runnable(shard);
+        let first = runnable.first().copied();
+        let second = runnable
+            .iter()
+            .find(|(ix, _)| Some(*ix) != first.map(|(ix, _)| ix));
+        if let (Some(first), Some(second)) = (first, second) {
+            let text = format!(
+                "{shard}: {} under {} and {} under {}",
+                self.nodes[first.0].name, first.1, self.nodes[second.0].name, second.1
+            );
+            self.fail(Broken::TwoOwners, text);
+        }
+    }
+
+    fn check_tokens(&mut self, shard: &ShardId) {
+        for ix in SERVERS {
+            let node = &self.nodes[ix];
+            let Kind::Server(fence) = &node.kind else {
+                continue;
+            };
+            let highest = fence.highest(shard);
+            let known = self
+                .checks
+                .highest
+                .entry((ix, node.boot, shard.clone()))
+                .or_default();
+            let back = highest < *known;
+            *known = highest;
+            if back {
+                self.fail(Broken::TokenBack, format!("{shard} at node {ix}"));
+            }
+        }
+    }
+
+    /// Checks a request that starts to run against the ones that ran before.
+    pub fn check_run(&mut self, ix: NodeIx, shard: &ShardId, token: Token) {
+        let last = self.checks.last_run.get(shard).copied();
+        if let Some((newer, by)) = last
+            && newer > token
+            && by != ix
+        {
+            let text = format!(
+                "{shard}: {} ran {token} after {} ran {newer}",
+                self.nodes[ix].name, self.nodes[by].name
+            );
+            self.fail(Broken::LateRun, text);
+        }
+        if last.is_none_or(|(newer, _)| token >= newer) {
+            self.checks.last_run.insert(shard.clone(), (token, ix));
+        }
+    }
+
+    /// Checks that a granted token of a stored term is one that the store has acknowledged.
+    pub fn check_granted(&mut self, shard: &ShardId, token: Token) {
+        let stored = |term| {
+            self.store
+                .history
+                .values()
+                .filter_map(|block| block.row(shard))
+                .any(|row| row.token.term == term)
+        };
+        if token.term.0.is_multiple_of(2) && !stored(token.term) {
+            self.fail(
+                Broken::LostAssignment,
+                format!("{shard}: granted {token}, which was never stored"),
+            );
+        }
+    }
+
+    pub fn check_stored(&mut self) {
+        for row in self.store.block.rows.clone() {
+            let known = self.checks.rows.entry(row.shard.clone()).or_default();
+            let back = row.token < *known;
+            *known = row.token;
+            if back {
+                self.fail(
+                    Broken::LostAssignment,
+                    format!("{}: the store went back to {}", row.shard, row.token),
+                );
+            }
+        }
+    }
+
+    pub fn fail(&mut self, broken: Broken, text: String) {
+        if self.checks.broken.is_none() {
+            self.checks.broken = Some((self.now, broken, text));
+        }
+    }
+
+    /// Returns whether a request for the shard would be answered now.
+    pub fn is_served(&self, shard: &ShardId) -> bool {
+        ROUTERS.into_iter().any(|ix| self.serves(ix, shard))
+    }
+
+    fn serves(&self, ix: NodeIx, shard: &ShardId) -> bool {
+        let node = &self.nodes[ix];
+        let Kind::Router(table) = &node.kind else {
+            return false;
+        };
+        let now = node.clock.local(self.now);
+        let Ok(permit) = table.permit(now, shard) else {
+            return false;
+        };
+        let to = super::topology::node_ix(permit.server.as_str());
+        let server = &self.nodes[to];
+        let Kind::Server(fence) = &server.kind else {
+            return false;
+        };
+        let accepts = fence
+            .check(server.clock.server(self.now), shard, permit.token)
+            .is_ok();
+        let reached = !self.is_cut(ix, to) && !self.is_cut(to, ix);
+        node.runs(self.now) && server.runs(self.now) && accepts && reached
+    }
+}
--- /dev/null
+++ b/crates/carawayrill-core/tests/world/fault.rs
@@ -0,0 +1,129 @@
+//! Faults and random schedules of them.
+
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+
+use super::clock::MS;
+use super::clock::Micros;
+use super::message::NodeIx;
+use super::topology::DATA_CENTRES;
+use super::topology::REGIONS;
+use super::topology::STORE;
+use super::topology::processes;
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Fault {
+    Kill {
+        node: NodeIx,
+        back_after: Option<Micros>,
+    },
+    Pause {
+        node: NodeIx,
+        span: Micros,
+    },
+    Cut {
+        from: NodeIx,
+        to: NodeIx,
+        both: bool,
+        span: Micros,
+    },
+    CutRegion {
+        region: usize,
+        outgoing: bool,
+        incoming: bool,
+        span: Micros,
+    },
+    KillDataCentre {
+        data_centre: usize,
+        back_after: Option<Micros>,
+    },
+    StoreDown {
+        span: Micros,
+    },
+    StoreSlow {
+        span: Micros,
+    },
+    LoseAnswers {
+        span: Micros,
+    },
+    Move {
+        shard: usize,
+    },
+}
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Planned {
+    pub at: Micros,
+    pub fault: Fault,
+}
+
+fn span(rng: &mut ChaCha8Rng) -> Micros {
+    let classes = [(20, 200), (200, 1_500), (1_000, 3_000), (2_000, 5_000)];
+    let (low, high) = classes[rng.random_range(0..classes.len())];
+    rng.random_range(low..high) * MS
+}
+
+fn back_after(rng: &mut ChaCha8Rng) -> Option<Micros> {
+    rng.random_bool(0.8).then(|| span(rng))
+}
+
+fn fault(rng: &mut ChaCha8Rng) -> Fault {
+    let nodes = processes();
+    let node = nodes[rng.random_range(0..nodes.len())];
+    match rng.random_range(0..20) {
+        0..=2 => Fault::Kill {
+            node,
+            back_after: back_after(rng),
+        },
+        3..=7 => Fault::Pause {
+            node,
+            span: span(rng),
+        },
+        8..=11 => {
+            let to = rng.random_range(0..=STORE);
+            Fault::Cut {
+                from: node,
+                to,
+                both: rng.random_bool(0.5),
+                span: span(rng),
+            }
+        }
+        12 => {
+            let (outgoing, incoming) =
+                [(true, true), (true, false), (false, true)][rng.random_range(0..3)];
+            let region = rng.random_range(0..REGIONS);
+            Fault::CutRegion {
+                region,
+                outgoing,
+                incoming,
+                span: span(rng),
+            }
+        }
+        13 => Fault::KillDataCentre {
+            data_centre: rng.random_range(0..DATA_CENTRES),
+            back_after: back_after(rng),
+        },
+        14 | 15 => Fault::StoreDown { span: span(rng) },
+        16 => Fault::StoreSlow { span: span(rng) },
+        17 => Fault::LoseAnswers { span: span(rng) },
+        _ => Fault::Move {
+            shard: rng.random_range(0..2),
+        },
+    }
+}
+
+/// Makes a schedule of 1 to 6 faults within `window`; some come at once, some come twice.
+pub fn schedule(rng: &mut ChaCha8Rng, window: Micros) -> Vec<Planned> {
+    let count = rng.random_range(1..=6);
+    let mut plan: Vec<Planned> = Vec::new();
+    for _ in 0..count {
+        let at = match plan.last() {
+            Some(last) if rng.random_bool(0.5) => last.at + rng.random_range(0..1_500) * MS,
+            _ => rng.random_range(2_000..window / MS) * MS,
+        };
+        let twice = plan.last().filter(|_| rng.random_bool(0.1)).cloned();
+        let fault = twice.map_or_else(|| fault(rng), |last| last.fault);
+        plan.push(Planned { at, fault });
+    }
+    plan
+}
--- /dev/null
+++ b/crates/carawayrill-core/tests/world/mod.rs
@@ -0,0 +1,386 @@
+//! A model of routers, servers, controllers and the store in virtual time, with faults.
+//!
+//! Processes are the tables of the core; between them stand a network that delays, loses and cuts
+//! messages, and a store that fails. What must hold is checked after every step.
+
+#![allow(dead_code, reason = "each test file uses its own part of the model")]
+
+pub mod check;
+pub mod clock;
+pub mod fault;
+pub mod message;
+pub mod node;
+pub mod planner;
+pub mod run;
+pub mod store;
+pub mod topology;
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::collections::BinaryHeap;
+
+use carawayrill_core::id::ShardId;
+use carawayrill_core::ownership::home;
+use carawayrill_core::token::Token;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use self::check::Checks;
+use self::clock::MS;
+use self::clock::Micros;
+use self::fault::Fault;
+use self::fault::Planned;
+use self::message::Message;
+use self::message::NodeIx;
+use self::node::Kind;
+use self::node::Node;
+use self::node::Setup;
+use self::store::Store;
+use self::topology::NODES;
+use self::topology::SERVERS;
+
+/// How often the tables are ticked.
+const TICK: Micros = 50 * MS;
+
+/// A message on its way.
+#[derive(Debug)]
+pub struct Envelope {
+    from: NodeIx,
+    from_boot: u64,
+    to: NodeIx,
+    to_boot: u64,
+    message: Message,
+}
+
+/// Nodes that don't hear each other for a while.
+#[derive(Debug)]
+struct Cut {
+    from: Vec<NodeIx>,
+    to: Vec<NodeIx>,
+    until: Micros,
+}
+
+#[derive(Debug)]
+enum Event {
+    Deliver(Box<Envelope>),
+    Fault(Fault),
+    Back(NodeIx),
+    StoreUp,
+}
+
+#[derive(Debug)]
+pub struct World {
+    pub now: Micros,
+    pub nodes: Vec<Node>,
+    pub store: Store,
+    pub shards: Vec<ShardId>,
+    pub checks: Checks,
+    /// Requests that a router has decided to write, or has written, and no server has taken up.
+    pub in_flight: BTreeMap<ShardId, Vec<(NodeIx, Token)>>,
+    setup: Setup,
+    rng: ChaCha8Rng,
+    queue: BinaryHeap<Reverse<(Micros, u64)>>,
+    events: BTreeMap<u64, Event>,
+    sequence: u64,
+    cuts: Vec<Cut>,
+    loss: f64,
+    /// Why each shard was last not permitted, for the reader of a broken run.
+    pub steps: u64,
+}
+
+impl World {
+    pub fn new(seed: u64, setup: Setup, plan: &[Planned]) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let ppm = |rng: &mut ChaCha8Rng| rng.random_range(-200..=200);
+        let nodes = (0..NODES.len())
+            .map(|ix| Node::start(ix, 0, 1, ppm(&mut rng), &setup))
+            .collect();
+        let loss = if rng.random_bool(0.3) { 0.02 } else { 0.0 };
+        let mut world = Self {
+            now: 0,
+            nodes,
+            store: Store::new(topology::first_block()),
+            shards: (0..topology::SHARDS).map(topology::shard).collect(),
+            checks: Checks::default(),
+            in_flight: BTreeMap::new(),
+            setup,
+            rng,
+            queue: BinaryHeap::new(),
+            events: BTreeMap::new(),
+            sequence: 0,
+            cuts: Vec::new(),
+            loss,
+            steps: 0,
+        };
+        for planned in plan {
+            world.push(planned.at, Event::Fault(planned.fault.clone()));
+        }
+        for ix in 0..NODES.len() {
+            world.begin(ix);
+        }
+        world
+    }
+
+    /// Runs until a point in true time or until something is broken.
+    pub fn run_until(&mut self, end: Micros) {
+        while self.checks.broken.is_none() {
+            match self.queue.peek() {
+                Some(Reverse((at, _))) if *at <= end => self.step(),
+                _ => break,
+            }
+        }
+        self.now = self.now.max(end);
+    }
+
+    fn step(&mut self) {
+        let Some(Reverse((at, id))) = self.queue.pop() else {
+            return;
+        };
+        let Some(event) = self.events.remove(&id) else {
+            return;
+        };
+        self.now = at;
+        self.steps += 1;
+        match event {
+            Event::Deliver(envelope) => self.deliver(*envelope),
+            Event::Fault(fault) => self.strike(&fault),
+            Event::Back(ix) => self.restart(ix),
+            Event::StoreUp => {
+                self.store.down = false;
+                self.store.slow_ms = 0;
+                self.store.lost_answers = 0;
+            }
+        }
+        self.check();
+    }
+
+    fn push(&mut self, at: Micros, event: Event) {
+        if let Event::Deliver(envelope) = &event
+            && let Some((shard, flight)) = flight(&envelope.message)
+        {
+            self.in_flight.entry(shard).or_default().push(flight);
+        }
+        self.sequence += 1;
+        self.events.insert(self.sequence, event);
+        self.queue.push(Reverse((at, self.sequence)));
+    }
+
+    /// Starts the regular work of a node.
+    fn begin(&mut self, ix: NodeIx) {
+        if SERVERS.contains(&ix) {
+            return;
+        }
+        let policy = home::Input::Policy {
+            service: topology::service(),
+            policy: self.setup.policy,
+        };
+        let policy_too = carawayrill_core::ownership::takeover::Input::Policy {
+            service: topology::service(),
+            policy: self.setup.policy,
+        };
+        match &mut self.nodes[ix].kind {
+            Kind::Router(table) => drop(table.input(carawayrill_core::time::Time(0), policy)),
+            Kind::Controller(controller) => drop(
+                controller
+                    .table
+                    .input(carawayrill_core::time::Time(0), policy_too),
+            ),
+            Kind::Server(_) | Kind::Store => {}
+        }
+        let delay = self.rng.random_range(0..50) * MS;
+        self.later(ix, delay, Message::Tick);
+    }
+
+    /// Schedules a message of a node to itself.
+    fn later(&mut self, ix: NodeIx, delay: Micros, message: Message) {
+        let boot = self.nodes[ix].boot;
+        let envelope = Envelope {
+            from: ix,
+            from_boot: boot,
+            to: ix,
+            to_boot: boot,
+            message,
+        };
+        self.push(self.now + delay, Event::Deliver(Box::new(envelope)));
+    }
+
+    /// Sends a message over the network.
+    fn send(&mut self, from: NodeIx, to: NodeIx, message: Message) {
+        self.send_after(from, to, 0, message);
+    }
+
+    fn send_after(&mut self, from: NodeIx, to: NodeIx, delay: Micros, message: Message) {
+        if self.is_cut(from, to) || (self.loss > 0.0 && self.rng.random_bool(self.loss)) {
+            return;
+        }
+        let copies = if self.rng.random_bool(0.01) { 2 } else { 1 };
+        for _ in 0..copies {
+            let at = self.now + delay + self.latency(from, to);
+            let envelope = Envelope {
+                from,
+                from_boot: self.nodes[from].boot,
+                to,
+                to_boot: self.nodes[to].boot,
+                message: message.clone(),
+            };
+            self.push(at, Event::Deliver(Box::new(envelope)));
+        }
+    }
+
+    fn latency(&mut self, from: NodeIx, to: NodeIx) -> Micros {
+        let near = self.nodes[from].region() == self.nodes[to].region();
+        let base = if near { 250 } else { 4_000 };
+        let jitter = if self.rng.random_bool(0.02) {
+            60 * MS
+        } else {
+            base
+        };
+        base + self.rng.random_range(0..jitter)
+    }
+
+    pub fn is_cut(&self, from: NodeIx, to: NodeIx) -> bool {
+        let cuts =
+            |cut: &Cut| cut.until > self.now && cut.from.contains(&from) && cut.to.contains(&to);
+        self.cuts.iter().any(cuts)
+    }
+
+    fn deliver(&mut self, envelope: Envelope) {
+        if let Some((shard, flight)) = flight(&envelope.message) {
+            let flights = self.in_flight.entry(shard).or_default();
+            if let Some(at) = flights.iter().position(|other| *other == flight) {
+                flights.swap_remove(at);
+            }
+        }
+        let node = &self.nodes[envelope.to];
+        if !node.up || node.boot != envelope.to_boot {
+            return;
+        }
+        if node.paused_until > self.now {
+            let at = node.paused_until;
+            self.push(at, Event::Deliver(Box::new(envelope)));
+            return;
+        }
+        self.handle(envelope);
+    }
+
+    fn strike(&mut self, fault: &Fault) {
+        let now = self.now;
+        match *fault {
+            Fault::Kill { node, back_after } => self.kill(node, back_after),
+            Fault::Pause { node, span } => {
+                let until = &mut self.nodes[node].paused_until;
+                *until = (*until).max(now + span);
+            }
+            Fault::Cut {
+                from,
+                to,
+                both,
+                span,
+            } => {
+                self.cut(vec![from], vec![to], span);
+                if both {
+                    self.cut(vec![to], vec![from], span);
+                }
+            }
+            Fault::CutRegion {
+                region,
+                outgoing,
+                incoming,
+                span,
+            } => {
+                let (inside, outside): (Vec<NodeIx>, Vec<NodeIx>) =
+                    (0..NODES.len()).partition(|ix| self.nodes[*ix].region() == region);
+                if outgoing {
+                    self.cut(inside.clone(), outside.clone(), span);
+                }
+                if incoming {
+                    self.cut(outside, inside, span);
+                }
+            }
+            Fault::KillDataCentre {
+                data_centre,
+                back_after,
+            } => {
+                for ix in topology::processes() {
+                    if self.nodes[ix].data_centre == data_centre {
+                        self.kill(ix, back_after);
+                    }
+                }
+            }
+            Fault::StoreDown { span } => {
+                self.store.down = true;
+                self.push(now + span, Event::StoreUp);
+            }
+            Fault::StoreSlow { span } => {
+                self.store.slow_ms = self.rng.random_range(50..1_500);
+                self.push(now + span, Event::StoreUp);
+            }
+            Fault::LoseAnswers { span } => {
+                self.store.lost_answers = 70;
+                self.push(now + span, Event::StoreUp);
+            }
+            Fault::Move { shard } => self.want_move(shard),
+        }
+    }
+
+    fn want_move(&mut self, shard: usize) {
+        for node in &mut self.nodes {
+            if let Kind::Controller(controller) = &mut node.kind {
+                controller.view.wanted_moves.push(shard);
+            }
+        }
+    }
+
+    fn cut(&mut self, from: Vec<NodeIx>, to: Vec<NodeIx>, span: Micros) {
+        let until = self.now + span;
+        self.cuts.push(Cut { from, to, until });
+    }
+
+    fn kill(&mut self, ix: NodeIx, back_after: Option<Micros>) {
+        if !self.nodes[ix].up {
+            return;
+        }
+        self.nodes[ix].up = false;
+        if let Some(span) = back_after {
+            self.push(self.now + span, Event::Back(ix));
+        }
+    }
+
+    /// Ends all faults at once.
+    pub fn heal(&mut self) {
+        self.cuts.clear();
+        self.loss = 0.0;
+        self.store.down = false;
+        self.store.slow_ms = 0;
+        self.store.lost_answers = 0;
+        for ix in 0..NODES.len() {
+            self.nodes[ix].paused_until = 0;
+            if !self.nodes[ix].up {
+                self.restart(ix);
+            }
+        }
+    }
+
+    fn restart(&mut self, ix: NodeIx) {
+        if self.nodes[ix].up {
+            return;
+        }
+        let boot = self.nodes[ix].boot + 1;
+        let ppm = self.rng.random_range(-200..=200);
+        self.nodes[ix] = Node::start(ix, self.now, boot, ppm, &self.setup);
+        self.begin(ix);
+    }
+}
+
+/// Returns the request that a message carries to a server, if it is bound to be written.
+fn flight(message: &Message) -> Option<(ShardId, (NodeIx, Token))> {
+    match message {
+        Message::Send(permit) => {
+            let to = topology::node_ix(permit.server.as_str());
+            Some((permit.shard.clone(), (to, permit.token)))
+        }
+        Message::Request { shard, token, to } => Some((shard.clone(), (*to, *token))),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/carawayrill-core/tests/world/node.rs
@@ -0,0 +1,119 @@
+//! One process of the model.
+
+use carawayrill_core::assignment::Block;
+use carawayrill_core::id::ControllerId;
+use carawayrill_core::id::Incarnation;
+use carawayrill_core::id::ServerId;
+use carawayrill_core::id::Version;
+use carawayrill_core::ownership::evidence::Run;
+use carawayrill_core::ownership::home::HomeTable;
+use carawayrill_core::ownership::limits::Limits;
+use carawayrill_core::ownership::limits::Mechanisms;
+use carawayrill_core::ownership::limits::Policy;
+use carawayrill_core::ownership::server::FenceTable;
+use carawayrill_core::ownership::takeover::TakeoverTable;
+use carawayrill_core::time::Time;
+
+use super::clock::Clock;
+use super::clock::Micros;
+use super::planner::View;
+use super::topology;
+use super::topology::CONTROLLERS;
+use super::topology::NODES;
+use super::topology::ROUTERS;
+use super::topology::SERVERS;
+
+/// What all processes are set up with.
+#[derive(Debug, Clone, Copy)]
+pub struct Setup {
+    pub limits: Limits,
+    pub policy: Policy,
+    pub mechanisms: Mechanisms,
+}
+
+#[derive(Debug)]
+pub enum Kind {
+    Server(FenceTable),
+    Router(Box<HomeTable>),
+    Controller(Box<Controller>),
+    Store,
+}
+
+#[derive(Debug)]
+pub struct Controller {
+    pub table: TakeoverTable,
+    pub view: View,
+    pub leading: bool,
+    pub rival_heard: Time,
+    pub block: Option<(Version, Block)>,
+    pub planned: Time,
+}
+
+#[derive(Debug)]
+pub struct Node {
+    pub name: &'static str,
+    pub data_centre: usize,
+    pub up: bool,
+    /// Counts runs; messages to an earlier run are lost.
+    pub boot: u64,
+    pub paused_until: Micros,
+    pub clock: Clock,
+    pub kind: Kind,
+}
+
+impl Node {
+    pub fn start(ix: usize, now: Micros, boot: u64, ppm: i64, setup: &Setup) -> Self {
+        let (name, data_centre) = NODES[ix];
+        let run = Incarnation(boot);
+        let clock = Clock {
+            boot: now,
+            offset: if SERVERS.contains(&ix) {
+                10_000 * boot
+            } else {
+                0
+            },
+            ppm,
+        };
+        let mut node = Self {
+            name,
+            data_centre,
+            up: true,
+            boot,
+            paused_until: 0,
+            clock,
+            kind: Kind::Store,
+        };
+        if SERVERS.contains(&ix) {
+            let id = ServerId::try_from(name).expect("a server name");
+            let checking = setup.mechanisms.fence && setup.policy.fencing;
+            node.kind = Kind::Server(FenceTable::new(id, run).checking(checking));
+        } else if ROUTERS.contains(&ix) {
+            let me = Run {
+                router: name.parse().expect("a router name"),
+                incarnation: run,
+            };
+            node.kind = Kind::Router(Box::new(
+                HomeTable::new(me, setup.limits).mechanisms(setup.mechanisms),
+            ));
+        } else if CONTROLLERS.contains(&ix) {
+            let me = ControllerId::try_from(name).expect("a controller name");
+            node.kind = Kind::Controller(Box::new(Controller {
+                table: TakeoverTable::new(me, setup.limits).mechanisms(setup.mechanisms),
+                view: View::default(),
+                leading: false,
+                rival_heard: Time(0),
+                block: None,
+                planned: Time(0),
+            }));
+        }
+        node
+    }
+
+    pub fn region(&self) -> usize {
+        topology::region(self.data_centre)
+    }
+
+    pub fn runs(&self, now: Micros) -> bool {
+        self.up && self.paused_until <= now
+    }
+}
--- /dev/null
+++ b/crates/carawayrill-core/tests/world/planner.rs
@@ -0,0 +1,168 @@
+//! A small stand-in for placement: it keeps each shard with live servers and routers.
+
+use std::collections::BTreeMap;
+
+use carawayrill_core::assignment::Assignment;
+use carawayrill_core::assignment::Block;
+use carawayrill_core::assignment::Reason;
+use carawayrill_core::id::Incarnation;
+use carawayrill_core::id::RouterId;
+use carawayrill_core::id::ServerId;
+use carawayrill_core::ownership::evidence::Run;
+use carawayrill_core::ownership::takeover::Change;
+use carawayrill_core::time::Time;
+
+use super::topology;
+use super::topology::NODES;
+use super::topology::ROUTERS;
+use super::topology::SERVERS;
+use super::topology::node_ix;
+
+/// Silence after which the planner gives a router up.
+const SILENCE_MS: u64 = 1_200;
+/// How long the standby home is left to take over on its own.
+const GRACE_MS: u64 = 2_500;
+
+/// What a controller has heard.
+#[derive(Debug, Default)]
+pub struct View {
+    pub routers: BTreeMap<RouterId, (Incarnation, Time)>,
+    pub servers: BTreeMap<ServerId, (bool, Time)>,
+    /// Since when the home of each shard's present assignment has been missing.
+    missing: BTreeMap<u32, (Assignment, Time)>,
+    /// A move that was asked for.
+    pub wanted_moves: Vec<usize>,
+}
+
+impl View {
+    pub fn hear_server(&mut self, now: Time, id: &ServerId, lost: bool) {
+        // One router that reaches a server is enough: others may be cut from it.
+        let known = self.servers.entry(id.clone()).or_insert((lost, now));
+        if !lost || known.0 || now.since(known.1).as_millis() > 700 {
+            *known = (lost, now);
+        }
+    }
+
+    fn run(&self, now: Time, id: &RouterId) -> Option<Run> {
+        let (incarnation, heard) = self.routers.get(id)?;
+        let fresh = now.since(*heard).as_millis() <= u128::from(SILENCE_MS);
+        fresh.then(|| Run {
+            router: id.clone(),
+            incarnation: *incarnation,
+        })
+    }
+
+    fn is_run(&self, now: Time, id: &RouterId, run: Incarnation) -> bool {
+        self.run(now, id)
+            .is_some_and(|known| known.incarnation == run)
+    }
+
+    fn server_ok(&self, id: &ServerId) -> bool {
+        self.servers.get(id).is_some_and(|(lost, _)| !lost)
+    }
+
+    /// Returns the changes that the view calls for.
+    pub fn plan(&mut self, now: Time, block: &Block) -> Vec<Change> {
+        let rows = block.rows.iter();
+        rows.filter_map(|row| self.change(now, row)).collect()
+    }
+
+    fn change(&mut self, now: Time, row: &Assignment) -> Option<Change> {
+        let index = if row.shard == topology::shard(0) {
+            0
+        } else {
+            1
+        };
+        let moved = self.wanted_moves.contains(&(index as usize));
+        let home_ok = self.is_run(now, &row.home, row.home_run);
+        let standby_home = row.standby_home.as_ref();
+        let standby_home_ok =
+            standby_home.is_some_and(|id| self.is_run(now, id, row.standby_home_run));
+        if home_ok {
+            self.missing.remove(&index);
+            let owner_ok = self.server_ok(&row.owner);
+            let standby_ok = row.standby.as_ref().is_some_and(|id| self.server_ok(id));
+            if owner_ok && standby_ok && standby_home_ok && !moved {
+                return None;
+            }
+            if !owner_ok && standby_ok {
+                return None;
+            }
+            let reason = if moved {
+                Reason::Balance
+            } else {
+                Reason::ServerLost
+            };
+            self.wanted_moves.retain(|shard| *shard != index as usize);
+            let avoid = (moved || !owner_ok).then_some(&row.owner);
+            return self.choose(now, row, avoid, reason, true);
+        }
+        let (since, at) = self.missing.entry(index).or_insert((row.clone(), now));
+        if since.token != row.token {
+            (*since, *at) = (row.clone(), now);
+        }
+        let waited = now.since(*at).as_millis() >= u128::from(GRACE_MS);
+        if standby_home_ok && !waited {
+            return None;
+        }
+        self.choose(now, row, None, Reason::HomeLost, false)
+    }
+
+    fn choose(
+        &self,
+        now: Time,
+        row: &Assignment,
+        avoid: Option<&ServerId>,
+        reason: Reason,
+        keep: bool,
+    ) -> Option<Change> {
+        let servers: Vec<ServerId> = SERVERS
+            .map(|ix| NODES[ix].0.parse().expect("a server"))
+            .collect();
+        let live = |id: &&ServerId| self.server_ok(id) && Some(*id) != avoid;
+        let pair = [Some(&row.owner), row.standby.as_ref()];
+        let owner = pair
+            .into_iter()
+            .flatten()
+            .chain(&servers)
+            .find(live)?
+            .clone();
+        let standby = pair
+            .into_iter()
+            .flatten()
+            .chain(&servers)
+            .find(|id| live(id) && **id != owner)
+            .cloned();
+        let dc = |name: &str| NODES[node_ix(name)].1;
+        let mut taken = vec![dc(owner.as_str())];
+        taken.extend(standby.as_ref().map(|id| dc(id.as_str())));
+        let routers: Vec<RouterId> = ROUTERS
+            .map(|ix| NODES[ix].0.parse().expect("a router"))
+            .collect();
+        let kept = keep.then_some(&row.home).filter(|_| avoid.is_none());
+        let standby_home = row.standby_home.as_ref().filter(|_| !keep);
+        let wishes: Vec<&RouterId> = kept
+            .into_iter()
+            .chain(standby_home)
+            .chain(&routers)
+            .collect();
+        let home = wishes.iter().find(|id| {
+            self.run(now, id).is_some() && (Some(**id) == kept || !taken.contains(&dc(id.as_str())))
+        })?;
+        let home = self.run(now, home)?;
+        let former = row.standby_home.as_ref().into_iter().chain(&routers);
+        let second =
+            former.filter(|id| **id != home.router && dc(id.as_str()) != dc(home.router.as_str()));
+        let standby_home = second.filter_map(|id| self.run(now, id)).next();
+        Some(Change {
+            block: topology::block_id(),
+            shard: row.shard.clone(),
+            from: Some(row.token),
+            owner,
+            standby,
+            home,
+            standby_home,
+            reason,
+        })
+    }
+}
--- /dev/null
+++ b/crates/carawayrill-core/tests/world/run.rs
@@ -0,0 +1,499 @@
+//! What each node does with a message.
+
+use carawayrill_core::event::EventKind;
+use carawayrill_core::id::Incarnation;
+use carawayrill_core::id::RouterId;
+use carawayrill_core::id::ServerId;
+use carawayrill_core::order::Order;
+use carawayrill_core::ownership::home;
+use carawayrill_core::ownership::home::BlockVersion;
+use carawayrill_core::ownership::takeover;
+use carawayrill_core::time::ServerTime;
+use carawayrill_core::time::Time;
+use carawayrill_core::time::WallTime;
+use rand::RngExt;
+
+use super::Envelope;
+use super::TICK;
+use super::World;
+use super::clock::MS;
+use super::message::Message;
+use super::message::NodeIx;
+use super::node::Kind;
+use super::topology;
+use super::topology::CONTROLLERS;
+use super::topology::NODES;
+use super::topology::ROUTERS;
+use super::topology::STORE;
+use super::topology::node_ix;
+
+/// How often a router sends heartbeats, in ticks.
+const HEARTBEAT_TICKS: u64 = 6;
+/// How often a controller plans, in milliseconds.
+const PLAN_EVERY_MS: u128 = 250;
+/// Silence after which the second controller leads, in milliseconds.
+const LEASE_MS: u128 = 2_000;
+
+impl World {
+    pub(super) fn handle(&mut self, envelope: Envelope) {
+        let to = envelope.to;
+        match self.nodes[to].kind {
+            Kind::Store => self.handle_store(envelope),
+            Kind::Server(_) => self.handle_server(envelope),
+            Kind::Router(_) => self.handle_router(envelope),
+            Kind::Controller(_) => self.handle_controller(envelope),
+        }
+    }
+
+    fn handle_store(&mut self, envelope: Envelope) {
+        let from = envelope.from;
+        if let Message::Tick = envelope.message {
+            let hint = Message::Hint {
+                version: self.store.version,
+                block: self.store.block.clone(),
+            };
+            for ix in ROUTERS {
+                if !self.store.down {
+                    self.send(STORE, ix, hint.clone());
+                }
+            }
+            self.later(STORE, 700 * MS, Message::Tick);
+            return;
+        }
+        if self.store.down {
+            return;
+        }
+        let slow = self.store.slow_ms * MS;
+        let delay = MS
+            + if slow > 0 {
+                self.rng.random_range(0..slow)
+            } else {
+                0
+            };
+        let version = self.store.version;
+        let reply = match envelope.message {
+            Message::Read { started } => Message::ReadReply {
+                started,
+                version,
+                block: self.store.block.clone(),
+            },
+            Message::Check { started } => Message::CheckReply { started, version },
+            Message::Write { expected, block } => {
+                let lost = self.rng.random_range(0..100) < self.store.lost_answers;
+                let written = self.store.write(expected, block);
+                self.check_stored();
+                self.hint_all();
+                match written {
+                    Some(_) if lost && self.rng.random_bool(0.5) => return,
+                    Some(_) if lost => Message::WriteFailed,
+                    Some(version) => Message::Written { version },
+                    None => Message::WriteFailed,
+                }
+            }
+            _ => return,
+        };
+        self.send_after(STORE, from, delay, reply);
+    }
+
+    fn hint_all(&mut self) {
+        let hint = Message::Hint {
+            version: self.store.version,
+            block: self.store.block.clone(),
+        };
+        for ix in ROUTERS {
+            self.send(STORE, ix, hint.clone());
+        }
+    }
+
+    fn handle_server(&mut self, envelope: Envelope) {
+        let ix = envelope.to;
+        let clock = self.nodes[ix].clock.server(self.now);
+        let by_receipt = !self.setup.mechanisms.server_clock;
+        let Kind::Server(fence) = &mut self.nodes[ix].kind else {
+            return;
+        };
+        match envelope.message {
+            Message::Orders { sent, orders } => {
+                let obeyed = if by_receipt {
+                    from_receipt(clock, &orders)
+                } else {
+                    orders.clone()
+                };
+                let reply = fence.apply(clock, &obeyed);
+                self.send(
+                    ix,
+                    envelope.from,
+                    Message::OrderReply {
+                        sent,
+                        orders,
+                        reply,
+                    },
+                );
+            }
+            Message::Request { shard, token, .. } => {
+                if fence.start(clock, &shard, token).is_ok() {
+                    self.check_run(ix, &shard, token);
+                    let span = self.rng.random_range(1..30) * MS;
+                    self.later(ix, span, Message::Finish { shard });
+                }
+            }
+            Message::Finish { shard } => fence.finish(&shard),
+            _ => {}
+        }
+    }
+
+    fn handle_router(&mut self, envelope: Envelope) {
+        let (ix, from) = (envelope.to, envelope.from);
+        let now = self.nodes[ix].clock.local(self.now);
+        let input = match envelope.message {
+            Message::Tick => return self.tick_router(ix, now),
+            Message::Confirm(permit) => {
+                let Kind::Router(table) = &self.nodes[ix].kind else {
+                    return;
+                };
+                if table.confirm(now, &permit).is_ok() {
+                    let gap = self.rng.random_range(0..MS);
+                    self.later(ix, gap, Message::Send(permit));
+                }
+                return;
+            }
+            Message::Send(permit) => {
+                let to = node_ix(permit.server.as_str());
+                return self.send(
+                    ix,
+                    to,
+                    Message::Request {
+                        shard: permit.shard,
+                        token: permit.token,
+                        to,
+                    },
+                );
+            }
+            Message::Heartbeat { incarnation, .. } => home::Input::PeerSeen {
+                router: router(from),
+                incarnation,
+            },
+            Message::OrderReply {
+                sent,
+                orders,
+                reply,
+            } => home::Input::OrderReply {
+                sent,
+                orders,
+                reply,
+            },
+            Message::ReadReply {
+                started,
+                version,
+                block,
+            } => home::Input::Block {
+                started,
+                version,
+                block,
+            },
+            Message::CheckReply { started, version } => {
+                let versions = vec![BlockVersion {
+                    block: topology::block_id(),
+                    version,
+                }];
+                home::Input::Versions { started, versions }
+            }
+            Message::Written { version } => home::Input::Written {
+                block: topology::block_id(),
+                version,
+            },
+            Message::WriteFailed => home::Input::WriteFailed {
+                block: topology::block_id(),
+            },
+            Message::Hint { version, block } => home::Input::Hint { version, block },
+            Message::AskStandby {
+                asked,
+                promise,
+                rows,
+            } => home::Input::Standby {
+                ask: asked.0,
+                promise,
+                rows,
+            },
+            Message::Standings {
+                asked,
+                incarnation,
+                rows,
+            } => home::Input::StandbyReply {
+                asked,
+                router: router(from),
+                incarnation,
+                rows,
+            },
+            Message::AskRelease { rows } => home::Input::Release { ask: 0, rows },
+            Message::Quiesced { shard } => home::Input::Quiesced { shard },
+            _ => return,
+        };
+        self.feed_router(ix, from, now, input);
+    }
+
+    fn feed_router(&mut self, ix: NodeIx, from: NodeIx, now: Time, input: home::Input) {
+        let Kind::Router(table) = &mut self.nodes[ix].kind else {
+            return;
+        };
+        let actions = table.input(now, input);
+        self.act_router(ix, from, now, actions);
+    }
+
+    fn tick_router(&mut self, ix: NodeIx, now: Time) {
+        self.later(ix, TICK, Message::Tick);
+        let boot = self.nodes[ix].boot;
+        let Kind::Router(table) = &mut self.nodes[ix].kind else {
+            return;
+        };
+        let actions = table.tick(now);
+        let lost: Vec<(ServerId, bool)> = table
+            .servers()
+            .filter(|(_, run, _)| run.is_some())
+            .map(|(id, _, lost)| (id.clone(), lost))
+            .collect();
+        let permits: Vec<home::Permit> = self
+            .shards
+            .iter()
+            .filter_map(|shard| table.permit(now, shard).ok())
+            .collect();
+        self.act_router(ix, ix, now, actions);
+        for permit in permits {
+            if self.rng.random_bool(0.3) {
+                let gap = self.rng.random_range(0..3 * MS);
+                self.later(ix, gap, Message::Confirm(permit));
+            }
+        }
+        if (self.now / TICK + ix as u64).is_multiple_of(HEARTBEAT_TICKS) {
+            for to in ROUTERS.chain(CONTROLLERS).filter(|to| *to != ix) {
+                let message = Message::Heartbeat {
+                    incarnation: Incarnation(boot),
+                    lost: lost.clone(),
+                };
+                self.send(ix, to, message);
+            }
+        }
+    }
+
+    fn act_router(&mut self, ix: NodeIx, from: NodeIx, now: Time, actions: Vec<home::Action>) {
+        let incarnation = Incarnation(self.nodes[ix].boot);
+        for action in actions {
+            match action {
+                home::Action::Order { server, orders } => self.send(
+                    ix,
+                    node_ix(server.as_str()),
+                    Message::Orders { sent: now, orders },
+                ),
+                home::Action::ReadBlock { .. } => {
+                    self.send(ix, STORE, Message::Read { started: now })
+                }
+                home::Action::CheckVersions { .. } => {
+                    self.send(ix, STORE, Message::Check { started: now })
+                }
+                home::Action::WriteBlock { expected, block } => {
+                    self.send(ix, STORE, Message::Write { expected, block })
+                }
+                home::Action::AskStandby { router, rows } => {
+                    self.send(
+                        ix,
+                        node_ix(router.as_str()),
+                        Message::AskStandby {
+                            asked: now,
+                            promise: false,
+                            rows,
+                        },
+                    );
+                }
+                home::Action::Quiesce { shard } => {
+                    let span = self.rng.random_range(1..60) * MS;
+                    self.later(ix, span, Message::Quiesced { shard });
+                }
+                home::Action::AnswerRelease { released, .. } => self.send(
+                    ix,
+                    from,
+                    Message::Released {
+                        incarnation,
+                        rows: released,
+                    },
+                ),
+                home::Action::AnswerStandby { ask, standings } => {
+                    self.send(
+                        ix,
+                        from,
+                        Message::Standings {
+                            asked: Time(ask),
+                            incarnation,
+                            rows: standings,
+                        },
+                    );
+                }
+                home::Action::Emit {
+                    kind: EventKind::Granted { shard, token, .. },
+                } => self.check_granted(&shard, token),
+                home::Action::Emit { .. } => {}
+            }
+        }
+    }
+
+    fn handle_controller(&mut self, envelope: Envelope) {
+        let (ix, from) = (envelope.to, envelope.from);
+        let now = self.nodes[ix].clock.local(self.now);
+        let Kind::Controller(controller) = &mut self.nodes[ix].kind else {
+            return;
+        };
+        let input = match envelope.message {
+            Message::Tick => return self.tick_controller(ix, now),
+            Message::Heartbeat { incarnation, lost } => {
+                if ROUTERS.contains(&from) {
+                    controller
+                        .view
+                        .routers
+                        .insert(router(from), (incarnation, now));
+                    for (id, lost) in lost {
+                        controller.view.hear_server(now, &id, lost);
+                    }
+                } else {
+                    controller.rival_heard = now;
+                }
+                return;
+            }
+            Message::ReadReply { version, block, .. } => {
+                controller.block = Some((version, block.clone()));
+                takeover::Input::Block { version, block }
+            }
+            Message::Written { version } => takeover::Input::Written {
+                block: topology::block_id(),
+                version,
+            },
+            Message::WriteFailed => takeover::Input::WriteFailed {
+                block: topology::block_id(),
+            },
+            Message::OrderReply {
+                sent,
+                orders,
+                reply,
+            } => takeover::Input::OrderReply {
+                sent,
+                orders,
+                reply,
+            },
+            Message::Released { incarnation, rows } => takeover::Input::ReleaseReply {
+                router: router(from),
+                incarnation,
+                rows,
+            },
+            Message::Standings {
+                incarnation, rows, ..
+            } => takeover::Input::StandbyReply {
+                router: router(from),
+                incarnation,
+                rows,
+            },
+            _ => return,
+        };
+        let actions = controller.table.input(now, input);
+        self.act_controller(ix, now, actions);
+    }
+
+    fn tick_controller(&mut self, ix: NodeIx, now: Time) {
+        self.later(ix, TICK, Message::Tick);
+        let wall = WallTime(self.now / MS);
+        let first = ix == CONTROLLERS.start;
+        let mut inputs = Vec::new();
+        let Kind::Controller(controller) = &mut self.nodes[ix].kind else {
+            return;
+        };
+        let leads = first || now.since(controller.rival_heard).as_millis() > LEASE_MS;
+        if leads != controller.leading {
+            controller.leading = leads;
+            inputs.push(takeover::Input::Leading { leading: leads });
+        }
+        let plans = leads && now.since(controller.planned).as_millis() >= PLAN_EVERY_MS;
+        if plans {
+            controller.planned = now;
+            if let Some((_, block)) = &controller.block {
+                let changes = controller.view.plan(now, &block.clone());
+                inputs.extend(
+                    changes
+                        .into_iter()
+                        .map(|change| takeover::Input::Wanted { change, wall }),
+                );
+            }
+        }
+        let mut actions = Vec::new();
+        for input in inputs {
+            actions.extend(controller.table.input(now, input));
+        }
+        actions.extend(controller.table.tick(now));
+        self.act_controller(ix, now, actions);
+        if plans {
+            self.send(ix, STORE, Message::Read { started: now });
+            for to in CONTROLLERS.filter(|to| *to != ix) {
+                let message = Message::Heartbeat {
+                    incarnation: Incarnation(0),
+                    lost: Vec::new(),
+                };
+                self.send(ix, to, message);
+            }
+        }
+    }
+
+    fn act_controller(&mut self, ix: NodeIx, now: Time, actions: Vec<takeover::Action>) {
+        for action in actions {
+            match action {
+                takeover::Action::ReadBlock { .. } => {
+                    self.send(ix, STORE, Message::Read { started: now })
+                }
+                takeover::Action::WriteBlock { expected, block } => {
+                    self.send(ix, STORE, Message::Write { expected, block })
+                }
+                takeover::Action::Order { server, orders } => self.send(
+                    ix,
+                    node_ix(server.as_str()),
+                    Message::Orders { sent: now, orders },
+                ),
+                takeover::Action::AskRelease { router, rows } => {
+                    self.send(ix, node_ix(router.as_str()), Message::AskRelease { rows })
+                }
+                takeover::Action::AskPromise { router, rows } => {
+                    self.send(
+                        ix,
+                        node_ix(router.as_str()),
+                        Message::AskStandby {
+                            asked: now,
+                            promise: true,
+                            rows,
+                        },
+                    );
+                }
+                takeover::Action::Emit { .. } => {}
+            }
+        }
+    }
+}
+
+fn router(ix: NodeIx) -> RouterId {
+    NODES[ix].0.parse().expect("a router name")
+}
+
+/// Makes grants last from their receipt, as without the rule of the server's clock.
+fn from_receipt(clock: ServerTime, orders: &[Order]) -> Vec<Order> {
+    let ttl = std::time::Duration::from_millis(1_500);
+    let change = |order: &Order| match order.clone() {
+        Order::Grant {
+            shard,
+            token,
+            home,
+            incarnation,
+            ..
+        } => Order::Grant {
+            shard,
+            token,
+            until: clock + ttl,
+            home,
+            incarnation,
+        },
+        other => other,
+    };
+    orders.iter().map(change).collect()
+}
