--- a/crates/carawayrill-core/src/ownership/home/release.rs
+++ b/crates/carawayrill-core/src/ownership/home/release.rs
@@ -49,21 +49,31 @@
         released
     }
 
-    /// Keeps the owner from now on if an intent asks for it. A home that is about to replace a lost
-    /// owner does that first.
+    /// Keeps the owner from now on if an intent asks for it.
+    ///
+    /// A home that is about to replace a lost owner does that first. One that serves nothing and
+    /// can't has no owner to keep: it ends its part, so that the change need not wait for it.
     fn pledge(&mut self, now: Time, shard: &ShardId) {
         let Some(row) = self.rows.get(shard) else {
             return;
         };
         let lane = self.serving_lane(row).and_then(|id| row.lanes.get(&id));
         let end = lane.and_then(|lane| lane.certain_end);
-        let serves = row.is_live() && end.is_some_and(|end| now < end);
-        let lost = self
-            .servers
-            .get(&row.serving)
-            .is_none_or(|owner| owner.lost);
-        if let Some(row) = self.rows.get_mut(shard) {
-            row.pledged |= row.keeping && serves && !lost;
+        let owner = self.servers.get(&row.serving);
+        let serves = end.is_some_and(|end| now < end) && owner.is_some_and(|owner| !owner.lost);
+        let recovers = self.successor(row).is_some();
+        let asked = row.keeping && row.is_live();
+        let Some(row) = self.rows.get_mut(shard) else {
+            return;
+        };
+        if asked && serves {
+            row.pledged = true;
+        } else if asked && !recovers && !row.pledged {
+            row.ended = true;
+            row.stop();
+            self.actions.push(Action::Quiesce {
+                shard: shard.clone(),
+            });
         }
     }
 
--- a/crates/carawayrill-core/src/ownership/takeover/evidence.rs
+++ b/crates/carawayrill-core/src/ownership/takeover/evidence.rs
@@ -76,8 +76,10 @@
             let promises = questions.promises.entry(standby_home.clone()).or_default();
             promises.push(claimed);
         }
-        let home_silent = elapsed(now, task.home_heard) > silence;
-        if fencing && home_silent && !task.keeps_home(&row) && !task.evidence.fenced {
+        let home_lost = elapsed(now, task.home_heard) > silence && !task.keeps_home(&row);
+        // A fence interrupts a home that still sends; one that has stopped loses nothing by it.
+        let may_fence = home_lost || task.evidence.home_stopped;
+        if fencing && may_fence && !task.evidence.fenced {
             let order = Order::Fence {
                 shard: shard.clone(),
                 term: row.token.term.next_stored(),
