--- a/crates/carawayrill-core/src/ownership/home/release.rs
+++ b/crates/carawayrill-core/src/ownership/home/release.rs
@@ -52,7 +52,8 @@
     /// Keeps the owner from now on if an intent asks for it.
     ///
     /// A home that is about to replace a lost owner does that first. One that serves nothing and
-    /// can't has no owner to keep: it ends its part, so that the change need not wait for it.
+    /// can't, be it because it has pledged before, has no owner to keep: it ends its part, so that
+    /// the change need not wait for it.
     fn pledge(&mut self, now: Time, shard: &ShardId) {
         let Some(row) = self.rows.get(shard) else {
             return;
@@ -68,7 +69,7 @@
         };
         if asked && serves {
             row.pledged = true;
-        } else if asked && !recovers && !row.pledged {
+        } else if asked && !recovers {
             row.ended = true;
             row.stop();
             self.actions.push(Action::Quiesce {
--- a/crates/carawayrill-core/src/ownership/takeover/task.rs
+++ b/crates/carawayrill-core/src/ownership/takeover/task.rs
@@ -106,7 +106,7 @@
     pub(super) fn settled(&self, row: &Assignment) -> Assignment {
         let mut next = self.next(Some(row));
         let pledged = self.evidence.pledged.clone();
-        let owner = pledged.filter(|_| self.keeps_home(row));
+        let owner = pledged.filter(|_| self.keeps_home(row) && !self.evidence.home_stopped);
         let owner = owner.or_else(|| self.holder(&next));
         if let Some(owner) = owner
             && owner != next.owner
