--- /dev/null
+++ b/crates/carawayrill-core/src/answer/claims/copy.rs
@@ -0,0 +1,98 @@
+//! Copies of other homes' claims, kept by their standby home.
+
+use crate::answer::claims::Claim;
+use crate::answer::claims::ClaimKey;
+use crate::answer::claims::ClaimTable;
+use crate::answer::claims::Lineage;
+use crate::answer::claims::row::Known;
+use crate::answer::claims::row::Row;
+use crate::answer::claims::row::Rows;
+use crate::answer::claims::row::ShardClaims;
+use crate::answer::claims::row::row_bytes;
+use crate::id::Incarnation;
+use crate::id::RouterId;
+use crate::id::ShardId;
+use crate::time::Time;
+
+impl ClaimTable {
+    /// Starts a copy of another home's claims of `shard`.
+    pub fn begin_copy(&mut self, shard: &ShardId, from: &RouterId, incarnation: Incarnation) {
+        let home = |claims: &ShardClaims| !matches!(claims.known, Known::Copy { .. });
+        if self.shards.get(shard).is_some_and(home) {
+            return;
+        }
+        self.disown(shard);
+        let claims = ShardClaims {
+            known: Known::Copy {
+                from: from.clone(),
+                incarnation,
+                complete: None,
+            },
+            rows: Rows::new(),
+        };
+        self.shards.insert(shard.clone(), claims);
+    }
+
+    /// Keeps a copy of a claim. Returns false if there is no room or no copy was begun by this
+    /// run of the home: the home must not send the request then.
+    #[must_use]
+    pub fn keep_copy(
+        &mut self,
+        now: Time,
+        claim: Claim,
+        from: &RouterId,
+        incarnation: Incarnation,
+    ) -> bool {
+        let Some(claims) = self.shards.get_mut(&claim.key.shard) else {
+            return false;
+        };
+        if !claims.is_copy_of(from, incarnation) {
+            return false;
+        }
+        let name = (claim.key.key, claim.key.idempotency);
+        let row = Row {
+            fingerprint: claim.fingerprint,
+            state: claim.state,
+            expires: now + claim.left,
+            window: claim.left,
+        };
+        let bytes = row_bytes((&name, &row));
+        let old = claims.rows.get(&name);
+        let old_bytes = old.map_or(0, |row| row_bytes((&name, row)));
+        if self.bytes - old_bytes + bytes > self.cfg.max_bytes {
+            return false;
+        }
+        self.bytes = self.bytes - old_bytes + bytes;
+        claims.rows.insert(name, row);
+        true
+    }
+
+    /// Drops the copy of a claim whose request has not run.
+    pub fn drop_copy(&mut self, key: &ClaimKey, from: &RouterId, incarnation: Incarnation) {
+        let claims = self.shards.get(&key.shard);
+        if claims.is_some_and(|claims| claims.is_copy_of(from, incarnation)) {
+            self.not_run(key);
+        }
+    }
+
+    /// Records that the copy holds all claims of the assignment with this lineage.
+    #[must_use]
+    pub fn complete_copy(
+        &mut self,
+        shard: &ShardId,
+        from: &RouterId,
+        incarnation: Incarnation,
+        lineage: Lineage,
+    ) -> bool {
+        let Some(claims) = self.shards.get_mut(shard) else {
+            return false;
+        };
+        if !claims.is_copy_of(from, incarnation) {
+            return false;
+        }
+        if let Known::Copy { complete, .. } = &mut claims.known {
+            *complete = Some(lineage);
+        }
+        true
+    }
+}
--- /dev/null
+++ b/crates/carawayrill-core/src/answer/claims/mod.rs
@@ -0,0 +1,385 @@
+//! Claims of idempotency keys: what makes a request run at most once.
+//!
+//! A home claims the key of a request before it sends it. A repeat finds the claim and gets the
+//! first answer, or is told that the first request may still run. A claim goes only when its
+//! window has passed or its request is proved not to have run. The same table holds the copies
+//! that a standby home keeps for other homes.
+
+mod copy;
+mod row;
+
+use std::collections::BTreeMap;
+use std::ops::Bound;
+use std::sync::Arc;
+use std::time::Duration;
+
+use compact_str::CompactString;
+
+use crate::Error;
+use crate::answer::claims::row::Known;
+use crate::answer::claims::row::Row;
+use crate::answer::claims::row::Rows;
+use crate::answer::claims::row::ShardClaims;
+use crate::answer::claims::row::row_bytes;
+use crate::answer::refusal::Refusal;
+use crate::answer::refusal::RefusalReason;
+use crate::answer::reply::Answer;
+use crate::data;
+use crate::id::KeyHash;
+use crate::id::ShardId;
+use crate::number;
+use crate::time::Time;
+
+/// Bytes that a claim takes beside its idempotency key and its answer.
+pub const CLAIM_BYTES: u64 = 256;
+/// The longest idempotency key, in bytes.
+const MAX_KEY_BYTES: usize = 128;
+
+number! {
+    /// Identifies the request behind an idempotency key: a hash of method, path, key and body.
+    Fingerprint;
+    /// Identifies the assignment under which claims were copied to a standby home. A standby home
+    /// knows all claims of the assignment that is in force only if the lineages are equal.
+    Lineage;
+}
+
+/// An idempotency key, as sent by a caller.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct IdempotencyKey(CompactString);
+
+impl IdempotencyKey {
+    /// Returns the key as text.
+    #[must_use]
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl TryFrom<&str> for IdempotencyKey {
+    type Error = Error;
+
+    fn try_from(text: &str) -> Result<Self, Error> {
+        let visible = text.bytes().all(|byte| byte.is_ascii_graphic());
+        if text.is_empty() || text.len() > MAX_KEY_BYTES || !visible {
+            let expected = "1 to 128 visible ASCII characters";
+            return Err(Error::syntax("IdempotencyKey", text, expected));
+        }
+        Ok(Self(text.into()))
+    }
+}
+
+data! {
+    /// What is known of a claimed request.
+    pub enum ClaimState {
+        /// It may run now.
+        InProgress,
+        /// It was answered, and this is its answer.
+        Answered(Arc<Answer>),
+        /// It was answered; the answer is too long to keep.
+        NotKept,
+        /// It may have run; its answer is lost.
+        Lost,
+    }
+}
+
+/// Names a claim. The service's key is part of it, so that claims go along when a hot key is
+/// split out of its shard.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ClaimKey {
+    /// The shard that the service's key belongs to now.
+    pub shard: ShardId,
+    /// The service's key.
+    pub key: KeyHash,
+    /// The caller's idempotency key.
+    pub idempotency: IdempotencyKey,
+}
+
+/// A claim as it is copied to another home.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Claim {
+    /// Which claim.
+    pub key: ClaimKey,
+    /// The request that it is for.
+    pub fingerprint: Fingerprint,
+    /// What is known of the request.
+    pub state: ClaimState,
+    /// Time left until the claim may be dropped.
+    pub left: Duration,
+}
+
+/// How a router came to be the home of a shard.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Origin {
+    /// The shard has never had a home before.
+    Initial,
+    /// This router was the home all the time; only its assignment changed.
+    Kept,
+    /// Another home had it, under the assignment with this lineage.
+    TakenOver(Lineage),
+}
+
+/// Bounds of a table of claims.
+///
+/// # Examples
+///
+/// ```
+/// use carawayrill_core::answer::claims::ClaimConfig;
+///
+/// let cfg = ClaimConfig::default().max_bytes(16 << 20);
+/// assert_eq!(cfg.get_max_bytes(), 16 << 20);
+/// ```
+#[derive(Debug, Clone, Copy)]
+pub struct ClaimConfig {
+    max_bytes: u64,
+    max_answer: u64,
+}
+
+impl Default for ClaimConfig {
+    fn default() -> Self {
+        Self {
+            max_bytes: 32 << 20,
+            max_answer: 16 << 10,
+        }
+    }
+}
+
+impl ClaimConfig {
+    /// Sets the bytes of all claims with their answers. 32 MiB by default.
+    #[must_use]
+    pub fn max_bytes(mut self, bytes: u64) -> Self {
+        self.max_bytes = bytes;
+        self
+    }
+
+    /// Sets the bytes of the longest answer that is kept. 16 KiB by default.
+    #[must_use]
+    pub fn max_answer(mut self, bytes: u64) -> Self {
+        self.max_answer = bytes;
+        self
+    }
+
+    /// Returns the bytes of all claims with their answers.
+    #[must_use]
+    pub fn get_max_bytes(&self) -> u64 {
+        self.max_bytes
+    }
+}
+
+/// The claims that one router keeps.
+#[derive(Debug, Clone, Default)]
+pub struct ClaimTable {
+    cfg: ClaimConfig,
+    shards: BTreeMap<ShardId, ShardClaims>,
+    bytes: u64,
+    /// The shard at which the search for expired claims goes on.
+    cursor: Option<ShardId>,
+}
+
+impl ClaimTable {
+    /// Makes an empty table.
+    #[must_use]
+    pub fn new(cfg: ClaimConfig) -> Self {
+        Self {
+            cfg,
+            ..Self::default()
+        }
+    }
+
+    /// Takes in that this router is the home of `shard` from now on.
+    ///
+    /// `window` is the time within which claims of a former home may be used. Requests that must
+    /// not run twice are refused for as long, unless all claims are known.
+    pub fn own(&mut self, now: Time, shard: &ShardId, origin: Origin, window: Duration) {
+        let unknown = Known::SomeUntil(now + window);
+        let claims = self.shards.entry(shard.clone()).or_insert(ShardClaims {
+            known: unknown.clone(),
+            rows: Rows::new(),
+        });
+        let was_home = !matches!(claims.known, Known::Copy { .. });
+        match origin {
+            Origin::Initial => claims.known = Known::All,
+            Origin::Kept if was_home => return,
+            Origin::TakenOver(lineage) if claims.is_complete(lineage) => claims.known = Known::All,
+            Origin::Kept | Origin::TakenOver(_) => claims.known = unknown,
+        }
+        claims.lose_running();
+    }
+
+    /// Drops a shard of which this router is neither home nor standby home any more.
+    pub fn disown(&mut self, shard: &ShardId) {
+        if let Some(claims) = self.shards.remove(shard) {
+            self.bytes -= claims.rows.iter().map(row_bytes).sum::<u64>();
+        }
+    }
+
+    /// Claims the key of a request that must not run twice.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the claim's state if there is one, and with a refusal if there is no room or if
+    /// claims of the shard's former home may be missing.
+    pub fn claim(
+        &mut self,
+        now: Time,
+        key: &ClaimKey,
+        fingerprint: Fingerprint,
+        window: Duration,
+    ) -> Result<(), Repeat> {
+        let room = self.cfg.max_bytes.saturating_sub(self.bytes);
+        let claims = self
+            .shards
+            .get_mut(&key.shard)
+            .ok_or_else(|| Repeat::Refused(RefusalReason::NotHome.into()))?;
+        let name = (key.key, key.idempotency.clone());
+        if let Some(row) = claims.rows.get(&name) {
+            if row.expires > now || row.state == ClaimState::InProgress {
+                return Err(row.repeat(fingerprint));
+            }
+            let bytes = row_bytes((&name, row));
+            claims.rows.remove(&name);
+            self.bytes -= bytes;
+        }
+        claims.check_known(now)?;
+        let row = Row {
+            fingerprint,
+            state: ClaimState::InProgress,
+            expires: now + window,
+            window,
+        };
+        let bytes = row_bytes((&name, &row));
+        if bytes > room {
+            return Err(Repeat::Refused(RefusalReason::ClaimTableFull.into()));
+        }
+        self.bytes += bytes;
+        claims.rows.insert(name, row);
+        Ok(())
+    }
+
+    /// Drops the claim of a request that is proved not to have run, so that a repeat may run.
+    pub fn not_run(&mut self, key: &ClaimKey) {
+        let Some(claims) = self.shards.get_mut(&key.shard) else {
+            return;
+        };
+        let name = (key.key, key.idempotency.clone());
+        if let Some(row) = claims.rows.remove(&name) {
+            self.bytes -= row_bytes((&name, &row));
+        }
+    }
+
+    /// Keeps the first answer of a claimed request, if it is not too long.
+    pub fn answered(&mut self, now: Time, key: &ClaimKey, answer: &Arc<Answer>) {
+        let room = self.cfg.max_bytes.saturating_sub(self.bytes);
+        let size = answer.size();
+        let state = if size <= self.cfg.max_answer.min(room) {
+            ClaimState::Answered(Arc::clone(answer))
+        } else {
+            ClaimState::NotKept
+        };
+        self.settle(now, key, state);
+    }
+
+    /// Records that the answer of a claimed request is lost.
+    pub fn lost(&mut self, now: Time, key: &ClaimKey) {
+        self.settle(now, key, ClaimState::Lost);
+    }
+
+    fn settle(&mut self, now: Time, key: &ClaimKey, state: ClaimState) {
+        let name = (key.key, key.idempotency.clone());
+        let claims = self.shards.get_mut(&key.shard);
+        let Some(row) = claims.and_then(|claims| claims.rows.get_mut(&name)) else {
+            return;
+        };
+        if matches!(row.state, ClaimState::Answered(_) | ClaimState::NotKept) {
+            return;
+        }
+        self.bytes -= row.state.bytes();
+        row.state = state;
+        row.expires = now + row.window;
+        self.bytes += row.state.bytes();
+    }
+
+    /// Drops expired claims of some shards, looking at about `budget` claims. A claim in progress
+    /// never expires: its request may still run.
+    pub fn expire(&mut self, now: Time, budget: usize) {
+        let mut seen = 0;
+        while seen < budget {
+            let from = self.cursor.take().map_or(Bound::Unbounded, Bound::Excluded);
+            let next = self.shards.range_mut((from, Bound::Unbounded)).next();
+            let Some((shard, claims)) = next else {
+                return;
+            };
+            seen += claims.rows.len().max(1);
+            let freed = claims.expire(now);
+            self.cursor = Some(shard.clone());
+            self.bytes -= freed;
+        }
+    }
+
+    /// Returns one claim as it is copied to another home.
+    #[must_use]
+    pub fn get(&self, now: Time, key: &ClaimKey) -> Option<Claim> {
+        let name = (key.key, key.idempotency.clone());
+        let row = self.shards.get(&key.shard)?.rows.get(&name)?;
+        Some(row.export(now, key.clone()))
+    }
+
+    /// Returns all claims of a shard.
+    #[must_use]
+    pub fn export(&self, now: Time, shard: &ShardId) -> Vec<Claim> {
+        let rows = self.shards.get(shard).map(|claims| &claims.rows);
+        let export = |((key, idempotency), row): (&(KeyHash, IdempotencyKey), &Row)| {
+            let key = ClaimKey {
+                shard: shard.clone(),
+                key: *key,
+                idempotency: idempotency.clone(),
+            };
+            row.export(now, key)
+        };
+        rows.into_iter().flatten().map(export).collect()
+    }
+
+    /// Moves the claims of one hot key to its own shard, or back. Both have this router as home.
+    pub fn resplit(&mut self, key: KeyHash, from: &ShardId, to: &ShardId) {
+        let Some(source) = self.shards.get_mut(from) else {
+            return;
+        };
+        let known = source.known.clone();
+        let of_key = |(at, _): &(KeyHash, IdempotencyKey), _: &mut Row| *at == key;
+        let moved: Rows = source.rows.extract_if(.., of_key).collect();
+        let target = self.shards.entry(to.clone()).or_insert(ShardClaims {
+            known: known.clone(),
+            rows: Rows::new(),
+        });
+        if let Known::SomeUntil(_) = known {
+            target.known = known;
+        }
+        target.rows.extend(moved);
+    }
+
+    /// Returns the bytes that all claims take, by the stated size of each.
+    #[must_use]
+    pub fn bytes(&self) -> u64 {
+        self.bytes
+    }
+
+    /// Returns the number of claims.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.shards.values().map(|claims| claims.rows.len()).sum()
+    }
+
+    /// Returns whether there is no claim.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+}
+
+/// Why a request was not claimed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Repeat {
+    /// The answer to the first request with this key.
+    First(Arc<Answer>),
+    /// Another final answer.
+    Refused(Refusal),
+}
--- /dev/null
+++ b/crates/carawayrill-core/src/answer/queue.rs
@@ -0,0 +1,398 @@
+//! The slots of one server and the queue before them.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use compact_str::format_compact;
+
+use crate::answer::estimate::ServiceTime;
+use crate::answer::fair::FairList;
+use crate::answer::fair::Waiting;
+use crate::answer::ramp::Ramp;
+use crate::answer::refusal::Refusal;
+use crate::answer::refusal::RefusalReason;
+use crate::data;
+use crate::id::RequestId;
+use crate::order::LoadReport;
+use crate::time::Time;
+
+/// Connections of a server that are kept for orders and cancellations.
+const CONTROL_CONNECTIONS: u32 = 2;
+/// How long a server's own load report counts.
+const REPORT_TTL: Duration = Duration::from_secs(2);
+/// How long a request that was given up on may still run at its server, after its deadline.
+const ABANDON_HOLD: Duration = Duration::from_secs(2);
+/// The longest time to come back that a queue names.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(30);
+
+data! {
+    /// The limits of one server, as declared.
+    #[derive(Copy)]
+    pub struct Limits {
+        /// Requests that it runs at a time.
+        pub slots: u32,
+        /// Connections that it takes.
+        pub connections: u32,
+        /// Requests that may wait for it.
+        pub queue: u32,
+        /// How long it takes to reach its full load.
+        pub warm_up: Duration,
+    }
+
+    /// What a queue has decided about a waiting request.
+    pub enum QueueAction {
+        /// It has a slot and is to be sent.
+        Send(RequestId),
+        /// It gets no slot.
+        Refuse(RequestId, Refusal),
+    }
+
+    /// How a request that had a slot ended at its server.
+    #[derive(Copy)]
+    pub enum Ended {
+        /// Answered, this long after it was sent.
+        Answered(Duration),
+        /// Shed by the server.
+        Shed,
+        /// Ended without telling anything of the service time.
+        Other,
+    }
+}
+
+#[derive(Debug, Clone)]
+struct Running {
+    caller: CompactString,
+    charged: Duration,
+    sent: Time,
+    /// Set once nobody waits for the answer: the slot is free then, answer or not.
+    abandoned_until: Option<Time>,
+}
+
+/// The slots of one server and the requests that wait for them.
+///
+/// A request holds its slot until its server has answered, refused or acknowledged its
+/// cancellation, also if its caller is gone: the server may still run it.
+#[derive(Debug, Clone)]
+pub struct ServerQueue {
+    limits: Limits,
+    ramp: Ramp,
+    time: ServiceTime,
+    waiting: FairList,
+    running: BTreeMap<RequestId, Running>,
+    control_calls: u32,
+    report: Option<(Time, u32)>,
+    draining: bool,
+}
+
+impl ServerQueue {
+    /// Makes the queue of a server that starts cold at `now`.
+    #[must_use]
+    pub fn new(limits: Limits, now: Time) -> Self {
+        Self {
+            limits,
+            ramp: Ramp::new(limits.slots, limits.warm_up, now),
+            time: ServiceTime::default(),
+            waiting: FairList::default(),
+            running: BTreeMap::new(),
+            control_calls: 0,
+            report: None,
+            draining: false,
+        }
+    }
+
+    /// Checks whether a request would be taken in now, and changes nothing.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the final answer to the request.
+    pub fn admits(&self, now: Time, request: &Waiting) -> Result<(), Refusal> {
+        if self.draining {
+            return Err(RefusalReason::Draining.into());
+        }
+        if request.deadline <= now {
+            return Err(RefusalReason::DeadlinePassed.into());
+        }
+        let ahead = self.waiting.ahead_of(&request.caller, request.deadline);
+        self.check_deadline(now, ahead, request.deadline)?;
+        if self.is_full() && !self.would_evict_for(&request.caller) {
+            return Err(self.full(now));
+        }
+        Ok(())
+    }
+
+    /// Takes in a request, possibly in place of one of a caller that has more waiting.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the final answer to the request.
+    pub fn offer(&mut self, now: Time, request: Waiting) -> Result<Vec<QueueAction>, Refusal> {
+        self.admits(now, &request)?;
+        let mut actions = Vec::new();
+        if self.is_full() {
+            let own = self.waiting.waiting_of(&request.caller);
+            let evicted = self.waiting.evict_from_longest(own + 1);
+            actions.extend(evicted.map(|evicted| {
+                let refusal = Refusal::new(RefusalReason::CallerLimit, "others wait as well")
+                    .after(self.drain_time(now));
+                QueueAction::Refuse(evicted.request, refusal)
+            }));
+        }
+        self.waiting.push(request);
+        actions.extend(self.dispatch(now));
+        Ok(actions)
+    }
+
+    /// Fills free slots, refuses what can't meet its deadline, and gives up slots that were held
+    /// for abandoned requests long enough. To be called each tick.
+    pub fn tick(&mut self, now: Time) -> Vec<QueueAction> {
+        let overdue = |run: &Running| run.abandoned_until.is_some_and(|until| until <= now);
+        let ended: Vec<_> = self
+            .running
+            .iter()
+            .filter(|(_, run)| overdue(run))
+            .map(|(request, _)| request.clone())
+            .collect();
+        for request in ended {
+            self.free(now, &request, None);
+        }
+        let mut actions = self.dispatch(now);
+        actions.extend(self.refuse_hopeless(now));
+        actions
+    }
+
+    /// Takes in that a request with a slot has ended at the server; fills the free slot.
+    pub fn end(&mut self, now: Time, request: &RequestId, how: Ended) -> Vec<QueueAction> {
+        match how {
+            Ended::Answered(took) => {
+                if self.free(now, request, Some(took)) {
+                    self.time.observe(took);
+                    self.ramp.answered();
+                }
+            }
+            Ended::Shed => {
+                if self.free(now, request, None) {
+                    self.ramp.shed(now);
+                }
+            }
+            Ended::Other => {
+                self.free(now, request, None);
+            }
+        }
+        self.dispatch(now)
+    }
+
+    /// Takes in that nobody waits any more for a request that may still run. It keeps its slot
+    /// until it ends, or for a bounded time after `deadline`, by when the server has stopped it.
+    pub fn abandon(&mut self, now: Time, request: &RequestId, deadline: Time) {
+        if let Some(run) = self.running.get_mut(request) {
+            run.abandoned_until = Some(deadline.max(now) + ABANDON_HOLD);
+            self.time.observe_at_least(now.since(run.sent));
+        }
+    }
+
+    /// Takes out a request that waits.
+    pub fn remove(&mut self, request: &RequestId) -> Option<Waiting> {
+        self.waiting.remove(request)
+    }
+
+    /// Takes in the server's own report of its load.
+    ///
+    /// The report may be wrong. It only ever counts for a bounded time and takes away at most half
+    /// of the slots, namely as many as the server claims to be busy with beyond our own requests.
+    /// A report of less work than we count has no effect.
+    pub fn report(&mut self, now: Time, report: LoadReport) {
+        let own = count(self.running.len());
+        let foreign = report.running.saturating_sub(own);
+        self.report = Some((now, foreign));
+    }
+
+    /// Starts the warm-up anew, for a server that was restarted.
+    pub fn restart(&mut self, now: Time) {
+        self.ramp = Ramp::new(self.limits.slots, self.limits.warm_up, now);
+        self.time = ServiceTime::default();
+        self.report = None;
+    }
+
+    /// Changes the declared limits.
+    pub fn set_limits(&mut self, now: Time, limits: Limits) {
+        if limits.slots != self.limits.slots {
+            self.ramp = Ramp::new(limits.slots, limits.warm_up, now);
+        }
+        self.limits = limits;
+    }
+
+    /// Refuses everything that waits and all that comes from now on. Requests with a slot go on.
+    pub fn drain(&mut self) -> Vec<QueueAction> {
+        self.draining = true;
+        let mut actions = Vec::with_capacity(self.waiting.len());
+        while let Some(waiting) = self.waiting.pop() {
+            let refusal = RefusalReason::Draining.into();
+            actions.push(QueueAction::Refuse(waiting.request, refusal));
+        }
+        actions
+    }
+
+    /// Starts a call for control, such as a cancellation, if a connection is left for it.
+    pub fn start_control_call(&mut self) -> bool {
+        let free = self.connections() < self.limits.connections.max(CONTROL_CONNECTIONS);
+        if free {
+            self.control_calls += 1;
+        }
+        free
+    }
+
+    /// Takes in that a call for control has ended.
+    pub fn end_control_call(&mut self) {
+        self.control_calls = self.control_calls.saturating_sub(1);
+    }
+
+    /// Returns the connections in use.
+    #[must_use]
+    pub fn connections(&self) -> u32 {
+        count(self.running.len()) + self.control_calls
+    }
+
+    /// Returns the number of requests with a slot, abandoned ones included.
+    #[must_use]
+    pub fn in_flight(&self) -> u32 {
+        count(self.running.len())
+    }
+
+    /// Returns the number of requests that wait.
+    #[must_use]
+    pub fn waiting(&self) -> u32 {
+        count(self.waiting.len())
+    }
+
+    /// Returns the slots that may be used now.
+    #[must_use]
+    pub fn allowed(&self, now: Time) -> u32 {
+        let reserve = self.limits.connections.saturating_sub(CONTROL_CONNECTIONS);
+        let slots = self.ramp.allowed(now).min(reserve.max(1));
+        let (at, foreign) = self.report.unwrap_or_default();
+        let fresh = now.since(at) <= REPORT_TTL;
+        let taken = if fresh { foreign.min(slots / 2) } else { 0 };
+        slots - taken
+    }
+
+    /// Returns the time to come back for a request that is refused now.
+    #[must_use]
+    pub fn drain_time(&self, now: Time) -> Duration {
+        let waiting = self.waiting.len();
+        self.wait(now, waiting).min(MAX_RETRY_AFTER)
+    }
+
+    /// Sends the next requests into free slots.
+    fn dispatch(&mut self, now: Time) -> Vec<QueueAction> {
+        let mut actions = Vec::new();
+        while self.in_flight() < self.allowed(now) {
+            let Some(next) = self.waiting.pop() else {
+                break;
+            };
+            match self.check_send(now, &next) {
+                Ok(()) => actions.push(self.start(now, next)),
+                Err(refusal) => actions.push(QueueAction::Refuse(next.request, refusal)),
+            }
+        }
+        actions
+    }
+
+    /// Checks a request that has a slot. While nothing else runs it is sent even if the estimate
+    /// speaks against it: without samples, a wrong estimate would never be mended.
+    fn check_send(&self, now: Time, next: &Waiting) -> Result<(), Refusal> {
+        if next.deadline <= now {
+            return Err(RefusalReason::DeadlinePassed.into());
+        }
+        let mean = self.time.mean().unwrap_or_default();
+        if now + mean > next.deadline && !self.running.is_empty() {
+            return Err(self.cannot_meet(now));
+        }
+        Ok(())
+    }
+
+    fn start(&mut self, now: Time, next: Waiting) -> QueueAction {
+        let charged = self.time.mean().unwrap_or(Duration::from_millis(1));
+        self.waiting.charge(&next.caller, charged);
+        let running = Running {
+            caller: next.caller,
+            charged,
+            sent: now,
+            abandoned_until: None,
+        };
+        self.running.insert(next.request.clone(), running);
+        QueueAction::Send(next.request)
+    }
+
+    fn free(&mut self, now: Time, request: &RequestId, took: Option<Duration>) -> bool {
+        let Some(run) = self.running.remove(request) else {
+            return false;
+        };
+        let took = took.unwrap_or_else(|| now.since(run.sent));
+        self.waiting.settle(&run.caller, run.charged, took);
+        true
+    }
+
+    fn refuse_hopeless(&mut self, now: Time) -> Vec<QueueAction> {
+        let mut actions = Vec::new();
+        for (ahead, waiting) in self.waiting.with_ahead() {
+            if let Err(refusal) = self.check_deadline(now, ahead, waiting.deadline) {
+                self.waiting.remove(&waiting.request);
+                actions.push(QueueAction::Refuse(waiting.request, refusal));
+            }
+        }
+        actions
+    }
+
+    fn check_deadline(&self, now: Time, ahead: usize, deadline: Time) -> Result<(), Refusal> {
+        if deadline <= now {
+            return Err(RefusalReason::DeadlinePassed.into());
+        }
+        let free = self.allowed(now).saturating_sub(self.in_flight());
+        if count(ahead) < free {
+            return Ok(());
+        }
+        let service = self.time.usual_most().unwrap_or_default();
+        if now + self.wait(now, ahead) + service > deadline {
+            return Err(self.cannot_meet(now));
+        }
+        Ok(())
+    }
+
+    /// Returns the expected time until a request with `ahead` others before it gets a slot.
+    fn wait(&self, now: Time, ahead: usize) -> Duration {
+        let pause = self.ramp.pause_left(now);
+        let slots = self.allowed(now + pause).max(1);
+        let free = slots.saturating_sub(self.in_flight());
+        let ends_needed = (count(ahead) + 1).saturating_sub(free);
+        let mean = self.time.mean().unwrap_or_default();
+        pause + mean * ends_needed / slots
+    }
+
+    fn is_full(&self) -> bool {
+        self.waiting() >= self.limits.queue
+    }
+
+    fn would_evict_for(&self, caller: &CompactString) -> bool {
+        self.waiting.longest() > self.waiting.waiting_of(caller) + 1
+    }
+
+    fn full(&self, now: Time) -> Refusal {
+        let detail = format_compact!("{} requests wait for the server", self.waiting());
+        Refusal::new(RefusalReason::QueueFull, detail).after(self.drain_time(now))
+    }
+
+    fn cannot_meet(&self, now: Time) -> Refusal {
+        let mean = self.time.mean().unwrap_or_default();
+        let detail = format_compact!(
+            "{} requests wait, each takes about {} ms",
+            self.waiting(),
+            mean.as_millis()
+        );
+        Refusal::new(RefusalReason::CannotMeetDeadline, detail).after(self.drain_time(now))
+    }
+}
+
+fn count(len: usize) -> u32 {
+    u32::try_from(len).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/carawayrill-core/src/answer/ramp.rs
@@ -0,0 +1,96 @@
+//! How many of a server's slots may be used: warm-up of a cold server and recovery after it shed.
+
+use std::time::Duration;
+
+use crate::time::Time;
+use crate::time::millis;
+
+/// The shortest pause after a server shed a request.
+const MIN_PAUSE: Duration = Duration::from_millis(20);
+/// The longest pause, however often a server sheds.
+const MAX_PAUSE: Duration = Duration::from_secs(1);
+/// Sheds in a row after which the pause grows no more.
+const MAX_DOUBLINGS: u32 = 6;
+
+/// The share of a server's slots that may be used now.
+///
+/// It starts with one slot and grows evenly to all of them over the warm-up time. A shed request
+/// halves it and pauses the server for a bounded time; it then grows again.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Ramp {
+    slots: u32,
+    warm_up: Duration,
+    /// Slots that could be used at `since`.
+    from: f64,
+    since: Time,
+    sheds_in_row: u32,
+    paused_until: Time,
+}
+
+impl Ramp {
+    /// Starts the warm-up of a server with `slots` slots.
+    #[must_use]
+    pub fn new(slots: u32, warm_up: Duration, now: Time) -> Self {
+        Self {
+            slots: slots.max(1),
+            warm_up,
+            from: 1.0,
+            since: now,
+            sheds_in_row: 0,
+            paused_until: now,
+        }
+    }
+
+    /// Returns the slots that may be used, at least one unless the server is paused.
+    #[must_use]
+    pub fn allowed(&self, now: Time) -> u32 {
+        if now < self.paused_until {
+            return 0;
+        }
+        whole(self.level(now)).clamp(1, self.slots)
+    }
+
+    /// Returns how long the server stays paused.
+    #[must_use]
+    pub fn pause_left(&self, now: Time) -> Duration {
+        self.paused_until.since(now)
+    }
+
+    /// Takes in that the server shed a request.
+    ///
+    /// Requests that were sent before the pause say nothing new about it, so that one burst of
+    /// shed requests halves the slots once.
+    pub fn shed(&mut self, now: Time) {
+        if now < self.paused_until {
+            return;
+        }
+        let pause = MIN_PAUSE * 2_u32.pow(self.sheds_in_row.min(MAX_DOUBLINGS));
+        self.from = (self.level(now) / 2.0).max(1.0);
+        self.since = now;
+        self.sheds_in_row += 1;
+        self.paused_until = now + pause.min(MAX_PAUSE);
+    }
+
+    /// Takes in that the server answered a request.
+    pub fn answered(&mut self) {
+        self.sheds_in_row = 0;
+    }
+
+    fn level(&self, now: Time) -> f64 {
+        let span = millis(self.warm_up);
+        if span == 0 {
+            return f64::from(self.slots);
+        }
+        let part = (millis(now.since(self.since)) as f64 / span as f64).min(1.0);
+        self.from + (f64::from(self.slots) - self.from) * part
+    }
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a level lies between 1 and the number of slots"
+)]
+fn whole(level: f64) -> u32 {
+    level as u32
+}
--- /dev/null
+++ b/crates/carawayrill-core/src/answer/serving/ending.rs
@@ -0,0 +1,308 @@
+//! How requests end: answers, refusals, losses, cancellations and deadlines.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::answer::claims::ClaimKey;
+use crate::answer::inflight::Stage;
+use crate::answer::queue::Ended;
+use crate::answer::refusal::Refusal;
+use crate::answer::refusal::RefusalReason;
+use crate::answer::refusal::ServerRefusal;
+use crate::answer::reply::Answer;
+use crate::answer::reply::Reply;
+use crate::answer::serving::Action;
+use crate::answer::serving::Serving;
+use crate::answer::serving::types::Abandoned;
+use crate::answer::serving::types::PARK_LIMIT;
+use crate::answer::serving::types::Phase;
+use crate::answer::serving::types::Row;
+use crate::id::RequestId;
+use crate::id::ServerId;
+use crate::time::Time;
+use crate::token::Token;
+
+/// How long after its deadline a server may still answer a request that was given up on.
+const LATE_ANSWER: Duration = Duration::from_secs(2);
+
+/// Why a request that had a slot got no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SendFailure {
+    /// No byte of it was written to the server.
+    NotWritten(RefusalReason),
+    /// Bytes of it may have reached the server.
+    Lost(RefusalReason),
+}
+
+impl Serving {
+    /// Records that bytes of the request may reach the server from now on. To be called after the
+    /// authority was checked, directly before the first byte is written.
+    ///
+    /// Returns false if the request got its final answer in the meantime: it must not be written.
+    #[must_use]
+    pub fn sending(&mut self, request: &RequestId, server: &ServerId, token: Token) -> bool {
+        let slot = |row: &Row| row.phase == Phase::Slot && row.server.as_ref() == Some(server);
+        self.rows.get(request).is_some_and(slot) && self.inflight.sending(request, server, token)
+    }
+
+    /// Takes in the whole answer of a server.
+    pub fn answered(
+        &mut self,
+        now: Time,
+        request: &RequestId,
+        (server, token): (&ServerId, Token),
+        answer: Answer,
+        took: Duration,
+    ) -> Vec<Action> {
+        let answer = Arc::new(answer);
+        let mut actions = Vec::new();
+        if self.inflight.answer(request, server, token).is_ok() {
+            let claim = self.rows.remove(request).and_then(|row| row.claim);
+            actions.extend(self.keep_answer(now, claim, &answer));
+            let reply = Reply::Answer(answer);
+            actions.insert(0, Action::Reply(request.clone(), reply));
+        } else {
+            let Some(late) = self.take_abandoned(request, server, token) else {
+                return actions;
+            };
+            actions.extend(self.keep_answer(now, late.claim, &answer));
+        }
+        actions.extend(self.end(now, request, server, Ended::Answered(took)));
+        actions
+    }
+
+    /// Takes in that a server refused a request and has not run it.
+    pub fn refused(
+        &mut self,
+        now: Time,
+        request: &RequestId,
+        (server, token): (&ServerId, Token),
+        refusal: ServerRefusal,
+    ) -> Vec<Action> {
+        let mut actions = Vec::new();
+        if self.inflight.answer(request, server, token).is_ok() {
+            let claim = self.rows.remove(request).and_then(|row| row.claim);
+            actions.extend(self.drop_claim(claim));
+            let reply = Reply::Refused(RefusalReason::from(refusal).into());
+            actions.push(Action::Reply(request.clone(), reply));
+        } else {
+            let Some(late) = self.take_abandoned(request, server, token) else {
+                return actions;
+            };
+            actions.extend(self.drop_claim(late.claim));
+        }
+        let ended = match refusal {
+            ServerRefusal::Shed => Ended::Shed,
+            _ => Ended::Other,
+        };
+        actions.extend(self.end(now, request, server, ended));
+        actions
+    }
+
+    /// Takes in that a request with a slot got no answer.
+    ///
+    /// A loss keeps the slot until the server has acknowledged the cancellation: the broken
+    /// connection does not tell whether the request still runs.
+    pub fn failed(&mut self, now: Time, request: &RequestId, how: SendFailure) -> Vec<Action> {
+        match how {
+            SendFailure::NotWritten(reason) if self.rows.contains_key(request) => {
+                self.inflight.unsent(request);
+                self.give_up(now, request, reason, reason)
+            }
+            SendFailure::NotWritten(_) => {
+                let Some(late) = self.abandoned.remove(request) else {
+                    return Vec::new();
+                };
+                let mut actions = self.drop_claim(late.claim);
+                actions.extend(self.end(now, request, &late.server, Ended::Other));
+                actions
+            }
+            SendFailure::Lost(reason) => {
+                self.give_up(now, request, RefusalReason::ServerUnreachable, reason)
+            }
+        }
+    }
+
+    /// Takes in that the caller hung up.
+    pub fn hung_up(&mut self, now: Time, request: &RequestId) -> Vec<Action> {
+        let held = RefusalReason::CallerGone;
+        self.give_up(now, request, held, RefusalReason::CallerGoneAfterSend)
+    }
+
+    /// Takes in that a server acknowledged the cancellation of a request: its slot is free.
+    pub fn cancelled(&mut self, now: Time, request: &RequestId) -> Vec<Action> {
+        let Some(late) = self.abandoned.get(request) else {
+            return Vec::new();
+        };
+        let server = late.server.clone();
+        let mut actions = self.lose_claim(now, late.claim.clone());
+        actions.extend(self.end(now, request, &server, Ended::Other));
+        actions
+    }
+
+    /// Takes in that a server is held to be lost: what was sent to it gets its final answer.
+    pub fn server_lost(&mut self, now: Time, server: &ServerId) -> Vec<Action> {
+        let sent = |row: &Row| row.phase == Phase::Slot && row.server.as_ref() == Some(server);
+        let mut actions = Vec::new();
+        for request in self.requests(sent) {
+            let held = RefusalReason::ServerLost;
+            actions.extend(self.give_up(now, &request, held, RefusalReason::AnswerLost));
+        }
+        actions
+    }
+
+    /// Gives all requests their final answer whose deadline has passed, and those that waited too
+    /// long for a shard between two servers.
+    pub(super) fn expire_requests(&mut self, now: Time) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for request in self.inflight.overdue(now) {
+            let held = RefusalReason::DeadlinePassed;
+            actions.extend(self.give_up(now, &request, held, RefusalReason::AnswerLate));
+        }
+        let stuck =
+            |row: &Row| matches!(row.phase, Phase::Parked(since) if since + PARK_LIMIT <= now);
+        for request in self.requests(stuck) {
+            actions.extend(self.refuse(&request, RefusalReason::Moving.into()));
+        }
+        actions
+    }
+
+    /// Forgets requests whose server had time enough to answer late.
+    pub(super) fn expire_abandoned(&mut self, now: Time) -> Vec<Action> {
+        let done = self.abandoned.extract_if(.., |_, late| late.until <= now);
+        let done: Vec<_> = done.collect();
+        let mut actions = Vec::new();
+        for (request, late) in done {
+            actions.extend(self.lose_claim(now, late.claim));
+            actions.extend(self.end(now, &request, &late.server, Ended::Other));
+        }
+        actions
+    }
+
+    /// Ends a request that was not sent.
+    pub(super) fn refuse(&mut self, request: &RequestId, refusal: Refusal) -> Vec<Action> {
+        if self.inflight.close(request).is_none() {
+            return Vec::new();
+        }
+        self.leave_queue(request);
+        let claim = self.rows.remove(request).and_then(|row| row.claim);
+        let mut actions = self.drop_claim(claim);
+        actions.push(Action::Reply(request.clone(), Reply::Refused(refusal)));
+        actions
+    }
+
+    /// Ends a request at once, with the reason `held` if it was not sent and `sent` if it was.
+    fn give_up(
+        &mut self,
+        now: Time,
+        request: &RequestId,
+        held: RefusalReason,
+        sent: RefusalReason,
+    ) -> Vec<Action> {
+        let Some((stage, refusal)) = self.inflight.give_up(request, held, sent) else {
+            return Vec::new();
+        };
+        self.leave_queue(request);
+        let Some(row) = self.rows.remove(request) else {
+            return Vec::new();
+        };
+        let reply = Action::Reply(request.clone(), Reply::Refused(refusal));
+        let mut actions = vec![reply];
+        match stage {
+            Stage::Held => {
+                actions.extend(self.drop_claim(row.claim.clone()));
+                actions.extend(self.free_slot(now, request, &row));
+            }
+            Stage::Sent(server, token) => {
+                actions.push(Action::Cancel(request.clone(), server.clone()));
+                self.abandon(now, request, (server, token), row);
+            }
+        }
+        actions
+    }
+
+    fn free_slot(&mut self, now: Time, request: &RequestId, row: &Row) -> Vec<Action> {
+        match (row.phase, &row.server) {
+            (Phase::Slot, Some(server)) => self.end(now, request, server, Ended::Other),
+            _ => Vec::new(),
+        }
+    }
+
+    fn abandon(
+        &mut self,
+        now: Time,
+        request: &RequestId,
+        (server, token): (ServerId, Token),
+        row: Row,
+    ) {
+        if let Some(queue) = self.queues.get_mut(&server) {
+            queue.abandon(now, request, row.deadline);
+        }
+        let late = Abandoned {
+            server,
+            token,
+            claim: row.claim,
+            until: row.deadline.max(now) + LATE_ANSWER,
+        };
+        self.abandoned.insert(request.clone(), late);
+    }
+
+    fn take_abandoned(
+        &mut self,
+        request: &RequestId,
+        server: &ServerId,
+        token: Token,
+    ) -> Option<Abandoned> {
+        let late = self.abandoned.get(request)?;
+        if late.server != *server || late.token != token {
+            return None;
+        }
+        self.abandoned.remove(request)
+    }
+
+    fn end(
+        &mut self,
+        now: Time,
+        request: &RequestId,
+        server: &ServerId,
+        how: Ended,
+    ) -> Vec<Action> {
+        let Some(queue) = self.queues.get_mut(server) else {
+            return Vec::new();
+        };
+        let decided = queue.end(now, request, how);
+        self.carry_out(server, decided)
+    }
+
+    fn keep_answer(
+        &mut self,
+        now: Time,
+        claim: Option<ClaimKey>,
+        answer: &Arc<Answer>,
+    ) -> Option<Action> {
+        let key = claim?;
+        self.claims.answered(now, &key, answer);
+        self.update(key)
+    }
+
+    fn lose_claim(&mut self, now: Time, claim: Option<ClaimKey>) -> Vec<Action> {
+        let Some(key) = claim else {
+            return Vec::new();
+        };
+        self.claims.lost(now, &key);
+        self.update(key).into_iter().collect()
+    }
+
+    fn drop_claim(&mut self, claim: Option<ClaimKey>) -> Vec<Action> {
+        let Some(key) = claim else {
+            return Vec::new();
+        };
+        self.claims.not_run(&key);
+        self.update(key).into_iter().collect()
+    }
+
+    fn update(&self, key: ClaimKey) -> Option<Action> {
+        let standby = self.mirror.standby(&key.shard)?;
+        Some(Action::Update(standby.clone(), key))
+    }
+}
--- /dev/null
+++ b/crates/carawayrill-core/src/answer/serving/mod.rs
@@ -0,0 +1,330 @@
+//! The life of a request at its home, from receipt to its one final answer.
+//!
+//! [`Serving`] joins the tables of this module: it claims, has the claim mirrored, queues, gives a
+//! slot, and matches what comes back. Inputs are methods, decisions come back as [`Action`]s for
+//! the router to carry out. Every request that [`Serving::arrive`] takes in gets exactly one
+//! [`Action::Reply`]; the others have their answer in its error.
+
+mod ending;
+mod types;
+
+use std::collections::BTreeMap;
+
+use crate::answer::claims::ClaimKey;
+use crate::answer::claims::ClaimTable;
+use crate::answer::claims::Repeat;
+use crate::answer::fair::Waiting;
+use crate::answer::inflight::InFlightTable;
+use crate::answer::mirror::MirrorTable;
+use crate::answer::mirror::Need;
+use crate::answer::queue::Limits;
+use crate::answer::queue::QueueAction;
+use crate::answer::queue::ServerQueue;
+use crate::answer::refusal::Refusal;
+use crate::answer::refusal::RefusalReason;
+use crate::answer::reply::Reply;
+pub use crate::answer::serving::ending::SendFailure;
+use crate::answer::serving::types::Abandoned;
+pub use crate::answer::serving::types::Action;
+pub use crate::answer::serving::types::Arrival;
+pub use crate::answer::serving::types::ClaimAsk;
+use crate::answer::serving::types::EXPIRE_BUDGET;
+use crate::answer::serving::types::Phase;
+use crate::answer::serving::types::Row;
+pub use crate::answer::serving::types::ServingConfig;
+use crate::id::RequestId;
+use crate::id::ServerId;
+use crate::id::ShardId;
+use crate::time::Time;
+
+/// The requests of one home.
+#[derive(Debug, Clone)]
+pub struct Serving {
+    cfg: ServingConfig,
+    rows: BTreeMap<RequestId, Row>,
+    abandoned: BTreeMap<RequestId, Abandoned>,
+    inflight: InFlightTable,
+    queues: BTreeMap<ServerId, ServerQueue>,
+    /// The claims of the shards of this home, and the copies for others.
+    pub claims: ClaimTable,
+    /// The standby homes of the shards of this home.
+    pub mirror: MirrorTable,
+    parked: usize,
+    stopping: bool,
+}
+
+impl Serving {
+    /// Makes the tables of a home without servers.
+    #[must_use]
+    pub fn new(cfg: ServingConfig, claims: ClaimTable) -> Self {
+        Self {
+            cfg,
+            rows: BTreeMap::new(),
+            abandoned: BTreeMap::new(),
+            inflight: InFlightTable::new(cfg.in_flight),
+            queues: BTreeMap::new(),
+            claims,
+            mirror: MirrorTable::default(),
+            parked: 0,
+            stopping: false,
+        }
+    }
+
+    /// Takes in a server, or its changed limits.
+    pub fn set_server(&mut self, now: Time, server: &ServerId, limits: Limits) {
+        self.queues
+            .entry(server.clone())
+            .and_modify(|queue| queue.set_limits(now, limits))
+            .or_insert_with(|| ServerQueue::new(limits, now));
+    }
+
+    /// Drops a server of which this router is not the home any more. What it still runs goes on;
+    /// its answers are matched as before.
+    pub fn remove_server(&mut self, server: &ServerId) -> Vec<Action> {
+        let Some(mut queue) = self.queues.remove(server) else {
+            return Vec::new();
+        };
+        let decided = queue.drain();
+        self.carry_out(server, decided)
+    }
+
+    /// Returns the queue of a server.
+    #[must_use]
+    pub fn queue(&self, server: &ServerId) -> Option<&ServerQueue> {
+        self.queues.get(server)
+    }
+
+    /// Returns the queue of a server, for reports, restarts and calls for control.
+    pub fn queue_mut(&mut self, server: &ServerId) -> Option<&mut ServerQueue> {
+        self.queues.get_mut(server)
+    }
+
+    /// Returns the requests in flight.
+    #[must_use]
+    pub fn inflight(&self) -> &InFlightTable {
+        &self.inflight
+    }
+
+    /// Takes in a request.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the final answer if the request is not taken in.
+    pub fn arrive(&mut self, now: Time, arrival: Arrival) -> Result<Vec<Action>, Reply> {
+        if self.stopping {
+            return Err(Reply::Refused(RefusalReason::Draining.into()));
+        }
+        self.check_room(now, &arrival).map_err(Reply::Refused)?;
+        let request = arrival.request;
+        self.inflight
+            .open(now, &request, arrival.deadline)
+            .map_err(Reply::Refused)?;
+        let key = match self.claim(now, arrival.claim) {
+            Ok(key) => key,
+            Err(reply) => {
+                self.inflight.close(&request);
+                return Err(reply);
+            }
+        };
+        let need = match &key {
+            Some(_) => self.mirror.need(&arrival.shard),
+            None => Need::Nothing,
+        };
+        let row = Row {
+            shard: arrival.shard,
+            caller: arrival.caller,
+            deadline: arrival.deadline,
+            server: arrival.server,
+            claim: key.clone(),
+            phase: Phase::Mirroring,
+        };
+        self.rows.insert(request.clone(), row);
+        match (need, key) {
+            (Need::Acknowledgement(standby), Some(key)) => {
+                Ok(vec![Action::Mirror(request, standby, key)])
+            }
+            _ => Ok(self.enqueue(now, &request)),
+        }
+    }
+
+    /// Checks everything that would refuse the request, before a claim is made for it.
+    fn check_room(&self, now: Time, arrival: &Arrival) -> Result<(), Refusal> {
+        let Some(server) = &arrival.server else {
+            return self.check_parking();
+        };
+        let queue = self
+            .queues
+            .get(server)
+            .ok_or_else(|| Refusal::from(RefusalReason::ServerLost))?;
+        self.check_total(queue)?;
+        let waiting = Waiting {
+            request: arrival.request.clone(),
+            caller: arrival.caller.clone(),
+            deadline: arrival.deadline,
+        };
+        queue.admits(now, &waiting)
+    }
+
+    /// Lets no server take the room of the others: when all queues together are full, only servers
+    /// that have less than an even part of the room take in more.
+    fn check_total(&self, queue: &ServerQueue) -> Result<(), Refusal> {
+        let total: u32 = self.queues.values().map(ServerQueue::waiting).sum();
+        let servers = u32::try_from(self.queues.len()).unwrap_or(u32::MAX);
+        let even = self.cfg.waiting / servers.max(1);
+        if total >= self.cfg.waiting && queue.waiting() >= even {
+            return Err(RefusalReason::QueueFull.into());
+        }
+        Ok(())
+    }
+
+    fn check_parking(&self) -> Result<(), Refusal> {
+        if self.parked >= self.cfg.parked {
+            return Err(RefusalReason::Moving.into());
+        }
+        Ok(())
+    }
+
+    fn claim(&mut self, now: Time, ask: Option<ClaimAsk>) -> Result<Option<ClaimKey>, Reply> {
+        let Some(ask) = ask else {
+            return Ok(None);
+        };
+        self.claims
+            .claim(now, &ask.key, ask.fingerprint, ask.window)
+            .map_err(|repeat| match repeat {
+                Repeat::First(answer) => Reply::Answer(answer),
+                Repeat::Refused(refusal) => Reply::Refused(refusal),
+            })?;
+        Ok(Some(ask.key))
+    }
+
+    /// Takes in whether the standby home has acknowledged the claim of a request.
+    pub fn mirrored(&mut self, now: Time, request: &RequestId, kept: bool) -> Vec<Action> {
+        let mirroring = |row: &Row| row.phase == Phase::Mirroring;
+        if !self.rows.get(request).is_some_and(mirroring) {
+            return Vec::new();
+        }
+        if kept {
+            self.enqueue(now, request)
+        } else {
+            self.refuse(request, RefusalReason::ClaimNotMirrored.into())
+        }
+    }
+
+    /// Puts a request into the queue of its server, or parks it if its shard has none.
+    fn enqueue(&mut self, now: Time, request: &RequestId) -> Vec<Action> {
+        let Some(row) = self.rows.get_mut(request) else {
+            return Vec::new();
+        };
+        let Some(server) = row.server.clone() else {
+            row.phase = Phase::Parked(now);
+            self.parked += 1;
+            return Vec::new();
+        };
+        row.phase = Phase::Queued;
+        let waiting = Waiting {
+            request: request.clone(),
+            caller: row.caller.clone(),
+            deadline: row.deadline,
+        };
+        let offered = match self.queues.get_mut(&server) {
+            Some(queue) => queue.offer(now, waiting),
+            None => Err(RefusalReason::ServerLost.into()),
+        };
+        match offered {
+            Ok(decided) => self.carry_out(&server, decided),
+            Err(refusal) => self.refuse(request, refusal),
+        }
+    }
+
+    fn carry_out(&mut self, server: &ServerId, decided: Vec<QueueAction>) -> Vec<Action> {
+        let mut actions = Vec::with_capacity(decided.len());
+        for decision in decided {
+            match decision {
+                QueueAction::Send(request) => {
+                    if let Some(row) = self.rows.get_mut(&request) {
+                        row.phase = Phase::Slot;
+                    }
+                    actions.push(Action::Send(request, server.clone()));
+                }
+                QueueAction::Refuse(request, refusal) => {
+                    actions.extend(self.refuse(&request, refusal));
+                }
+            }
+        }
+        actions
+    }
+
+    /// Sends the waiting requests of a shard to another server, or parks them until it has one.
+    /// Requests that have a slot are not touched.
+    pub fn redirect(&mut self, now: Time, shard: &ShardId, to: Option<&ServerId>) -> Vec<Action> {
+        let to_move = |row: &Row| {
+            let waits = matches!(row.phase, Phase::Parked(_) | Phase::Queued);
+            row.shard == *shard && waits && row.server.as_ref() != to
+        };
+        let mut actions = Vec::new();
+        for request in self.requests(to_move) {
+            self.leave_queue(&request);
+            if let Some(row) = self.rows.get_mut(&request) {
+                row.server = to.cloned();
+            }
+            actions.extend(self.enqueue(now, &request));
+        }
+        for row in self.rows.values_mut() {
+            if row.shard == *shard && row.phase == Phase::Mirroring {
+                row.server = to.cloned();
+            }
+        }
+        actions
+    }
+
+    /// Refuses the requests of a shard that were not sent, because this router may not send them
+    /// any more.
+    pub fn refuse_shard(&mut self, shard: &ShardId, reason: RefusalReason) -> Vec<Action> {
+        let held = |row: &Row| row.shard == *shard && row.phase != Phase::Slot;
+        let requests = self.requests(held);
+        let refused = requests
+            .iter()
+            .map(|request| self.refuse(request, reason.into()));
+        refused.collect::<Vec<_>>().concat()
+    }
+
+    /// Runs everything that depends on time. To be called each tick.
+    pub fn tick(&mut self, now: Time) -> Vec<Action> {
+        let mut actions = self.expire_requests(now);
+        let servers: Vec<_> = self.queues.keys().cloned().collect();
+        for server in servers {
+            if let Some(queue) = self.queues.get_mut(&server) {
+                let decided = queue.tick(now);
+                actions.extend(self.carry_out(&server, decided));
+            }
+        }
+        actions.extend(self.expire_abandoned(now));
+        self.claims.expire(now, EXPIRE_BUDGET);
+        actions
+    }
+
+    /// Begins a planned stop: takes in nothing more. Requests in flight go on to their end.
+    pub fn stop(&mut self) {
+        self.stopping = true;
+    }
+
+    fn requests(&self, wanted: impl Fn(&Row) -> bool) -> Vec<RequestId> {
+        let rows = self.rows.iter().filter(|(_, row)| wanted(row));
+        rows.map(|(request, _)| request.clone()).collect()
+    }
+
+    /// Takes a request out of the queue or the parked ones; it keeps its row.
+    fn leave_queue(&mut self, request: &RequestId) {
+        let Some(row) = self.rows.get(request) else {
+            return;
+        };
+        if let Phase::Parked(_) = row.phase {
+            self.parked -= 1;
+        }
+        if let (Phase::Queued, Some(server)) = (row.phase, &row.server)
+            && let Some(queue) = self.queues.get_mut(server)
+        {
+            queue.remove(request);
+        }
+    }
+}
--- /dev/null
+++ b/crates/carawayrill-core/src/answer/serving/types.rs
@@ -0,0 +1,144 @@
+//! The inputs, actions and rows of [`Serving`](crate::answer::serving::Serving).
+
+use std::time::Duration;
+
+use compact_str::CompactString;
+
+use crate::answer::claims::ClaimKey;
+use crate::answer::claims::Fingerprint;
+use crate::answer::reply::Reply;
+use crate::id::RequestId;
+use crate::id::RouterId;
+use crate::id::ServerId;
+use crate::id::ShardId;
+use crate::time::Time;
+use crate::token::Token;
+
+/// How long requests wait for a shard that is between two servers.
+pub(super) const PARK_LIMIT: Duration = Duration::from_secs(2);
+/// Claims that one tick looks at for their end.
+pub(super) const EXPIRE_BUDGET: usize = 1_000;
+
+/// The claim that a request needs because it must not run twice.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ClaimAsk {
+    /// Which claim.
+    pub key: ClaimKey,
+    /// The request that it is for.
+    pub fingerprint: Fingerprint,
+    /// How long it is kept after the request has ended.
+    pub window: Duration,
+}
+
+/// A request that reached its home.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Arrival {
+    /// The request.
+    pub request: RequestId,
+    /// The shard of its key.
+    pub shard: ShardId,
+    /// Who sent it, for fairness.
+    pub caller: CompactString,
+    /// When its answer is due.
+    pub deadline: Time,
+    /// The server that owns the shard; none while the shard is between two servers.
+    pub server: Option<ServerId>,
+    /// Set if the request must not run twice.
+    pub claim: Option<ClaimAsk>,
+}
+
+/// What the router has to do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Action {
+    /// Copy the claim to the standby home, then call [`Serving::mirrored`].
+    Mirror(RequestId, RouterId, ClaimKey),
+    /// Copy the present state of a claim to the standby home; nobody waits for it.
+    Update(RouterId, ClaimKey),
+    /// Check the authority, call [`Serving::sending`], then write the request to the server.
+    Send(RequestId, ServerId),
+    /// Cancel the request at the server, then call [`Serving::cancelled`].
+    Cancel(RequestId, ServerId),
+    /// Give the request its final answer.
+    Reply(RequestId, Reply),
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Phase {
+    /// Its claim is on the way to the standby home.
+    Mirroring,
+    /// Its shard has no server; since then.
+    Parked(Time),
+    /// It waits for a slot.
+    Queued,
+    /// It has a slot.
+    Slot,
+}
+
+#[derive(Debug, Clone)]
+pub(super) struct Row {
+    pub(super) shard: ShardId,
+    pub(super) caller: CompactString,
+    pub(super) deadline: Time,
+    pub(super) server: Option<ServerId>,
+    pub(super) claim: Option<ClaimKey>,
+    pub(super) phase: Phase,
+}
+
+/// A request whose caller has its final answer while its server may still run it.
+#[derive(Debug, Clone)]
+pub(super) struct Abandoned {
+    pub(super) server: ServerId,
+    pub(super) token: Token,
+    pub(super) claim: Option<ClaimKey>,
+    /// When nothing more is expected of the server.
+    pub(super) until: Time,
+}
+
+/// Bounds of what a home holds.
+///
+/// # Examples
+///
+/// ```
+/// use carawayrill_core::answer::serving::ServingConfig;
+///
+/// let cfg = ServingConfig::default().max_in_flight(1_000);
+/// ```
+#[derive(Debug, Clone, Copy)]
+pub struct ServingConfig {
+    pub(super) in_flight: usize,
+    pub(super) waiting: u32,
+    pub(super) parked: usize,
+}
+
+impl Default for ServingConfig {
+    fn default() -> Self {
+        Self {
+            in_flight: 20_000,
+            waiting: 10_000,
+            parked: 2_000,
+        }
+    }
+}
+
+impl ServingConfig {
+    /// Sets the most requests in flight. 20,000 by default.
+    #[must_use]
+    pub fn max_in_flight(mut self, requests: usize) -> Self {
+        self.in_flight = requests;
+        self
+    }
+
+    /// Sets the most requests that wait for all servers together. 10,000 by default.
+    #[must_use]
+    pub fn max_waiting(mut self, requests: u32) -> Self {
+        self.waiting = requests;
+        self
+    }
+
+    /// Sets the most requests that wait for shards between two servers. 2,000 by default.
+    #[must_use]
+    pub fn max_parked(mut self, requests: usize) -> Self {
+        self.parked = requests;
+        self
+    }
+}
--- /dev/null
+++ b/crates/carawayrill-core/src/answer/traffic.rs
@@ -0,0 +1,71 @@
+//! Bytes that cross regions, by service.
+
+use std::collections::BTreeMap;
+
+use crate::data;
+use crate::id::RegionId;
+use crate::id::ServiceId;
+use crate::id::ShardId;
+
+data! {
+    /// Bytes of one service from one region to another.
+    pub struct Crossing {
+        /// The service.
+        pub service: ServiceId,
+        /// The region that sends.
+        pub from: RegionId,
+        /// The region that receives.
+        pub to: RegionId,
+        /// All bytes since the start.
+        pub bytes: u64,
+    }
+}
+
+/// Counts the bytes of requests and answers that cross regions.
+///
+/// The counts by service and pair of regions go to metrics; those by shard go to placement with
+/// each heartbeat and start anew then.
+#[derive(Debug, Clone, Default)]
+pub struct TrafficTable {
+    services: BTreeMap<(ServiceId, RegionId, RegionId), u64>,
+    shards: BTreeMap<ShardId, u64>,
+}
+
+impl TrafficTable {
+    /// Counts `bytes` that go from one region to another; none if the regions are the same.
+    /// Returns the bytes that crossed.
+    pub fn count(&mut self, shard: &ShardId, from: &RegionId, to: &RegionId, bytes: u64) -> u64 {
+        if from == to {
+            return 0;
+        }
+        let pair = (shard.service.clone(), from.clone(), to.clone());
+        *self.services.entry(pair).or_default() += bytes;
+        *self.shards.entry(shard.clone()).or_default() += bytes;
+        bytes
+    }
+
+    /// Returns all counts by service and pair of regions.
+    #[must_use]
+    pub fn crossings(&self) -> Vec<Crossing> {
+        let crossing =
+            |((service, from, to), bytes): (&(ServiceId, RegionId, RegionId), &u64)| Crossing {
+                service: service.clone(),
+                from: from.clone(),
+                to: to.clone(),
+                bytes: *bytes,
+            };
+        self.services.iter().map(crossing).collect()
+    }
+
+    /// Returns the bytes of one service over all pairs of regions.
+    #[must_use]
+    pub fn of_service(&self, service: &ServiceId) -> u64 {
+        let own = self.services.iter().filter(|((of, _, _), _)| of == service);
+        own.map(|(_, bytes)| bytes).sum()
+    }
+
+    /// Takes the counts by shard since the last call, for placement.
+    pub fn take_shards(&mut self) -> Vec<(ShardId, u64)> {
+        std::mem::take(&mut self.shards).into_iter().collect()
+    }
+}
