--- a/crates/carawayrill-core/src/answer/mirror.rs
+++ b/crates/carawayrill-core/src/answer/mirror.rs
@@ -43,7 +43,7 @@
 
 /// A copy that has to be made or brought up to date.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Sync {
+pub struct PendingCopy {
     /// The shard whose claims are to be copied.
     pub shard: ShardId,
     /// The standby home.
@@ -105,12 +105,12 @@
 
     /// Returns the copies that have to be made, at most `max`, of one standby home.
     #[must_use]
-    pub fn to_sync(&self, standby: &RouterId, max: usize) -> Vec<Sync> {
+    pub fn to_sync(&self, standby: &RouterId, max: usize) -> Vec<PendingCopy> {
         let open = |link: &Link| link.standby == *standby && link.stage != Stage::Complete;
         self.links
             .iter()
             .filter(|(_, link)| open(link))
-            .map(|(shard, link)| Sync {
+            .map(|(shard, link)| PendingCopy {
                 shard: shard.clone(),
                 standby: link.standby.clone(),
                 lineage: link.lineage,
@@ -137,7 +137,7 @@
     ///
     /// Returns false if the copy is not wanted any more.
     #[must_use]
-    pub fn completing(&mut self, sync: &Sync) -> bool {
+    pub fn completing(&mut self, sync: &PendingCopy) -> bool {
         let Some(link) = self.link(sync) else {
             return false;
         };
@@ -146,7 +146,7 @@
     }
 
     /// Takes in that the standby home has acknowledged a complete copy.
-    pub fn completed(&mut self, sync: &Sync, incarnation: Incarnation) {
+    pub fn completed(&mut self, sync: &PendingCopy, incarnation: Incarnation) {
         if let Some(link) = self.link(sync) {
             link.stage = Stage::Complete;
             link.incarnation = Some(incarnation);
@@ -164,7 +164,7 @@
         }
     }
 
-    fn link(&mut self, sync: &Sync) -> Option<&mut Link> {
+    fn link(&mut self, sync: &PendingCopy) -> Option<&mut Link> {
         let same = |link: &&mut Link| link.standby == sync.standby && link.lineage == sync.lineage;
         self.links.get_mut(&sync.shard).filter(same)
     }
--- a/crates/carawayrill-core/src/answer/ramp.rs
+++ b/crates/carawayrill-core/src/answer/ramp.rs
@@ -66,9 +66,9 @@
         }
         let pause = MIN_PAUSE * 2_u32.pow(self.sheds_in_row.min(MAX_DOUBLINGS));
         self.from = (self.level(now) / 2.0).max(1.0);
-        self.since = now;
         self.sheds_in_row += 1;
         self.paused_until = now + pause.min(MAX_PAUSE);
+        self.since = self.paused_until;
     }
 
     /// Takes in that the server answered a request.
--- /dev/null
+++ b/crates/carawayrill-core/tests/answer_goodput.rs
@@ -0,0 +1,173 @@
+//! Goodput of one server's queue under overload, in virtual time.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::collections::BinaryHeap;
+use std::collections::VecDeque;
+use std::fmt::Write as _;
+use std::time::Duration;
+
+use carawayrill_core::answer::fair::Waiting;
+use carawayrill_core::answer::queue::Ended;
+use carawayrill_core::answer::queue::Limits;
+use carawayrill_core::answer::queue::QueueAction;
+use carawayrill_core::answer::queue::ServerQueue;
+use carawayrill_core::id::RequestId;
+use carawayrill_core::time::Time;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+const SLOTS: u32 = 6;
+const MEAN_SERVICE_MS: f64 = 10.0;
+const DEADLINE_MS: u64 = 200;
+const RUN_MS: u64 = 10_000;
+const TICK_MS: u64 = 10;
+
+/// A queue under test.
+trait Policy {
+    fn offer(&mut self, now: Time, request: Waiting) -> Vec<RequestId>;
+    fn end(&mut self, now: Time, request: &RequestId, took: Duration) -> Vec<RequestId>;
+    fn tick(&mut self, now: Time) -> Vec<RequestId>;
+}
+
+fn sends(actions: Vec<QueueAction>) -> Vec<RequestId> {
+    let send = |action| match action {
+        QueueAction::Send(request) => Some(request),
+        QueueAction::Refuse(..) => None,
+    };
+    actions.into_iter().filter_map(send).collect()
+}
+
+impl Policy for ServerQueue {
+    fn offer(&mut self, now: Time, request: Waiting) -> Vec<RequestId> {
+        sends(Self::offer(self, now, request).unwrap_or_default())
+    }
+
+    fn end(&mut self, now: Time, request: &RequestId, took: Duration) -> Vec<RequestId> {
+        sends(Self::end(self, now, request, Ended::Answered(took)))
+    }
+
+    fn tick(&mut self, now: Time) -> Vec<RequestId> {
+        sends(Self::tick(self, now))
+    }
+}
+
+/// The baseline: slots, and a queue in order of arrival that refuses nothing.
+#[derive(Default)]
+struct Fifo {
+    waiting: VecDeque<RequestId>,
+    running: u32,
+}
+
+impl Fifo {
+    fn dispatch(&mut self) -> Vec<RequestId> {
+        let free = usize::try_from(SLOTS - self.running).unwrap();
+        let sent: Vec<_> = self.waiting.drain(..free.min(self.waiting.len())).collect();
+        self.running += u32::try_from(sent.len()).unwrap();
+        sent
+    }
+}
+
+impl Policy for Fifo {
+    fn offer(&mut self, _now: Time, request: Waiting) -> Vec<RequestId> {
+        self.waiting.push_back(request.request);
+        self.dispatch()
+    }
+
+    fn end(&mut self, _now: Time, _request: &RequestId, _took: Duration) -> Vec<RequestId> {
+        self.running -= 1;
+        self.dispatch()
+    }
+
+    fn tick(&mut self, _now: Time) -> Vec<RequestId> {
+        Vec::new()
+    }
+}
+
+/// Draws a time with an exponential distribution, in whole milliseconds.
+fn exponential(rng: &mut ChaCha8Rng, mean_ms: f64) -> f64 {
+    let draw: f64 = rng.random_range(f64::EPSILON..1.0);
+    -draw.ln() * mean_ms
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "times of the run are small and positive"
+)]
+fn whole_ms(span: f64) -> u64 {
+    span.round() as u64
+}
+
+/// Runs open-loop arrivals at `load` times the capacity. Returns the answers that came in time, a
+/// second.
+fn goodput(queue: &mut dyn Policy, load: f64, spread: bool) -> f64 {
+    let mut rng = ChaCha8Rng::seed_from_u64(11);
+    let gap_ms = MEAN_SERVICE_MS / f64::from(SLOTS) / load;
+    let mut next_arrival = 0.0;
+    let mut number = 0_u64;
+    let mut deadlines: BTreeMap<RequestId, u64> = BTreeMap::new();
+    let mut ends: BinaryHeap<Reverse<(u64, RequestId, u64)>> = BinaryHeap::new();
+    let mut good = 0_u64;
+    for now in 0..RUN_MS {
+        let mut sent = Vec::new();
+        while ends.peek().is_some_and(|Reverse((at, ..))| *at <= now) {
+            let Reverse((_, request, took)) = ends.pop().unwrap();
+            good += u64::from(deadlines[&request] >= now);
+            sent.extend(queue.end(Time(now), &request, Duration::from_millis(took)));
+        }
+        while whole_ms(next_arrival) <= now {
+            next_arrival += exponential(&mut rng, gap_ms);
+            number += 1;
+            let request: RequestId = format!("r{number}").parse().unwrap();
+            deadlines.insert(request.clone(), now + DEADLINE_MS);
+            let waiting = Waiting {
+                request,
+                caller: format!("c{}", number % 20).into(),
+                deadline: Time(now + DEADLINE_MS),
+            };
+            sent.extend(queue.offer(Time(now), waiting));
+        }
+        if now % TICK_MS == 0 {
+            sent.extend(queue.tick(Time(now)));
+        }
+        for request in sent {
+            let took = if spread {
+                exponential(&mut rng, MEAN_SERVICE_MS)
+            } else {
+                rng.random_range(5.0..15.0)
+            };
+            let took = whole_ms(took).max(1);
+            ends.push(Reverse((now + took, request, took)));
+        }
+    }
+    good as f64 * 1_000.0 / RUN_MS as f64
+}
+
+#[test]
+fn goodput_at_five_times_the_load_is_at_least_nine_tenths() {
+    let limits = Limits {
+        slots: SLOTS,
+        connections: 130,
+        queue: 256,
+        warm_up: Duration::ZERO,
+    };
+    let mut table = String::new();
+    for (times, spread) in [("uniform", false), ("exponential", true)] {
+        let mut row = Vec::new();
+        for load in [0.5, 1.0, 2.0, 5.0] {
+            let built = goodput(&mut ServerQueue::new(limits, Time(0)), load, spread);
+            let fifo = goodput(&mut Fifo::default(), load, spread);
+            writeln!(
+                table,
+                "{times:11} load {load:.1}: built {built:5.0}/s, fifo {fifo:5.0}/s"
+            )
+            .unwrap();
+            row.push(built);
+        }
+        assert!(row[3] >= 0.9 * row[1], "{times}: {row:?}");
+        assert!(row[2] >= 0.9 * row[1], "{times}: {row:?}");
+    }
+    insta::assert_snapshot!(table);
+}
--- /dev/null
+++ b/crates/carawayrill-core/tests/answer_serving.rs
@@ -0,0 +1,385 @@
+//! Whole requests at a home: one answer each, at most one run, and "not run" only if proved.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::fmt::Write as _;
+use std::time::Duration;
+
+use carawayrill_core::answer::claims::ClaimConfig;
+use carawayrill_core::answer::claims::ClaimKey;
+use carawayrill_core::answer::claims::ClaimTable;
+use carawayrill_core::answer::claims::Fingerprint;
+use carawayrill_core::answer::claims::IdempotencyKey;
+use carawayrill_core::answer::claims::Lineage;
+use carawayrill_core::answer::claims::Origin;
+use carawayrill_core::answer::mirror::PendingCopy;
+use carawayrill_core::answer::queue::Limits;
+use carawayrill_core::answer::refusal::RefusalReason;
+use carawayrill_core::answer::refusal::ServerRefusal;
+use carawayrill_core::answer::reply::Answer;
+use carawayrill_core::answer::reply::Reply;
+use carawayrill_core::answer::serving::Action;
+use carawayrill_core::answer::serving::Arrival;
+use carawayrill_core::answer::serving::ClaimAsk;
+use carawayrill_core::answer::serving::SendFailure;
+use carawayrill_core::answer::serving::Serving;
+use carawayrill_core::answer::serving::ServingConfig;
+use carawayrill_core::id::Incarnation;
+use carawayrill_core::id::KeyHash;
+use carawayrill_core::id::RequestId;
+use carawayrill_core::id::ServerId;
+use carawayrill_core::id::ShardId;
+use carawayrill_core::outcome::Outcome;
+use carawayrill_core::time::Time;
+use carawayrill_core::token::Token;
+use proptest::prelude::*;
+use rstest::rstest;
+
+const WINDOW: Duration = Duration::from_mins(1);
+const TOKEN: Token = Token::new(4, 1);
+const SLOTS: u32 = 3;
+
+fn shard() -> ShardId {
+    ShardId::range("forms".parse().unwrap(), 1)
+}
+
+fn server() -> ServerId {
+    "forms-1".parse().unwrap()
+}
+
+fn answer(text: &str) -> Answer {
+    Answer {
+        status: 200,
+        headers: Vec::new(),
+        body: text.into(),
+    }
+}
+
+fn home() -> Serving {
+    let mut serving = Serving::new(
+        ServingConfig::default(),
+        ClaimTable::new(ClaimConfig::default()),
+    );
+    let limits = Limits {
+        slots: SLOTS,
+        connections: 50,
+        queue: 8,
+        warm_up: Duration::ZERO,
+    };
+    serving.set_server(Time(0), &server(), limits);
+    serving
+        .claims
+        .own(Time(0), &shard(), Origin::Initial, WINDOW);
+    serving
+}
+
+fn with_standby(mut serving: Serving) -> Serving {
+    let standby = "router-2".parse().unwrap();
+    let sync = PendingCopy {
+        shard: shard(),
+        standby,
+        lineage: Lineage(1),
+    };
+    serving
+        .mirror
+        .set_standby(&shard(), Some(&sync.standby), sync.lineage);
+    assert!(serving.mirror.completing(&sync));
+    serving.mirror.completed(&sync, Incarnation(1));
+    serving
+}
+
+fn arrival(number: u64, key: Option<&str>, deadline: u64) -> Arrival {
+    Arrival {
+        request: format!("r{number}").parse().unwrap(),
+        shard: shard(),
+        caller: "caller".into(),
+        deadline: Time(deadline),
+        server: Some(server()),
+        claim: key.map(|key| ClaimAsk {
+            key: ClaimKey {
+                shard: shard(),
+                key: KeyHash(1),
+                idempotency: IdempotencyKey::try_from(key).unwrap(),
+            },
+            fingerprint: Fingerprint(7),
+            window: WINDOW,
+        }),
+    }
+}
+
+/// Writes what the actions say, one word each.
+fn words(actions: &[Action]) -> String {
+    let word = |action: &Action| match action {
+        Action::Mirror(request, ..) => format!("mirror {request}"),
+        Action::Update(..) => "update".into(),
+        Action::Send(request, _) => format!("send {request}"),
+        Action::Cancel(request, _) => format!("cancel {request}"),
+        Action::Reply(request, reply) => format!("{request}: {}", reply_word(reply)),
+    };
+    actions.iter().map(word).collect::<Vec<_>>().join(", ")
+}
+
+fn reply_word(reply: &Reply) -> String {
+    match reply {
+        Reply::Answer(answer) => String::from_utf8(answer.body.clone()).unwrap(),
+        Reply::Refused(refusal) => format!("{} {}", refusal.outcome(), refusal.reason),
+    }
+}
+
+/// Runs a script of steps, `verb request`, and returns what was decided at each. Numbers of steps
+/// are times in seconds.
+fn run(mut serving: Serving, script: &str) -> String {
+    let at = (server(), TOKEN);
+    let at = (&at.0, at.1);
+    let mut out = String::new();
+    for (now, step) in (0..).zip(script.lines()) {
+        let now = Time(now * 1_000);
+        let mut words_of = step.split_whitespace();
+        let verb = words_of.next().unwrap();
+        let number: u64 = words_of.next().map_or(0, |word| word.parse().unwrap());
+        let request: RequestId = format!("r{number}").parse().unwrap();
+        let took = Duration::from_millis(5);
+        let result = match verb {
+            "arrive" | "arrive-parked" => {
+                let deadline = now + Duration::from_secs(5);
+                let mut arrival = arrival(number, words_of.next(), deadline.0);
+                arrival.server = arrival.server.filter(|_| verb == "arrive");
+                match serving.arrive(now, arrival) {
+                    Ok(actions) => words(&actions),
+                    Err(reply) => format!("at once: {}", reply_word(&reply)),
+                }
+            }
+            "kept" => words(&serving.mirrored(now, &request, true)),
+            "not-kept" => words(&serving.mirrored(now, &request, false)),
+            "sending" => serving.sending(&request, at.0, at.1).to_string(),
+            "answer" => words(&serving.answered(now, &request, at, answer("answer"), took)),
+            "shed" => words(&serving.refused(now, &request, at, ServerRefusal::Shed)),
+            "unwritten" => {
+                let how = SendFailure::NotWritten(RefusalReason::ServerUnreachable);
+                words(&serving.failed(now, &request, how))
+            }
+            "broken" => {
+                let how = SendFailure::Lost(RefusalReason::AnswerBrokenOff);
+                words(&serving.failed(now, &request, how))
+            }
+            "hang-up" => words(&serving.hung_up(now, &request)),
+            "cancelled" => words(&serving.cancelled(now, &request)),
+            "server-lost" => words(&serving.server_lost(now, at.0)),
+            "tick" => words(&serving.tick(now)),
+            "park" => words(&serving.redirect(now, &shard(), None)),
+            "unpark" => words(&serving.redirect(now, &shard(), Some(at.0))),
+            "stop" => {
+                serving.stop();
+                format!("{} in flight", serving.inflight().stop_wait(now).requests)
+            }
+            other => panic!("no such step: {other}"),
+        };
+        writeln!(out, "{step} -> {result}").unwrap();
+    }
+    out
+}
+
+#[rstest]
+#[case::answered("arrive 1\nsending 1\nanswer 1\nanswer 1")]
+#[case::not_written("arrive 1 k\nsending 1\nunwritten 1\narrive 2 k")]
+#[case::shed("arrive 1 k\nsending 1\nshed 1\narrive 2 k")]
+#[case::broken_off("arrive 1 k\nsending 1\nbroken 1\narrive 2 k\nanswer 1\narrive 3 k")]
+#[case::repeat("arrive 1 k\nsending 1\narrive 2 k\nanswer 1\narrive 3 k")]
+#[case::hung_up_before("arrive 1 k\nhang-up 1\nsending 1\narrive 2 k")]
+#[case::hung_up_after("arrive 1 k\nsending 1\nhang-up 1\narrive 2 k\ncancelled 1\narrive 3 k")]
+#[case::late("arrive 1 k\nsending 1\ntick\ntick\ntick\ntick\nanswer 1\ntick\narrive 2 k")]
+#[case::too_late("arrive 1 k\nsending 1\ntick\ntick\ntick\ntick\ntick\ntick\ntick\narrive 2 k")]
+#[case::server_lost("arrive 1 k\narrive 2\nsending 1\nserver-lost\narrive 3 k")]
+#[case::parked("arrive-parked 1\nunpark\nsending 1\nanswer 1")]
+#[case::stopped("arrive 1\nsending 1\nstop\narrive 2\nanswer 1\nstop")]
+fn life_of_a_request(#[case] script: &str) {
+    let name = script.replace(['\n', ' '], "_");
+    insta::assert_snapshot!(name, run(home(), script));
+}
+
+#[rstest]
+#[case::kept("arrive 1 k\nkept 1\nsending 1\nanswer 1\narrive 2 k")]
+#[case::not_kept("arrive 1 k\nnot-kept 1\narrive 2 k")]
+#[case::hung_up_meanwhile("arrive 1 k\nhang-up 1\nkept 1\nsending 1")]
+fn claims_are_mirrored_before_they_are_sent(#[case] script: &str) {
+    let name = format!("mirrored_{}", script.replace(['\n', ' '], "_"));
+    insta::assert_snapshot!(name, run(with_standby(home()), script));
+}
+
+#[test]
+fn a_shard_that_never_gets_a_server_does_not_hold_its_callers() {
+    let mut serving = home();
+    serving.redirect(Time(0), &shard(), None);
+    let mut parked = arrival(1, None, 60_000);
+    parked.server = None;
+    assert_eq!(serving.arrive(Time(0), parked).unwrap(), []);
+    assert_eq!(serving.tick(Time(1_999)), []);
+    assert_eq!(words(&serving.tick(Time(2_000))), "r1: not-run moving");
+}
+
+/// A fake server and the callers, driven by random steps; it checks what must always hold.
+#[derive(Default)]
+struct World {
+    /// Requests that were written, with their idempotency key, and whether the server has ended.
+    written: BTreeMap<RequestId, Option<u8>>,
+    keys: BTreeMap<RequestId, Option<u8>>,
+    running: BTreeSet<RequestId>,
+    to_send: Vec<RequestId>,
+    to_mirror: Vec<RequestId>,
+    replies: BTreeMap<RequestId, Outcome>,
+    taken_in: BTreeSet<RequestId>,
+    proved_unrun: BTreeSet<RequestId>,
+}
+
+impl World {
+    fn take(&mut self, actions: Vec<Action>) -> Result<(), TestCaseError> {
+        for action in actions {
+            match action {
+                Action::Mirror(request, ..) => self.to_mirror.push(request),
+                Action::Send(request, _) => self.to_send.push(request),
+                Action::Reply(request, reply) => self.reply(request, &reply)?,
+                Action::Cancel(..) | Action::Update(..) => {}
+            }
+        }
+        Ok(())
+    }
+
+    fn reply(&mut self, request: RequestId, reply: &Reply) -> Result<(), TestCaseError> {
+        let outcome = reply.outcome();
+        let may_have_run = self.written.contains_key(&request);
+        let unrun = self.proved_unrun.contains(&request);
+        prop_assert!(
+            outcome != Outcome::NotRun || !may_have_run || unrun,
+            "{request} was written and is said not to have run"
+        );
+        prop_assert!(
+            self.replies.insert(request, outcome).is_none(),
+            "two answers"
+        );
+        Ok(())
+    }
+
+    fn write(&mut self, request: RequestId) -> Result<(), TestCaseError> {
+        let key = self.keys[&request];
+        let earlier = self.written.iter().find(|(other, used)| {
+            key.is_some() && **used == key && !self.proved_unrun.contains(*other)
+        });
+        prop_assert!(earlier.is_none(), "key {key:?} runs twice");
+        self.written.insert(request.clone(), key);
+        self.running.insert(request);
+        prop_assert!(self.running.len() <= usize::try_from(SLOTS).unwrap());
+        Ok(())
+    }
+}
+
+/// Takes an element out by a random index.
+fn pick<T: Clone + Ord>(from: &BTreeSet<T>, index: u64) -> Option<T> {
+    let index = usize::try_from(index).unwrap() % from.len().max(1);
+    from.iter().nth(index).cloned()
+}
+
+fn step(
+    world: &mut World,
+    serving: &mut Serving,
+    now: Time,
+    number: u64,
+    (verb, choice): (u8, u64),
+) -> Result<(), TestCaseError> {
+    let at = (&server(), TOKEN);
+    let took = Duration::from_millis(10);
+    match verb {
+        0..=4 => {
+            let key = (choice % 3 > 0).then(|| u8::try_from(choice % 5).unwrap());
+            let name = key.map(|key| format!("k{key}"));
+            let arrival = arrival(number, name.as_deref(), now.0 + choice * 7);
+            let request = arrival.request.clone();
+            world.keys.insert(request.clone(), key);
+            if let Ok(actions) = serving.arrive(now, arrival) {
+                world.taken_in.insert(request);
+                world.take(actions)?;
+            }
+        }
+        5 if !world.to_mirror.is_empty() => {
+            let request = world.to_mirror.remove(0);
+            world.take(serving.mirrored(now, &request, choice % 4 > 0))?;
+        }
+        6 | 7 if !world.to_send.is_empty() => {
+            let request = world.to_send.remove(0);
+            if serving.sending(&request, at.0, at.1) {
+                world.write(request)?;
+            }
+        }
+        8 | 9 => {
+            // An answer to a request that runs, or to any that ever ran: late or doubled.
+            let all: BTreeSet<_> = world.written.keys().cloned().collect();
+            let from = if choice % 3 == 0 {
+                &all
+            } else {
+                &world.running
+            };
+            if let Some(request) = pick(from, choice) {
+                world.running.remove(&request);
+                world.take(serving.answered(now, &request, at, answer("a"), took))?;
+            }
+        }
+        10 => {
+            if let Some(request) = pick(&world.running, choice) {
+                world.running.remove(&request);
+                world.proved_unrun.insert(request.clone());
+                world.take(serving.refused(now, &request, at, ServerRefusal::Shed))?;
+            }
+        }
+        11 => {
+            if let Some(request) = pick(&world.running, choice) {
+                let how = SendFailure::Lost(RefusalReason::AnswerLost);
+                world.take(serving.failed(now, &request, how))?;
+            }
+        }
+        12 => {
+            if let Some(request) = pick(&world.taken_in, choice) {
+                world.take(serving.hung_up(now, &request))?;
+            }
+        }
+        13 => {
+            // The server stops what was cancelled, then acknowledges.
+            let answered = |request: &RequestId| world.replies.contains_key(request);
+            if let Some(request) = pick(&world.running, choice).filter(answered) {
+                world.running.remove(&request);
+                world.take(serving.cancelled(now, &request))?;
+            }
+        }
+        14 => world.take(serving.redirect(now, &shard(), (choice % 2 > 0).then_some(at.0)))?,
+        _ => world.take(serving.tick(now))?,
+    }
+    Ok(())
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 400,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(17),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn what_must_always_hold(
+        standby in any::<bool>(),
+        steps in prop::collection::vec((0_u64..12, 0_u8..17, 0_u64..60), 1..300)
+    ) {
+        let mut serving = if standby { with_standby(home()) } else { home() };
+        let mut world = World::default();
+        let mut now = 0;
+        for (number, (pass, verb, choice)) in (0..).zip(steps) {
+            now += pass;
+            step(&mut world, &mut serving, Time(now), number, (verb, choice))?;
+        }
+        // Nothing more comes from the server: every request still gets its answer.
+        for pass in 1..4 {
+            world.take(serving.tick(Time(now + pass * 3_000)))?;
+        }
+        let answered: BTreeSet<_> = world.replies.keys().cloned().collect();
+        prop_assert_eq!(answered, world.taken_in);
+        prop_assert!(serving.inflight().is_empty());
+    }
+}
