--- a/crates/carawayrill-router/src/cache.rs
+++ b/crates/carawayrill-router/src/cache.rs
@@ -117,7 +117,10 @@
                 value: cached.value.clone(),
             })
             .collect();
-        Changes { revision: self.revision(), objects }
+        Changes {
+            revision: self.revision(),
+            objects,
+        }
     }
 
     /// Waits up to `wait` until this copy is beyond `after`, and returns what changed since then.
@@ -125,7 +128,10 @@
         let mut rx = self.subscribe();
         let newer = rx.wait_for(|revision| *revision > after);
         if tokio::time::timeout(wait, newer).await.is_err() {
-            return Changes { revision: after, objects: Vec::new() };
+            return Changes {
+                revision: after,
+                objects: Vec::new(),
+            };
         }
         self.after(after)
     }
@@ -145,7 +151,10 @@
 impl ObjectStore for ObjectCache {
     async fn get(&self, name: &str) -> Result<Option<Object>, Error> {
         let state = self.lock();
-        let cached = state.objects.get(name).filter(|cached| cached.version != Version::default());
+        let cached = state
+            .objects
+            .get(name)
+            .filter(|cached| cached.version != Version::default());
         Ok(cached.map(|cached| Object {
             name: name.into(),
             version: cached.version,
@@ -154,7 +163,10 @@
     }
 
     async fn version(&self, name: &str) -> Result<Version, Error> {
-        Ok(self.get(name).await?.map_or_else(Version::default, |object| object.version))
+        Ok(self
+            .get(name)
+            .await?
+            .map_or_else(Version::default, |object| object.version))
     }
 
     async fn put(&self, _name: &str, _value: Bytes, _expected: Version) -> Result<Version, Error> {
@@ -167,7 +179,9 @@
 
     async fn watch(&self, prefix: &str, after: Revision, wait: Duration) -> Result<Changes, Error> {
         let mut changes = self.wait_after(after, wait).await;
-        changes.objects.retain(|object| object.name.starts_with(prefix));
+        changes
+            .objects
+            .retain(|object| object.name.starts_with(prefix));
         Ok(changes)
     }
 }
--- a/crates/carawayrill-router/src/clock.rs
+++ b/crates/carawayrill-router/src/clock.rs
@@ -16,7 +16,9 @@
     /// Starts the clock.
     #[must_use]
     pub fn start() -> Self {
-        Self { start: Instant::now() }
+        Self {
+            start: Instant::now(),
+        }
     }
 
     /// Reads the clock.
--- a/crates/carawayrill-router/src/context.rs
+++ b/crates/carawayrill-router/src/context.rs
@@ -128,7 +128,10 @@
     /// Returns the number of the configuration in force; 0 if there is none.
     #[must_use]
     pub fn generation(&self) -> Generation {
-        self.deployment.load().as_ref().map_or_else(Generation::default, |whole| whole.generation)
+        self.deployment
+            .load()
+            .as_ref()
+            .map_or_else(Generation::default, |whole| whole.generation)
     }
 
     /// Returns the routing table for reading.
@@ -140,7 +143,9 @@
     #[must_use]
     pub fn heartbeat_every(&self) -> Duration {
         let whole = self.deployment.load();
-        whole.as_ref().map_or(DEFAULT_HEARTBEAT, |whole| whole.timing.heartbeat_every.0)
+        whole
+            .as_ref()
+            .map_or(DEFAULT_HEARTBEAT, |whole| whole.timing.heartbeat_every.0)
     }
 
     /// Makes the identifier of a new request: unique over all routers and their runs.
@@ -151,8 +156,14 @@
     #[must_use]
     pub fn next_request(&self) -> RequestId {
         let count = self.requests.fetch_add(1, Ordering::Relaxed);
-        let text = format_compact!("{}-{:x}-{count:x}", self.settings.router, self.incarnation.0);
-        let short = text.get(text.len().saturating_sub(63)..).unwrap_or_default();
+        let text = format_compact!(
+            "{}-{:x}-{count:x}",
+            self.settings.router,
+            self.incarnation.0
+        );
+        let short = text
+            .get(text.len().saturating_sub(63)..)
+            .unwrap_or_default();
         RequestId::try_from(short).unwrap_or_else(|_err| unreachable!("made of allowed characters"))
     }
 }
--- a/crates/carawayrill-router/src/entry/check.rs
+++ b/crates/carawayrill-router/src/entry/check.rs
@@ -46,15 +46,23 @@
         KeySource::Query(name) => query_value(uri, name).map(str::as_bytes),
         KeySource::Path(index) => segments(uri).nth(*index as usize + 1).map(str::as_bytes),
     };
-    let key = found.filter(|key| !key.is_empty()).ok_or(RefusalReason::NoKey)?;
+    let key = found
+        .filter(|key| !key.is_empty())
+        .ok_or(RefusalReason::NoKey)?;
     Ok(KeyHash::of(key))
 }
 
 /// Returns a query parameter as written. Two spellings of one value, such as `a+b` and `a%20b`,
 /// are two keys; callers of one service are expected to write a key in one way.
 fn query_value<'a>(uri: &'a Uri, name: &str) -> Option<&'a str> {
-    let pairs = uri.query()?.split('&').filter_map(|pair| pair.split_once('='));
-    pairs.into_iter().find(|(key, _)| *key == name).map(|(_, value)| value)
+    let pairs = uri
+        .query()?
+        .split('&')
+        .filter_map(|pair| pair.split_once('='));
+    pairs
+        .into_iter()
+        .find(|(key, _)| *key == name)
+        .map(|(_, value)| value)
 }
 
 /// Reads the time limit of a request, bounded by what the service allows.
@@ -95,7 +103,11 @@
 /// # Errors
 ///
 /// Fails if it is too large or shorter than announced.
-pub fn body(service: &Service, announced: Option<u64>, body: Bytes) -> Result<Bytes, RefusalReason> {
+pub fn body(
+    service: &Service,
+    announced: Option<u64>,
+    body: Bytes,
+) -> Result<Bytes, RefusalReason> {
     let length = body.len() as u64;
     if length > service.max_body.0 {
         return Err(RefusalReason::TooLarge);
--- a/crates/carawayrill-router/src/entry/http.rs
+++ b/crates/carawayrill-router/src/entry/http.rs
@@ -66,8 +66,9 @@
         let Some(whole) = self.cx.deployment.load_full() else {
             return Answer::from(RefusalReason::NotReady);
         };
+        let caller = caller_of(&req);
         let (parts, body) = req.into_parts();
-        let checked = self.check(id, started, &whole, parts, body).await;
+        let checked = self.check(id, started, &whole, caller, parts, body).await;
         match checked {
             Ok(req) => {
                 let (request, service) = (req.id.clone(), req.service.clone());
@@ -88,6 +89,7 @@
         id: RequestId,
         started: Time,
         whole: &Deployment,
+        caller: CompactString,
         parts: poem::RequestParts,
         body: Body,
     ) -> Result<Request, RefusalReason> {
@@ -102,9 +104,13 @@
             service: service.id.clone(),
             shard,
             key,
-            caller: caller_of(&parts),
+            caller,
             method: parts.method,
-            path_and_query: parts.uri.path_and_query().map_or("/", |path| path.as_str()).into(),
+            path_and_query: parts
+                .uri
+                .path_and_query()
+                .map_or("/", |path| path.as_str())
+                .into(),
             headers: headers::end_to_end(&parts.headers),
             body,
             deadline: started + limit,
@@ -115,7 +121,11 @@
 }
 
 /// Reads a body up to the service's limit.
-async fn read_body(service: &Service, headers: &HeaderMap, body: Body) -> Result<Bytes, RefusalReason> {
+async fn read_body(
+    service: &Service,
+    headers: &HeaderMap,
+    body: Body,
+) -> Result<Bytes, RefusalReason> {
     let announced = headers
         .get(http::header::CONTENT_LENGTH)
         .and_then(|value| value.to_str().ok())
@@ -124,18 +134,23 @@
         return Err(RefusalReason::TooLarge);
     }
     let limit = usize::try_from(service.max_body.0).unwrap_or(usize::MAX);
-    let bytes = body.into_bytes_limit(limit).await.map_err(|err| match err {
-        poem::error::ReadBodyError::PayloadTooLarge => RefusalReason::TooLarge,
-        _ => RefusalReason::Truncated,
-    })?;
+    let bytes = body
+        .into_bytes_limit(limit)
+        .await
+        .map_err(|err| match err {
+            poem::error::ReadBodyError::PayloadTooLarge => RefusalReason::TooLarge,
+            _ => RefusalReason::Truncated,
+        })?;
     check::body(service, announced, bytes)
 }
 
 /// Tells callers apart by their address: the balancer's header if there is one, else the peer's.
-fn caller_of(parts: &poem::RequestParts) -> CompactString {
-    let forwarded = parts.headers.get("x-forwarded-for").and_then(|value| value.to_str().ok());
-    let first = forwarded.and_then(|list| list.split(',').next()).map(str::trim);
-    match (first, parts.state.remote_addr.as_socket_addr()) {
+fn caller_of(req: &poem::Request) -> CompactString {
+    let forwarded = req.header("x-forwarded-for");
+    let first = forwarded
+        .and_then(|list| list.split(',').next())
+        .map(str::trim);
+    match (first, req.remote_addr().as_socket_addr()) {
         (Some(address), _) => address.into(),
         (None, Some(address)) => address.ip().to_compact_string(),
         (None, None) => CompactString::default(),
@@ -170,7 +185,11 @@
 impl Entry {
     fn ready(&self) -> Response {
         let ready = !self.cx.stopping.load(Ordering::Relaxed) && self.cx.generation().0 > 0;
-        let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+        let status = if ready {
+            StatusCode::OK
+        } else {
+            StatusCode::SERVICE_UNAVAILABLE
+        };
         Response::builder().status(status).finish()
     }
 }
--- a/crates/carawayrill-router/src/entry/pass.rs
+++ b/crates/carawayrill-router/src/entry/pass.rs
@@ -133,7 +133,10 @@
     if now >= deadline || status.code() == Code::DeadlineExceeded {
         return Answer::from(RefusalReason::AnswerLate);
     }
-    lost(&format!("the call to {target} failed: {}", status.message()))
+    lost(&format!(
+        "the call to {target} failed: {}",
+        status.message()
+    ))
 }
 
 fn never_connected(status: &Status) -> bool {
--- a/crates/carawayrill-router/src/error.rs
+++ b/crates/carawayrill-router/src/error.rs
@@ -38,19 +38,29 @@
     /// Makes the error of settings that can't be used.
     #[must_use]
     pub fn settings(reason: impl Into<String>) -> Self {
-        ErrorKind::Settings { reason: reason.into() }.into()
+        ErrorKind::Settings {
+            reason: reason.into(),
+        }
+        .into()
     }
 
     /// Makes the error of an address that can't be listened on.
     #[must_use]
     pub fn listen(address: std::net::SocketAddr, reason: impl Into<String>) -> Self {
-        ErrorKind::Listen { address, reason: reason.into() }.into()
+        ErrorKind::Listen {
+            address,
+            reason: reason.into(),
+        }
+        .into()
     }
 
     /// Makes the error of a listener that ended.
     #[must_use]
     pub fn serve(reason: impl Into<String>) -> Self {
-        ErrorKind::Serve { reason: reason.into() }.into()
+        ErrorKind::Serve {
+            reason: reason.into(),
+        }
+        .into()
     }
 }
 
--- a/crates/carawayrill-router/src/feed.rs
+++ b/crates/carawayrill-router/src/feed.rs
@@ -3,6 +3,7 @@
 //! The relay of the data centre watches the store. The other routers watch the relay.
 
 use std::sync::Arc;
+use std::sync::PoisonError;
 use std::time::Duration;
 
 use carawayrill_config::accept;
@@ -16,7 +17,6 @@
 use carawayrill_proto::wire;
 use carawayrill_store::port::Changes;
 use carawayrill_store::port::Object;
-use std::sync::PoisonError;
 
 use crate::cache::ObjectCache;
 use crate::context::Context;
@@ -84,12 +84,18 @@
 /// Returns the relay of this data centre.
 #[must_use]
 pub fn relay_of(cx: &Context) -> Option<RouterId> {
-    cx.members.relay(&cx.settings.data_centre, cx.now(), RELAY_SILENCE)
+    cx.members
+        .relay(&cx.settings.data_centre, cx.now(), RELAY_SILENCE)
 }
 
 async fn from_store(cx: &Context, cache: &ObjectCache) -> Option<Changes> {
-    let changes = cx.store.watch(cache.prefix(), cache.revision(), WATCH_WAIT).await;
-    changes.inspect_err(|err| log::warn!("watching {} at the store: {err}", cache.prefix())).ok()
+    let changes = cx
+        .store
+        .watch(cache.prefix(), cache.revision(), WATCH_WAIT)
+        .await;
+    changes
+        .inspect_err(|err| log::warn!("watching {} at the store: {err}", cache.prefix()))
+        .ok()
 }
 
 async fn from_relay(cx: &Context, relay: &RouterId, cache: &ObjectCache) -> Option<Changes> {
@@ -145,7 +151,10 @@
     let id = block.id.clone();
     let mut routes = cx.routes.write().unwrap_or_else(PoisonError::into_inner);
     if routes.apply(object.version, block) {
-        carawayrill_telemetry::emit(EventKind::BlockSeen { block: id, version: object.version });
+        carawayrill_telemetry::emit(EventKind::BlockSeen {
+            block: id,
+            version: object.version,
+        });
     }
 }
 
--- a/crates/carawayrill-router/src/headers.rs
+++ b/crates/carawayrill-router/src/headers.rs
@@ -32,7 +32,9 @@
         !ONE_HOP.contains(&text) && !text.starts_with(OWN_PREFIX) && !named.contains(name)
     };
     let pairs = headers.iter().filter(|(name, _)| passes(name));
-    pairs.map(|(name, value)| (name.clone(), value.clone())).collect()
+    pairs
+        .map(|(name, value)| (name.clone(), value.clone()))
+        .collect()
 }
 
 /// Returns the headers that the `connection` header names.
--- a/crates/carawayrill-router/src/home/send.rs
+++ b/crates/carawayrill-router/src/home/send.rs
@@ -67,7 +67,10 @@
 async fn read(response: reqwest::Response, target: &Target, req: &Request) -> Answer {
     let status = response.status().as_u16();
     let headers = response.headers().clone();
-    if headers.get(REQUEST_HEADER).is_none_or(|id| id.as_bytes() != req.id.as_str().as_bytes()) {
+    if headers
+        .get(REQUEST_HEADER)
+        .is_none_or(|id| id.as_bytes() != req.id.as_str().as_bytes())
+    {
         return lost("the server answered another request");
     }
     if let Some(word) = refused(&headers) {
@@ -122,7 +125,9 @@
     let mut body = BytesMut::new();
     while let Some(chunk) = response.chunk().await.map_err(|err| err.to_string())? {
         if body.len() + chunk.len() > MAX_ANSWER_BYTES {
-            return Err(format!("the answer is longer than {MAX_ANSWER_BYTES} bytes"));
+            return Err(format!(
+                "the answer is longer than {MAX_ANSWER_BYTES} bytes"
+            ));
         }
         body.extend_from_slice(&chunk);
     }
--- a/crates/carawayrill-router/src/home/serve.rs
+++ b/crates/carawayrill-router/src/home/serve.rs
@@ -35,7 +35,11 @@
     /// Makes the home role; it is the home of nothing until its control says otherwise.
     #[must_use]
     pub fn new(control: Control) -> Self {
-        Self { control, client: reqwest::Client::new(), slots: Mutex::default() }
+        Self {
+            control,
+            client: reqwest::Client::new(),
+            slots: Mutex::default(),
+        }
     }
 
     /// Returns the part that holds authority and grants.
@@ -73,7 +77,10 @@
         if let Err(refusal) = self.control.confirm(cx, permit) {
             return refusal.into();
         }
-        req.on_behalf = Some(OnBehalf { server: permit.server.clone(), token: permit.token });
+        req.on_behalf = Some(OnBehalf {
+            server: permit.server.clone(),
+            token: permit.token,
+        });
         pass::forward(cx, via, &req).await
     }
 
@@ -90,7 +97,10 @@
         confirm: impl Fn() -> Result<(), carawayrill_core::answer::refusal::Refusal>,
     ) -> Answer {
         let whole = cx.deployment.load_full();
-        let Some(target) = whole.as_deref().and_then(|whole| target(whole, server, token)) else {
+        let Some(target) = whole
+            .as_deref()
+            .and_then(|whole| target(whole, server, token))
+        else {
             return RefusalReason::NotReady.into();
         };
         let slots = slots_of(whole.as_deref(), req);
@@ -118,7 +128,10 @@
             Arc::clone(table.entry(server.clone()).or_insert_with(fresh))
         };
         let deadline = cx.clock.instant(req.deadline);
-        tokio::time::timeout_at(deadline, semaphore.acquire_owned()).await.ok()?.ok()
+        tokio::time::timeout_at(deadline, semaphore.acquire_owned())
+            .await
+            .ok()?
+            .ok()
     }
 
     /// Stops a request that was forwarded here.
@@ -146,9 +159,15 @@
 
 fn target(whole: &Deployment, server: ServerId, token: Token) -> Option<Target> {
     let address = whole.server(&server)?.address;
-    Some(Target { server, address, token })
+    Some(Target {
+        server,
+        address,
+        token,
+    })
 }
 
 fn slots_of(whole: Option<&Deployment>, req: &Request) -> u32 {
-    whole.and_then(|whole| whole.service(&req.service)).map_or(1, |service| service.slots)
+    whole
+        .and_then(|whole| whole.service(&req.service))
+        .map_or(1, |service| service.slots)
 }
--- a/crates/carawayrill-router/src/members.rs
+++ b/crates/carawayrill-router/src/members.rs
@@ -3,10 +3,10 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::PoisonError;
 use std::sync::RwLock;
 use std::sync::RwLockReadGuard;
 use std::sync::RwLockWriteGuard;
-use std::sync::PoisonError;
 use std::time::Duration;
 
 use carawayrill_core::id::DataCentreId;
@@ -49,7 +49,13 @@
             }
             _ => None,
         };
-        rows.insert(member.router.clone(), Row { member: Arc::new(member), silent_since });
+        rows.insert(
+            member.router.clone(),
+            Row {
+                member: Arc::new(member),
+                silent_since,
+            },
+        );
     }
 
     /// Takes a router out.
@@ -72,13 +78,20 @@
     /// Returns all routers.
     #[must_use]
     pub fn all(&self) -> Vec<Arc<Member>> {
-        self.read().values().map(|row| Arc::clone(&row.member)).collect()
+        self.read()
+            .values()
+            .map(|row| Arc::clone(&row.member))
+            .collect()
     }
 
     /// Notes whether a call to a router got an answer.
     pub fn note_call(&self, router: &RouterId, answered: bool, now: Time) {
         if let Some(row) = self.write().get_mut(router) {
-            row.silent_since = if answered { None } else { Some(row.silent_since.unwrap_or(now)) };
+            row.silent_since = if answered {
+                None
+            } else {
+                Some(row.silent_since.unwrap_or(now))
+            };
         }
     }
 
--- a/crates/carawayrill-router/src/membership.rs
+++ b/crates/carawayrill-router/src/membership.rs
@@ -51,7 +51,9 @@
     let value = Bytes::from(value);
     // An earlier write may have taken effect without an answer: reading first settles that.
     let found = cx.store.get(&name).await?;
-    let version = found.as_ref().map_or_else(Version::default, |object| object.version);
+    let version = found
+        .as_ref()
+        .map_or_else(Version::default, |object| object.version);
     if found.is_some_and(|object| object.value == value) {
         return Ok(version);
     }
@@ -99,7 +101,9 @@
 }
 
 async fn send(cx: &Context, relay: &RouterId, beat: wire::HeartbeatRequest) {
-    let Some(address) = cx.members.peer(relay) else { return };
+    let Some(address) = cx.members.peer(relay) else {
+        return;
+    };
     let mut req = tonic::Request::new(beat);
     req.set_timeout(HEARTBEAT_TIMEOUT);
     let reply = cx.peers.router(address).heartbeat(req).await;
--- a/crates/carawayrill-router/src/peer/convert.rs
+++ b/crates/carawayrill-router/src/peer/convert.rs
@@ -26,13 +26,19 @@
 #[must_use]
 pub fn stamp() -> Option<wire::Stamp> {
     let stamp = carawayrill_telemetry::stamp();
-    Some(wire::Stamp { wall: stamp.wall, count: stamp.count })
+    Some(wire::Stamp {
+        wall: stamp.wall,
+        count: stamp.count,
+    })
 }
 
 /// Takes in the stamp of a received message.
 pub fn observe(stamp: Option<wire::Stamp>) {
     if let Some(stamp) = stamp {
-        carawayrill_telemetry::observe(Stamp { wall: stamp.wall, count: stamp.count });
+        carawayrill_telemetry::observe(Stamp {
+            wall: stamp.wall,
+            count: stamp.count,
+        });
     }
 }
 
@@ -59,7 +65,11 @@
 
 /// Reads a text that stands empty for "none".
 fn optional<T: std::str::FromStr>(text: &str) -> Result<Option<T>, T::Err> {
-    if text.is_empty() { Ok(None) } else { text.parse().map(Some) }
+    if text.is_empty() {
+        Ok(None)
+    } else {
+        text.parse().map(Some)
+    }
 }
 
 fn text_of<T: ToString>(value: Option<&T>) -> String {
@@ -112,7 +122,9 @@
         idempotency_key: (!req.idempotency_key.is_empty())
             .then(|| CompactString::from(req.idempotency_key)),
         caller: req.caller.into(),
-        on_behalf: server.zip(token).map(|(server, token)| OnBehalf { server, token }),
+        on_behalf: server
+            .zip(token)
+            .map(|(server, token)| OnBehalf { server, token }),
     })
 }
 
@@ -179,5 +191,8 @@
         version: Version(object.version),
         value: object.value,
     });
-    Changes { revision: Revision(reply.revision), objects: objects.collect() }
+    Changes {
+        revision: Revision(reply.revision),
+        objects: objects.collect(),
+    }
 }
--- a/crates/carawayrill-router/src/peer/pool.rs
+++ b/crates/carawayrill-router/src/peer/pool.rs
@@ -42,7 +42,10 @@
 
     fn channel(&self, address: SocketAddr) -> Channel {
         let mut channels = self.channels.lock().unwrap_or_else(PoisonError::into_inner);
-        channels.entry(address).or_insert_with(|| connect(address)).clone()
+        channels
+            .entry(address)
+            .or_insert_with(|| connect(address))
+            .clone()
     }
 
     /// Forgets connections to addresses that `keep` does not hold.
--- a/crates/carawayrill-router/src/peer/service.rs
+++ b/crates/carawayrill-router/src/peer/service.rs
@@ -40,7 +40,12 @@
         versions: Arc<VersionReader>,
         beats: Arc<HeartbeatTable>,
     ) -> Self {
-        Self { cx, home, versions, beats }
+        Self {
+            cx,
+            home,
+            versions,
+            beats,
+        }
     }
 }
 
@@ -76,7 +81,10 @@
         let wire = request.into_inner();
         convert::observe(wire.stamp);
         let kept = self.home.keep_mirror(&self.cx, wire);
-        Ok(Response::new(wire::MirrorReply { kept, incarnation: self.cx.incarnation.0 }))
+        Ok(Response::new(wire::MirrorReply {
+            kept,
+            incarnation: self.cx.incarnation.0,
+        }))
     }
 
     async fn heartbeat(
@@ -111,11 +119,18 @@
             .await
             .map_err(|err| Status::unavailable(err.to_string()))?;
         let now = self.cx.now();
-        let oldest = reads.iter().map(|read| now.since(read.started)).max().unwrap_or_default();
-        let versions = names.iter().zip(&reads).map(|(name, read)| wire::ObjectVersion {
-            name: name.to_string(),
-            version: read.version.0,
-        });
+        let oldest = reads
+            .iter()
+            .map(|read| now.since(read.started))
+            .max()
+            .unwrap_or_default();
+        let versions = names
+            .iter()
+            .zip(&reads)
+            .map(|(name, read)| wire::ObjectVersion {
+                name: name.to_string(),
+                version: read.version.0,
+            });
         Ok(Response::new(wire::CheckVersionsReply {
             stamp: convert::stamp(),
             versions: versions.collect(),
@@ -129,11 +144,10 @@
     ) -> Result<Response<wire::WatchReply>, Status> {
         let wire = request.into_inner();
         convert::observe(wire.stamp);
-        let cache = self
-            .cx
-            .caches
-            .find(&wire.prefix)
-            .ok_or_else(|| Status::not_found(format!("no copy of `{}` is kept", wire.prefix)))?;
+        let cache =
+            self.cx.caches.find(&wire.prefix).ok_or_else(|| {
+                Status::not_found(format!("no copy of `{}` is kept", wire.prefix))
+            })?;
         let wait = Duration::from_millis(wire.wait_ms).min(MAX_WATCH_WAIT);
         let changes = cache.wait_after(Revision(wire.after), wait).await;
         Ok(Response::new(convert::changes_to_wire(changes)))
@@ -146,7 +160,10 @@
         let wire = request.into_inner();
         convert::observe(wire.stamp);
         let released = self.home.control().release(&self.cx, wire).await;
-        Ok(Response::new(wire::ReleaseReply { stamp: convert::stamp(), released }))
+        Ok(Response::new(wire::ReleaseReply {
+            stamp: convert::stamp(),
+            released,
+        }))
     }
 
     async fn promise(
@@ -156,7 +173,10 @@
         let wire = request.into_inner();
         convert::observe(wire.stamp);
         let promised = self.home.control().promise(&self.cx, wire).await;
-        Ok(Response::new(wire::PromiseReply { stamp: convert::stamp(), promised }))
+        Ok(Response::new(wire::PromiseReply {
+            stamp: convert::stamp(),
+            promised,
+        }))
     }
 
     async fn status(
--- a/crates/carawayrill-router/src/relay.rs
+++ b/crates/carawayrill-router/src/relay.rs
@@ -16,7 +16,6 @@
 use carawayrill_core::time::Time;
 use carawayrill_proto::wire;
 use carawayrill_store::Error;
-use carawayrill_store::port::ObjectStore;
 use compact_str::CompactString;
 use compact_str::format_compact;
 use futures_util::future::join_all;
@@ -60,15 +59,27 @@
         let mut reads = self.reads.lock().await;
         let now = cx.now();
         let is_fresh = |name: &&CompactString| {
-            reads.get(*name).is_some_and(|read| now.since(read.started) <= SHARED_READ)
+            reads
+                .get(*name)
+                .is_some_and(|read| now.since(read.started) <= SHARED_READ)
         };
-        let stale: Vec<_> = names.iter().filter(|name| !is_fresh(name)).cloned().collect();
+        let stale: Vec<_> = names
+            .iter()
+            .filter(|name| !is_fresh(name))
+            .cloned()
+            .collect();
         let answers = join_all(stale.iter().map(|name| cx.store.version(name))).await;
         for (name, answer) in stale.into_iter().zip(answers) {
-            let read = VersionRead { version: answer?, started: now };
+            let read = VersionRead {
+                version: answer?,
+                started: now,
+            };
             reads.insert(name, read);
         }
-        Ok(names.iter().filter_map(|name| reads.get(name).copied()).collect())
+        Ok(names
+            .iter()
+            .filter_map(|name| reads.get(name).copied())
+            .collect())
     }
 }
 
--- a/crates/carawayrill-router/src/run.rs
+++ b/crates/carawayrill-router/src/run.rs
@@ -11,6 +11,7 @@
 use carawayrill_proto::wire::router_server::RouterServer;
 use carawayrill_store::http_servers::HttpServers;
 use carawayrill_store::http_store::HttpStore;
+use carawayrill_store::url;
 use poem::listener::Acceptor;
 use poem::listener::Listener;
 use poem::listener::TcpListener;
@@ -49,10 +50,17 @@
         .map_err(|err| Error::settings(err.to_string()))?;
     carawayrill_telemetry::init(node)?;
     let metrics = carawayrill_telemetry::metrics(settings.statsd)?;
-    let store = HttpStore::new(settings.store).map_err(|err| Error::settings(err.to_string()))?;
+    let store = url::address_of(&settings.store)
+        .and_then(HttpStore::new)
+        .map_err(|err| Error::settings(err.to_string()))?;
     let servers = HttpServers::new().map_err(|err| Error::settings(err.to_string()))?;
     let incarnation = clock::new_incarnation();
-    let cx = Arc::new(Context::new(settings, incarnation, Arc::new(store), metrics));
+    let cx = Arc::new(Context::new(
+        settings,
+        incarnation,
+        Arc::new(store),
+        metrics,
+    ));
     let versions = Arc::new(VersionReader::default());
     let control = Control::new(&cx, Arc::new(servers), Arc::clone(&versions));
     let home = Arc::new(Home::new(control));
@@ -85,7 +93,9 @@
 type Listening = tokio::task::JoinHandle<Result<(), Error>>;
 
 async fn finish(listening: Listening) -> Result<(), Error> {
-    listening.await.unwrap_or_else(|err| Err(Error::serve(err.to_string())))
+    listening
+        .await
+        .unwrap_or_else(|err| Err(Error::serve(err.to_string())))
 }
 
 async fn serve_peers(
@@ -100,7 +110,9 @@
     let service = RouterServer::new(service)
         .max_decoding_message_size(MAX_MESSAGE_BYTES)
         .max_encoding_message_size(MAX_MESSAGE_BYTES);
-    let server = tonic::transport::Server::builder().tcp_nodelay(true).add_service(service);
+    let server = tonic::transport::Server::builder()
+        .tcp_nodelay(true)
+        .add_service(service);
     Ok(tokio::spawn(async move {
         let until = async move {
             // An error means that the sender is gone, which also ends the serving.
@@ -142,7 +154,11 @@
     }
     let entry = Arc::clone(cx);
     tokio::spawn(async move { membership::register(&entry).await });
-    tokio::spawn(membership::heartbeats(Arc::clone(cx), Arc::clone(home), Arc::clone(beats)));
+    tokio::spawn(membership::heartbeats(
+        Arc::clone(cx),
+        Arc::clone(home),
+        Arc::clone(beats),
+    ));
     tokio::spawn(relay::report(Arc::clone(cx), Arc::clone(beats)));
     let (cx, home) = (Arc::clone(cx), Arc::clone(home));
     tokio::spawn(async move { home.control().run(cx).await });
--- a/crates/carawayrill-router/src/status.rs
+++ b/crates/carawayrill-router/src/status.rs
@@ -1,5 +1,7 @@
 //! What a router tells operators about itself.
 
+use std::sync::atomic::Ordering;
+
 use carawayrill_core::assignment::Assignment;
 use carawayrill_core::data;
 use carawayrill_core::id::DataCentreId;
@@ -8,8 +10,6 @@
 use carawayrill_core::id::RouterId;
 use carawayrill_core::id::ShardId;
 
-use std::sync::atomic::Ordering;
-
 use crate::context::Context;
 use crate::feed;
 
@@ -54,7 +54,11 @@
 fn assignments(cx: &Context, shard: &str) -> Vec<Assignment> {
     let routes = cx.routes();
     if let Ok(shard) = shard.parse::<ShardId>() {
-        return routes.row(&shard).map(|row| Assignment::clone(row)).into_iter().collect();
+        return routes
+            .row(&shard)
+            .map(|row| Assignment::clone(row))
+            .into_iter()
+            .collect();
     }
     let mut rows: Vec<_> = routes
         .rows()
--- a/crates/carawayrill-store/src/lib.rs
+++ b/crates/carawayrill-store/src/lib.rs
@@ -12,5 +12,7 @@
 pub mod memory;
 pub mod port;
 
+pub mod url;
+
 pub use crate::error::Error;
 pub use crate::error::Fate;
--- a/crates/carawayrill-testkit/src/fleet/process.rs
+++ b/crates/carawayrill-testkit/src/fleet/process.rs
@@ -31,7 +31,11 @@
 
 /// Returns the path of one of this workspace's binaries: beside the running program, or one folder
 /// up for test programs.
-fn binary(program: &str) -> Result<PathBuf, Error> {
+///
+/// # Errors
+///
+/// Fails if it is not there.
+pub fn binary(program: &str) -> Result<PathBuf, Error> {
     let own = env::current_exe()?;
     let folders = own.ancestors().skip(1).take(2);
     let mut paths = folders.map(|folder| folder.join(program));
