Add the stand-ins of store, servers and VM list

Small processes with faults on demand, for the demo, the failure tests and the measurements. Servers check token and clock when a request starts to run. An answer that breaks off is made by cutting its connection: an error in a poem body stream ends the chunked body as if it were whole (seen with curl, exit 0), so that the test for broken answers failed with it.

--- /dev/null
+++ b/crates/carawayrill-testkit/src/bin/standin-server.rs
@@ -0,0 +1,120 @@
+//! Stand-ins of servers, several in one process.
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::str::FromStr;
+use std::time::Duration;
+
+use bpaf::OptionParser;
+use bpaf::Parser;
+use bpaf::construct;
+use bpaf::long;
+use carawayrill_core::id::ServerId;
+use carawayrill_testkit::process;
+use carawayrill_testkit::server;
+use carawayrill_testkit::server::Settings;
+
+/// One server of this process, written `id=address`.
+#[derive(Debug, Clone)]
+struct Place {
+    id: ServerId,
+    address: SocketAddr,
+}
+
+impl FromStr for Place {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        let (id, address) = text.split_once('=').ok_or("expected `id=address`")?;
+        Ok(Self {
+            id: id.parse().map_err(|err| format!("{err}"))?,
+            address: address.parse().map_err(|err| format!("{err}"))?,
+        })
+    }
+}
+
+/// The command line.
+#[derive(Debug, Clone)]
+struct Args {
+    server: Vec<Place>,
+    slots: u32,
+    queue: u32,
+    connections: usize,
+    service_ms: u64,
+    cold_start_ms: u64,
+    no_fencing: bool,
+}
+
+/// An option with a number.
+fn number<T>(name: &'static str, help: &'static str, default: T) -> impl Parser<T>
+where
+    T: FromStr<Err: std::fmt::Display> + std::fmt::Display + Clone + 'static,
+{
+    long(name)
+        .help(help)
+        .argument::<T>("N")
+        .fallback(default)
+        .display_fallback()
+}
+
+fn args() -> OptionParser<Args> {
+    let server = long("server")
+        .help("A server and where it listens, as in `forms-1=127.0.0.1:7101`; may be given many times")
+        .argument("ID=ADDRESS")
+        .some("at least one --server is needed");
+    let slots = number("slots", "Requests that a server runs at a time", 6);
+    let queue = number(
+        "queue",
+        "Requests that may wait in a server; it sheds those beyond",
+        64,
+    );
+    let connections = number("connections", "Connections that a server takes", 130);
+    let service_ms = number("service-ms", "How long a request runs, in milliseconds", 1);
+    let cold_start_ms = number(
+        "cold-start-ms",
+        "How long after its start a server is slower, in milliseconds",
+        0,
+    );
+    let no_fencing = long("no-fencing")
+        .help("Check no tokens: obey all orders and run all requests")
+        .switch();
+    construct!(Args {
+        server,
+        slots,
+        queue,
+        connections,
+        service_ms,
+        cold_start_ms,
+        no_fencing,
+    })
+    .to_options()
+    .descr("Stands in for servers that own keys under fenced grants")
+    .version(env!("CARGO_PKG_VERSION"))
+}
+
+impl Args {
+    fn settings(&self, id: ServerId) -> Settings {
+        Settings {
+            id,
+            slots: self.slots,
+            queue: self.queue,
+            connections: self.connections,
+            service_time: Duration::from_millis(self.service_ms),
+            cold_start: Duration::from_millis(self.cold_start_ms),
+            fencing: !self.no_fencing,
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    let args = args().run();
+    process::main("standin-server", async move {
+        let mut running = Vec::new();
+        for place in &args.server {
+            let listener = process::listen(place.address).await?;
+            let (_server, one) = server::start(listener, args.settings(place.id.clone()))?;
+            running.push(one);
+        }
+        process::until_stopped(running).await
+    })
+}
--- a/crates/carawayrill-testkit/src/lib.rs
+++ b/crates/carawayrill-testkit/src/lib.rs
@@ -1,1 +1,26 @@
-//! Placeholder.
+//! Stand-ins of the outside systems, as small processes with faults on demand.
+//!
+//! Each stand-in speaks the protocol of `docs/PROTOCOLS.md` and takes orders for faults under
+//! `/control/`. Tests start the same stand-ins within their own process on a free port:
+//!
+//! ```
+//! use carawayrill_store::http_store::HttpStore;
+//! use carawayrill_store::memory::MemoryStore;
+//! use carawayrill_store::port::ObjectStore;
+//! use carawayrill_testkit::store;
+//! use tokio::net::TcpListener;
+//!
+//! # tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime").block_on(async {
+//! let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+//! let running = store::start(listener, MemoryStore::new()).expect("a store");
+//! let client = HttpStore::new(running.address).expect("a client");
+//! assert!(client.get("config/head").await.expect("an answer").is_none());
+//! # });
+//! ```
+
+pub mod connections;
+pub mod process;
+pub mod serve;
+pub mod server;
+pub mod store;
+pub mod vms;
--- /dev/null
+++ b/crates/carawayrill-testkit/src/process.rs
@@ -0,0 +1,73 @@
+//! What the main functions of the stand-ins share.
+
+use std::io;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+
+use carawayrill_core::event::EventKind;
+use carawayrill_core::id::Incarnation;
+use carawayrill_core::id::NodeId;
+use carawayrill_telemetry::emit;
+use carawayrill_telemetry::wall_now;
+use tokio::net::TcpListener;
+
+use crate::serve;
+use crate::serve::Running;
+
+/// Runs `work` on a runtime of its own and turns its error into a message and an exit code.
+pub fn main<F>(node: &str, work: F) -> ExitCode
+where
+    F: Future<Output = io::Result<()>>,
+{
+    match run(node, work) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            log::error!("{err}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run<F>(node: &str, work: F) -> io::Result<()>
+where
+    F: Future<Output = io::Result<()>>,
+{
+    let id: NodeId = node.parse().map_err(io::Error::other)?;
+    carawayrill_telemetry::init(id).map_err(io::Error::other)?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()?;
+    runtime.block_on(work)
+}
+
+/// Listens on `address`, which is named in the error if that fails.
+///
+/// # Errors
+///
+/// Fails if the address is taken or is not one of this machine.
+pub async fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let named = |err| io::Error::other(format!("can't listen on {address}: {err}"));
+    TcpListener::bind(address).await.map_err(named)
+}
+
+/// Tells that the process serves, waits until it is asked to stop, and stops gracefully.
+///
+/// # Errors
+///
+/// Fails if one of the endpoints failed.
+pub async fn until_stopped(running: Vec<Running>) -> io::Result<()> {
+    for one in &running {
+        log::info!("listening on {}", one.address);
+    }
+    emit(EventKind::Started {
+        role: "stand-in".into(),
+        incarnation: Incarnation(wall_now().0),
+    });
+    serve::asked_to_stop().await?;
+    emit(EventKind::Stopping { in_flight: 0 });
+    for one in running {
+        one.stop().await?;
+    }
+    emit(EventKind::Stopped { cut_off: 0 });
+    Ok(())
+}
--- /dev/null
+++ b/crates/carawayrill-testkit/src/server/mod.rs
@@ -0,0 +1,301 @@
+//! The stand-in of a server: it owns keys under fenced grants and runs requests in its slots.
+
+pub mod faults;
+pub mod records;
+mod request;
+mod run;
+
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use carawayrill_core::data;
+use carawayrill_core::id::Incarnation;
+use carawayrill_core::id::KeyHash;
+use carawayrill_core::id::ServerId;
+use carawayrill_core::order::LoadReport;
+use carawayrill_core::order::OrderReply;
+use carawayrill_core::ownership::server::FenceTable;
+use carawayrill_core::time::ServerTime;
+use carawayrill_store::http_servers::WireCancel;
+use carawayrill_store::http_servers::WireOrders;
+use carawayrill_telemetry::wall_now;
+use compact_str::CompactString;
+use poem::Endpoint;
+use poem::Request;
+use poem::Response;
+use poem::http::StatusCode;
+use tokio::net::TcpListener;
+use tokio::sync::Semaphore;
+use tokio::sync::watch;
+
+use crate::connections::Connections;
+use crate::serve;
+use crate::serve::Running;
+use crate::server::faults::Fault;
+use crate::server::faults::FaultOrder;
+use crate::server::faults::Faults;
+use crate::server::records::Records;
+
+/// Clocks of different servers differ by up to this, so that nobody may compare them.
+const CLOCK_SPREAD_MS: u64 = 1_000_000;
+
+/// What a stand-in server is like.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Settings {
+    /// Its name.
+    pub id: ServerId,
+    /// Requests that it runs at a time.
+    pub slots: u32,
+    /// Requests that may wait for a slot; it sheds those beyond.
+    pub queue: u32,
+    /// Connections that it takes.
+    pub connections: usize,
+    /// How long a request runs.
+    pub service_time: Duration,
+    /// How long after its start requests run longer: at first four times as long, then less.
+    pub cold_start: Duration,
+    /// Whether it checks tokens.
+    pub fencing: bool,
+}
+
+impl Settings {
+    /// Returns the settings of a server with 6 slots and 130 connections whose requests run for
+    /// 1 ms.
+    #[must_use]
+    pub fn new(id: ServerId) -> Self {
+        Self {
+            id,
+            slots: 6,
+            queue: 64,
+            connections: 130,
+            service_time: Duration::from_millis(1),
+            cold_start: Duration::ZERO,
+            fencing: true,
+        }
+    }
+}
+
+data! {
+    /// Counts of what a server has done, as read from `/control/stats`.
+    #[derive(Default)]
+    pub struct Stats {
+        /// Requests that started to run.
+        pub runs: u64,
+        /// Requests that had to wait for a slot.
+        pub waited: u64,
+        /// Requests that were refused, by reason.
+        pub refused: HashMap<CompactString, u64>,
+        /// The most requests that ran at a time.
+        pub most_running: u32,
+        /// The most connections that were open at a time, as seen when requests arrived.
+        pub most_connections: usize,
+        /// Whether the server asks for no new work.
+        pub draining: bool,
+    }
+}
+
+/// What changes while a server runs.
+#[derive(Debug)]
+struct State {
+    fence: FenceTable,
+    records: Records,
+    stats: Stats,
+    load: LoadReport,
+    /// Requests that wait or run, each with the switch that cancels it.
+    pending: HashMap<CompactString, watch::Sender<bool>>,
+    /// The id of the last request that was answered.
+    last: CompactString,
+}
+
+#[derive(Debug)]
+struct Inner {
+    settings: Settings,
+    incarnation: Incarnation,
+    started: Instant,
+    clock_offset: u64,
+    slots: Semaphore,
+    faults: Faults,
+    connections: Connections,
+    state: Mutex<State>,
+}
+
+/// A stand-in server. Clones are the same server.
+#[derive(Debug, Clone)]
+pub struct StandInServer {
+    inner: Arc<Inner>,
+}
+
+/// Serves a new server on `listener`.
+///
+/// # Errors
+///
+/// Fails if the listener has no local address.
+pub fn start(listener: TcpListener, settings: Settings) -> io::Result<(StandInServer, Running)> {
+    let server = StandInServer::new(settings);
+    let connections = server.inner.connections.clone();
+    let running = serve::serve(listener, connections, server.clone())?;
+    Ok((server, running))
+}
+
+impl StandInServer {
+    /// Makes a server that holds no grant, in a new run.
+    #[must_use]
+    pub fn new(settings: Settings) -> Self {
+        let incarnation = Incarnation(wall_now().0);
+        let state = State {
+            fence: FenceTable::new(settings.id.clone(), incarnation).checking(settings.fencing),
+            records: Records::default(),
+            stats: Stats::default(),
+            load: LoadReport::default(),
+            pending: HashMap::new(),
+            last: CompactString::default(),
+        };
+        let inner = Inner {
+            incarnation,
+            started: Instant::now(),
+            clock_offset: KeyHash::of(settings.id.as_str().as_bytes()).0 % CLOCK_SPREAD_MS,
+            slots: Semaphore::new(settings.slots as usize),
+            faults: Faults::default(),
+            connections: Connections::new(settings.connections),
+            state: Mutex::new(state),
+            settings,
+        };
+        Self {
+            inner: Arc::new(inner),
+        }
+    }
+
+    /// Asks for no new work from now on, or takes that back.
+    pub fn drain(&self, draining: bool) {
+        let mut state = self.inner.lock();
+        state.load.draining = draining;
+        state.stats.draining = draining;
+    }
+
+    /// Replaces the fault in force.
+    pub fn set_fault(&self, order: FaultOrder) {
+        self.inner.faults.set(order);
+    }
+
+    /// Returns the counts so far.
+    #[must_use]
+    pub fn stats(&self) -> Stats {
+        self.inner.lock().stats.clone()
+    }
+}
+
+impl Inner {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Reads the server's own clock.
+    fn clock(&self) -> ServerTime {
+        ServerTime(self.clock_offset) + self.started.elapsed()
+    }
+
+    async fn answer(self: Arc<Self>, mut req: Request) -> Response {
+        let peer = req.remote_addr().as_socket_addr().copied();
+        let path = req.uri().path().to_owned();
+        match path.as_str() {
+            "/carawayrill/orders" => match serve::read_json(&mut req).await {
+                Ok(orders) => self.obey(&orders, peer).await,
+                Err(answer) => answer,
+            },
+            "/carawayrill/cancel" => match serve::read_json(&mut req).await {
+                Ok(cancel) => self.cancel(&cancel).await,
+                Err(answer) => answer,
+            },
+            _ => match path.strip_prefix("/control/") {
+                Some(call) => self.control(call, req).await,
+                None => self.request(req, peer).await,
+            },
+        }
+    }
+
+    /// Takes an order of the test.
+    async fn control(&self, call: &str, mut req: Request) -> Response {
+        let after = serve::query(&req, "after").and_then(|text| text.parse().ok());
+        match call {
+            "fault" => match serve::read_json(&mut req).await {
+                Ok(order) => {
+                    self.faults.set(order);
+                    serve::text(StatusCode::OK, "")
+                }
+                Err(answer) => answer,
+            },
+            "records" => {
+                let state = self.lock();
+                let id = self.settings.id.clone();
+                let page = state
+                    .records
+                    .page(id, self.incarnation, after.unwrap_or_default());
+                drop(state);
+                serve::json(&page)
+            }
+            "stats" => serve::json(&self.lock().stats),
+            "drain" | "undrain" => {
+                let mut state = self.lock();
+                state.load.draining = call == "drain";
+                state.stats.draining = state.load.draining;
+                serve::text(StatusCode::OK, "")
+            }
+            _ => serve::text(StatusCode::NOT_FOUND, "no such call"),
+        }
+    }
+
+    /// Obeys orders in turn.
+    async fn obey(&self, orders: &WireOrders, peer: Option<SocketAddr>) -> Response {
+        self.faults.thawed().await;
+        let reply = self.acknowledge(orders);
+        if let Some(peer) = peer
+            && !orders.orders.is_empty()
+            && self.faults.hit(Fault::LoseAck).is_some()
+        {
+            self.connections.cut(peer);
+        }
+        serve::json(&reply)
+    }
+
+    fn acknowledge(&self, orders: &WireOrders) -> OrderReply {
+        let mut state = self.lock();
+        let reply = state.fence.apply(self.clock(), &orders.orders);
+        let mut load = state.load;
+        drop(state);
+        if self.faults.hit(Fault::LieLoad).is_some() {
+            load = LoadReport {
+                draining: load.draining,
+                ..LoadReport::default()
+            };
+        }
+        OrderReply { load, ..reply }
+    }
+
+    /// Stops a request that waits or runs.
+    async fn cancel(&self, cancel: &WireCancel) -> Response {
+        self.faults.thawed().await;
+        if let Some(switch) = self.lock().pending.get(cancel.request.as_str()) {
+            switch.send_replace(true);
+        }
+        serve::text(StatusCode::OK, "")
+    }
+}
+
+impl Endpoint for StandInServer {
+    type Output = Response;
+
+    async fn call(&self, req: Request) -> poem::Result<Response> {
+        let inner = Arc::clone(&self.inner);
+        // A task of its own: a server goes on with what it was sent even if its caller goes away.
+        let answer = tokio::spawn(inner.answer(req)).await;
+        Ok(answer
+            .unwrap_or_else(|err| serve::text(StatusCode::INTERNAL_SERVER_ERROR, &err.to_string())))
+    }
+}
--- /dev/null
+++ b/crates/carawayrill-testkit/src/server/run.rs
@@ -0,0 +1,292 @@
+//! The way of one request through a server: queue, check, run, answer.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use carawayrill_core::id::ShardId;
+use carawayrill_core::token::Token;
+use compact_str::CompactString;
+use compact_str::format_compact;
+use futures_util::StreamExt;
+use futures_util::stream;
+use poem::Body;
+use poem::Request;
+use poem::Response;
+use tokio::sync::SemaphorePermit;
+use tokio::sync::watch;
+
+use crate::server::Inner;
+use crate::server::faults::Fault;
+use crate::server::records::Run;
+use crate::server::records::RunEnd;
+use crate::server::request;
+use crate::server::request::AnswerBody;
+use crate::server::request::Incoming;
+use crate::server::request::Refusal;
+
+/// How many times as long a request runs on a server that has just started.
+const COLD_FACTOR: f64 = 4.0;
+
+/// The pause between the halves of an answer that breaks off.
+const HALF_BODY_PAUSE: Duration = Duration::from_millis(20);
+
+/// A request that has started to run.
+#[derive(Debug, Clone, Copy)]
+struct Started {
+    number: usize,
+}
+
+impl Inner {
+    /// Takes a request of a caller.
+    pub(super) async fn request(
+        self: Arc<Self>,
+        req: Request,
+        peer: Option<SocketAddr>,
+    ) -> Response {
+        let incoming = match request::receive(req).await {
+            Ok(incoming) => incoming,
+            Err(answer) => return answer,
+        };
+        self.faults.thawed().await;
+        let answer = match self.admit(&incoming) {
+            Ok(cancelled) => self.queue_and_run(&incoming, cancelled, peer).await,
+            Err(refusal) => return self.refuse(refusal, &incoming),
+        };
+        self.forget(&incoming);
+        answer
+    }
+
+    /// Takes a request out of the table of those that wait or run.
+    fn forget(&self, incoming: &Incoming) {
+        let mut state = self.lock();
+        state.pending.remove(&incoming.request);
+        state.last.clone_from(&incoming.request);
+    }
+
+    /// Lets a request in to wait for a slot.
+    fn admit(&self, incoming: &Incoming) -> Result<watch::Receiver<bool>, Refusal> {
+        if self.faults.hit(Fault::Shed).is_some() {
+            return Err(Refusal::Shed);
+        }
+        let mut state = self.lock();
+        if state.load.draining {
+            return Err(Refusal::Draining);
+        }
+        if state.load.queued >= self.settings.queue {
+            return Err(Refusal::Shed);
+        }
+        let connections = self.connections.count();
+        state.stats.most_connections = state.stats.most_connections.max(connections);
+        let (switch, cancelled) = watch::channel(false);
+        state.pending.insert(incoming.request.clone(), switch);
+        Ok(cancelled)
+    }
+
+    fn refuse(&self, refusal: Refusal, incoming: &Incoming) -> Response {
+        let mut state = self.lock();
+        *state
+            .stats
+            .refused
+            .entry(refusal.word().into())
+            .or_default() += 1;
+        drop(state);
+        request::refuse(refusal, &incoming.request)
+    }
+
+    async fn queue_and_run(
+        &self,
+        incoming: &Incoming,
+        mut cancelled: watch::Receiver<bool>,
+        peer: Option<SocketAddr>,
+    ) -> Response {
+        let slot = match self.slot(incoming, &mut cancelled).await {
+            Ok(slot) => slot,
+            Err(refusal) => return self.refuse(refusal, incoming),
+        };
+        self.faults.thawed().await;
+        let started = match self.start(incoming, &cancelled) {
+            Ok(started) => started,
+            Err(refusal) => return self.refuse(refusal, incoming),
+        };
+        let end = self.run(incoming, &mut cancelled).await;
+        self.faults.thawed().await;
+        self.end(incoming, started, end);
+        drop(slot);
+        self.done(incoming, started, end, peer).await
+    }
+
+    /// Waits for a free slot.
+    async fn slot(
+        &self,
+        incoming: &Incoming,
+        cancelled: &mut watch::Receiver<bool>,
+    ) -> Result<SemaphorePermit<'_>, Refusal> {
+        if let Ok(slot) = self.slots.try_acquire() {
+            return Ok(slot);
+        }
+        self.note_waiting();
+        let slot = tokio::select! {
+            slot = self.slots.acquire() => slot.map_err(|_closed| Refusal::Shed),
+            _ = cancelled.wait_for(|cancelled| *cancelled) => Err(Refusal::Cancelled),
+            () = tokio::time::sleep_until(incoming.deadline.into()) => Err(Refusal::Deadline),
+        };
+        self.lock().load.queued -= 1;
+        slot
+    }
+
+    fn note_waiting(&self) {
+        let mut state = self.lock();
+        state.load.queued += 1;
+        state.stats.waited += 1;
+    }
+
+    /// Checks a request and starts it, all at one moment.
+    fn start(
+        &self,
+        incoming: &Incoming,
+        cancelled: &watch::Receiver<bool>,
+    ) -> Result<Started, Refusal> {
+        let mut state = self.lock();
+        if *cancelled.borrow() {
+            return Err(Refusal::Cancelled);
+        }
+        if Instant::now() >= incoming.deadline {
+            return Err(Refusal::Deadline);
+        }
+        let now = self.clock();
+        if let Some((shard, token)) = self.claim(incoming)? {
+            state
+                .fence
+                .start(now, &shard, token)
+                .map_err(Refusal::from)?;
+        }
+        state.load.running += 1;
+        state.stats.runs += 1;
+        state.stats.most_running = state.stats.most_running.max(state.load.running);
+        let number = state.records.start(Run {
+            request: incoming.request.clone(),
+            shard: text(incoming.shard.as_ref()),
+            token: text(incoming.token.as_ref()),
+            path: incoming.path.clone(),
+            idempotency_key: incoming.idempotency_key.clone(),
+            started: now,
+            ended: now,
+            end: RunEnd::Running,
+        });
+        Ok(Started { number })
+    }
+
+    /// Returns the shard and token that a request claims to be for. A server that checks fencing
+    /// refuses a request without them.
+    fn claim(&self, incoming: &Incoming) -> Result<Option<(ShardId, Token)>, Refusal> {
+        match (&incoming.shard, incoming.token) {
+            (Some(shard), Some(token)) => Ok(Some((shard.clone(), token))),
+            _ if self.settings.fencing => Err(Refusal::NoGrant),
+            _ => Ok(None),
+        }
+    }
+
+    /// Spends the service time.
+    async fn run(&self, incoming: &Incoming, cancelled: &mut watch::Receiver<bool>) -> RunEnd {
+        tokio::select! {
+            () = tokio::time::sleep(self.service_time()) => RunEnd::Done,
+            _ = cancelled.wait_for(|cancelled| *cancelled) => RunEnd::Cancelled,
+            () = tokio::time::sleep_until(incoming.deadline.into()) => RunEnd::Deadline,
+        }
+    }
+
+    /// Returns how long a request runs now.
+    fn service_time(&self) -> Duration {
+        let slow = self.faults.hit(Fault::Slow).unwrap_or_default();
+        let cold = self.settings.cold_start;
+        let left = cold.saturating_sub(self.started.elapsed());
+        if left.is_zero() {
+            return self.settings.service_time + slow;
+        }
+        let share = left.as_secs_f64() / cold.as_secs_f64();
+        let factor = 1.0 + (COLD_FACTOR - 1.0) * share;
+        self.settings.service_time.mul_f64(factor) + slow
+    }
+
+    fn end(&self, incoming: &Incoming, started: Started, end: RunEnd) {
+        let now = self.clock();
+        let mut state = self.lock();
+        state.load.running -= 1;
+        state.records.end(started.number, end, now);
+        if let (Some(shard), Some(_)) = (&incoming.shard, incoming.token) {
+            state.fence.finish(shard);
+        }
+    }
+
+    /// Answers a request that has run.
+    async fn done(
+        &self,
+        incoming: &Incoming,
+        started: Started,
+        end: RunEnd,
+        peer: Option<SocketAddr>,
+    ) -> Response {
+        if let Some(delay) = self.faults.hit(Fault::LateAnswer) {
+            tokio::time::sleep(delay).await;
+        }
+        if let Some(peer) = peer
+            && self.faults.hit(Fault::LoseAnswer).is_some()
+        {
+            self.connections.cut(peer);
+        }
+        match end {
+            RunEnd::Running | RunEnd::Done => self.whole(incoming, started, peer),
+            // It ran in part: no refusal.
+            RunEnd::Cancelled => request::answer(499, &incoming.request).finish(),
+            RunEnd::Deadline => request::answer(504, &incoming.request).finish(),
+        }
+    }
+
+    /// Makes the whole answer, or the one that the fault in force makes of it.
+    fn whole(&self, incoming: &Incoming, started: Started, peer: Option<SocketAddr>) -> Response {
+        let mut named = incoming.request.clone();
+        if self.faults.hit(Fault::OtherAnswer).is_some() {
+            named.clone_from(&self.lock().last);
+        }
+        let body = AnswerBody {
+            server: self.settings.id.clone(),
+            service: incoming.service.clone(),
+            path: incoming.path.clone(),
+            token: text(incoming.token.as_ref()),
+            request: named.clone(),
+            body_hash: format_compact!("{:016x}", incoming.body_hash.0),
+            run: started.number as u64,
+        };
+        let body = serde_json::to_vec(&body).unwrap_or_default();
+        let answer = request::answer(200, &named).content_type("application/json");
+        if let Some(peer) = peer
+            && self.faults.hit(Fault::BreakOff).is_some()
+        {
+            let connections = self.connections.clone();
+            return answer.body(broken(&body, move || connections.cut(peer)));
+        }
+        answer.body(body)
+    }
+}
+
+/// Returns a body whose connection ends midway.
+fn broken(whole: &[u8], cut: impl FnOnce() + Send + 'static) -> Body {
+    let (first, second) = whole.split_at(whole.len() / 2);
+    let first = Bytes::copy_from_slice(first);
+    let second = Bytes::copy_from_slice(second);
+    let rest = stream::once(async move {
+        // Time for the first half to be written out.
+        tokio::time::sleep(HALF_BODY_PAUSE).await;
+        cut();
+        Ok::<_, io::Error>(second)
+    });
+    Body::from_bytes_stream(stream::once(async { Ok(first) }).chain(rest))
+}
+
+fn text<T: std::fmt::Display>(value: Option<&T>) -> CompactString {
+    value.map_or_else(CompactString::default, |value| format_compact!("{value}"))
+}
