--- a/crates/carawayrill-core/src/lib.rs
+++ b/crates/carawayrill-core/src/lib.rs
@@ -19,6 +19,7 @@
 //! assert_eq!(Term(5), reserved.term);
 //! ```
 
+pub mod answer;
 pub mod assignment;
 mod error;
 pub mod event;
@@ -29,6 +30,8 @@
 pub mod order;
 pub mod outcome;
 pub mod ownership;
+pub mod route;
+pub mod placement;
 pub mod time;
 pub mod token;
 pub mod unit;
