--- /dev/null
+++ b/crates/carawayrill-controller/src/config.rs
@@ -0,0 +1,19 @@
+//! Where the configuration comes from.
+
+use std::fmt::Debug;
+
+use async_trait::async_trait;
+use carawayrill_config::deployment::Deployment;
+
+use crate::Error;
+
+/// Reads the configuration in force.
+#[async_trait]
+pub trait ConfigSource: Debug + Send + Sync {
+    /// Reads the merged and checked configuration; `None` if none was accepted yet.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store can't be reached or what it holds does not pass the checks.
+    async fn read(&self) -> Result<Option<Deployment>, Error>;
+}
--- /dev/null
+++ b/crates/carawayrill-controller/src/error.rs
@@ -0,0 +1,87 @@
+//! The error of this layer.
+
+use std::fmt;
+use std::path::Path;
+
+use quick_error::quick_error;
+
+/// An error of the controller daemon.
+#[derive(Debug)]
+pub struct Error {
+    kind: ErrorKind,
+}
+
+quick_error! {
+    /// What went wrong. Private, so that kinds can be added without breaking callers.
+    #[derive(Debug)]
+    pub enum ErrorKind {
+        /// The settings file can't be used.
+        Settings { path: String, reason: String } {
+            display("settings file {path}: {reason}")
+        }
+        /// A call to the store failed.
+        Store(err: carawayrill_store::Error) {
+            display("store: {err}")
+            source(err)
+        }
+        /// An object of the store doesn't have the form of its kind.
+        Object { name: String, reason: String } {
+            display("object {name}: {reason}")
+        }
+        /// Events, metrics or the listening socket can't be set up.
+        Start { reason: String } {
+            display("can't start: {reason}")
+        }
+    }
+}
+
+impl Error {
+    /// Makes the error of a settings file that can't be used.
+    pub fn settings(path: &Path, reason: impl fmt::Display) -> Self {
+        Self {
+            kind: ErrorKind::Settings {
+                path: path.display().to_string(),
+                reason: reason.to_string(),
+            },
+        }
+    }
+
+    /// Makes the error of an object that doesn't have the form of its kind.
+    pub fn object(name: &str, reason: impl fmt::Display) -> Self {
+        Self {
+            kind: ErrorKind::Object {
+                name: name.to_owned(),
+                reason: reason.to_string(),
+            },
+        }
+    }
+
+    /// Makes the error of a process that can't start.
+    pub fn start(reason: impl fmt::Display) -> Self {
+        Self {
+            kind: ErrorKind::Start {
+                reason: reason.to_string(),
+            },
+        }
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.kind.fmt(f)
+    }
+}
+
+impl std::error::Error for Error {
+    fn source(&self) -> Option<&(dyn std::error::Error + 'static)> {
+        std::error::Error::source(&self.kind)
+    }
+}
+
+impl From<carawayrill_store::Error> for Error {
+    fn from(err: carawayrill_store::Error) -> Self {
+        Self {
+            kind: ErrorKind::Store(err),
+        }
+    }
+}
--- /dev/null
+++ b/crates/carawayrill-controller/src/heard.rs
@@ -0,0 +1,174 @@
+//! What routers said in their heartbeats, and how long ago.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use carawayrill_core::id::DataCentreId;
+use carawayrill_core::id::Incarnation;
+use carawayrill_core::id::RouterId;
+use carawayrill_core::id::ServerId;
+use carawayrill_core::id::ShardId;
+use carawayrill_core::id::KeyHash;
+use carawayrill_core::time::Time;
+use carawayrill_proto::wire;
+
+/// What a home says of one of its servers.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ServerView {
+    /// The server.
+    pub server: ServerId,
+    /// Whether the home holds it to be lost.
+    pub lost: bool,
+    /// Whether it asks for no new work.
+    pub draining: bool,
+}
+
+/// The load of one shard since the heartbeat before.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LoadView {
+    /// The shard.
+    pub shard: ShardId,
+    /// Requests.
+    pub requests: u64,
+    /// The hottest key and its share of the requests in thousandths, if one stands out.
+    pub hot: Option<(KeyHash, u32)>,
+    /// Bytes that crossed regions.
+    pub cross_region_bytes: u64,
+}
+
+/// One heartbeat.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Beat {
+    /// The router.
+    pub router: RouterId,
+    /// Its run.
+    pub incarnation: Incarnation,
+    /// Where it stands.
+    pub data_centre: DataCentreId,
+    /// Whether it leaves by plan.
+    pub draining: bool,
+    /// Its servers.
+    pub servers: Vec<ServerView>,
+    /// The load of its shards.
+    pub loads: Vec<LoadView>,
+}
+
+impl TryFrom<wire::HeartbeatRequest> for Beat {
+    type Error = carawayrill_core::Error;
+
+    fn try_from(req: wire::HeartbeatRequest) -> Result<Self, Self::Error> {
+        let servers = req.servers.into_iter().map(ServerView::try_from);
+        let loads = req.loads.into_iter().map(LoadView::try_from);
+        Ok(Self {
+            router: req.router.parse()?,
+            incarnation: Incarnation(req.incarnation),
+            data_centre: req.data_centre.parse()?,
+            draining: req.draining,
+            servers: servers.collect::<Result<_, _>>()?,
+            loads: loads.collect::<Result<_, _>>()?,
+        })
+    }
+}
+
+impl TryFrom<wire::ServerSeen> for ServerView {
+    type Error = carawayrill_core::Error;
+
+    fn try_from(seen: wire::ServerSeen) -> Result<Self, Self::Error> {
+        Ok(Self {
+            server: seen.server.parse()?,
+            lost: seen.lost,
+            draining: seen.draining,
+        })
+    }
+}
+
+impl TryFrom<wire::ShardLoad> for LoadView {
+    type Error = carawayrill_core::Error;
+
+    fn try_from(load: wire::ShardLoad) -> Result<Self, Self::Error> {
+        let hot = (load.hot_share > 0).then_some((KeyHash(load.hot_key), load.hot_share));
+        Ok(Self {
+            shard: load.shard.parse()?,
+            requests: load.requests,
+            hot,
+            cross_region_bytes: load.cross_region_bytes,
+        })
+    }
+}
+
+/// The last heartbeat of one router.
+#[derive(Debug, Clone)]
+pub struct Heard {
+    /// When it came in.
+    pub at: Time,
+    /// Who passed it on.
+    pub relay: RouterId,
+    /// What it said.
+    pub beat: Beat,
+}
+
+/// The last heartbeats of all routers.
+#[derive(Debug, Default)]
+pub struct HeardTable {
+    rows: BTreeMap<RouterId, Heard>,
+}
+
+impl HeardTable {
+    /// Takes in heartbeats that `relay` passed on at `now`. A heartbeat of an earlier run than
+    /// the one known is dropped: it was delayed.
+    pub fn on_report(&mut self, now: Time, relay: &RouterId, beats: Vec<Beat>) {
+        for beat in beats {
+            let known = self.rows.get(&beat.router);
+            if known.is_some_and(|old| old.beat.incarnation > beat.incarnation) {
+                continue;
+            }
+            let relay = relay.clone();
+            let heard = Heard { at: now, relay, beat };
+            self.rows.insert(heard.beat.router.clone(), heard);
+        }
+    }
+
+    /// Returns the last heartbeat of a router.
+    #[must_use]
+    pub fn get(&self, router: &RouterId) -> Option<&Heard> {
+        self.rows.get(router)
+    }
+
+    /// Returns all last heartbeats.
+    pub fn iter(&self) -> impl Iterator<Item = &Heard> {
+        self.rows.values()
+    }
+
+    /// Drops a router that is no member any more.
+    pub fn forget(&mut self, router: &RouterId) {
+        self.rows.remove(router);
+    }
+
+    /// Returns how long the run `incarnation` of a router has been silent, counted from `since`
+    /// if it was not heard after that; and the silence that makes it lost.
+    ///
+    /// Routers that a silent relay spoke for get the time that their data centre needs to find
+    /// that out and to take another relay; else the loss of one router would look like the loss
+    /// of its data centre.
+    #[must_use]
+    pub fn silence(
+        &self,
+        router: &RouterId,
+        incarnation: Incarnation,
+        since: Time,
+        now: Time,
+        limit: Duration,
+    ) -> (Duration, Duration) {
+        let heard = self
+            .rows
+            .get(router)
+            .filter(|heard| heard.beat.incarnation == incarnation);
+        let last = heard.map_or(since, |heard| heard.at.max(since));
+        let relay = heard.and_then(|heard| self.rows.get(&heard.relay));
+        let relay_silent = relay.is_some_and(|relay| {
+            relay.beat.router != *router && now.since(relay.at.max(since)) >= limit
+        });
+        let limit = if relay_silent { limit * 2 } else { limit };
+        (now.since(last), limit)
+    }
+}
--- /dev/null
+++ b/crates/carawayrill-controller/src/leader.rs
@@ -0,0 +1,247 @@
+//! The tasks of the daemon: keeping the lease, following the store, and acting while leading.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use carawayrill_core::id::Revision;
+use carawayrill_core::object::ASSIGNMENTS;
+use carawayrill_core::object::CONFIG_HEAD;
+use carawayrill_core::object::DRAINS;
+use carawayrill_core::object::LEASES;
+use carawayrill_core::object::MEMBERS;
+use carawayrill_store::port::Changes;
+use carawayrill_store::port::ObjectStore;
+use carawayrill_store::port::VmList;
+use carawayrill_store::port::VmState;
+use compact_str::CompactString;
+use compact_str::format_compact;
+use tokio::time::sleep;
+
+use crate::Error;
+use crate::blocks::BlockWrite;
+use crate::blocks::Written;
+use crate::blocks::events;
+use crate::blocks::write_block;
+use crate::config::ConfigSource;
+use crate::lease::LeaseRead;
+use crate::round::place_new;
+use crate::state::State;
+use crate::view::read;
+
+/// The parts of the store that a leader follows.
+pub const PREFIXES: [&str; 4] = [ASSIGNMENTS, MEMBERS, DRAINS, CONFIG_HEAD];
+/// How long a watch of the store waits.
+const WATCH_WAIT: Duration = Duration::from_secs(20);
+/// How long to wait after a failed call.
+const RETRY_AFTER: Duration = Duration::from_millis(200);
+/// How often a task looks whether this controller leads now.
+const IDLE_POLL: Duration = Duration::from_millis(50);
+/// How often the tables are judged.
+pub const TICK: Duration = Duration::from_millis(50);
+/// How often the list of VMs is read; it lags by more than that.
+const VM_LIST_EVERY: Duration = Duration::from_secs(1);
+
+/// The daemon: its tables and the outside systems.
+#[derive(Debug, Clone)]
+pub struct Leader {
+    /// The tables.
+    pub state: Arc<State>,
+    /// The platform's store.
+    pub store: Arc<dyn ObjectStore>,
+    /// Reads the configuration.
+    pub config: Arc<dyn ConfigSource>,
+    /// The index of the block of control work.
+    pub block: u32,
+}
+
+impl Leader {
+    /// Returns the name of the lease's object.
+    fn lease_name(&self) -> CompactString {
+        format_compact!("{LEASES}{}", self.block)
+    }
+
+    /// Keeps or awaits the lease, for ever.
+    pub async fn keep_lease(&self) {
+        loop {
+            let every = self.state.tables().lease.step_every();
+            if let Err(err) = self.step_lease().await {
+                log::warn!("lease: {err}");
+            }
+            self.follow_lease();
+            sleep(every).await;
+        }
+    }
+
+    /// Reads the lease, and writes it if it is held or may be taken.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store can't be reached; the next step tells what became of a write.
+    pub async fn step_lease(&self) -> Result<(), Error> {
+        let name = self.lease_name();
+        let object = self.store.get(&name).await?;
+        let found = object.map(|object| {
+            let version = object.version;
+            read(&object).map(|lease| LeaseRead { version, lease })
+        });
+        let now = self.state.now();
+        let put = self.state.tables().lease.on_read(now, found.transpose()?);
+        let Some(put) = put else { return Ok(()) };
+        let value = serde_json::to_vec(&put.lease).map_err(|err| Error::object(&name, err))?;
+        let version = self.store.put(&name, Bytes::from(value), put.expected).await?;
+        let now = self.state.now();
+        self.state.tables().lease.on_written(now, version);
+        Ok(())
+    }
+
+    /// Begins or ends to lead.
+    pub fn follow_lease(&self) {
+        let now = self.state.now();
+        let mut tables = self.state.tables();
+        if tables.follow_lease(now) {
+            log::info!("leads: {}", tables.leading_since.is_some());
+        }
+    }
+
+    /// Follows one part of the store while this controller leads, for ever.
+    pub async fn follow(&self, prefix: &'static str) {
+        let mut after = Revision(0);
+        loop {
+            if !self.is_leading() {
+                after = Revision(0);
+                sleep(IDLE_POLL).await;
+                continue;
+            }
+            if !self.state.tables().synced.contains(prefix) {
+                after = Revision(0);
+            }
+            match self.follow_once(prefix, after).await {
+                Ok(revision) => after = revision,
+                Err(err) => {
+                    log::warn!("watch of {prefix}: {err}");
+                    sleep(RETRY_AFTER).await;
+                }
+            }
+        }
+    }
+
+    /// Waits for one answer of a watch and takes it in.
+    async fn follow_once(&self, prefix: &'static str, after: Revision) -> Result<Revision, Error> {
+        let began = self.state.tables().leading_since;
+        let changes = self.store.watch(prefix, after, WATCH_WAIT).await?;
+        if prefix == CONFIG_HEAD && !changes.objects.is_empty() {
+            self.take_config().await?;
+        }
+        self.take_changes(prefix, &changes);
+        let mut tables = self.state.tables();
+        if began.is_some() && tables.leading_since == began {
+            tables.synced.insert(prefix);
+        }
+        Ok(changes.revision)
+    }
+
+    /// Takes the objects of a watch's answer into the tables.
+    fn take_changes(&self, prefix: &str, changes: &Changes) {
+        let now = self.state.now();
+        let mut tables = self.state.tables();
+        for object in &changes.objects {
+            if let Err(err) = tables.view.apply(now, object) {
+                log::error!("{prefix}: {err}");
+            }
+        }
+    }
+
+    /// Reads the configuration in force. A generation never goes back.
+    async fn take_config(&self) -> Result<(), Error> {
+        let Some(deployment) = self.config.read().await? else {
+            return Ok(());
+        };
+        let mut tables = self.state.tables();
+        let known = tables.view.deployment.as_ref();
+        if known.is_some_and(|old| old.generation >= deployment.generation) {
+            return Ok(());
+        }
+        tables.lease.set_length(deployment.timing.controller_lease.0);
+        carawayrill_telemetry::emit(carawayrill_core::event::EventKind::ConfigInForce {
+            generation: deployment.generation,
+        });
+        tables.view.deployment = Some(Arc::new(deployment));
+        Ok(())
+    }
+
+    /// Reads the list of VMs while this controller leads, for ever.
+    pub async fn follow_vms(&self, vms: Arc<dyn VmList>) {
+        loop {
+            sleep(VM_LIST_EVERY).await;
+            if !self.is_leading() {
+                continue;
+            }
+            match vms.vms().await {
+                Ok(list) => {
+                    let leaving = list.into_iter().filter(|vm| vm.state == VmState::Leaving);
+                    self.state.tables().leaving = leaving.map(|vm| vm.name).collect();
+                }
+                Err(err) => log::warn!("list of VMs: {err}"),
+            }
+        }
+    }
+
+    /// Acts on the tables each tick, for ever.
+    pub async fn act(&self) {
+        loop {
+            sleep(TICK).await;
+            self.follow_lease();
+            self.tick().await;
+        }
+    }
+
+    /// Places what is to be placed now.
+    pub async fn tick(&self) {
+        for write in self.decide() {
+            if let Err(err) = self.write(&write).await {
+                log::warn!("block {}: {err}", write.block.id);
+                sleep(RETRY_AFTER).await;
+                return;
+            }
+        }
+    }
+
+    /// Decides what to write.
+    fn decide(&self) -> Vec<BlockWrite> {
+        let now = self.state.now();
+        let tables = self.state.tables();
+        let Some(judge) = tables.judge(now) else {
+            return Vec::new();
+        };
+        let round = place_new(&judge, &judge.fleet(), carawayrill_telemetry::wall_now());
+        for row in &round.degraded {
+            log::warn!("{}: {}", row.shard, row.shortfall);
+        }
+        round.writes
+    }
+
+    /// Writes one block and takes the result into the tables.
+    async fn write(&self, write: &BlockWrite) -> Result<(), Error> {
+        let result = write_block(&*self.store, write).await?;
+        let mut tables = self.state.tables();
+        match result {
+            Written::Done(version) => {
+                for event in events(write, version) {
+                    carawayrill_telemetry::emit(event);
+                }
+                tables.view.written(version, write.block.clone());
+            }
+            Written::Lost(Some((version, block))) => tables.view.written(version, block),
+            Written::Lost(None) => {}
+        }
+        Ok(())
+    }
+
+    /// Tells whether this controller leads now.
+    fn is_leading(&self) -> bool {
+        let now = self.state.now();
+        let tables = self.state.tables();
+        tables.leading_since.is_some() && tables.lease.is_held(now)
+    }
+}
--- /dev/null
+++ b/crates/carawayrill-controller/src/lib.rs
@@ -0,0 +1,23 @@
+//! The controller daemon: it decides where shards live and writes that to the store.
+//!
+//! Any VM can take the role. Of all controllers, the one that holds the [`lease`] acts; the others
+//! wait. A controller keeps nothing: [`view`] is read from the store and [`heard`] from the
+//! routers' heartbeats, after each start and each change of the holder.
+//!
+//! Decisions are functions over these tables ([`fleet`], [`round`]); the daemon around them reads,
+//! writes and listens.
+
+pub mod blocks;
+pub mod config;
+mod error;
+pub mod fleet;
+pub mod heard;
+pub mod leader;
+pub mod lease;
+pub mod round;
+pub mod service;
+pub mod settings;
+pub mod state;
+pub mod view;
+
+pub use crate::error::Error;
--- /dev/null
+++ b/crates/carawayrill-controller/src/service.rs
@@ -0,0 +1,118 @@
+//! What the controller answers to other processes.
+
+use std::sync::Arc;
+
+use carawayrill_core::hlc;
+use carawayrill_core::id::RouterId;
+use carawayrill_proto::wire;
+use carawayrill_proto::wire::controller_server::Controller;
+use serde::Serialize;
+use tonic::Request;
+use tonic::Response;
+use tonic::Status;
+
+use crate::heard::Beat;
+use crate::state::State;
+
+/// The gRPC service of a controller.
+#[derive(Debug, Clone)]
+pub struct Service {
+    /// The tables.
+    pub state: Arc<State>,
+}
+
+/// The controller's own part of the status page.
+#[derive(Debug, Serialize)]
+struct ControllerStatus {
+    controller: String,
+    leading: bool,
+    ready: bool,
+    generation: u64,
+    servers: Vec<carawayrill_core::placement::ServerRow>,
+    routers: Vec<carawayrill_core::placement::RouterRow>,
+    shards: usize,
+    intents: usize,
+    unreadable: Vec<String>,
+}
+
+#[tonic::async_trait]
+impl Controller for Service {
+    async fn report(
+        &self,
+        req: Request<wire::ReportRequest>,
+    ) -> Result<Response<wire::ReportReply>, Status> {
+        let req = req.into_inner();
+        observe(req.stamp);
+        let relay: RouterId = req.relay.parse().map_err(invalid)?;
+        let beats = req.routers.into_iter().map(Beat::try_from);
+        let beats = beats.collect::<Result<Vec<_>, _>>().map_err(invalid)?;
+        let now = self.state.now();
+        let mut tables = self.state.tables();
+        tables.heard.on_report(now, &relay, beats);
+        let leading = tables.lease.is_held(now);
+        Ok(Response::new(wire::ReportReply {
+            stamp: stamp(),
+            leading,
+        }))
+    }
+
+    async fn status(
+        &self,
+        req: Request<wire::StatusRequest>,
+    ) -> Result<Response<wire::StatusReply>, Status> {
+        observe(req.into_inner().stamp);
+        let json = serde_json::to_vec(&self.describe())
+            .map_err(|err| Status::internal(err.to_string()))?;
+        Ok(Response::new(wire::StatusReply {
+            stamp: stamp(),
+            node: self.state.me.to_string(),
+            json,
+        }))
+    }
+}
+
+impl Service {
+    /// Describes the controller for operators.
+    fn describe(&self) -> ControllerStatus {
+        let now = self.state.now();
+        let tables = self.state.tables();
+        let fleet = tables.fleet(now).unwrap_or_default();
+        let blocks = tables.view.blocks.values();
+        let deployment = tables.view.deployment.as_ref();
+        ControllerStatus {
+            controller: self.state.me.to_string(),
+            leading: tables.lease.is_held(now),
+            ready: tables.is_ready(now),
+            generation: deployment.map_or(0, |deployment| deployment.generation.0),
+            servers: fleet.servers,
+            routers: fleet.routers,
+            shards: tables.view.rows().count(),
+            intents: blocks.map(|block| block.value.intents.len()).sum(),
+            unreadable: tables
+                .view
+                .unreadable
+                .iter()
+                .map(|(name, reason)| format!("{name}: {reason}"))
+                .collect(),
+        }
+    }
+}
+
+/// Stamps a message about to be sent.
+pub fn stamp() -> Option<wire::Stamp> {
+    let hlc::Stamp { wall, count } = carawayrill_telemetry::stamp();
+    Some(wire::Stamp { wall, count })
+}
+
+/// Takes in the stamp of a received message.
+pub fn observe(stamp: Option<wire::Stamp>) {
+    if let Some(wire::Stamp { wall, count }) = stamp {
+        carawayrill_telemetry::observe(hlc::Stamp { wall, count });
+    }
+}
+
+/// Turns a value of the wrong form into the answer to its sender.
+#[expect(clippy::needless_pass_by_value, reason = "the form that map_err takes")]
+fn invalid(err: carawayrill_core::Error) -> Status {
+    Status::invalid_argument(err.to_string())
+}
--- /dev/null
+++ b/crates/carawayrill-controller/src/state.rs
@@ -0,0 +1,120 @@
+//! The tables of the daemon behind one lock, and its clock.
+
+use std::collections::BTreeSet;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Instant;
+
+use carawayrill_core::id::ControllerId;
+use carawayrill_core::placement::Fleet;
+use carawayrill_core::time::Time;
+use carawayrill_core::time::millis;
+use compact_str::CompactString;
+
+use crate::fleet::Judge;
+use crate::heard::HeardTable;
+use crate::lease::LeaseTable;
+use crate::view::View;
+
+/// All tables.
+#[derive(Debug)]
+pub struct Tables {
+    /// The lease.
+    pub lease: LeaseTable,
+    /// What the store holds.
+    pub view: View,
+    /// What routers said.
+    pub heard: HeardTable,
+    /// Names of VMs that the platform will stop soon.
+    pub leaving: BTreeSet<CompactString>,
+    /// When this controller began to lead, if it leads.
+    pub leading_since: Option<Time>,
+    /// The prefixes of the store that were read in full since then.
+    pub synced: BTreeSet<&'static str>,
+}
+
+/// The daemon's tables and clock.
+#[derive(Debug)]
+pub struct State {
+    /// The daemon's name.
+    pub me: ControllerId,
+    started: Instant,
+    tables: Mutex<Tables>,
+}
+
+impl State {
+    /// Makes the state of a daemon that knows nothing yet.
+    #[must_use]
+    pub fn new(me: ControllerId, lease: LeaseTable) -> Self {
+        let tables = Tables {
+            lease,
+            view: View::default(),
+            heard: HeardTable::default(),
+            leaving: BTreeSet::new(),
+            leading_since: None,
+            synced: BTreeSet::new(),
+        };
+        Self {
+            me,
+            started: Instant::now(),
+            tables: Mutex::new(tables),
+        }
+    }
+
+    /// Reads the daemon's monotonic clock.
+    #[must_use]
+    pub fn now(&self) -> Time {
+        Time(millis(self.started.elapsed()))
+    }
+
+    /// Locks the tables. The lock is never held over a call to another process.
+    pub fn tables(&self) -> MutexGuard<'_, Tables> {
+        self.tables.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Tables {
+    /// Tells whether this controller leads and has seen all of the store.
+    #[must_use]
+    pub fn is_ready(&self, now: Time) -> bool {
+        let synced = self.synced.len() == crate::leader::PREFIXES.len();
+        self.lease.is_held(now) && synced && self.view.deployment.is_some()
+    }
+
+    /// Begins or ends to lead, as the lease says. Returns true if that changed.
+    ///
+    /// A new leader starts with nothing: what it saw when it led before is stale.
+    pub fn follow_lease(&mut self, now: Time) -> bool {
+        let held = self.lease.is_held(now);
+        if held == self.leading_since.is_some() {
+            return false;
+        }
+        self.leading_since = held.then_some(now);
+        self.synced.clear();
+        self.view = View::default();
+        true
+    }
+
+    /// Returns what the fleet is judged by, once this controller leads and has read the store.
+    #[must_use]
+    pub fn judge(&self, now: Time) -> Option<Judge<'_>> {
+        if !self.is_ready(now) {
+            return None;
+        }
+        Some(Judge {
+            deployment: self.view.deployment.as_deref()?,
+            view: &self.view,
+            heard: &self.heard,
+            leaving: &self.leaving,
+            leading_since: self.leading_since?,
+            now,
+        })
+    }
+
+    /// Returns the present tables of servers and routers.
+    #[must_use]
+    pub fn fleet(&self, now: Time) -> Option<Fleet> {
+        Some(self.judge(now)?.fleet())
+    }
+}
--- /dev/null
+++ b/crates/carawayrill-controller/src/view.rs
@@ -0,0 +1,148 @@
+//! What the store holds, as far as the controller has seen it.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use carawayrill_config::deployment::Deployment;
+use carawayrill_core::assignment::Assignment;
+use carawayrill_core::assignment::Block;
+use carawayrill_core::assignment::BlockId;
+use carawayrill_core::id::RouterId;
+use carawayrill_core::id::Version;
+use carawayrill_core::object::ASSIGNMENTS;
+use carawayrill_core::object::DRAINS;
+use carawayrill_core::object::DrainOrder;
+use carawayrill_core::object::MEMBERS;
+use carawayrill_core::object::Member;
+use carawayrill_core::time::Time;
+use carawayrill_store::port::Object;
+use compact_str::CompactString;
+use serde::de::DeserializeOwned;
+
+use crate::Error;
+
+/// A value with the version of its object.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Versioned<T> {
+    /// The version of the object.
+    pub version: Version,
+    /// Its value.
+    pub value: T,
+}
+
+/// A router's run and when it was first seen here.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MemberSeen {
+    /// The version of the object.
+    pub version: Version,
+    /// The run.
+    pub member: Member,
+    /// When this run was first seen.
+    pub since: Time,
+}
+
+/// The tables that mirror the store.
+#[derive(Debug, Default)]
+pub struct View {
+    /// Blocks of assignments.
+    pub blocks: BTreeMap<BlockId, Versioned<Block>>,
+    /// Runs of routers.
+    pub members: BTreeMap<RouterId, MemberSeen>,
+    /// Operators' orders to leave, by name of the server or router.
+    pub drains: BTreeMap<CompactString, DrainOrder>,
+    /// The configuration in force.
+    pub deployment: Option<Arc<Deployment>>,
+    /// Names of objects that could not be read, with the reason.
+    pub unreadable: BTreeMap<CompactString, String>,
+}
+
+impl View {
+    /// Takes in one object of a watch's answer or of a read-back.
+    ///
+    /// # Errors
+    ///
+    /// Fails if its value doesn't have the form of its kind. The former value then stays.
+    pub fn apply(&mut self, now: Time, object: &Object) -> Result<(), Error> {
+        let name = object.name.as_str();
+        let applied = if name.starts_with(ASSIGNMENTS) {
+            self.apply_block(object)
+        } else if name.starts_with(MEMBERS) {
+            self.apply_member(now, object)
+        } else if name.starts_with(DRAINS) {
+            self.apply_drain(object)
+        } else {
+            Ok(())
+        };
+        match &applied {
+            Ok(()) => self.unreadable.remove(name),
+            Err(err) => self.unreadable.insert(object.name.clone(), err.to_string()),
+        };
+        applied
+    }
+
+    /// Returns all assignments in force.
+    pub fn rows(&self) -> impl Iterator<Item = &Assignment> {
+        self.blocks.values().flat_map(|block| &block.value.rows)
+    }
+
+    /// Notes a block that this controller wrote itself.
+    pub fn written(&mut self, version: Version, block: Block) {
+        let known = self.blocks.get(&block.id);
+        if known.is_none_or(|old| old.version < version) {
+            let id = block.id.clone();
+            let value = block;
+            self.blocks.insert(id, Versioned { version, value });
+        }
+    }
+
+    fn apply_block(&mut self, object: &Object) -> Result<(), Error> {
+        // A deleted block is put back by nobody but an operator; the last known rows stay, so
+        // that no token goes back.
+        if object.version == Version(0) {
+            return Ok(());
+        }
+        let block = read(object)?;
+        self.written(object.version, block);
+        Ok(())
+    }
+
+    fn apply_member(&mut self, now: Time, object: &Object) -> Result<(), Error> {
+        if object.version == Version(0) {
+            let gone = object.name.strip_prefix(MEMBERS).unwrap_or_default();
+            self.members.retain(|id, _| id.as_str() != gone);
+            return Ok(());
+        }
+        let member: Member = read(object)?;
+        let known = self.members.get(&member.router);
+        let since = known
+            .filter(|old| old.member.incarnation == member.incarnation)
+            .map_or(now, |old| old.since);
+        let version = object.version;
+        if known.is_none_or(|old| old.version < version) {
+            let id = member.router.clone();
+            let seen = MemberSeen { version, member, since };
+            self.members.insert(id, seen);
+        }
+        Ok(())
+    }
+
+    fn apply_drain(&mut self, object: &Object) -> Result<(), Error> {
+        if object.version == Version(0) {
+            let gone = object.name.strip_prefix(DRAINS).unwrap_or_default();
+            self.drains.remove(gone);
+            return Ok(());
+        }
+        let order: DrainOrder = read(object)?;
+        self.drains.insert(order.name.clone(), order);
+        Ok(())
+    }
+}
+
+/// Reads the JSON value of an object.
+///
+/// # Errors
+///
+/// Fails if the value doesn't have the form of `T`.
+pub fn read<T: DeserializeOwned>(object: &Object) -> Result<T, Error> {
+    serde_json::from_slice(&object.value).map_err(|err| Error::object(&object.name, err))
+}
