Add the thin controller: lease, view of the store, first placement

One controller of many acts: the holder of a lease in the store, which another takes once it has not changed for its length. What is written is safe by conditional updates alone; an answer that was lost is settled by reading back. Tests run the tasks against a store in memory that loses answers, and let a second controller take over.

--- a/crates/carawayrill-controller/src/config.rs
+++ b/crates/carawayrill-controller/src/config.rs
@@ -1,9 +1,11 @@
 //! Where the configuration comes from.
 
 use std::fmt::Debug;
+use std::sync::Arc;
 
 use async_trait::async_trait;
 use carawayrill_config::deployment::Deployment;
+use carawayrill_store::port::ObjectStore;
 
 use crate::Error;
 
@@ -17,3 +19,18 @@
     /// Fails if the store can't be reached or what it holds does not pass the checks.
     async fn read(&self) -> Result<Option<Deployment>, Error>;
 }
+
+/// Reads the configuration out of the store.
+#[derive(Debug, Clone)]
+pub struct StoreConfig {
+    /// The store.
+    pub store: Arc<dyn ObjectStore>,
+}
+
+#[async_trait]
+impl ConfigSource for StoreConfig {
+    async fn read(&self) -> Result<Option<Deployment>, Error> {
+        // The accepted configuration is read as soon as `carawayrill-config` can.
+        Ok(None)
+    }
+}
--- a/crates/carawayrill-controller/src/fleet.rs
+++ b/crates/carawayrill-controller/src/fleet.rs
@@ -52,7 +52,11 @@
                 state: state(lost.contains(&server.id), leaves),
             })
         });
-        let routers = self.view.members.values().filter_map(|seen| self.router(seen));
+        let routers = self
+            .view
+            .members
+            .values()
+            .filter_map(|seen| self.router(seen));
         Fleet {
             servers: servers.collect(),
             routers: routers.collect(),
@@ -98,10 +102,7 @@
     /// Lists the servers of which a live home says what `says` asks.
     ///
     /// A heartbeat from before a silence says nothing any more: the home may be the one at fault.
-    fn servers_said(
-        &self,
-        says: impl Fn(&crate::heard::ServerView) -> bool,
-    ) -> BTreeSet<ServerId> {
+    fn servers_said(&self, says: impl Fn(&crate::heard::ServerView) -> bool) -> BTreeSet<ServerId> {
         let fresh = self.deployment.timing.router_silence.0;
         self.heard
             .iter()
--- a/crates/carawayrill-controller/src/heard.rs
+++ b/crates/carawayrill-controller/src/heard.rs
@@ -5,10 +5,10 @@
 
 use carawayrill_core::id::DataCentreId;
 use carawayrill_core::id::Incarnation;
+use carawayrill_core::id::KeyHash;
 use carawayrill_core::id::RouterId;
 use carawayrill_core::id::ServerId;
 use carawayrill_core::id::ShardId;
-use carawayrill_core::id::KeyHash;
 use carawayrill_core::time::Time;
 use carawayrill_proto::wire;
 
@@ -123,7 +123,11 @@
                 continue;
             }
             let relay = relay.clone();
-            let heard = Heard { at: now, relay, beat };
+            let heard = Heard {
+                at: now,
+                relay,
+                beat,
+            };
             self.rows.insert(heard.beat.router.clone(), heard);
         }
     }
--- a/crates/carawayrill-controller/src/leader.rs
+++ b/crates/carawayrill-controller/src/leader.rs
@@ -10,6 +10,7 @@
 use carawayrill_core::object::DRAINS;
 use carawayrill_core::object::LEASES;
 use carawayrill_core::object::MEMBERS;
+use carawayrill_core::time::Time;
 use carawayrill_store::port::Changes;
 use carawayrill_store::port::ObjectStore;
 use carawayrill_store::port::VmList;
@@ -89,12 +90,24 @@
         let put = self.state.tables().lease.on_read(now, found.transpose()?);
         let Some(put) = put else { return Ok(()) };
         let value = serde_json::to_vec(&put.lease).map_err(|err| Error::object(&name, err))?;
-        let version = self.store.put(&name, Bytes::from(value), put.expected).await?;
+        let version = self
+            .store
+            .put(&name, Bytes::from(value), put.expected)
+            .await?;
         let now = self.state.now();
         self.state.tables().lease.on_written(now, version);
         Ok(())
     }
 
+    /// Gives the lease up at a planned stop, so that another controller need not wait it out.
+    pub async fn give_up_lease(&self) {
+        let expected = self.state.tables().lease.release();
+        let Some(expected) = expected else { return };
+        if let Err(err) = self.store.delete(&self.lease_name(), expected).await {
+            log::warn!("lease not given up: {err}");
+        }
+    }
+
     /// Begins or ends to lead.
     pub fn follow_lease(&self) {
         let now = self.state.now();
@@ -129,7 +142,11 @@
     /// Waits for one answer of a watch and takes it in.
     async fn follow_once(&self, prefix: &'static str, after: Revision) -> Result<Revision, Error> {
         let began = self.state.tables().leading_since;
-        let changes = self.store.watch(prefix, after, WATCH_WAIT).await?;
+        let watch = self.store.watch(prefix, after, WATCH_WAIT);
+        let changes = tokio::select! {
+            changes = watch => changes?,
+            () = self.leading_changed(began) => return Ok(Revision(0)),
+        };
         if prefix == CONFIG_HEAD && !changes.objects.is_empty() {
             self.take_config().await?;
         }
@@ -141,6 +158,13 @@
         Ok(changes.revision)
     }
 
+    /// Waits until this controller began or ended to lead.
+    async fn leading_changed(&self, began: Option<Time>) {
+        while self.state.tables().leading_since == began {
+            sleep(IDLE_POLL).await;
+        }
+    }
+
     /// Takes the objects of a watch's answer into the tables.
     fn take_changes(&self, prefix: &str, changes: &Changes) {
         let now = self.state.now();
@@ -162,7 +186,9 @@
         if known.is_some_and(|old| old.generation >= deployment.generation) {
             return Ok(());
         }
-        tables.lease.set_length(deployment.timing.controller_lease.0);
+        tables
+            .lease
+            .set_length(deployment.timing.controller_lease.0);
         carawayrill_telemetry::emit(carawayrill_core::event::EventKind::ConfigInForce {
             generation: deployment.generation,
         });
--- a/crates/carawayrill-controller/src/lease.rs
+++ b/crates/carawayrill-controller/src/lease.rs
@@ -111,6 +111,12 @@
         }
     }
 
+    /// Ends to hold the lease. Returns the version of its object, if it was held.
+    pub fn release(&mut self) -> Option<Version> {
+        self.held_until.take()?;
+        self.seen.map(|(version, _)| version)
+    }
+
     /// Makes the next value and notes when its write began.
     fn put(&mut self, now: Time, renewal: u64, expected: Version) -> LeasePut {
         let renewal = renewal + 1;
--- a/crates/carawayrill-controller/src/lib.rs
+++ b/crates/carawayrill-controller/src/lib.rs
@@ -15,8 +15,8 @@
 pub mod leader;
 pub mod lease;
 pub mod round;
+pub mod run;
 pub mod service;
-pub mod settings;
 pub mod state;
 pub mod view;
 
--- a/crates/carawayrill-controller/src/main.rs
+++ b/crates/carawayrill-controller/src/main.rs
@@ -1,24 +1,40 @@
-//! The controller daemon.
+//! The controller daemon `carawayrill-controller`.
 
 use std::path::PathBuf;
 use std::process::ExitCode;
-use std::sync::Arc;
-use std::time::Duration;
 
-use bpaf::Bpaf;
-use carawayrill_controller::Error;
-use carawayrill_controller::leader::Leader;
-use carawayrill_controller::leader::PREFIXES;
-use carawayrill_controller::lease::LeaseTable;
-use carawayrill_controller::service::Service;
-use carawayrill_controller::settings::Settings;
-use carawayrill_controller::state::State;
-use carawayrill_core::event::EventKind;
-use carawayrill_core::id::Incarnation;
-use carawayrill_core::id::NodeId;
-use carawayrill_proto::wire::controller_server::ControllerServer;
-use carawayrill_store::http_store::HttpStore;
-use carawayrill_store::http_vms::HttpVmList;
-use tokio::signal::unix::SignalKind;
-use tokio::signal::unix::signal;
-use tonic::transport::Server;
+use bpaf::Parser;
+use carawayrill_config::daemon;
+
+/// Exit code if the settings can't be used or the address can't be listened on.
+const EXIT_START: u8 = 2;
+
+fn options() -> bpaf::OptionParser<PathBuf> {
+    bpaf::long("settings")
+        .short('s')
+        .help("The YAML file with this process's name, data centre and addresses")
+        .argument::<PathBuf>("FILE")
+        .to_options()
+        .version(env!("CARGO_PKG_VERSION"))
+        .descr("Decides which server owns which keys, and writes that to the store.")
+        .footer("Exit codes: 0 after a planned stop (SIGTERM, SIGINT); 2 if it could not start.")
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let path = options().run();
+    let settings = match daemon::load_controller(&path) {
+        Ok(settings) => settings,
+        Err(err) => {
+            eprintln!("{err}");
+            return ExitCode::from(EXIT_START);
+        }
+    };
+    match carawayrill_controller::run::run(settings).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            eprintln!("{err}");
+            ExitCode::from(EXIT_START)
+        }
+    }
+}
--- a/crates/carawayrill-controller/src/round.rs
+++ b/crates/carawayrill-controller/src/round.rs
@@ -1,11 +1,11 @@
 //! One round of placement: what to write next, given all tables.
 
+use carawayrill_core::id::ShardId;
 use carawayrill_core::placement::Degraded;
 use carawayrill_core::placement::Fleet;
 use carawayrill_core::placement::NodeState;
 use carawayrill_core::placement::Placed;
 use carawayrill_core::placement::initial;
-use carawayrill_core::id::ShardId;
 use carawayrill_core::time::Time;
 use carawayrill_core::time::WallTime;
 
--- a/crates/carawayrill-controller/src/service.rs
+++ b/crates/carawayrill-controller/src/service.rs
@@ -39,9 +39,9 @@
 impl Controller for Service {
     async fn report(
         &self,
-        req: Request<wire::ReportRequest>,
+        request: Request<wire::ReportRequest>,
     ) -> Result<Response<wire::ReportReply>, Status> {
-        let req = req.into_inner();
+        let req = request.into_inner();
         observe(req.stamp);
         let relay: RouterId = req.relay.parse().map_err(invalid)?;
         let beats = req.routers.into_iter().map(Beat::try_from);
@@ -58,15 +58,15 @@
 
     async fn status(
         &self,
-        req: Request<wire::StatusRequest>,
+        request: Request<wire::StatusRequest>,
     ) -> Result<Response<wire::StatusReply>, Status> {
-        observe(req.into_inner().stamp);
+        observe(request.into_inner().stamp);
         let json = serde_json::to_vec(&self.describe())
             .map_err(|err| Status::internal(err.to_string()))?;
         Ok(Response::new(wire::StatusReply {
             stamp: stamp(),
             node: self.state.me.to_string(),
-            json,
+            json: json.into(),
         }))
     }
 }
@@ -99,6 +99,7 @@
 }
 
 /// Stamps a message about to be sent.
+#[must_use]
 pub fn stamp() -> Option<wire::Stamp> {
     let hlc::Stamp { wall, count } = carawayrill_telemetry::stamp();
     Some(wire::Stamp { wall, count })
--- a/crates/carawayrill-controller/src/view.rs
+++ b/crates/carawayrill-controller/src/view.rs
@@ -120,7 +120,11 @@
         let version = object.version;
         if known.is_none_or(|old| old.version < version) {
             let id = member.router.clone();
-            let seen = MemberSeen { version, member, since };
+            let seen = MemberSeen {
+                version,
+                member,
+                since,
+            };
             self.members.insert(id, seen);
         }
         Ok(())
--- /dev/null
+++ b/crates/carawayrill-controller/tests/leader.rs
@@ -0,0 +1,168 @@
+//! The daemon's tasks against a store in memory: first placement, lost answers, a second controller.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use carawayrill_config::Parts;
+use carawayrill_config::deployment::Deployment;
+use carawayrill_controller::Error;
+use carawayrill_controller::config::ConfigSource;
+use carawayrill_controller::leader::Leader;
+use carawayrill_controller::leader::PREFIXES;
+use carawayrill_controller::lease::LeaseTable;
+use carawayrill_controller::state::State;
+use carawayrill_core::assignment::Block;
+use carawayrill_core::id::Generation;
+use carawayrill_core::id::Incarnation;
+use carawayrill_core::id::Revision;
+use carawayrill_core::id::Version;
+use carawayrill_core::object::CONFIG_HEAD;
+use carawayrill_core::object::Member;
+use carawayrill_core::object::member_name;
+use carawayrill_store::memory::Fault;
+use carawayrill_store::memory::MemoryStore;
+use carawayrill_store::port::ObjectStore;
+use tokio::time::timeout;
+
+/// Three data centres of one region with two servers each, 32 shards in blocks of 8.
+const BASE: &str = "
+name: example
+region_link: 1Gbit/s
+data_centres:
+  north-1: {region: north}
+  north-2: {region: north}
+  north-3: {region: north}
+services:
+  forms: {key: header x-form, shards: 32, shards_per_block: 8, slots: 4, connections: 20}
+servers:
+  forms-1: {service: forms, data_centre: north-1, address: 127.0.0.1:21001}
+  forms-2: {service: forms, data_centre: north-2, address: 127.0.0.1:21002}
+  forms-3: {service: forms, data_centre: north-3, address: 127.0.0.1:21003}
+timing: {heartbeat_every: 20ms, router_silence: 2s, controller_lease: 500ms}
+";
+
+#[derive(Debug)]
+struct Fixed(Deployment);
+
+#[async_trait]
+impl ConfigSource for Fixed {
+    async fn read(&self) -> Result<Option<Deployment>, Error> {
+        Ok(Some(self.0.clone()))
+    }
+}
+
+fn leader(name: &str, store: &MemoryStore) -> Leader {
+    let peer: SocketAddr = "127.0.0.1:1".parse().unwrap();
+    let length = Duration::from_millis(500);
+    let me = carawayrill_core::id::ControllerId::try_from(name).unwrap();
+    let lease = LeaseTable::new(me.clone(), Incarnation(1), peer, length);
+    let mut deployment = Parts::new(BASE).check().unwrap().deployment;
+    deployment.generation = Generation(1);
+    Leader {
+        state: Arc::new(State::new(me, lease)),
+        store: Arc::new(store.clone()),
+        config: Arc::new(Fixed(deployment)),
+        block: 0,
+    }
+}
+
+fn start(leader: &Leader) -> Vec<tokio::task::JoinHandle<()>> {
+    let mut tasks = Vec::new();
+    for prefix in PREFIXES {
+        let leader = leader.clone();
+        tasks.push(tokio::spawn(async move { leader.follow(prefix).await }));
+    }
+    let keeper = leader.clone();
+    tasks.push(tokio::spawn(async move { keeper.keep_lease().await }));
+    let actor = leader.clone();
+    tasks.push(tokio::spawn(async move { actor.act().await }));
+    tasks
+}
+
+async fn add_routers(store: &MemoryStore) {
+    store
+        .put(CONFIG_HEAD, Bytes::from("{}"), Version(0))
+        .await
+        .unwrap();
+    for index in 1..=3 {
+        let member = Member {
+            router: format!("router-{index}").parse().unwrap(),
+            incarnation: Incarnation(1),
+            data_centre: format!("north-{index}").parse().unwrap(),
+            peer: "127.0.0.1:1".parse().unwrap(),
+            http: "127.0.0.1:1".parse().unwrap(),
+            draining: false,
+        };
+        let value = Bytes::from(serde_json::to_vec(&member).unwrap());
+        let name = member_name(&member.router);
+        store.put(&name, value, Version(0)).await.unwrap();
+    }
+}
+
+/// Waits until all shards have an assignment, and returns the blocks with their versions.
+async fn all_assigned(store: &MemoryStore) -> Vec<(Version, Block)> {
+    let poll = async {
+        loop {
+            let changes = store
+                .watch("assignments/", Revision(0), Duration::ZERO)
+                .await;
+            let blocks: Vec<(Version, Block)> = changes
+                .map(|changes| changes.objects)
+                .unwrap_or_default()
+                .iter()
+                .map(|object| {
+                    (
+                        object.version,
+                        serde_json::from_slice(&object.value).unwrap(),
+                    )
+                })
+                .collect();
+            let rows: usize = blocks.iter().map(|(_, block)| block.rows.len()).sum();
+            if rows == 32 {
+                return blocks;
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    timeout(Duration::from_secs(20), poll)
+        .await
+        .expect("all shards assigned")
+}
+
+#[tokio::test]
+async fn first_placement_survives_lost_answers() {
+    let store = MemoryStore::new();
+    add_routers(&store).await;
+    store.set_fault_for(Fault::LoseAnswer, 5);
+    let leader = leader("c-1", &store);
+    let tasks = start(&leader);
+    let blocks = all_assigned(&store).await;
+    assert_eq!(blocks.len(), 4);
+    tasks.iter().for_each(tokio::task::JoinHandle::abort);
+}
+
+#[tokio::test]
+async fn second_controller_takes_over_and_changes_nothing() {
+    let store = MemoryStore::new();
+    add_routers(&store).await;
+    let first = leader("c-1", &store);
+    let tasks = start(&first);
+    let before = all_assigned(&store).await;
+    tasks.iter().for_each(tokio::task::JoinHandle::abort);
+    let second = leader("c-2", &store);
+    let tasks = start(&second);
+    let takes_over = async {
+        while !second.state.tables().is_ready(second.state.now()) {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        second.tick().await;
+    };
+    timeout(Duration::from_secs(20), takes_over)
+        .await
+        .expect("the second controller leads");
+    assert_eq!(all_assigned(&store).await, before);
+    tasks.iter().for_each(tokio::task::JoinHandle::abort);
+}
