--- a/crates/carawayrill-router/src/feed.rs
+++ b/crates/carawayrill-router/src/feed.rs
@@ -20,6 +20,7 @@
 
 use crate::cache::ObjectCache;
 use crate::context::Context;
+use crate::home::Home;
 use crate::peer::convert;
 
 /// How long one watch waits for a change.
@@ -52,11 +53,11 @@
     }
 
     /// Keeps this kind of objects up to date for as long as the process runs.
-    pub async fn run(self, cx: Arc<Context>) {
+    pub async fn run(self, cx: Arc<Context>, home: Arc<Home>) {
         loop {
             if let Some(changes) = self.next(&cx).await {
                 let news = self.cache(&cx).apply(changes);
-                self.take_in(&cx, news).await;
+                self.take_in(&cx, &home, news).await;
             } else {
                 tokio::time::sleep(RETRY_PAUSE).await;
             }
@@ -72,10 +73,10 @@
         }
     }
 
-    async fn take_in(self, cx: &Context, news: Vec<Object>) {
+    async fn take_in(self, cx: &Arc<Context>, home: &Home, news: Vec<Object>) {
         match self {
-            Self::Config => take_in_config(cx, &news).await,
-            Self::Assignments => take_in_blocks(cx, news),
+            Self::Config => take_in_config(cx, home, &news).await,
+            Self::Assignments => take_in_blocks(cx, home, news),
             Self::Members => take_in_members(cx, news),
         }
     }
@@ -120,14 +121,16 @@
 }
 
 /// Puts a new configuration in force, once all its parts are here.
-async fn take_in_config(cx: &Context, news: &[Object]) {
+async fn take_in_config(cx: &Arc<Context>, home: &Home, news: &[Object]) {
     if news.is_empty() {
         return;
     }
     match accept::fetch(&cx.caches.config).await {
         Ok(Some(accepted)) if accepted.generation > cx.generation() => {
             let generation = accepted.generation;
-            cx.deployment.store(Some(Arc::new(accepted.deployment)));
+            let whole = Arc::new(accepted.deployment);
+            cx.deployment.store(Some(Arc::clone(&whole)));
+            home.control().configure(cx, &whole);
             carawayrill_telemetry::emit(EventKind::ConfigInForce { generation });
         }
         Ok(_) => {}
@@ -135,22 +138,26 @@
     }
 }
 
-fn take_in_blocks(cx: &Context, news: Vec<Object>) {
+fn take_in_blocks(cx: &Arc<Context>, home: &Home, news: Vec<Object>) {
     for object in news {
         if object.version.0 == 0 {
             continue;
         }
         match serde_json::from_slice::<Block>(&object.value) {
-            Ok(block) => take_in_block(cx, &object, block),
+            Ok(block) => take_in_block(cx, home, &object, block),
             Err(err) => log::error!("{}: {err}", object.name),
         }
     }
 }
 
-fn take_in_block(cx: &Context, object: &Object, block: Block) {
+fn take_in_block(cx: &Arc<Context>, home: &Home, object: &Object, block: Block) {
     let id = block.id.clone();
-    let mut routes = cx.routes.write().unwrap_or_else(PoisonError::into_inner);
-    if routes.apply(object.version, block) {
+    let news = {
+        let mut routes = cx.routes.write().unwrap_or_else(PoisonError::into_inner);
+        routes.apply(object.version, block.clone())
+    };
+    if news {
+        home.control().hint(cx, object.version, block);
         carawayrill_telemetry::emit(EventKind::BlockSeen {
             block: id,
             version: object.version,
--- a/crates/carawayrill-router/src/home/control.rs
+++ b/crates/carawayrill-router/src/home/control.rs
@@ -1,46 +1,97 @@
-//! Authority and grants of this home: the I/O around `carawayrill_core::ownership`.
+//! Authority and grants of this home: the I/O around [`HomeTable`].
+//!
+//! Inputs go into the table one at a time; each action that comes out runs as a task of its own,
+//! whose result is the next input.
 
+use std::collections::BTreeSet;
+use std::collections::HashMap;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
 
-use carawayrill_core::answer::refusal::Refusal;
-use carawayrill_core::answer::refusal::RefusalReason;
+use carawayrill_config::deployment::Deployment;
+use carawayrill_config::deployment::OnStoreOutage;
+use carawayrill_config::deployment::Service;
+use carawayrill_config::deployment::Timing;
+use carawayrill_core::assignment::Block;
 use carawayrill_core::id::RouterId;
 use carawayrill_core::id::ServerId;
 use carawayrill_core::id::ShardId;
-use carawayrill_core::token::Token;
+use carawayrill_core::id::Version;
+use carawayrill_core::ownership::evidence::Run;
+use carawayrill_core::ownership::home::Action;
+use carawayrill_core::ownership::home::Denial;
+use carawayrill_core::ownership::home::HomeTable;
+use carawayrill_core::ownership::home::Input;
+use carawayrill_core::ownership::home::Permit;
+use carawayrill_core::ownership::limits::Limits;
+use carawayrill_core::ownership::limits::Policy;
+use carawayrill_core::time::Time;
+use carawayrill_core::time::millis;
 use carawayrill_proto::wire;
 use carawayrill_store::port::ServerControl;
+use tokio::sync::Notify;
+use tokio::sync::oneshot;
 
 use crate::context::Context;
+use crate::home::flights::Flights;
 use crate::relay::VersionReader;
 
-/// Leave to send one request.
-#[derive(Debug, Clone)]
-pub struct Permit {
-    /// The server that owns the shard.
-    pub server: ServerId,
-    /// The token of its grant.
-    pub token: Token,
-    /// The server's own home, if that is another router.
-    pub via: Option<RouterId>,
-}
+/// How often the table's systems run.
+const TICK: Duration = Duration::from_millis(50);
 
 /// Authority and grants.
 #[derive(Debug)]
 pub struct Control {
-    servers: Arc<dyn ServerControl>,
-    versions: Arc<VersionReader>,
+    pub(crate) servers: Arc<dyn ServerControl>,
+    pub(crate) versions: Arc<VersionReader>,
+    pub(crate) flights: Flights,
+    /// None until there is a configuration, which has the time limits.
+    table: Mutex<Option<HomeTable>>,
+    changed: Notify,
+    asks: Mutex<HashMap<u64, oneshot::Sender<Reply>>>,
+    next_ask: AtomicU64,
+    watched: Mutex<Watched>,
+}
+
+/// What the table answered to a question of another process.
+#[derive(Debug)]
+pub(crate) enum Reply {
+    Released(Vec<carawayrill_core::ownership::evidence::Released>),
+    Standing(Vec<carawayrill_core::ownership::evidence::Standing>),
+}
+
+/// What follows from the assignments for this router's own probes.
+#[derive(Debug, Default)]
+struct Watched {
+    /// The homes whose standby home this router is.
+    homes: BTreeSet<RouterId>,
+    /// The home of each server, as told to the table.
+    server_homes: HashMap<ServerId, RouterId>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 impl Control {
     /// Makes the control of a router that is the home of nothing.
     #[must_use]
-    pub fn new(
-        _cx: &Context,
-        servers: Arc<dyn ServerControl>,
-        versions: Arc<VersionReader>,
-    ) -> Self {
-        Self { servers, versions }
+    pub fn new(servers: Arc<dyn ServerControl>, versions: Arc<VersionReader>) -> Self {
+        Self {
+            servers,
+            versions,
+            flights: Flights::default(),
+            table: Mutex::default(),
+            changed: Notify::new(),
+            asks: Mutex::default(),
+            next_ask: AtomicU64::new(0),
+            watched: Mutex::default(),
+        }
     }
 
     /// Finds the owner of a shard.
@@ -48,8 +99,11 @@
     /// # Errors
     ///
     /// Fails if this router may not send for the shard now.
-    pub fn permit(&self, _cx: &Context, _shard: &ShardId) -> Result<Permit, Refusal> {
-        Err(RefusalReason::NotHome.into())
+    pub fn permit(&self, now: Time, shard: &ShardId) -> Result<Permit, Denial> {
+        match &*lock(&self.table) {
+            Some(table) => table.permit(now, shard),
+            None => Err(Denial::NotHome { home: None }),
+        }
     }
 
     /// Checks a permit directly before the send.
@@ -57,18 +111,157 @@
     /// # Errors
     ///
     /// Fails if it has ended.
-    pub fn confirm(&self, _cx: &Context, _permit: &Permit) -> Result<(), Refusal> {
-        Err(RefusalReason::NoAuthority.into())
+    pub fn confirm(&self, now: Time, permit: &Permit) -> Result<(), Denial> {
+        match &*lock(&self.table) {
+            Some(table) => table.confirm(now, permit),
+            None => Err(Denial::Changed),
+        }
     }
 
-    /// Gives up shards by plan.
-    pub async fn release(&self, _cx: &Context, _req: wire::ReleaseRequest) -> Vec<wire::Released> {
-        Vec::new()
+    /// Finds the owner of a shard, and waits up to `limit` while the denial may pass by itself.
+    ///
+    /// # Errors
+    ///
+    /// Fails if this router may not send for the shard.
+    pub async fn permit_within(
+        &self,
+        cx: &Context,
+        shard: &ShardId,
+        limit: Time,
+    ) -> Result<Permit, Denial> {
+        loop {
+            let changed = self.changed.notified();
+            let denial = match self.permit(cx.now(), shard) {
+                Ok(permit) => return Ok(permit),
+                Err(denial) => denial,
+            };
+            let until = cx.clock.instant(limit);
+            let waits = denial.is_passing() && cx.now() < limit;
+            if !waits || tokio::time::timeout_at(until, changed).await.is_err() {
+                return Err(denial);
+            }
+        }
     }
 
-    /// Promises not to use the reserved term of shards.
-    pub async fn promise(&self, _cx: &Context, _req: wire::PromiseRequest) -> Vec<wire::Promised> {
-        Vec::new()
+    /// Takes a new configuration in.
+    pub fn configure(self: &Arc<Self>, cx: &Arc<Context>, whole: &Deployment) {
+        {
+            let mut table = lock(&self.table);
+            let fresh = || HomeTable::new(own_run(cx), limits(&whole.timing));
+            table.get_or_insert_with(fresh);
+        }
+        for service in &whole.services {
+            let service_id = service.id.clone();
+            let policy = policy(service, &whole.timing);
+            self.input(
+                cx,
+                Input::Policy {
+                    service: service_id,
+                    policy,
+                },
+            );
+        }
+    }
+
+    /// Takes in what a watch told of a block.
+    pub fn hint(self: &Arc<Self>, cx: &Arc<Context>, version: Version, block: Block) {
+        self.note_homes(cx, &block);
+        self.input(cx, Input::Hint { version, block });
+    }
+
+    fn note_homes(self: &Arc<Self>, cx: &Arc<Context>, block: &Block) {
+        let mut news = Vec::new();
+        {
+            let mut watched = lock(&self.watched);
+            for row in &block.rows {
+                let former = watched
+                    .server_homes
+                    .insert(row.owner.clone(), row.home.clone());
+                if former.as_ref() != Some(&row.home) {
+                    news.push((row.owner.clone(), row.home.clone()));
+                }
+            }
+            let me = Some(&cx.settings.router);
+            let routes = cx.routes();
+            let rows = routes.rows().filter(|row| row.standby_home.as_ref() == me);
+            watched.homes = rows.map(|row| row.home.clone()).collect();
+        }
+        for (server, home) in news {
+            self.input(cx, Input::ServerHome { server, home });
+        }
+    }
+
+    /// Returns the homes whose standby home this router is.
+    pub(crate) fn watched_homes(&self) -> Vec<RouterId> {
+        lock(&self.watched).homes.iter().cloned().collect()
+    }
+
+    /// Puts one input into the table and starts the actions that follow.
+    pub(crate) fn input(self: &Arc<Self>, cx: &Arc<Context>, input: Input) {
+        let actions = {
+            let mut table = lock(&self.table);
+            let Some(table) = table.as_mut() else { return };
+            // Recorded under the lock, so that the lines stand in the order of the inputs.
+            carawayrill_telemetry::emit_input(
+                "home",
+                &Timed {
+                    now: cx.now(),
+                    input: &input,
+                },
+            );
+            table.input(cx.now(), input)
+        };
+        self.start(cx, actions);
+    }
+
+    fn tick(self: &Arc<Self>, cx: &Arc<Context>) {
+        let actions = match lock(&self.table).as_mut() {
+            Some(table) => table.tick(cx.now()),
+            None => Vec::new(),
+        };
+        self.start(cx, actions);
+    }
+
+    fn start(self: &Arc<Self>, cx: &Arc<Context>, actions: Vec<Action>) {
+        for action in actions {
+            self.start_one(cx, action);
+        }
+        self.changed.notify_waiters();
+    }
+
+    fn start_one(self: &Arc<Self>, cx: &Arc<Context>, action: Action) {
+        match action {
+            Action::Emit { kind } => carawayrill_telemetry::emit(kind),
+            Action::AnswerRelease { ask, released } => self.reply(ask, Reply::Released(released)),
+            Action::AnswerStandby { ask, standings } => self.reply(ask, Reply::Standing(standings)),
+            action => {
+                let (control, cx) = (Arc::clone(self), Arc::clone(cx));
+                tokio::spawn(async move { control.perform(&cx, action).await });
+            }
+        }
+    }
+
+    fn reply(&self, ask: u64, reply: Reply) {
+        if let Some(tx) = lock(&self.asks).remove(&ask) {
+            // The asker may have given up; its question then needs no answer.
+            let _given_up = tx.send(reply);
+        }
+    }
+
+    /// Puts a question of another process into the table and waits for the answer.
+    pub(crate) async fn ask(
+        self: &Arc<Self>,
+        cx: &Arc<Context>,
+        limit: Duration,
+        input: impl FnOnce(u64) -> Input,
+    ) -> Option<Reply> {
+        let ask = self.next_ask.fetch_add(1, Ordering::Relaxed);
+        let (tx, rx) = oneshot::channel();
+        lock(&self.asks).insert(ask, tx);
+        self.input(cx, input(ask));
+        let reply = tokio::time::timeout(limit, rx).await;
+        lock(&self.asks).remove(&ask);
+        reply.ok()?.ok()
     }
 
     /// Tells what is seen of the servers whose home this is.
@@ -77,14 +270,55 @@
         Vec::new()
     }
 
-    /// Tells whether this router is the home of nothing.
+    /// Tells whether this router is the home of nothing, by the stored assignments.
     #[must_use]
-    pub fn is_idle(&self) -> bool {
-        true
+    pub fn is_idle(&self, cx: &Context) -> bool {
+        !cx.routes().rows().any(|row| row.home == cx.settings.router)
     }
 
-    /// Renews grants and authority for as long as the process runs.
-    pub async fn run(&self, _cx: Arc<Context>) {
-        let _unused = (&self.servers, &self.versions);
+    /// Runs the table's systems for as long as the process runs.
+    pub async fn run(self: Arc<Self>, cx: Arc<Context>) {
+        loop {
+            tokio::time::sleep(TICK).await;
+            self.tick(&cx);
+        }
+    }
+}
+
+/// An input with the time at which it went in, as recorded.
+#[derive(Debug, serde::Serialize)]
+struct Timed<'a> {
+    now: Time,
+    #[serde(flatten)]
+    input: &'a Input,
+}
+
+fn own_run(cx: &Context) -> Run {
+    Run {
+        router: cx.settings.router.clone(),
+        incarnation: cx.incarnation,
+    }
+}
+
+fn limits(timing: &Timing) -> Limits {
+    Limits {
+        grant_ttl: millis(timing.grant_ttl.0),
+        renew_every: millis(timing.renew_every.0),
+        check_every: millis(timing.check_every.0),
+        server_silence: millis(timing.server_silence.0),
+        router_silence: millis(timing.router_silence.0),
+        drift_ppm: u64::from(timing.drift_ppm),
+        ..Limits::default()
+    }
+}
+
+fn policy(service: &Service, timing: &Timing) -> Policy {
+    let validity = match service.on_store_outage {
+        OnStoreOutage::Hold(limit) => limit.0,
+        OnStoreOutage::Stop => timing.authority.0,
+    };
+    Policy {
+        validity: millis(validity),
+        fencing: service.fencing,
     }
 }
--- a/crates/carawayrill-router/src/home/mod.rs
+++ b/crates/carawayrill-router/src/home/mod.rs
@@ -1,6 +1,8 @@
 //! The home role: the one router that sends to a server.
 
 pub mod control;
+pub mod flights;
+pub mod perform;
 pub mod send;
 pub mod serve;
 
--- a/crates/carawayrill-router/src/home/serve.rs
+++ b/crates/carawayrill-router/src/home/serve.rs
@@ -4,10 +4,15 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
+use std::time::Duration;
 
 use carawayrill_config::deployment::Deployment;
 use carawayrill_core::answer::refusal::RefusalReason;
+use carawayrill_core::id::RouterId;
 use carawayrill_core::id::ServerId;
+use carawayrill_core::ownership::home::Denial;
+use carawayrill_core::ownership::home::Permit;
+use carawayrill_core::time::Time;
 use carawayrill_core::token::Token;
 use carawayrill_proto::wire;
 use tokio::sync::OwnedSemaphorePermit;
@@ -16,17 +21,19 @@
 use crate::context::Context;
 use crate::entry::pass;
 use crate::home::control::Control;
-use crate::home::control::Permit;
 use crate::home::send;
 use crate::home::send::Target;
 use crate::message::Answer;
 use crate::message::OnBehalf;
 use crate::message::Request;
 
+/// How long a request waits here for a move or a failover of its shard.
+const MOVE_WAIT: Duration = Duration::from_secs(1);
+
 /// The home role of one router.
 #[derive(Debug)]
 pub struct Home {
-    control: Control,
+    control: Arc<Control>,
     client: reqwest::Client,
     slots: Mutex<HashMap<ServerId, Arc<Semaphore>>>,
 }
@@ -34,7 +41,7 @@
 impl Home {
     /// Makes the home role; it is the home of nothing until its control says otherwise.
     #[must_use]
-    pub fn new(control: Control) -> Self {
+    pub fn new(control: Arc<Control>) -> Self {
         Self {
             control,
             client: reqwest::Client::new(),
@@ -44,7 +51,7 @@
 
     /// Returns the part that holds authority and grants.
     #[must_use]
-    pub fn control(&self) -> &Control {
+    pub fn control(&self) -> &Arc<Control> {
         &self.control
     }
 
@@ -53,15 +60,17 @@
         if let Some(on_behalf) = req.on_behalf.clone() {
             return self.send_on_behalf(cx, &req, on_behalf).await;
         }
-        let permit = match self.control.permit(cx, &req.shard) {
+        let limit = req.deadline.min(cx.now() + MOVE_WAIT);
+        let permit = match self.control.permit_within(cx, &req.shard, limit).await {
             Ok(permit) => permit,
-            Err(refusal) => return refusal.into(),
+            Err(denial) => return refuse(&denial),
         };
+        let _flight = self.control.flights.begin(&req.shard);
         if let Some(via) = permit.via.clone() {
             return self.pass_on(cx, req, &permit, &via).await;
         }
         let (server, token) = (permit.server.clone(), permit.token);
-        let confirm = || self.control.confirm(cx, &permit);
+        let confirm = |now| self.control.confirm(now, &permit);
         self.send(cx, &req, server, token, confirm).await
     }
 
@@ -72,10 +81,10 @@
         cx: &Context,
         mut req: Request,
         permit: &Permit,
-        via: &carawayrill_core::id::RouterId,
+        via: &RouterId,
     ) -> Answer {
-        if let Err(refusal) = self.control.confirm(cx, permit) {
-            return refusal.into();
+        if let Err(denial) = self.control.confirm(cx.now(), permit) {
+            return refuse(&denial);
         }
         req.on_behalf = Some(OnBehalf {
             server: permit.server.clone(),
@@ -85,7 +94,7 @@
     }
 
     async fn send_on_behalf(&self, cx: &Context, req: &Request, on: OnBehalf) -> Answer {
-        self.send(cx, req, on.server, on.token, || Ok(())).await
+        self.send(cx, req, on.server, on.token, |_now| Ok(())).await
     }
 
     async fn send(
@@ -94,7 +103,7 @@
         req: &Request,
         server: ServerId,
         token: Token,
-        confirm: impl Fn() -> Result<(), carawayrill_core::answer::refusal::Refusal>,
+        confirm: impl Fn(Time) -> Result<(), Denial>,
     ) -> Answer {
         let whole = cx.deployment.load_full();
         let Some(target) = whole
@@ -107,8 +116,8 @@
         let Some(_slot) = self.slot(cx, &target.server, slots, req).await else {
             return RefusalReason::CannotMeetDeadline.into();
         };
-        if let Err(refusal) = confirm() {
-            return refusal.into();
+        if let Err(denial) = confirm(cx.now()) {
+            return refuse(&denial);
         }
         let left = req.deadline.since(cx.now());
         send::send(&self.client, &target, req, left).await
@@ -157,6 +166,21 @@
     }
 }
 
+/// Tells the entry router why its request was not sent.
+fn refuse(denial: &Denial) -> Answer {
+    let reason = match denial {
+        Denial::NotHome { .. } => RefusalReason::NotHome,
+        Denial::NoAuthority => RefusalReason::NoAuthority,
+        Denial::NoGrant => RefusalReason::NoGrant,
+        Denial::Moving | Denial::Changed => RefusalReason::Moving,
+    };
+    let mut answer = Answer::from(reason);
+    if let Denial::NotHome { home } = denial {
+        answer.home_hint.clone_from(home);
+    }
+    answer
+}
+
 fn target(whole: &Deployment, server: ServerId, token: Token) -> Option<Target> {
     let address = whole.server(&server)?.address;
     Some(Target {
--- /dev/null
+++ b/crates/carawayrill-router/src/peer/authority.rs
@@ -0,0 +1,95 @@
+//! Questions about authority between processes: releases and promises, wire types to inner types
+//! and back.
+
+use carawayrill_core::Error;
+use carawayrill_core::ownership::evidence::Claimed;
+use carawayrill_core::ownership::evidence::Released;
+use carawayrill_core::ownership::evidence::Standing;
+use carawayrill_proto::wire;
+
+use crate::context::Context;
+use crate::peer::convert;
+
+/// Reads the shards that a question is about.
+///
+/// # Errors
+///
+/// Fails if an identifier is malformed or the two lists differ in length.
+pub fn claimed_from_wire(shards: &[String], tokens: &[String]) -> Result<Vec<Claimed>, Error> {
+    if shards.len() != tokens.len() {
+        let found = format!("{} shards, {} tokens", shards.len(), tokens.len());
+        return Err(Error::syntax("Claimed", &found, "one token a shard"));
+    }
+    let rows = shards.iter().zip(tokens);
+    rows.map(|(shard, token)| {
+        Ok(Claimed {
+            shard: shard.parse()?,
+            token: token.parse()?,
+        })
+    })
+    .collect()
+}
+
+/// Asks whether a standby home has acted under its reserved term, without binding it.
+#[must_use]
+pub fn standby_question(cx: &Context, rows: &[Claimed]) -> wire::PromiseRequest {
+    wire::PromiseRequest {
+        stamp: convert::stamp(),
+        from: cx.settings.router.to_string(),
+        shards: rows.iter().map(|row| row.shard.to_string()).collect(),
+        tokens: rows.iter().map(|row| row.token.to_string()).collect(),
+        ask_only: true,
+    }
+}
+
+/// Turns a standby home's answers into their wire type.
+#[must_use]
+pub fn standings_to_wire(rows: Vec<Standing>) -> Vec<wire::Promised> {
+    rows.into_iter()
+        .map(|row| wire::Promised {
+            shard: row.claimed.shard.to_string(),
+            promised: row.promised,
+            token: row.claimed.token.to_string(),
+            acted: row.acted,
+        })
+        .collect()
+}
+
+/// Reads a standby home's answers from their wire type.
+///
+/// # Errors
+///
+/// Fails if an identifier is malformed.
+pub fn standings_from_wire(reply: wire::PromiseReply) -> Result<Vec<Standing>, Error> {
+    let rows = reply.promised.into_iter().map(|row| {
+        Ok(Standing {
+            claimed: Claimed {
+                shard: row.shard.parse()?,
+                token: row.token.parse()?,
+            },
+            acted: row.acted,
+            promised: row.promised,
+        })
+    });
+    rows.collect()
+}
+
+/// Turns a home's answers into their wire type.
+#[must_use]
+pub fn released_to_wire(rows: Vec<Released>) -> Vec<wire::Released> {
+    rows.into_iter()
+        .map(|row| wire::Released {
+            shard: row.claimed.shard.to_string(),
+            stopped: row.stopped,
+            highest: row.highest.to_string(),
+            server: row
+                .server
+                .map(|server| server.to_string())
+                .unwrap_or_default(),
+            revoked: row.revoked,
+            grant_left_ms: row.grant_left,
+            pledged: row.pledged,
+            token: row.claimed.token.to_string(),
+        })
+        .collect()
+}
--- a/crates/carawayrill-router/src/peer/service.rs
+++ b/crates/carawayrill-router/src/peer/service.rs
@@ -5,6 +5,8 @@
 
 use carawayrill_core::id::Revision;
 use carawayrill_core::id::RouterId;
+use carawayrill_core::ownership::evidence::Claimed;
+use carawayrill_core::ownership::home::Input;
 use carawayrill_proto::wire;
 use carawayrill_proto::wire::router_server::Router;
 use compact_str::CompactString;
@@ -14,6 +16,8 @@
 
 use crate::context::Context;
 use crate::home::Home;
+use crate::home::control::Reply;
+use crate::peer::authority;
 use crate::peer::convert;
 use crate::relay::HeartbeatTable;
 use crate::relay::VersionReader;
@@ -22,6 +26,14 @@
 /// The longest wait of a watch.
 const MAX_WATCH_WAIT: Duration = Duration::from_secs(10);
 
+/// How long an answer about authority may take beyond the requests in flight.
+const ANSWER_SLACK: Duration = Duration::from_millis(500);
+
+fn claimed(shards: &[String], tokens: &[String]) -> Result<Vec<Claimed>, Status> {
+    authority::claimed_from_wire(shards, tokens)
+        .map_err(|err| Status::invalid_argument(err.to_string()))
+}
+
 /// The service.
 #[derive(Debug, Clone)]
 pub struct PeerService {
@@ -159,11 +171,18 @@
     ) -> Result<Response<wire::ReleaseReply>, Status> {
         let wire = request.into_inner();
         convert::observe(wire.stamp);
-        let released = self.home.control().release(&self.cx, wire).await;
-        Ok(Response::new(wire::ReleaseReply {
-            stamp: convert::stamp(),
-            released,
-        }))
+        let rows = claimed(&wire.shards, &wire.tokens)?;
+        let limit = Duration::from_millis(wire.drain_ms) + ANSWER_SLACK;
+        let ask = |ask| Input::Release { ask, rows };
+        match self.home.control().ask(&self.cx, limit, ask).await {
+            Some(Reply::Released(rows)) => Ok(Response::new(wire::ReleaseReply {
+                stamp: convert::stamp(),
+                released: authority::released_to_wire(rows),
+                router: self.cx.settings.router.to_string(),
+                incarnation: self.cx.incarnation.0,
+            })),
+            _ => Err(Status::deadline_exceeded("requests are still in flight")),
+        }
     }
 
     async fn promise(
@@ -172,11 +191,18 @@
     ) -> Result<Response<wire::PromiseReply>, Status> {
         let wire = request.into_inner();
         convert::observe(wire.stamp);
-        let promised = self.home.control().promise(&self.cx, wire).await;
-        Ok(Response::new(wire::PromiseReply {
-            stamp: convert::stamp(),
-            promised,
-        }))
+        let rows = claimed(&wire.shards, &wire.tokens)?;
+        let promise = !wire.ask_only;
+        let ask = |ask| Input::Standby { ask, promise, rows };
+        match self.home.control().ask(&self.cx, ANSWER_SLACK, ask).await {
+            Some(Reply::Standing(rows)) => Ok(Response::new(wire::PromiseReply {
+                stamp: convert::stamp(),
+                promised: authority::standings_to_wire(rows),
+                router: self.cx.settings.router.to_string(),
+                incarnation: self.cx.incarnation.0,
+            })),
+            _ => Err(Status::unavailable("there is no configuration here yet")),
+        }
     }
 
     async fn status(
--- a/crates/carawayrill-router/src/run.rs
+++ b/crates/carawayrill-router/src/run.rs
@@ -62,7 +62,7 @@
         metrics,
     ));
     let versions = Arc::new(VersionReader::default());
-    let control = Control::new(&cx, Arc::new(servers), Arc::clone(&versions));
+    let control = Arc::new(Control::new(Arc::new(servers), Arc::clone(&versions)));
     let home = Arc::new(Home::new(control));
     let beats = Arc::new(HeartbeatTable::default());
     let service = PeerService::new(
@@ -150,7 +150,7 @@
 
 fn start_tasks(cx: &Arc<Context>, home: &Arc<Home>, beats: &Arc<HeartbeatTable>) {
     for feed in [Feed::Members, Feed::Config, Feed::Assignments] {
-        tokio::spawn(feed.run(Arc::clone(cx)));
+        tokio::spawn(feed.run(Arc::clone(cx), Arc::clone(home)));
     }
     let entry = Arc::clone(cx);
     tokio::spawn(async move { membership::register(&entry).await });
@@ -160,8 +160,8 @@
         Arc::clone(beats),
     ));
     tokio::spawn(relay::report(Arc::clone(cx), Arc::clone(beats)));
-    let (cx, home) = (Arc::clone(cx), Arc::clone(home));
-    tokio::spawn(async move { home.control().run(cx).await });
+    tokio::spawn(Arc::clone(home.control()).run(Arc::clone(cx)));
+    tokio::spawn(Arc::clone(home.control()).probe_homes(Arc::clone(cx)));
 }
 
 async fn wait_for_signal() -> Result<(), Error> {
@@ -195,5 +195,5 @@
 
 fn may_close(cx: &Context, home: &Home, began: Time) -> bool {
     let noticed = cx.now().since(began) >= STOP_NOTICE;
-    noticed && cx.in_flight.load(Ordering::Relaxed) == 0 && home.control().is_idle()
+    noticed && cx.in_flight.load(Ordering::Relaxed) == 0 && home.control().is_idle(cx)
 }
--- a/crates/carawayrill-telemetry/src/lib.rs
+++ b/crates/carawayrill-telemetry/src/lib.rs
@@ -3,7 +3,8 @@
 //! [`init`] is called once, first thing in `main`. After that, [`emit`] writes an event and the
 //! macros of the `log` crate write messages; both come out on standard error as JSON lines of the
 //! schema in [`carawayrill_core::event`]. `RUST_LOG` filters messages as usual; events are always
-//! written, but for those of single requests, which need the target `request` at `debug`.
+//! written, but for those of single requests and of inputs, which need the targets `request` and
+//! `input` at `debug`.
 
 use std::io::Write;
 use std::net::SocketAddr;
@@ -39,6 +40,8 @@
 const EVENT_TARGET: &str = "event";
 /// The log target of events of single requests.
 const REQUEST_TARGET: &str = "request";
+/// The log target of inputs of decision code.
+const INPUT_TARGET: &str = "input";
 
 /// The prefix of all metric names.
 const METRIC_PREFIX: &str = "carawayrill";
@@ -73,7 +76,7 @@
         .filter_module(EVENT_TARGET, LevelFilter::Info)
         .write_style(WriteStyle::Never)
         .format(|out, record| {
-            if record.target() == EVENT_TARGET || record.target() == REQUEST_TARGET {
+            if [EVENT_TARGET, REQUEST_TARGET, INPUT_TARGET].contains(&record.target()) {
                 return writeln!(out, "{}", record.args());
             }
             writeln!(out, "{}", line(message_of(record)))
@@ -127,6 +130,24 @@
     }
 }
 
+/// Writes an input of decision code as an event that can be replayed, if `RUST_LOG` asks for the
+/// target `input` at `debug`.
+pub fn emit_input<T: serde::Serialize>(table: &'static str, input: &T) {
+    if SOURCE.get().is_none() || !log::log_enabled!(target: INPUT_TARGET, log::Level::Debug) {
+        return;
+    }
+    match serde_json::to_value(input) {
+        Ok(input) => {
+            let kind = EventKind::Input {
+                table: table.into(),
+                input,
+            };
+            log::debug!(target: INPUT_TARGET, "{}", line(kind));
+        }
+        Err(err) => log::error!("an input of {table} can't be written: {err}"),
+    }
+}
+
 /// Stamps a message that is about to be sent.
 #[must_use]
 pub fn stamp() -> Stamp {
--- a/crates/carawayrill-testkit/src/demo/ask.rs
+++ b/crates/carawayrill-testkit/src/demo/ask.rs
@@ -42,15 +42,28 @@
     pub fn new(service: &Service, key: &str) -> Self {
         let id = &service.id;
         let (path, header) = match &service.key {
-            KeySource::Header(name) => (format!("/{id}/item"), Some((name.to_string(), key.to_owned()))),
+            KeySource::Header(name) => (
+                format!("/{id}/item"),
+                Some((name.to_string(), key.to_owned())),
+            ),
             KeySource::Query(name) => (format!("/{id}/item?{name}={key}"), None),
             KeySource::Path(index) => {
                 let padding = "x/".repeat(*index as usize);
                 (format!("/{id}/{padding}{key}"), None)
             }
         };
-        let method = if service.repeat == Repeat::Never { Method::POST } else { Method::GET };
-        Self { service: id.clone(), key: key.to_owned(), method, path, header }
+        let method = if service.repeat == Repeat::Never {
+            Method::POST
+        } else {
+            Method::GET
+        };
+        Self {
+            service: id.clone(),
+            key: key.to_owned(),
+            method,
+            path,
+            header,
+        }
     }
 
     /// Returns the hash of the key.
@@ -102,16 +115,26 @@
     let right = matches("request", &reply.request)
         && matches("server", &reply.server)
         && matches("service", question.service.as_str());
-    if right { Ok(reply) } else { Err(format!("a wrong answer: {body}").into()) }
+    if right {
+        Ok(reply)
+    } else {
+        Err(format!("a wrong answer: {body}").into())
+    }
 }
 
 fn header(headers: &HeaderMap, name: &str) -> Result<String, Error> {
-    let value = headers.get(name).ok_or_else(|| format!("the answer has no {name}"))?;
+    let value = headers
+        .get(name)
+        .ok_or_else(|| format!("the answer has no {name}"))?;
     Ok(value.to_str()?.to_owned())
 }
 
 impl fmt::Display for Reply {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "answered by {} under token {} (request {})", self.server, self.token, self.request)
+        write!(
+            f,
+            "answered by {} under token {} (request {})",
+            self.server, self.token, self.request
+        )
     }
 }
--- a/crates/carawayrill-testkit/src/demo/mod.rs
+++ b/crates/carawayrill-testkit/src/demo/mod.rs
@@ -53,7 +53,11 @@
 pub async fn run(options: &Options) -> Result<(), Error> {
     let whole = carawayrill_config::load(&options.deployment)?.deployment;
     let mut fleet = Fleet::start(&options.work, &whole, FleetConfig::default())?;
-    println!("started {} processes for {}", fleet.running().len(), whole.name);
+    println!(
+        "started {} processes for {}",
+        fleet.running().len(),
+        whole.name
+    );
     apply(&fleet, options)?;
     wait_ready(&fleet).await?;
     let routes = wait_assigned(&fleet, &whole).await?;
@@ -70,7 +74,11 @@
         .args(["apply", "--store", &store])
         .arg(&options.deployment)
         .status()?;
-    if status.success() { Ok(()) } else { Err(format!("apply ended with {status}").into()) }
+    if status.success() {
+        Ok(())
+    } else {
+        Err(format!("apply ended with {status}").into())
+    }
 }
 
 /// Waits until every router says that it is ready.
@@ -79,24 +87,39 @@
     let began = Instant::now();
     for router in fleet.routers() {
         let url = format!("http://{}/carawayrill/ready", router.http);
-        while !client.get(&url).send().await.is_ok_and(|answer| answer.status().is_success()) {
+        while !client
+            .get(&url)
+            .send()
+            .await
+            .is_ok_and(|answer| answer.status().is_success())
+        {
             check_limit(began, START_LIMIT, &format!("{} is not ready", router.name))?;
             tokio::time::sleep(POLL).await;
         }
     }
-    println!("all routers are ready after {} ms", began.elapsed().as_millis());
+    println!(
+        "all routers are ready after {} ms",
+        began.elapsed().as_millis()
+    );
     Ok(())
 }
 
 /// Waits until every shard has an owner, and returns the assignments.
 async fn wait_assigned(fleet: &Fleet, whole: &Deployment) -> Result<RouteTable, Error> {
     let store = HttpStore::new(fleet.store())?;
-    let shards: usize = whole.services.iter().map(|service| service.shards as usize).sum();
+    let shards: usize = whole
+        .services
+        .iter()
+        .map(|service| service.shards as usize)
+        .sum();
     let began = Instant::now();
     loop {
         let routes = read_routes(&store).await?;
         if routes.rows().count() == shards {
-            println!("all {shards} shards have an owner after {} ms", began.elapsed().as_millis());
+            println!(
+                "all {shards} shards have an owner after {} ms",
+                began.elapsed().as_millis()
+            );
             return Ok(routes);
         }
         check_limit(began, START_LIMIT, "some shards have no owner")?;
@@ -105,10 +128,15 @@
 }
 
 async fn read_routes(store: &HttpStore) -> Result<RouteTable, Error> {
-    let changes = store.watch(ASSIGNMENTS, Revision::default(), Duration::ZERO).await?;
+    let changes = store
+        .watch(ASSIGNMENTS, Revision::default(), Duration::ZERO)
+        .await?;
     let mut routes = RouteTable::default();
     for object in changes.objects {
-        routes.apply(object.version, serde_json::from_slice::<Block>(&object.value)?);
+        routes.apply(
+            object.version,
+            serde_json::from_slice::<Block>(&object.value)?,
+        );
     }
     Ok(routes)
 }
@@ -132,14 +160,24 @@
             }
             tokio::time::sleep(POLL).await;
         };
-        println!("{}: {answer} (entry {}, home {})", service.id, entry.name, row.home);
+        println!(
+            "{}: {answer} (entry {}, home {})",
+            service.id, entry.name, row.home
+        );
     }
     Ok(())
 }
 
 /// Kills the home router of one key and waits until the key is answered again.
-async fn lose_home(fleet: &mut Fleet, whole: &Deployment, routes: &RouteTable) -> Result<(), Error> {
-    let service = whole.services.first().ok_or("the deployment has no service")?;
+async fn lose_home(
+    fleet: &mut Fleet,
+    whole: &Deployment,
+    routes: &RouteTable,
+) -> Result<(), Error> {
+    let service = whole
+        .services
+        .first()
+        .ok_or("the deployment has no service")?;
     let question = Question::new(service, &format!("{}-demo", service.id));
     let home = row_of(routes, &question, service.shards)?.home.clone();
     let entry = other_router(fleet, &home)?;
@@ -149,7 +187,11 @@
     loop {
         match ask::ask(&entry, &question).await {
             Ok(answer) => {
-                println!("{}: {answer}, {} ms after the kill", service.id, began.elapsed().as_millis());
+                println!(
+                    "{}: {answer}, {} ms after the kill",
+                    service.id,
+                    began.elapsed().as_millis()
+                );
                 return Ok(());
             }
             Err(err) => check_limit(began, RECOVERY_LIMIT, &err.to_string())?,
@@ -164,13 +206,20 @@
     ranges: u32,
 ) -> Result<&'a Assignment, Error> {
     let shard = routes.shard_of(&question.service, question.key_hash(), ranges);
-    let row = routes.row(&shard).ok_or_else(|| format!("{shard} has no owner"))?;
+    let row = routes
+        .row(&shard)
+        .ok_or_else(|| format!("{shard} has no owner"))?;
     Ok(row)
 }
 
 fn other_router(fleet: &Fleet, home: &RouterId) -> Result<RouterPlace, Error> {
-    let mut others = fleet.routers().into_iter().filter(|router| router.name != home.as_str());
-    others.next().ok_or_else(|| "there is only one router".into())
+    let mut others = fleet
+        .routers()
+        .into_iter()
+        .filter(|router| router.name != home.as_str());
+    others
+        .next()
+        .ok_or_else(|| "there is only one router".into())
 }
 
 fn check_limit(began: Instant, limit: Duration, what: &str) -> Result<(), Error> {
--- a/crates/carawayrill-testkit/src/fleet/mod.rs
+++ b/crates/carawayrill-testkit/src/fleet/mod.rs
@@ -48,7 +48,11 @@
 
 impl Default for FleetConfig {
     fn default() -> Self {
-        Self { routers_per_data_centre: 1, controllers: 2, server_options: Vec::new() }
+        Self {
+            routers_per_data_centre: 1,
+            controllers: 2,
+            server_options: Vec::new(),
+        }
     }
 }
 
@@ -161,7 +165,11 @@
             }
             args.extend(self.cfg.server_options.iter().cloned());
             let args: Vec<&str> = args.iter().map(String::as_str).collect();
-            self.spawn(&format!("servers-{dc}-{}", service.id), "standin-server", &args)?;
+            self.spawn(
+                &format!("servers-{dc}-{}", service.id),
+                "standin-server",
+                &args,
+            )?;
         }
         Ok(())
     }
@@ -241,7 +249,10 @@
     /// Returns the names of the processes that have not been ended here.
     #[must_use]
     pub fn running(&self) -> Vec<String> {
-        let running = self.processes.iter().filter(|(_, process)| process.is_started());
+        let running = self
+            .processes
+            .iter()
+            .filter(|(_, process)| process.is_started());
         running.map(|(name, _)| name.clone()).collect()
     }
 
@@ -251,13 +262,18 @@
     ///
     /// Fails if there is none of that name.
     pub fn process(&mut self, name: &str) -> Result<&mut Process, Error> {
-        self.processes.get_mut(name).ok_or_else(|| format!("no process `{name}`").into())
+        self.processes
+            .get_mut(name)
+            .ok_or_else(|| format!("no process `{name}`").into())
     }
 
     /// Returns the files with the event lines of all processes.
     #[must_use]
     pub fn logs(&self) -> Vec<PathBuf> {
-        self.processes.values().map(|process| process.log().to_owned()).collect()
+        self.processes
+            .values()
+            .map(|process| process.log().to_owned())
+            .collect()
     }
 
     /// Stops all processes by plan: controllers and routers first, the stand-ins last.
@@ -267,9 +283,9 @@
     /// Fails if a process does not stop within `limit`, or ends with an error.
     pub fn stop(&mut self, limit: Duration) -> Result<(), Error> {
         let names = self.running();
-        let (platform, own): (Vec<_>, Vec<_>) = names.into_iter().partition(|name| {
-            name == "store" || name == "vms" || name.starts_with("servers-")
-        });
+        let (platform, own): (Vec<_>, Vec<_>) = names
+            .into_iter()
+            .partition(|name| name == "store" || name == "vms" || name.starts_with("servers-"));
         for group in [own, platform] {
             for name in &group {
                 self.process(name)?.terminate()?;
--- a/crates/carawayrill-testkit/src/fleet/process.rs
+++ b/crates/carawayrill-testkit/src/fleet/process.rs
@@ -59,7 +59,11 @@
             .stdout(Stdio::null())
             .stderr(file)
             .spawn()?;
-        Ok(Self { name: name.to_owned(), log, child: Some(child) })
+        Ok(Self {
+            name: name.to_owned(),
+            log,
+            child: Some(child),
+        })
     }
 
     /// Returns the file with its event lines.
@@ -81,7 +85,9 @@
     }
 
     fn signal(&self, signal: Signal) -> Result<(), Error> {
-        let id = self.id().ok_or_else(|| format!("{} has ended", self.name))?;
+        let id = self
+            .id()
+            .ok_or_else(|| format!("{} has ended", self.name))?;
         kill(Pid::from_raw(i32::try_from(id)?), signal)?;
         Ok(())
     }
@@ -132,7 +138,9 @@
     ///
     /// Fails if it has not ended within `limit` (it is then ended), or if it ended with an error.
     pub fn wait(&mut self, limit: Duration) -> Result<(), Error> {
-        let Some(child) = &mut self.child else { return Ok(()) };
+        let Some(child) = &mut self.child else {
+            return Ok(());
+        };
         let ended = wait_for(child, limit)?;
         let Some(status) = ended else {
             self.kill()?;
--- a/crates/carawayrill-testkit/src/lib.rs
+++ b/crates/carawayrill-testkit/src/lib.rs
@@ -19,6 +19,8 @@
 //! ```
 
 pub mod connections;
+pub mod demo;
+pub mod fleet;
 pub mod process;
 pub mod serve;
 pub mod server;
