--- /dev/null
+++ b/crates/carawayrill-core/src/measure/ratio.rs
@@ -0,0 +1,69 @@
+//! Ratios in whole thousandths, so that they compare and print the same everywhere.
+
+use std::fmt;
+use std::str::FromStr;
+
+use crate::Error;
+use crate::number;
+
+/// Thousandths in a whole.
+const WHOLE: u64 = 1_000;
+
+number! {
+    /// A ratio in thousandths. Written with three decimals, as in `1.250`.
+    Ratio;
+}
+
+impl Ratio {
+    /// The ratio of equal things.
+    pub const ONE: Self = Self(WHOLE);
+
+    /// Divides two numbers; a zero divisor gives [`ONE`](Self::ONE), the ratio of nothing to
+    /// nothing.
+    #[must_use]
+    pub fn of(part: u64, whole: u64) -> Self {
+        Self::of_wide(part.into(), whole.into())
+    }
+
+    /// Divides two wide numbers, as [`of`](Self::of) does.
+    #[must_use]
+    pub fn of_wide(part: u128, whole: u128) -> Self {
+        if whole == 0 {
+            return Self::ONE;
+        }
+        let thousandths = part.saturating_mul(WHOLE.into()) / whole;
+        Self(u64::try_from(thousandths).unwrap_or(u64::MAX))
+    }
+
+    /// Takes this share of a number.
+    #[must_use]
+    pub fn times(self, number: u64) -> u64 {
+        let product = u128::from(number) * u128::from(self.0) / u128::from(WHOLE);
+        u64::try_from(product).unwrap_or(u64::MAX)
+    }
+}
+
+impl fmt::Display for Ratio {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{:03}", self.0 / WHOLE, self.0 % WHOLE)
+    }
+}
+
+impl FromStr for Ratio {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self, Error> {
+        let bad = || Error::syntax("Ratio", text, "a number with three decimals, as in `1.250`");
+        let (whole, decimals) = text.split_once('.').ok_or_else(bad)?;
+        if decimals.len() != 3 {
+            return Err(bad());
+        }
+        let whole: u64 = whole.parse().map_err(|_err| bad())?;
+        let decimals: u64 = decimals.parse().map_err(|_err| bad())?;
+        whole
+            .checked_mul(WHOLE)
+            .and_then(|thousandths| thousandths.checked_add(decimals))
+            .map(Self)
+            .ok_or_else(bad)
+    }
+}
