--- /dev/null
+++ b/crates/carawayrill-core/src/placement/balance.rs
@@ -0,0 +1,446 @@
+//! Balancing load by few moves, each of which gains more than it costs.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use super::config::BalanceConfig;
+use super::demand::Demand;
+use super::homes::Homes;
+use super::hot_key;
+use super::hot_key::HotInput;
+use super::rows::Fleet;
+use super::rows::NodeState;
+use super::rows::Placed;
+use super::rows::ServerRow;
+use super::standby::Standbys;
+use super::step::Move;
+use super::step::Step;
+use super::step::Worth;
+use crate::assignment::Reason;
+use crate::id::ServerId;
+use crate::id::ServiceId;
+use crate::id::ShardId;
+use crate::id::ShardPart;
+use crate::measure::ServerLoad;
+use crate::measure::imbalance;
+use crate::time::Time;
+
+/// Servers with the highest load that a round looks at for a move.
+const SOURCES: usize = 4;
+/// Servers with the lowest load that a round looks at as the target of a move.
+const TARGETS: usize = 16;
+
+/// Decides on moves by load, and remembers what it moved lately.
+#[derive(Debug)]
+pub struct Balancer {
+    pub(crate) config: BalanceConfig,
+    /// Services that are being balanced.
+    active: BTreeSet<ServiceId>,
+    /// When a shard was moved or split out last.
+    moved: BTreeMap<ShardId, Time>,
+}
+
+/// All that one round reads.
+#[derive(Debug)]
+struct Round<'a> {
+    now: Time,
+    fleet: &'a Fleet,
+    homes: &'a Homes,
+    current: &'a [Placed],
+    /// Demand by shard.
+    demand: BTreeMap<&'a ShardId, &'a Demand>,
+    /// Shards that are under way and must not be touched.
+    pending: &'a BTreeSet<ShardId>,
+}
+
+/// One service in one round: its servers' loads as they would be after the moves chosen so far.
+#[derive(Debug)]
+struct Service<'a> {
+    servers: Vec<Loaded<'a>>,
+    /// Mean load of a server of weight 1.
+    mean: u64,
+    /// Mean load of a range.
+    mean_range: u64,
+    /// Hash ranges.
+    ranges: u32,
+}
+
+/// One server and its load.
+#[derive(Debug)]
+struct Loaded<'a> {
+    row: &'a ServerRow,
+    load: u64,
+    shards: Vec<&'a Placed>,
+}
+
+/// A possible move: indexes into the service's servers and the source's shards.
+#[derive(Debug, Clone, Copy)]
+struct Candidate {
+    source: usize,
+    shard: usize,
+    target: usize,
+    worth: Worth,
+}
+
+impl Balancer {
+    /// Makes a balancer that has moved nothing yet.
+    #[must_use]
+    pub fn new(config: BalanceConfig) -> Self {
+        Self {
+            config,
+            active: BTreeSet::new(),
+            moved: BTreeMap::new(),
+        }
+    }
+
+    /// Decides on the steps of one round.
+    ///
+    /// `demand` covers one window; `pending` are shards whose change is under way: they are left
+    /// alone and count against the most moves at a time.
+    pub fn round(
+        &mut self,
+        now: Time,
+        fleet: &Fleet,
+        current: &[Placed],
+        demand: &[Demand],
+        pending: &BTreeSet<ShardId>,
+    ) -> Vec<Step> {
+        let fleet = &fleet.sorted();
+        let homes = &Homes::assign(fleet, current);
+        let rest = self.config.rest;
+        self.moved.retain(|_, at| now.since(*at) < rest);
+        let round = Round {
+            now,
+            fleet,
+            homes,
+            current,
+            demand: demand.iter().map(|row| (&row.shard, row)).collect(),
+            pending,
+        };
+        let mut room = self.config.max_moves.saturating_sub(pending.len());
+        let services: BTreeSet<&ServiceId> = current.iter().map(|row| &row.shard.service).collect();
+        let mut steps = Vec::new();
+        for service in services {
+            let found = self.balance(&round, service, room);
+            room -= found
+                .iter()
+                .filter(|step| matches!(step, Step::Move(_)))
+                .count();
+            steps.extend(found);
+        }
+        for step in &steps {
+            self.moved.insert(step.shard().clone(), now);
+        }
+        steps
+    }
+
+    /// Tells whether a shard was moved too lately to be moved again.
+    pub(crate) fn rests(&self, shard: &ShardId, now: Time) -> bool {
+        self.moved
+            .get(shard)
+            .is_some_and(|at| now.since(*at) < self.config.rest)
+    }
+
+    /// Decides on the steps of one service: at most `room` moves.
+    fn balance(&mut self, round: &Round<'_>, service: &ServiceId, room: usize) -> Vec<Step> {
+        let mut loads = Service::new(round, service);
+        let mut steps = self.hot_keys(round, service, &loads);
+        let mut moves: usize = steps
+            .iter()
+            .filter(|step| matches!(step, Step::Move(_)))
+            .count();
+        if moves > room {
+            steps.retain(|step| !matches!(step, Step::Move(_)));
+            moves = 0;
+        }
+        if !self.is_active(service, &loads) {
+            return steps;
+        }
+        let mut standbys = Standbys::new(round.fleet);
+        for row in round.current {
+            if let Some(standby) = &row.standby {
+                standbys.count(&row.owner, standby);
+            }
+        }
+        // The range of a hot key stays where it is until the key's load no longer counts as its own.
+        let mut touched: BTreeSet<ShardId> = steps
+            .iter()
+            .flat_map(|step| [step.shard().clone(), loads.range_of(step.shard())])
+            .collect();
+        while moves < room && loads.imbalance() >= self.config.stop {
+            let Some(best) = self.best(round, &loads, &touched) else {
+                break;
+            };
+            let step = loads.apply(round, &mut standbys, best);
+            touched.insert(step.from.shard.clone());
+            steps.push(Step::Move(step));
+            moves += 1;
+        }
+        steps
+    }
+
+    /// Lists the steps for hot keys of one service.
+    fn hot_keys(&self, round: &Round<'_>, service: &ServiceId, loads: &Service<'_>) -> Vec<Step> {
+        let of_service = |shard: &ShardId| shard.service == *service;
+        let placed: BTreeMap<&ShardId, &Placed> = round
+            .current
+            .iter()
+            .filter(|row| of_service(&row.shard))
+            .map(|row| (&row.shard, row))
+            .collect();
+        let demand: Vec<&Demand> = round
+            .demand
+            .values()
+            .filter(|row| of_service(&row.shard))
+            .copied()
+            .collect();
+        let input = HotInput {
+            placed: &placed,
+            demand: &demand,
+            mean: loads.mean,
+            ranges: loads.ranges,
+        };
+        let mut steps = hot_key::splits(self, &input);
+        steps.extend(hot_key::merges(self, round.now, &input));
+        let waits = |shard: &ShardId| round.pending.contains(shard);
+        steps.retain(|step| !waits(step.shard()) && !waits(&loads.range_of(step.shard())));
+        steps
+    }
+
+    /// Tells whether a service is to be balanced. Hysteresis keeps it from starting and stopping
+    /// with every small change of load.
+    fn is_active(&mut self, service: &ServiceId, loads: &Service<'_>) -> bool {
+        let ratio = loads.imbalance();
+        if ratio >= self.config.start {
+            self.active.insert(service.clone());
+        } else if ratio < self.config.stop {
+            self.active.remove(service);
+        }
+        self.active.contains(service)
+    }
+
+    /// Finds the move with the most gain above its cost, off one of the most loaded servers.
+    fn best(
+        &self,
+        round: &Round<'_>,
+        loads: &Service<'_>,
+        touched: &BTreeSet<ShardId>,
+    ) -> Option<Candidate> {
+        let by_load = loads.by_load();
+        let targets: Vec<usize> = by_load
+            .iter()
+            .rev()
+            .copied()
+            .filter(|&at| loads.servers[at].row.state == NodeState::Live)
+            .filter(|&at| round.homes.pair(&loads.servers[at].row.id).is_some())
+            .take(TARGETS)
+            .collect();
+        let free = |row: &Placed| {
+            !round.pending.contains(&row.shard)
+                && !touched.contains(&row.shard)
+                && !self.rests(&row.shard, round.now)
+        };
+        by_load.iter().take(SOURCES).find_map(|&source| {
+            let shards = loads.servers[source].shards.iter().enumerate();
+            shards
+                .filter(|(_, row)| free(row))
+                .flat_map(|(shard, _)| targets.iter().map(move |&target| (shard, target)))
+                .filter(|&(_, target)| target != source)
+                .map(|(shard, target)| self.weigh(round, loads, source, shard, target))
+                .filter(|found| found.worth.gain > found.worth.cost)
+                .max_by_key(|found| {
+                    let net = found.worth.gain - found.worth.cost;
+                    (net, std::cmp::Reverse((found.shard, found.target)))
+                })
+        })
+    }
+
+    /// Weighs one possible move.
+    fn weigh(
+        &self,
+        round: &Round<'_>,
+        loads: &Service<'_>,
+        source: usize,
+        shard: usize,
+        target: usize,
+    ) -> Candidate {
+        let from = &loads.servers[source];
+        let to = &loads.servers[target];
+        let row = from.shards[shard];
+        let load = round.load(&row.shard);
+        let keys = match row.shard.part {
+            ShardPart::Range(_) => self.config.churn_cost.times(loads.mean_range),
+            ShardPart::Hot(_) => 0,
+        };
+        let (saved, added) = self.bytes(round, row, from.row, to.row);
+        let worth = Worth {
+            gain: evened(load, from, to, loads.mean) + saved,
+            cost: keys + self.config.hold_cost.times(load) + added,
+        };
+        Candidate {
+            source,
+            shard,
+            target,
+            worth,
+        }
+    }
+
+    /// Returns what a move saves and adds in bytes across regions, in requests.
+    fn bytes(
+        &self,
+        round: &Round<'_>,
+        row: &Placed,
+        from: &ServerRow,
+        to: &ServerRow,
+    ) -> (u64, u64) {
+        if from.region == to.region {
+            return (0, 0);
+        }
+        let Some(demand) = round.demand.get(&row.shard) else {
+            return (0, 0);
+        };
+        let worth = |bytes: u64| self.config.byte_cost.times(bytes / BYTES_PER_KIB);
+        let stays = worth(demand.local_bytes(&from.region));
+        let goes = worth(demand.local_bytes(&to.region));
+        (goes.saturating_sub(stays), stays.saturating_sub(goes))
+    }
+}
+
+/// Bytes in one KiB.
+const BYTES_PER_KIB: u64 = 1 << 10;
+
+/// Returns by how much a move of `load` evens out the loads of two servers: half the fall of the
+/// sum of their squared loads (each by its weight), in parts of the mean load. Moving a load to
+/// where it makes the target the new peak gains nothing.
+fn evened(load: u64, from: &Loaded<'_>, to: &Loaded<'_>, mean: u64) -> u64 {
+    let weight = |row: &Loaded<'_>| i128::from(row.row.weight.max(1));
+    let load = i128::from(load);
+    let source = 2 * i128::from(from.load) - load;
+    let target = 2 * i128::from(to.load) + load;
+    let fall = load * (source * weight(to) - target * weight(from));
+    let unit = 2 * weight(from) * weight(to) * i128::from(mean.max(1));
+    u64::try_from((fall / unit).max(0)).unwrap_or(u64::MAX)
+}
+
+impl Round<'_> {
+    /// Returns the load of a shard; 0 if none was reported.
+    fn load(&self, shard: &ShardId) -> u64 {
+        self.demand.get(shard).map_or(0, |demand| demand.load)
+    }
+}
+
+impl<'a> Service<'a> {
+    /// Adds up the loads of a service's servers.
+    fn new(round: &Round<'a>, service: &ServiceId) -> Self {
+        let rows = round.fleet.servers.iter();
+        let mut servers: Vec<Loaded<'a>> = rows
+            .filter(|row| row.service == *service && row.state != NodeState::Lost)
+            .map(|row| Loaded {
+                row,
+                load: 0,
+                shards: Vec::new(),
+            })
+            .collect();
+        let index: BTreeMap<&ServerId, usize> = servers
+            .iter()
+            .enumerate()
+            .map(|(at, server)| (&server.row.id, at))
+            .collect();
+        let mut ranges = 0;
+        for row in round
+            .current
+            .iter()
+            .filter(|row| row.shard.service == *service)
+        {
+            ranges += u64::from(matches!(row.shard.part, ShardPart::Range(_)));
+            if let Some(&at) = index.get(&row.owner) {
+                servers[at].load += round.load(&row.shard);
+                servers[at].shards.push(row);
+            }
+        }
+        let live = || {
+            servers
+                .iter()
+                .filter(|server| server.row.state == NodeState::Live)
+        };
+        let total: u64 = live().map(|server| server.load).sum();
+        let weight: u64 = live()
+            .map(|server| u64::from(server.row.weight.max(1)))
+            .sum();
+        Self {
+            mean: total / weight.max(1),
+            mean_range: total / ranges.max(1),
+            ranges: u32::try_from(ranges).unwrap_or(u32::MAX),
+            servers,
+        }
+    }
+
+    /// Returns the range that a shard's keys belong to: itself, unless it is a hot key.
+    fn range_of(&self, shard: &ShardId) -> ShardId {
+        match shard.part {
+            ShardPart::Range(_) => shard.clone(),
+            ShardPart::Hot(key) => ShardId::range(shard.service.clone(), key.range_of(self.ranges)),
+        }
+    }
+
+    /// Returns the imbalance over the servers that take work.
+    fn imbalance(&self) -> crate::measure::Ratio {
+        let live = self
+            .servers
+            .iter()
+            .filter(|server| server.row.state == NodeState::Live);
+        let loads: Vec<ServerLoad> = live
+            .map(|server| ServerLoad::new(server.load, server.row.weight))
+            .collect();
+        imbalance(&loads)
+    }
+
+    /// Lists the servers by load for their weight, the highest first.
+    fn by_load(&self) -> Vec<usize> {
+        let mut order: Vec<usize> = (0..self.servers.len()).collect();
+        order.sort_by_key(|&at| {
+            let server = &self.servers[at];
+            let load = crate::measure::Ratio::of(server.load, u64::from(server.row.weight.max(1)));
+            (std::cmp::Reverse(load), at)
+        });
+        order
+    }
+
+    /// Makes the move of a candidate and changes the loads accordingly.
+    fn apply(&mut self, round: &Round<'_>, standbys: &mut Standbys<'_>, chosen: Candidate) -> Move {
+        let from = self.servers[chosen.source].shards.remove(chosen.shard);
+        let load = round.load(&from.shard);
+        self.servers[chosen.source].load -= load;
+        self.servers[chosen.target].load += load;
+        self.servers[chosen.target].shards.push(from);
+        let owner = self.servers[chosen.target].row;
+        let pair = round.homes.pair(&owner.id);
+        let to = Placed {
+            shard: from.shard.clone(),
+            owner: owner.id.clone(),
+            standby: pair
+                .and_then(|pair| standbys.keep_or_choose(owner, pair, from.standby.as_ref())),
+            home: pair.map_or_else(|| from.home.clone(), |pair| pair.home.clone()),
+            standby_home: pair.and_then(|pair| pair.standby_home.clone()),
+        };
+        Move {
+            from: from.clone(),
+            to,
+            reason: Reason::Balance,
+            urgent: false,
+            worth: chosen.worth,
+        }
+    }
+}
+
+impl Step {
+    /// Returns the shard that a step is about.
+    #[must_use]
+    pub fn shard(&self) -> &ShardId {
+        match self {
+            Self::Move(step) => &step.to.shard,
+            Self::Split { to, .. } => &to.shard,
+            Self::Merge { shard, .. } => shard,
+        }
+    }
+}
--- /dev/null
+++ b/crates/carawayrill-core/src/placement/baseline.rs
@@ -0,0 +1,47 @@
+//! Baselines to compare placement with: static hashing and plain consistent hashing.
+//!
+//! Neither knows load, moves nothing by plan, and changes owners only when servers come or go.
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::id::KeyHash;
+use crate::id::ServerId;
+
+/// Owns a key by the remainder of its hash.
+#[must_use]
+pub fn static_owner(servers: &[ServerId], key: KeyHash) -> Option<&ServerId> {
+    let count = u64::try_from(servers.len()).ok()?;
+    let at = usize::try_from(key.0.checked_rem(count)?).ok()?;
+    servers.get(at)
+}
+
+/// A ring of servers, each at a number of points.
+#[derive(Debug, Clone)]
+pub struct Ring {
+    points: Vec<(u64, ServerId)>,
+}
+
+impl Ring {
+    /// Puts each server at `points` points of the ring.
+    #[must_use]
+    pub fn new(servers: &[ServerId], points: u32) -> Self {
+        let place = |server: &ServerId, point: u32| {
+            let hash = xxh3_64_with_seed(server.as_str().as_bytes(), point.into());
+            (hash, server.clone())
+        };
+        let all = servers
+            .iter()
+            .flat_map(|server| (0..points).map(move |point| place(server, point)));
+        let mut points: Vec<_> = all.collect();
+        points.sort();
+        Self { points }
+    }
+
+    /// Returns the server at the first point at or after the key's hash.
+    #[must_use]
+    pub fn owner(&self, key: KeyHash) -> Option<&ServerId> {
+        let at = self.points.partition_point(|(hash, _)| *hash < key.0);
+        let point = self.points.get(at).or_else(|| self.points.first());
+        point.map(|(_, server)| server)
+    }
+}
--- a/crates/carawayrill-core/src/placement/homes.rs
+++ b/crates/carawayrill-core/src/placement/homes.rs
@@ -5,12 +5,14 @@
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
+use super::replace::EndedRuns;
 use super::rows::Fleet;
 use super::rows::NodeState;
 use super::rows::Placed;
 use super::rows::RouterRow;
 use super::rows::ServerRow;
 use crate::data;
+use crate::id::DataCentreId;
 use crate::id::RouterId;
 use crate::id::ServerId;
 
@@ -39,20 +41,31 @@
     /// whose home may take no work. A home that may stay, stays.
     #[must_use]
     pub fn assign(fleet: &Fleet, current: &[Placed]) -> Self {
+        Self::assign_without(fleet, current, &EndedRuns::default())
+    }
+
+    /// Does the same, and takes no home or standby home to be in force whose run has ended.
+    #[must_use]
+    pub fn assign_without(fleet: &Fleet, current: &[Placed], ended: &EndedRuns) -> Self {
         let fleet = fleet.sorted();
         let mut homes = Self::default();
         let mut open = Vec::new();
-        let found = pairs_of(current);
+        let found = pairs_of(current, ended);
         for server in &fleet.servers {
-            match found.get(&server.id).and_then(|pair| keep(&fleet, pair)) {
+            let kept = found
+                .get(&server.id)
+                .and_then(|pair| pair.keep(&fleet, server));
+            match kept {
                 Some(pair) => homes.set(server.id.clone(), pair),
                 None if server.state == NodeState::Lost => {}
                 None => open.push(server),
             }
         }
         for server in open {
-            let old = found.get(&server.id);
-            if let Some(pair) = homes.choose(&fleet, server, old) {
+            let former = found
+                .get(&server.id)
+                .and_then(|pair| pair.standby_home.as_ref());
+            if let Some(pair) = homes.choose(&fleet, server, former) {
                 homes.set(server.id.clone(), pair);
             }
         }
@@ -87,9 +100,8 @@
         &self,
         fleet: &Fleet,
         server: &ServerRow,
-        old: Option<&HomePair>,
+        former: Option<&RouterId>,
     ) -> Option<HomePair> {
-        let former = old.and_then(|pair| pair.standby_home.as_ref());
         let home = live(fleet).min_by_key(|router| {
             let shares = router.data_centre == server.data_centre;
             let outside = router.region != server.region;
@@ -157,35 +169,70 @@
         .filter(|router| router.state == NodeState::Live)
 }
 
+/// The homes of one server as found in placements in force.
+#[derive(Debug, Default)]
+struct Found {
+    /// The home, unless its run has ended.
+    home: Option<RouterId>,
+    /// The standby home, unless its run has ended.
+    standby_home: Option<RouterId>,
+}
+
 /// Collects the homes of servers out of placements in force. Where shards of one server disagree
-/// (after a change was recorded for a part of them), the home of most shards counts.
-fn pairs_of(current: &[Placed]) -> BTreeMap<ServerId, HomePair> {
-    let mut votes: BTreeMap<(&ServerId, &RouterId, Option<&RouterId>), u32> = BTreeMap::new();
+/// (after a change was recorded for a part of them), the homes of most shards count.
+fn pairs_of(current: &[Placed], ended: &EndedRuns) -> BTreeMap<ServerId, Found> {
+    let mut homes = BTreeMap::new();
+    let mut standbys = BTreeMap::new();
     for row in current {
-        let key = (&row.owner, &row.home, row.standby_home.as_ref());
-        *votes.entry(key).or_default() += 1;
+        if !ended.homes.contains(&row.shard) {
+            *homes.entry((&row.owner, &row.home)).or_default() += 1;
+        }
+        if let Some(standby) = &row.standby_home
+            && !ended.standby_homes.contains(&row.shard)
+        {
+            *standbys.entry((&row.owner, standby)).or_default() += 1;
+        }
     }
-    let mut ranked: Vec<_> = votes.into_iter().collect();
-    ranked.sort_by_key(|&(key, count)| (key.0, Reverse(count), key));
-    let mut pairs = BTreeMap::new();
-    for ((server, home, standby), _) in ranked {
-        pairs.entry(server.clone()).or_insert_with(|| HomePair {
-            home: home.clone(),
-            standby_home: standby.cloned(),
-        });
+    let mut found: BTreeMap<ServerId, Found> = BTreeMap::new();
+    for (server, home) in most_voted(homes) {
+        found.entry(server).or_default().home = Some(home);
+    }
+    for (server, standby) in most_voted(standbys) {
+        found.entry(server).or_default().standby_home = Some(standby);
     }
-    pairs
+    found
 }
 
-/// Keeps the homes of a server as far as they may take work.
-fn keep(fleet: &Fleet, pair: &HomePair) -> Option<HomePair> {
-    let is_live = |id: &RouterId| {
-        fleet
-            .find_router(id)
-            .is_some_and(|router| router.state == NodeState::Live)
-    };
-    is_live(&pair.home).then(|| HomePair {
-        home: pair.home.clone(),
-        standby_home: pair.standby_home.clone().filter(is_live),
-    })
+/// Returns the router with the most votes for each server.
+fn most_voted(votes: BTreeMap<(&ServerId, &RouterId), u32>) -> BTreeMap<ServerId, RouterId> {
+    let mut ranked: Vec<_> = votes.into_iter().collect();
+    ranked.sort_by_key(|&(key, count)| (count, Reverse(key)));
+    let chosen = ranked.into_iter();
+    chosen
+        .map(|((server, router), _)| (server.clone(), router.clone()))
+        .collect()
+}
+
+impl Found {
+    /// Keeps the homes as far as they may take work and break no rule that could be kept.
+    fn keep(&self, fleet: &Fleet, server: &ServerRow) -> Option<HomePair> {
+        let find = |id: &RouterId| {
+            fleet
+                .find_router(id)
+                .filter(|router| router.state == NodeState::Live)
+        };
+        let home = self.home.as_ref().and_then(find)?;
+        let elsewhere = |dc: &DataCentreId| live(fleet).any(|router| router.data_centre != *dc);
+        if home.data_centre == server.data_centre && elsewhere(&server.data_centre) {
+            return None;
+        }
+        let standby = self.standby_home.as_ref().and_then(find).filter(|standby| {
+            let shares = standby.data_centre == home.data_centre;
+            standby.id != home.id && !(shares && elsewhere(&home.data_centre))
+        });
+        Some(HomePair {
+            home: home.id.clone(),
+            standby_home: standby.map(|router| router.id.clone()),
+        })
+    }
 }
--- /dev/null
+++ b/crates/carawayrill-core/src/placement/hot_key.rs
@@ -0,0 +1,123 @@
+//! Splitting hot keys out of their ranges, and merging them when they are cold again.
+
+use std::collections::BTreeMap;
+
+use super::balance::Balancer;
+use super::demand::Demand;
+use super::demand::HotDemand;
+use super::rows::Placed;
+use super::step::Move;
+use super::step::Step;
+use super::step::Worth;
+use crate::assignment::Reason;
+use crate::id::ShardId;
+use crate::id::ShardPart;
+use crate::time::Time;
+
+/// The placements of one service by shard, and the mean load of one of its servers.
+#[derive(Debug)]
+pub(crate) struct HotInput<'a> {
+    /// Placements in force.
+    pub(crate) placed: &'a BTreeMap<&'a ShardId, &'a Placed>,
+    /// Demand of the service's shards.
+    pub(crate) demand: &'a [&'a Demand],
+    /// Mean load of a server of weight 1.
+    pub(crate) mean: u64,
+    /// Hash ranges of the service.
+    pub(crate) ranges: u32,
+}
+
+/// Lists the keys to split out, the hottest first.
+pub(crate) fn splits(balancer: &Balancer, input: &HotInput<'_>) -> Vec<Step> {
+    let is_hot = |shard: &&&ShardId| matches!(shard.part, ShardPart::Hot(_));
+    let used = input.placed.keys().filter(is_hot).count();
+    let room = balancer.config.max_hot.saturating_sub(used);
+    let mut found: Vec<(HotDemand, &Placed)> = input
+        .demand
+        .iter()
+        .filter_map(|demand| hot_range(balancer, input, demand))
+        .collect();
+    found.sort_by_key(|(hot, _)| (std::cmp::Reverse(hot.load), hot.key));
+    found.truncate(room);
+    found
+        .into_iter()
+        .map(|(hot, row)| split(hot, row))
+        .collect()
+}
+
+/// Returns the hot key of a range and its placement, if the key is to be split out.
+fn hot_range<'a>(
+    balancer: &Balancer,
+    input: &HotInput<'a>,
+    demand: &Demand,
+) -> Option<(HotDemand, &'a Placed)> {
+    let hot = demand.hot?;
+    let is_range = matches!(demand.shard.part, ShardPart::Range(_));
+    let split_out = ShardId::hot(demand.shard.service.clone(), hot.key);
+    let is_hot = hot.load > 0 && hot.load >= balancer.config.split.times(input.mean);
+    if !is_range || !is_hot || input.placed.contains_key(&split_out) {
+        return None;
+    }
+    let row = input.placed.get(&demand.shard)?;
+    Some((hot, *row))
+}
+
+/// Makes the step that splits a key out of its range.
+fn split(hot: HotDemand, row: &Placed) -> Step {
+    let shard = ShardId::hot(row.shard.service.clone(), hot.key);
+    Step::Split {
+        to: Placed {
+            shard,
+            ..row.clone()
+        },
+        worth: Worth {
+            gain: hot.load,
+            cost: 0,
+        },
+    }
+}
+
+/// Lists the steps that bring keys back that are cold again: first to the owner and homes of their
+/// range, then into it.
+pub(crate) fn merges(balancer: &Balancer, now: Time, input: &HotInput<'_>) -> Vec<Step> {
+    let loads: BTreeMap<&ShardId, u64> = input
+        .demand
+        .iter()
+        .map(|demand| (&demand.shard, demand.load))
+        .collect();
+    let is_cold = |shard: &ShardId| {
+        let load = loads.get(shard).copied().unwrap_or(0);
+        load < balancer.config.merge.times(input.mean).max(1) && !balancer.rests(shard, now)
+    };
+    input
+        .placed
+        .values()
+        .filter(|row| matches!(row.shard.part, ShardPart::Hot(_)) && is_cold(&row.shard))
+        .filter_map(|row| merge(input, row))
+        .collect()
+}
+
+/// Makes the step that brings one key back.
+fn merge(input: &HotInput<'_>, row: &Placed) -> Option<Step> {
+    let ShardPart::Hot(key) = row.shard.part else {
+        return None;
+    };
+    let service = row.shard.service.clone();
+    let into = ShardId::range(service, key.range_of(input.ranges));
+    let range = *input.placed.get(&into)?;
+    let to = Placed {
+        shard: row.shard.clone(),
+        ..range.clone()
+    };
+    if to == *row {
+        let shard = row.shard.clone();
+        return Some(Step::Merge { shard, into });
+    }
+    Some(Step::Move(Move {
+        from: row.clone(),
+        to,
+        reason: Reason::HotKey,
+        urgent: false,
+        worth: Worth::default(),
+    }))
+}
--- a/crates/carawayrill-core/src/placement/mod.rs
+++ b/crates/carawayrill-core/src/placement/mod.rs
@@ -17,15 +17,31 @@
 //! # Ok::<(), carawayrill_core::Error>(())
 //! ```
 
+mod balance;
+pub mod baseline;
+mod config;
+mod demand;
 mod homes;
+mod hot_key;
 mod initial;
+mod replace;
 mod rows;
 mod standby;
+mod step;
 
+pub use self::balance::Balancer;
+pub use self::config::BalanceConfig;
+pub use self::demand::Demand;
+pub use self::demand::HotDemand;
+pub use self::demand::RegionBytes;
 pub use self::homes::HomePair;
 pub use self::homes::Homes;
 pub use self::initial::Plan;
 pub use self::initial::initial;
+pub use self::replace::EndedRuns;
+pub use self::replace::bound;
+pub use self::replace::price;
+pub use self::replace::replace;
 pub use self::rows::Degraded;
 pub use self::rows::Fleet;
 pub use self::rows::NodeState;
@@ -34,3 +50,6 @@
 pub use self::rows::ServerRow;
 pub use self::rows::Shortfall;
 pub use self::rows::shortfalls;
+pub use self::step::Move;
+pub use self::step::Step;
+pub use self::step::Worth;
--- /dev/null
+++ b/crates/carawayrill-core/src/placement/replace.rs
@@ -0,0 +1,212 @@
+//! Replacing servers and routers that are lost or leave, with the least possible moves.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use super::config::BalanceConfig;
+use super::demand::Demand;
+use super::homes::HomePair;
+use super::homes::Homes;
+use super::initial::Owners;
+use super::rows::Fleet;
+use super::rows::NodeState;
+use super::rows::Placed;
+use super::rows::ServerRow;
+use super::standby::Standbys;
+use super::step::Move;
+use super::step::Worth;
+use crate::assignment::Reason;
+use crate::id::ServerId;
+use crate::id::ShardId;
+
+/// Placements whose routers were started anew since: the run that was appointed is gone.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct EndedRuns {
+    /// Shards whose home's run has ended.
+    pub homes: BTreeSet<ShardId>,
+    /// Shards whose standby home's run has ended.
+    pub standby_homes: BTreeSet<ShardId>,
+}
+
+/// Lists the moves that take the placements in `current` off servers and routers that are lost or
+/// leave. Shards that touch none of those stay as they are.
+///
+/// The standby server of a shard becomes its owner, and the standby home of a server its home,
+/// wherever they can: they are agreed on beforehand and may serve already. The list begins with
+/// urgent moves. [`bound`] cuts the others.
+#[must_use]
+pub fn replace(fleet: &Fleet, current: &[Placed], ended: &EndedRuns) -> Vec<Move> {
+    let fleet = &fleet.sorted();
+    let homes = Homes::assign_without(fleet, current, ended);
+    let mut owners = Owners::new(fleet, &homes, current);
+    let mut standbys = Standbys::new(fleet);
+    count_kept(fleet, current, &mut standbys);
+    let mut moves: Vec<Move> = current
+        .iter()
+        .filter_map(|row| replace_one(fleet, &homes, &mut owners, &mut standbys, ended, row))
+        .collect();
+    moves.sort_by_key(|step| !step.urgent);
+    moves
+}
+
+/// Cuts a list of moves: of those that are not urgent, at most `most` pass that change owner or
+/// home. All shards of a server that change home together count as one, so that no server has two
+/// homes for longer than it must. Changes of standby servers and homes alone always pass.
+#[must_use]
+pub fn bound(moves: Vec<Move>, most: usize) -> Vec<Move> {
+    let mut rehomed: BTreeSet<ServerId> = BTreeSet::new();
+    let mut used = 0;
+    let mut pass = |step: &Move| {
+        if step.urgent || !(step.changes_owner() || step.changes_home()) {
+            return true;
+        }
+        if !step.changes_owner() && rehomed.contains(&step.to.owner) {
+            return true;
+        }
+        if used == most {
+            return false;
+        }
+        used += 1;
+        if !step.changes_owner() {
+            rehomed.insert(step.to.owner.clone());
+        }
+        true
+    };
+    moves.into_iter().filter(|step| pass(step)).collect()
+}
+
+/// States the worth of moves made by [`replace`]: the gain is the load that would go unserved or
+/// would hold up a leaving server, the cost is that of the keys that change owner and of the
+/// requests held meanwhile.
+pub fn price(moves: &mut [Move], config: &BalanceConfig, demand: &[Demand]) {
+    let loads: BTreeMap<&ShardId, u64> = demand.iter().map(|row| (&row.shard, row.load)).collect();
+    let total: u64 = loads.values().sum();
+    let mean = total / u64::try_from(loads.len().max(1)).unwrap_or(1);
+    for step in moves {
+        let load = loads.get(&step.from.shard).copied().unwrap_or(0);
+        let keys = if step.changes_owner() {
+            config.churn_cost.times(mean)
+        } else {
+            0
+        };
+        step.worth = Worth {
+            gain: load,
+            cost: keys + config.hold_cost.times(load),
+        };
+    }
+}
+
+/// Counts the standby servers that may stay.
+fn count_kept(fleet: &Fleet, current: &[Placed], standbys: &mut Standbys<'_>) {
+    for row in current {
+        if let Some(standby) = row.standby.as_ref().filter(|id| is_live(fleet, id)) {
+            standbys.count(&row.owner, standby);
+        }
+    }
+}
+
+fn is_live(fleet: &Fleet, id: &ServerId) -> bool {
+    state_of(fleet, id) == NodeState::Live
+}
+
+/// Returns the state of a server. One that is not declared any more leaves.
+fn state_of(fleet: &Fleet, id: &ServerId) -> NodeState {
+    fleet
+        .find_server(id)
+        .map_or(NodeState::Draining, |row| row.state)
+}
+
+/// Makes the move of one shard, if it needs one.
+fn replace_one(
+    fleet: &Fleet,
+    homes: &Homes,
+    owners: &mut Owners<'_>,
+    standbys: &mut Standbys<'_>,
+    ended: &EndedRuns,
+    row: &Placed,
+) -> Option<Move> {
+    let owner = next_owner(fleet, homes, owners, row)?;
+    let pair = homes.pair(&owner.id)?;
+    let standby = standbys.keep_or_choose(owner, pair, row.standby.as_ref());
+    let to = Placed {
+        shard: row.shard.clone(),
+        owner: owner.id.clone(),
+        standby,
+        home: pair.home.clone(),
+        standby_home: pair.standby_home.clone(),
+    };
+    let ended_run = ended.homes.contains(&row.shard) || ended.standby_homes.contains(&row.shard);
+    if to == *row && !ended_run {
+        return None;
+    }
+    let (reason, urgent) = why(fleet, ended, row);
+    Some(Move {
+        from: row.clone(),
+        to,
+        reason,
+        urgent,
+        worth: Worth::default(),
+    })
+}
+
+/// Returns the server that shall own a shard: the present one if it may stay, else its standby,
+/// else the least loaded one.
+fn next_owner<'a>(
+    fleet: &'a Fleet,
+    homes: &Homes,
+    owners: &mut Owners<'_>,
+    row: &Placed,
+) -> Option<&'a ServerRow> {
+    if is_live(fleet, &row.owner) {
+        return fleet.find_server(&row.owner);
+    }
+    let standby = row
+        .standby
+        .as_ref()
+        .filter(|id| is_live(fleet, id) && homes.pair(id).is_some());
+    let next = match standby {
+        Some(standby) => standby.clone(),
+        None => owners.take(&row.shard.service)?,
+    };
+    fleet.find_server(&next)
+}
+
+/// Tells why a shard moves, and whether that is urgent.
+fn why(fleet: &Fleet, ended: &EndedRuns, row: &Placed) -> (Reason, bool) {
+    let router = |id| {
+        fleet
+            .find_router(id)
+            .map_or(NodeState::Lost, |row| row.state)
+    };
+    let owner = state_of(fleet, &row.owner);
+    let home = router(&row.home);
+    let standby_home = row.standby_home.as_ref().map_or(NodeState::Lost, router);
+    if owner == NodeState::Lost {
+        return (Reason::ServerLost, true);
+    }
+    if home == NodeState::Lost || ended.homes.contains(&row.shard) {
+        return (Reason::HomeLost, true);
+    }
+    let no_second = standby_home == NodeState::Lost || ended.standby_homes.contains(&row.shard);
+    let leaves = [owner, home].contains(&NodeState::Draining);
+    match (leaves, no_second) {
+        (true, _) => (Reason::Drain, false),
+        (false, true) => (Reason::HomeLost, true),
+        (false, false) => (Reason::Balance, false),
+    }
+}
+
+impl Standbys<'_> {
+    /// Keeps the standby server of a shard if it may stay, else chooses one.
+    pub(crate) fn keep_or_choose(
+        &mut self,
+        owner: &ServerRow,
+        pair: &HomePair,
+        old: Option<&ServerId>,
+    ) -> Option<ServerId> {
+        match old {
+            Some(old) if self.may_stay(owner, pair, old) => Some(old.clone()),
+            _ => self.choose(owner, pair),
+        }
+    }
+}
--- a/crates/carawayrill-core/src/placement/standby.rs
+++ b/crates/carawayrill-core/src/placement/standby.rs
@@ -81,6 +81,26 @@
         Some(chosen)
     }
 
+    /// Tells whether a standby server in force may stay: it is live, and no other would mend rule 1.
+    pub(crate) fn may_stay(&self, owner: &ServerRow, pair: &HomePair, old: &ServerId) -> bool {
+        let Some(old) = self.fleet.find_server(old) else {
+            return false;
+        };
+        if old.state != NodeState::Live || old.id == owner.id || old.service != owner.service {
+            return false;
+        }
+        let home_dc = self.home_data_centre(pair);
+        if Some(&old.data_centre) != home_dc {
+            return true;
+        }
+        let others = self.by_service.get(&owner.service);
+        !others.is_some_and(|servers| {
+            servers
+                .iter()
+                .any(|other| other.id != owner.id && Some(&other.data_centre) != home_dc)
+        })
+    }
+
     /// Returns the data centre of a server's home.
     fn home_data_centre(&self, pair: &HomePair) -> Option<&'a DataCentreId> {
         self.fleet
--- /dev/null
+++ b/crates/carawayrill-core/tests/placement_balance.rs
@@ -0,0 +1,253 @@
+//! Balancing: bounded moves, each of which gains more than it costs; hot keys split and merged.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use carawayrill_core::assignment::Reason;
+use carawayrill_core::id::KeyHash;
+use carawayrill_core::id::ShardId;
+use carawayrill_core::measure::Ratio;
+use carawayrill_core::placement::BalanceConfig;
+use carawayrill_core::placement::Balancer;
+use carawayrill_core::placement::Demand;
+use carawayrill_core::placement::Fleet;
+use carawayrill_core::placement::HotDemand;
+use carawayrill_core::placement::NodeState;
+use carawayrill_core::placement::Placed;
+use carawayrill_core::placement::RegionBytes;
+use carawayrill_core::placement::Step;
+use carawayrill_core::placement::initial;
+use carawayrill_core::placement::shortfalls;
+use carawayrill_core::time::Time;
+use placement_support::fleet;
+use placement_support::shards;
+use proptest::prelude::*;
+use rstest::rstest;
+
+mod placement_support;
+
+/// One region, three data centres, two servers each, four shards a server.
+fn placed() -> (Fleet, Vec<Placed>) {
+    let fleet = fleet(1, 3, 2, 1);
+    let placed = initial(&fleet, &shards(24), &[]).placed;
+    (fleet, placed)
+}
+
+/// Gives each shard its load in turn; those left over get 100.
+fn demand(rows: &[Placed], loads: &[u64]) -> Vec<Demand> {
+    let load = |at: usize| loads.get(at).copied().unwrap_or(100);
+    let rows = rows.iter().enumerate();
+    rows.map(|(at, row)| Demand::of_load(row.shard.clone(), load(at)))
+        .collect()
+}
+
+fn show(steps: &[Step]) -> String {
+    let lines: Vec<String> = steps.iter().map(ToString::to_string).collect();
+    lines.join("\n")
+}
+
+/// Carries steps out.
+fn apply(rows: &mut Vec<Placed>, steps: &[Step]) {
+    for step in steps {
+        match step {
+            Step::Move(step) => {
+                let row = rows.iter_mut().find(|row| **row == step.from).unwrap();
+                *row = step.to.clone();
+            }
+            Step::Split { to, .. } => rows.push(to.clone()),
+            Step::Merge { shard, .. } => rows.retain(|row| row.shard != *shard),
+        }
+    }
+}
+
+/// Runs one round with nothing under way.
+fn round(
+    balancer: &mut Balancer,
+    now: u64,
+    fleet: &Fleet,
+    rows: &[Placed],
+    demand: &[Demand],
+) -> Vec<Step> {
+    balancer.round(Time(now), fleet, rows, demand, &BTreeSet::new())
+}
+
+#[rstest]
+#[case::even("even", &[])]
+#[case::below_the_start("below_the_start", &[180])]
+#[case::one_shard_heavy("one_shard_heavy", &[1_000])]
+#[case::one_server_heavy("one_server_heavy", &[300, 100, 100, 100, 100, 100, 300, 100, 100, 100, 100, 100, 300])]
+#[case::one_shard_is_all("one_shard_is_all", &[100_000])]
+fn one_round(#[case] name: &str, #[case] loads: &[u64]) {
+    let (fleet, rows) = placed();
+    let mut balancer = Balancer::new(BalanceConfig::default());
+    let steps = round(&mut balancer, 0, &fleet, &rows, &demand(&rows, loads));
+    insta::assert_snapshot!(name, show(&steps));
+}
+
+#[test]
+fn hysteresis_starts_late_and_goes_on() {
+    let (fleet, rows) = placed();
+    let mut balancer = Balancer::new(BalanceConfig::default().max_moves(1).churn_cost(Ratio(0)));
+    // The first server has 340 and `first`, the others have 400 each.
+    let with = |first: u64| {
+        let mut seen = demand(&rows, &[first]);
+        for (at, load) in [(6, 20), (12, 20), (18, 300)] {
+            seen[at].load = load;
+        }
+        seen
+    };
+    // The first server by itself comes to 1.16 and 1.28 times the mean.
+    let mut moves = |now, first| round(&mut balancer, now, &fleet, &rows, &with(first)).len();
+    assert_eq!(moves(0, 140), 0, "below the start");
+    assert_eq!(moves(1, 200), 1, "above the start");
+    assert_eq!(moves(120_000, 140), 1, "above the end");
+    assert_eq!(moves(240_000, 60), 0, "even");
+    assert_eq!(moves(360_000, 140), 0, "below the start again");
+}
+
+#[rstest]
+#[case::free(0, 4)]
+#[case::some_under_way(3, 1)]
+#[case::full(4, 0)]
+#[case::more_than_full(9, 0)]
+fn moves_are_bounded(#[case] pending: u32, #[case] most: usize) {
+    let (fleet, rows) = placed();
+    let loads: Vec<u64> = (0..24)
+        .map(|at| if at % 6 < 2 { 900 } else { 10 })
+        .collect();
+    let mut balancer = Balancer::new(BalanceConfig::default());
+    let pending: BTreeSet<ShardId> = (0..pending)
+        .map(|index| ShardId::range("other".parse().unwrap(), index))
+        .collect();
+    let steps = balancer.round(Time(0), &fleet, &rows, &demand(&rows, &loads), &pending);
+    assert_eq!(steps.len(), most, "{}", show(&steps));
+}
+
+#[test]
+fn moved_shard_rests() {
+    let (fleet, mut rows) = placed();
+    let config = BalanceConfig::default().rest(Duration::from_mins(1));
+    let mut balancer = Balancer::new(config);
+    let heavy = demand(&rows, &[1_000, 100, 100, 100, 100, 100, 1_000]);
+    let steps = round(&mut balancer, 0, &fleet, &rows, &heavy);
+    let first: BTreeSet<ShardId> = steps.iter().map(|step| step.shard().clone()).collect();
+    apply(&mut rows, &steps);
+    // The load turns round: all that was moved would be moved back.
+    let turned: Vec<Demand> = rows
+        .iter()
+        .map(|row| {
+            Demand::of_load(
+                row.shard.clone(),
+                if first.contains(&row.shard) {
+                    2_000
+                } else {
+                    100
+                },
+            )
+        })
+        .collect();
+    let soon = round(&mut balancer, 59_999, &fleet, &rows, &turned);
+    assert!(
+        soon.iter().all(|step| !first.contains(step.shard())),
+        "{}",
+        show(&soon)
+    );
+    let later = round(&mut balancer, 60_000, &fleet, &rows, &turned);
+    assert!(
+        later.iter().any(|step| first.contains(step.shard())),
+        "{}",
+        show(&later)
+    );
+}
+
+/// A hot key gets its own shard in place, is moved by itself, and comes back when it is cold.
+#[test]
+fn life_of_a_hot_key() {
+    let (fleet, mut rows) = placed();
+    let mut balancer = Balancer::new(BalanceConfig::default());
+    let key = KeyHash(0);
+    let mut log = Vec::new();
+    let hot = ShardId::hot("forms".parse().unwrap(), key);
+    for window in 0..10_u64 {
+        let load = if window < 4 { 900 } else { 1 };
+        let mut seen = demand(&rows, &[]);
+        let is_split = rows.iter().any(|row| row.shard == hot);
+        if is_split {
+            seen.iter_mut().find(|row| row.shard == hot).unwrap().load = load;
+        } else {
+            seen[0].load += load;
+            seen[0].hot = Some(HotDemand { key, load });
+        }
+        let steps = round(&mut balancer, window * 30_000, &fleet, &rows, &seen);
+        log.push(format!("{window}: {}", show(&steps)));
+        apply(&mut rows, &steps);
+    }
+    insta::assert_snapshot!(log.join("\n"));
+    assert_eq!(rows.len(), 24);
+}
+
+#[rstest]
+#[case::callers_elsewhere(&[("r0", 0), ("r1", 900_000)], "r1")]
+#[case::callers_here(&[("r0", 900_000), ("r1", 0)], "r0")]
+#[case::unknown(&[], "r0")]
+fn bytes_draw_a_shard_to_its_callers(#[case] bytes: &[(&str, u64)], #[case] expected: &str) {
+    let fleet = fleet(2, 3, 2, 1);
+    let rows = initial(&fleet, &shards(48), &[]).placed;
+    // All shards of the first server are heavy; the server is in region r0.
+    let seen: Vec<Demand> = rows
+        .iter()
+        .map(|row| {
+            let heavy = row.owner == rows[0].owner;
+            let bytes = bytes.iter().map(|&(region, bytes)| RegionBytes {
+                region: region.parse().unwrap(),
+                bytes: bytes * 10,
+            });
+            Demand {
+                bytes: bytes.collect(),
+                ..Demand::of_load(row.shard.clone(), if heavy { 400 } else { 100 })
+            }
+        })
+        .collect();
+    let mut balancer = Balancer::new(BalanceConfig::default().max_moves(1));
+    let steps = round(&mut balancer, 0, &fleet, &rows, &seen);
+    let Some(Step::Move(step)) = steps.first() else {
+        panic!("{}", show(&steps))
+    };
+    assert_eq!(
+        fleet.server(&step.to.owner).unwrap().region.as_str(),
+        expected
+    );
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: prop::test_runner::RngSeed::Fixed(9), ..ProptestConfig::with_cases(150) })]
+
+    /// Under any demand: at most the stated number of moves, each gaining more than it costs, only
+    /// to live servers, with rule 1 kept; the same input gives the same steps; and rounds on a
+    /// demand that stays come to an end.
+    #[test]
+    fn invariants(loads in prop::collection::vec(0_u64..2_000, 24), most in 0_usize..6, drained in 0_usize..6) {
+        let (mut fleet, mut rows) = placed();
+        fleet.servers[drained].state = NodeState::Draining;
+        let config = BalanceConfig::default().max_moves(most).rest(Duration::ZERO);
+        let mut balancer = Balancer::new(config.clone());
+        let mut twin = Balancer::new(config);
+        let mut quiet = false;
+        for window in 0..60 {
+            let seen = demand(&rows, &loads);
+            let steps = round(&mut balancer, window, &fleet, &rows, &seen);
+            prop_assert_eq!(&steps, &round(&mut twin, window, &fleet, &rows, &seen));
+            prop_assert!(steps.len() <= most);
+            for step in &steps {
+                let Step::Move(step) = step else { panic!("no hot key was reported") };
+                prop_assert!(step.worth.gain > step.worth.cost && step.reason == Reason::Balance);
+                prop_assert!(fleet.server(&step.to.owner).unwrap().state == NodeState::Live);
+                let broken = |found: &carawayrill_core::placement::Shortfall| found.breaks_rule();
+                prop_assert!(!shortfalls(&fleet, &step.to).iter().any(broken));
+            }
+            quiet = steps.is_empty();
+            apply(&mut rows, &steps);
+        }
+        prop_assert!(quiet);
+    }
+}
--- /dev/null
+++ b/crates/carawayrill-core/tests/placement_replace.rs
@@ -0,0 +1,205 @@
+//! Losses and drains: everything moves off, and nothing else moves.
+
+use std::collections::BTreeSet;
+
+use carawayrill_core::assignment::Reason;
+use carawayrill_core::id::ShardId;
+use carawayrill_core::measure::Churn;
+use carawayrill_core::measure::Owned;
+use carawayrill_core::placement::BalanceConfig;
+use carawayrill_core::placement::Demand;
+use carawayrill_core::placement::EndedRuns;
+use carawayrill_core::placement::Fleet;
+use carawayrill_core::placement::Move;
+use carawayrill_core::placement::NodeState;
+use carawayrill_core::placement::Placed;
+use carawayrill_core::placement::bound;
+use carawayrill_core::placement::initial;
+use carawayrill_core::placement::price;
+use carawayrill_core::placement::replace;
+use carawayrill_core::placement::shortfalls;
+use placement_support::fleet;
+use placement_support::shards;
+use proptest::prelude::*;
+use rstest::rstest;
+
+mod placement_support;
+
+/// Places `count` shards on a fleet of three regions with three data centres each.
+fn placed(count: u32) -> (Fleet, Vec<Placed>) {
+    let fleet = fleet(3, 3, 2, 1);
+    let placed = initial(&fleet, &shards(count), &[]).placed;
+    (fleet, placed)
+}
+
+fn apply(current: &[Placed], moves: &[Move]) -> Vec<Placed> {
+    let new = |row: &Placed| {
+        let found = moves.iter().find(|step| step.from == *row);
+        found.map_or_else(|| row.clone(), |step| step.to.clone())
+    };
+    current.iter().map(new).collect()
+}
+
+fn owners(rows: &[Placed]) -> Vec<Owned<'_, &ShardId>> {
+    let owned = rows.iter().map(|row| Owned {
+        item: &row.shard,
+        owner: &row.owner,
+        keys: 1,
+    });
+    owned.collect()
+}
+
+fn churn(before: &[Placed], after: &[Placed]) -> Churn {
+    Churn::between(&owners(before), &owners(after))
+}
+
+fn set(fleet: &mut Fleet, name: &str, state: NodeState) {
+    let servers = fleet
+        .servers
+        .iter_mut()
+        .filter(|row| row.id.as_str() == name);
+    servers.for_each(|row| row.state = state);
+    let routers = fleet
+        .routers
+        .iter_mut()
+        .filter(|row| row.id.as_str() == name);
+    routers.for_each(|row| row.state = state);
+}
+
+#[rstest]
+#[case::server_lost("s-000", NodeState::Lost)]
+#[case::server_drains("s-000", NodeState::Draining)]
+#[case::router_lost("g-010", NodeState::Lost)]
+#[case::router_drains("g-010", NodeState::Draining)]
+fn least_moves(#[case] name: &str, #[case] state: NodeState) {
+    let (mut fleet, before) = placed(36);
+    set(&mut fleet, name, state);
+    let moves = replace(&fleet, &before, &EndedRuns::default());
+    let after = apply(&before, &moves);
+    let churn = churn(&before, &after);
+    assert_eq!(churn.moved, churn.least, "{churn}");
+    let text: Vec<String> = moves
+        .iter()
+        .map(|step| {
+            format!(
+                "{} -> {} {:?} urgent {}",
+                step.from, step.to, step.reason, step.urgent
+            )
+        })
+        .collect();
+    insta::assert_snapshot!(format!("{name}_{state:?}").to_lowercase(), text.join("\n"));
+}
+
+/// A lost home's servers go to their standby homes, which may serve already.
+#[test]
+fn standby_home_takes_over() {
+    let (mut fleet, before) = placed(36);
+    set(&mut fleet, "g-010", NodeState::Lost);
+    let moves = replace(&fleet, &before, &EndedRuns::default());
+    let mut taken = moves
+        .iter()
+        .filter(|step| step.from.home.as_str() == "g-010");
+    assert!(taken.all(|step| Some(&step.to.home) == step.from.standby_home.as_ref()));
+}
+
+/// A restarted home is nobody's home: its run has ended, though the router lives.
+#[test]
+fn ended_run_is_replaced() {
+    let (fleet, before) = placed(36);
+    let is_home = |row: &&Placed| row.home.as_str() == "g-010";
+    let homes: BTreeSet<_> = before
+        .iter()
+        .filter(is_home)
+        .map(|row| row.shard.clone())
+        .collect();
+    let ended = EndedRuns {
+        homes: homes.clone(),
+        ..EndedRuns::default()
+    };
+    let moves = replace(&fleet, &before, &ended);
+    let found: BTreeSet<_> = moves.iter().map(|step| step.from.shard.clone()).collect();
+    assert_eq!(found, homes);
+    assert!(
+        moves
+            .iter()
+            .all(|step| step.urgent && step.reason == Reason::HomeLost)
+    );
+}
+
+#[rstest]
+#[case::none(0, 0)]
+#[case::one_server(1, 1)]
+#[case::all(9, 2)]
+fn bound_counts_rehomed_servers_once(#[case] most: usize, #[case] servers: usize) {
+    let (mut fleet, before) = placed(36);
+    set(&mut fleet, "g-010", NodeState::Draining);
+    let moves = bound(replace(&fleet, &before, &EndedRuns::default()), most);
+    let rehomed = moves.iter().filter(|step| step.changes_home());
+    let rehomed: BTreeSet<_> = rehomed.map(|step| &step.to.owner).collect();
+    assert_eq!(rehomed.len(), servers);
+}
+
+#[test]
+fn bound_lets_urgent_moves_pass() {
+    let (mut fleet, before) = placed(36);
+    set(&mut fleet, "s-000", NodeState::Lost);
+    set(&mut fleet, "s-010", NodeState::Draining);
+    let moves = bound(replace(&fleet, &before, &EndedRuns::default()), 1);
+    let leaves = |name: &str| {
+        moves
+            .iter()
+            .filter(|step| step.from.owner.as_str() == name)
+            .count()
+    };
+    assert_eq!((leaves("s-000"), leaves("s-010")), (2, 1));
+}
+
+#[test]
+fn moves_state_their_worth() {
+    let (mut fleet, before) = placed(36);
+    set(&mut fleet, "s-000", NodeState::Draining);
+    let mut moves = replace(&fleet, &before, &EndedRuns::default());
+    let demand = shards(36)
+        .into_iter()
+        .map(|shard| Demand::of_load(shard, 200));
+    let demand: Vec<Demand> = demand.collect();
+    price(&mut moves, &BalanceConfig::default(), &demand);
+    let worth: BTreeSet<String> = moves
+        .iter()
+        .map(|step| format!("owner {} {}", step.changes_owner(), step.worth))
+        .collect();
+    let expected = ["owner false gain 200 cost 4", "owner true gain 200 cost 54"];
+    assert_eq!(worth, expected.map(str::to_owned).into());
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: prop::test_runner::RngSeed::Fixed(4), ..ProptestConfig::with_cases(200) })]
+
+    /// After any losses and drains that leave two data centres a region whole: nothing stays with
+    /// a lost or leaving one, rule 1 holds, no more keys move than must, and a second call finds
+    /// nothing left to do.
+    #[test]
+    fn invariants(count in 1_u32..120, states in prop::collection::vec(0_u8..3, 6), seed in 0_usize..18) {
+        let (mut fleet, before) = placed(count);
+        let state = |number: u8| [NodeState::Live, NodeState::Draining, NodeState::Lost][usize::from(number)];
+        for (index, number) in states.iter().enumerate() {
+            let at = (seed + index * 7) % fleet.servers.len();
+            fleet.servers[at].state = state(*number);
+        }
+        fleet.routers[seed % 9].state = state(states[0]);
+        let moves = replace(&fleet, &before, &EndedRuns::default());
+        let after = apply(&before, &moves);
+        let live = |row: &Placed| {
+            let servers = [Some(&row.owner), row.standby.as_ref()];
+            let routers = [Some(&row.home), row.standby_home.as_ref()];
+            servers.into_iter().flatten().all(|id| fleet.server(id).unwrap().state == NodeState::Live)
+                && routers.into_iter().flatten().all(|id| fleet.router(id).unwrap().state == NodeState::Live)
+        };
+        prop_assert!(after.iter().all(live));
+        let broken = |row: &Placed| shortfalls(&fleet, row).iter().any(|found| found.breaks_rule());
+        prop_assert!(!after.iter().any(broken));
+        let churn = churn(&before, &after);
+        prop_assert_eq!(churn.moved, churn.least);
+        prop_assert_eq!(replace(&fleet, &after, &EndedRuns::default()), Vec::new());
+    }
+}
