--- a/crates/carawayrill-testkit/src/fleet/process.rs
+++ b/crates/carawayrill-testkit/src/fleet/process.rs
@@ -31,7 +31,11 @@
 
 /// Returns the path of one of this workspace's binaries: beside the running program, or one folder
 /// up for test programs.
-fn binary(program: &str) -> Result<PathBuf, Error> {
+///
+/// # Errors
+///
+/// Fails if it is not there.
+pub fn binary(program: &str) -> Result<PathBuf, Error> {
     let own = env::current_exe()?;
     let folders = own.ancestors().skip(1).take(2);
     let mut paths = folders.map(|folder| folder.join(program));
@@ -55,7 +59,11 @@
             .stdout(Stdio::null())
             .stderr(file)
             .spawn()?;
-        Ok(Self { name: name.to_owned(), log, child: Some(child) })
+        Ok(Self {
+            name: name.to_owned(),
+            log,
+            child: Some(child),
+        })
     }
 
     /// Returns the file with its event lines.
@@ -77,7 +85,9 @@
     }
 
     fn signal(&self, signal: Signal) -> Result<(), Error> {
-        let id = self.id().ok_or_else(|| format!("{} has ended", self.name))?;
+        let id = self
+            .id()
+            .ok_or_else(|| format!("{} has ended", self.name))?;
         kill(Pid::from_raw(i32::try_from(id)?), signal)?;
         Ok(())
     }
@@ -128,7 +138,9 @@
     ///
     /// Fails if it has not ended within `limit` (it is then ended), or if it ended with an error.
     pub fn wait(&mut self, limit: Duration) -> Result<(), Error> {
-        let Some(child) = &mut self.child else { return Ok(()) };
+        let Some(child) = &mut self.child else {
+            return Ok(());
+        };
         let ended = wait_for(child, limit)?;
         let Some(status) = ended else {
             self.kill()?;
