--- a/crates/carawayrill-controller/src/blocks.rs
+++ b/crates/carawayrill-controller/src/blocks.rs
@@ -9,6 +9,8 @@
 use carawayrill_core::assignment::BlockId;
 use carawayrill_core::assignment::Reason;
 use carawayrill_core::event::EventKind;
+use carawayrill_core::id::Incarnation;
+use carawayrill_core::id::RouterId;
 use carawayrill_core::id::ShardId;
 use carawayrill_core::id::Version;
 use carawayrill_core::object::block_name;
@@ -65,7 +67,7 @@
         let write = writes
             .entry(id.clone())
             .or_insert_with(|| start_write(view, id));
-        let row = first_row(placed, now);
+        let row = first_row(view, placed, now);
         write.block.set(row.clone());
         write.changed.push(row);
     }
@@ -93,8 +95,18 @@
 }
 
 /// Makes the first assignment of a shard.
-fn first_row(placed: Placed, now: WallTime) -> Assignment {
+fn first_row(view: &View, placed: Placed, now: WallTime) -> Assignment {
+    let run = |router: &RouterId| {
+        view.members
+            .get(router)
+            .map_or_else(Incarnation::default, |seen| seen.member.incarnation)
+    };
     Assignment {
+        home_run: run(&placed.home),
+        standby_home_run: placed
+            .standby_home
+            .as_ref()
+            .map_or_else(Incarnation::default, run),
         shard: placed.shard,
         owner: placed.owner,
         standby: placed.standby,
--- a/crates/carawayrill-controller/src/config.rs
+++ b/crates/carawayrill-controller/src/config.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use async_trait::async_trait;
+use carawayrill_config::accept;
 use carawayrill_config::deployment::Deployment;
 use carawayrill_store::port::ObjectStore;
 
@@ -30,7 +31,7 @@
 #[async_trait]
 impl ConfigSource for StoreConfig {
     async fn read(&self) -> Result<Option<Deployment>, Error> {
-        // The accepted configuration is read as soon as `carawayrill-config` can.
-        Ok(None)
+        let accepted = accept::fetch(&*self.store).await.map_err(Error::config)?;
+        Ok(accepted.map(|accepted| accepted.deployment))
     }
 }
--- a/crates/carawayrill-controller/src/error.rs
+++ b/crates/carawayrill-controller/src/error.rs
@@ -28,6 +28,11 @@
         Object { name: String, reason: String } {
             display("object {name}: {reason}")
         }
+        /// The configuration can't be read.
+        Config(err: carawayrill_config::accept::Error) {
+            display("configuration: {err}")
+            source(err)
+        }
         /// Events, metrics or the listening socket can't be set up.
         Start { reason: String } {
             display("can't start: {reason}")
@@ -56,6 +61,13 @@
         }
     }
 
+    /// Makes the error of a configuration that can't be read.
+    pub fn config(err: carawayrill_config::accept::Error) -> Self {
+        Self {
+            kind: ErrorKind::Config(err),
+        }
+    }
+
     /// Makes the error of a process that can't start.
     pub fn start(reason: impl fmt::Display) -> Self {
         Self {
