--- a/crates/carawayrill-testkit/src/demo/mod.rs
+++ b/crates/carawayrill-testkit/src/demo/mod.rs
@@ -7,9 +7,15 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use async_trait::async_trait;
+use carawayrill_config::Parts;
+use carawayrill_config::accept;
+use carawayrill_config::accept::Edit;
+use carawayrill_config::accept::Pause;
 use carawayrill_config::deployment::Deployment;
 use carawayrill_core::assignment::Assignment;
 use carawayrill_core::assignment::Block;
+use carawayrill_core::id::Generation;
 use carawayrill_core::id::Revision;
 use carawayrill_core::id::RouterId;
 use carawayrill_core::object::ASSIGNMENTS;
@@ -58,7 +64,7 @@
         fleet.running().len(),
         whole.name
     );
-    apply(&fleet, options)?;
+    apply(&fleet, options).await?;
     wait_ready(&fleet).await?;
     let routes = wait_assigned(&fleet, &whole).await?;
     ask_each_service(&fleet, &whole, &routes).await?;
@@ -68,19 +74,29 @@
     print_time_line(&fleet)
 }
 
-fn apply(fleet: &Fleet, options: &Options) -> Result<(), Error> {
-    let store = format!("http://{}", fleet.store());
-    let status = Command::new(process::binary("carawayrill")?)
-        .args(["apply", "--store", &store])
-        .arg(&options.deployment)
-        .status()?;
-    if status.success() {
-        Ok(())
-    } else {
-        Err(format!("apply ended with {status}").into())
+/// Gives up after the first failed attempt.
+#[derive(Debug)]
+struct NoRetry;
+
+#[async_trait]
+impl Pause for NoRetry {
+    async fn pause(&self, _attempt: u32) -> bool {
+        false
     }
 }
 
+async fn apply(fleet: &Fleet, options: &Options) -> Result<(), Error> {
+    let store = HttpStore::new(fleet.store())?;
+    let edit = Edit {
+        from: Generation::default(),
+        parts: Parts::read(&options.deployment)?,
+        by: "demo".into(),
+    };
+    let at = carawayrill_telemetry::wall_now();
+    accept::propose(&store, &edit, at, &NoRetry).await?;
+    Ok(())
+}
+
 /// Waits until every router says that it is ready.
 async fn wait_ready(fleet: &Fleet) -> Result<(), Error> {
     let client = reqwest::Client::new();
