Add the load tool and the check of answers against the servers' records

Open loop: latency counts from the moment at which a request was due. The schedule depends on the seed alone. Breaches that the check has to find (run twice, wrong answer, said not run but run, said done but not run) are planted in its tests, each found.

--- a/crates/carawayrill-testkit/src/bin/standin-server.rs
+++ b/crates/carawayrill-testkit/src/bin/standin-server.rs
@@ -1,6 +1,7 @@
 //! Stand-ins of servers, several in one process.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::str::FromStr;
 use std::time::Duration;
@@ -43,6 +44,7 @@
     service_ms: u64,
     cold_start_ms: u64,
     no_fencing: bool,
+    record_file: Option<PathBuf>,
 }
 
 /// An option with a number.
@@ -78,6 +80,10 @@
     let no_fencing = long("no-fencing")
         .help("Check no tokens: obey all orders and run all requests")
         .switch();
+    let record_file = long("record-file")
+        .help("Where the record of all runs is also written, a JSON object a line")
+        .argument("FILE")
+        .optional();
     construct!(Args {
         server,
         slots,
@@ -86,6 +92,7 @@
         service_ms,
         cold_start_ms,
         no_fencing,
+        record_file,
     })
     .to_options()
     .descr("Stands in for servers that own keys under fenced grants")
@@ -112,7 +119,10 @@
         let mut running = Vec::new();
         for place in &args.server {
             let listener = process::listen(place.address).await?;
-            let (_server, one) = server::start(listener, args.settings(place.id.clone()))?;
+            let (server, one) = server::start(listener, args.settings(place.id.clone()))?;
+            if let Some(path) = &args.record_file {
+                server.record_to(path)?;
+            }
             running.push(one);
         }
         process::until_stopped(running).await
--- a/crates/carawayrill-testkit/src/lib.rs
+++ b/crates/carawayrill-testkit/src/lib.rs
@@ -19,8 +19,12 @@
 //! ```
 
 pub mod connections;
+mod error;
+pub mod load;
 pub mod process;
 pub mod serve;
 pub mod server;
 pub mod store;
 pub mod vms;
+
+pub use crate::error::Error;
--- /dev/null
+++ b/crates/carawayrill-testkit/src/load/drive.rs
@@ -0,0 +1,114 @@
+//! Sends the requests of a plan at the moments at which they are due.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use reqwest::Client;
+use tokio::runtime::Handle;
+use tokio::sync::Semaphore;
+use tokio::sync::mpsc;
+
+use crate::Error;
+use crate::load::caller;
+use crate::load::caller::Finished;
+use crate::load::plan::Plan;
+use crate::load::plan::Planned;
+use crate::load::settings::Settings;
+
+/// What came of a run.
+#[derive(Debug)]
+pub struct Driven {
+    /// Requests that were sent, in the order in which they finished.
+    pub finished: Vec<Finished>,
+    /// Requests that were due while too many were in flight, and were not sent.
+    pub not_sent: u64,
+    /// From the start until the last answer.
+    pub took: Duration,
+}
+
+/// Makes the HTTP client of all callers.
+///
+/// # Errors
+///
+/// Fails if no client can be made.
+pub fn client() -> Result<Client, Error> {
+    Client::builder()
+        .connect_timeout(Duration::from_secs(2))
+        .no_proxy()
+        .tcp_nodelay(true)
+        .pool_max_idle_per_host(1_024)
+        .build()
+        .map_err(|err| Error::http(err.to_string()))
+}
+
+/// Makes the load and waits for all answers.
+///
+/// # Errors
+///
+/// Fails if the settings are out of range.
+pub async fn drive(settings: &Settings) -> Result<Driven, Error> {
+    settings.check()?;
+    let (tx, mut rx) = mpsc::unbounded_channel();
+    let handle = Handle::current();
+    let dispatcher = Dispatcher {
+        client: client()?,
+        settings: Arc::new(settings.clone()),
+        room: Arc::new(Semaphore::new(settings.in_flight)),
+        start: Instant::now(),
+        tx,
+    };
+    let start = dispatcher.start;
+    // A thread of its own: the runtime's timers are a whole millisecond apart.
+    let sent = std::thread::spawn(move || dispatcher.send_all(&handle));
+    let mut finished = Vec::new();
+    while let Some(one) = rx.recv().await {
+        finished.push(one);
+    }
+    let not_sent = sent.join().unwrap_or_default();
+    Ok(Driven {
+        finished,
+        not_sent,
+        took: start.elapsed(),
+    })
+}
+
+/// Starts a task a request.
+#[derive(Debug)]
+struct Dispatcher {
+    client: Client,
+    settings: Arc<Settings>,
+    room: Arc<Semaphore>,
+    start: Instant,
+    tx: mpsc::UnboundedSender<Finished>,
+}
+
+impl Dispatcher {
+    /// Sends all requests and returns how many could not be sent.
+    fn send_all(self, handle: &Handle) -> u64 {
+        let mut not_sent = 0;
+        for planned in Plan::new(&self.settings) {
+            let due = self.start + planned.due;
+            std::thread::sleep(due.saturating_duration_since(Instant::now()));
+            not_sent += u64::from(!self.send(handle, planned, due));
+        }
+        not_sent
+    }
+
+    /// Sends one request, if there is room.
+    fn send(&self, handle: &Handle, planned: Planned, due: Instant) -> bool {
+        let Ok(room) = Arc::clone(&self.room).try_acquire_owned() else {
+            return false;
+        };
+        let client = self.client.clone();
+        let settings = Arc::clone(&self.settings);
+        let tx = self.tx.clone();
+        handle.spawn(async move {
+            let finished = caller::call(&client, &settings, planned, due).await;
+            drop(room);
+            // The receiver only goes away with the whole run.
+            let _gone = tx.send(finished);
+        });
+        true
+    }
+}
--- /dev/null
+++ b/crates/carawayrill-testkit/src/load/keys.rs
@@ -0,0 +1,81 @@
+//! Which keys requests are for.
+
+use std::time::Duration;
+
+use compact_str::CompactString;
+use compact_str::format_compact;
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+
+/// How requests spread over keys.
+#[derive(Debug, Clone, PartialEq)]
+pub struct KeyPattern {
+    /// How many keys there are.
+    pub count: u32,
+    /// The exponent of a Zipf distribution; 0 is uniform.
+    pub exponent: f64,
+    /// Hot keys besides, if any.
+    pub hot: Option<HotKeys>,
+}
+
+/// A few keys that take a large share of the requests, and change at stated times.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct HotKeys {
+    /// How many keys are hot at a time.
+    pub count: u32,
+    /// Share of requests that go to them.
+    pub share: f64,
+    /// How long the same keys stay hot.
+    pub change_every: Duration,
+}
+
+impl KeyPattern {
+    /// Spreads requests evenly over `count` keys.
+    #[must_use]
+    pub fn uniform(count: u32) -> Self {
+        Self {
+            count,
+            exponent: 0.0,
+            hot: None,
+        }
+    }
+}
+
+/// Chooses keys.
+#[derive(Debug, Clone)]
+pub struct Keys {
+    pattern: KeyPattern,
+    /// The summed weights of the keys up to each one.
+    sums: Vec<f64>,
+}
+
+impl Keys {
+    /// Prepares the choice for `pattern`.
+    #[must_use]
+    pub fn new(pattern: KeyPattern) -> Self {
+        let mut sum = 0.0;
+        let weights = (1..=pattern.count).map(|rank| f64::from(rank).powf(-pattern.exponent));
+        let sums = weights
+            .map(|weight| {
+                sum += weight;
+                sum
+            })
+            .collect();
+        Self { pattern, sums }
+    }
+
+    /// Chooses the key of a request that is due `at` after the start.
+    pub fn choose(&self, at: Duration, rng: &mut ChaCha8Rng) -> CompactString {
+        if let Some(hot) = self.pattern.hot
+            && rng.random::<f64>() < hot.share
+        {
+            let set = at.as_millis() / hot.change_every.as_millis().max(1);
+            let which = rng.random_range(0..hot.count.max(1));
+            return format_compact!("hot-{set}-{which}");
+        }
+        let total = self.sums.last().copied().unwrap_or_default();
+        let point = rng.random::<f64>() * total;
+        let rank = self.sums.partition_point(|sum| *sum <= point);
+        format_compact!("key-{rank}")
+    }
+}
--- /dev/null
+++ b/crates/carawayrill-testkit/src/load/plan.rs
@@ -0,0 +1,100 @@
+//! The schedule: which request is due when. It depends on the settings alone.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use compact_str::format_compact;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::load::keys::Keys;
+use crate::load::settings::Settings;
+use crate::load::settings::Target;
+
+/// One request to come.
+#[derive(Debug, Clone)]
+pub struct Planned {
+    /// Its number, from 0.
+    pub index: u64,
+    /// When it is due, after the start.
+    pub due: Duration,
+    /// The service and the header of its key.
+    pub target: Target,
+    /// Its key.
+    pub key: CompactString,
+    /// Its path, which no other request has.
+    pub path: CompactString,
+    /// Its body: empty for one that may be repeated.
+    pub body: Bytes,
+    /// Its idempotency key, for one that may not run twice.
+    pub once: Option<CompactString>,
+    /// Where it goes first; each repeat goes to the next address.
+    pub first: usize,
+}
+
+/// All requests of a run, in order.
+#[derive(Debug)]
+pub struct Plan {
+    settings: Settings,
+    keys: Keys,
+    rng: ChaCha8Rng,
+    next: u64,
+}
+
+impl Plan {
+    /// Makes the schedule of a run.
+    #[must_use]
+    pub fn new(settings: &Settings) -> Self {
+        Self {
+            settings: settings.clone(),
+            keys: Keys::new(settings.keys.clone()),
+            rng: ChaCha8Rng::seed_from_u64(settings.seed),
+            next: 0,
+        }
+    }
+
+    fn pick<T: Clone>(list: &[T], index: u64) -> T {
+        let at = usize::try_from(index).unwrap_or_default() % list.len();
+        list[at].clone()
+    }
+}
+
+impl Iterator for Plan {
+    type Item = Planned;
+
+    fn next(&mut self) -> Option<Planned> {
+        let index = self.next;
+        if index >= self.settings.requests() {
+            return None;
+        }
+        self.next += 1;
+        let due = Duration::from_secs_f64(index as f64 / self.settings.rate);
+        let target: Target = Self::pick(&self.settings.services, index);
+        let key = self.keys.choose(due, &mut self.rng);
+        let once = target.once || self.rng.random::<f64>() < self.settings.once_share;
+        let seed = self.settings.seed;
+        Some(Planned {
+            index,
+            due,
+            path: format_compact!("/{}/load/{seed}-{index}", target.service),
+            body: if once {
+                Bytes::from(format!("body of {seed}-{index}"))
+            } else {
+                Bytes::new()
+            },
+            once: once.then(|| format_compact!("once-{seed}-{index}")),
+            first: usize::try_from(index).unwrap_or_default(),
+            target,
+            key,
+        })
+    }
+}
+
+/// Returns the address for attempt number `attempt` (from 0) of a request.
+#[must_use]
+pub fn address(settings: &Settings, planned: &Planned, attempt: usize) -> SocketAddr {
+    settings.addresses[(planned.first + attempt) % settings.addresses.len()]
+}
--- /dev/null
+++ b/crates/carawayrill-testkit/src/load/summary.rs
@@ -0,0 +1,166 @@
+//! Figures of a run.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use compact_str::format_compact;
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+use crate::Error;
+use crate::load::caller::Told;
+use crate::load::drive::Driven;
+use crate::load::settings::Settings;
+
+/// The longest latency that is told apart, in microseconds.
+const MAX_LATENCY_US: u64 = 600_000_000;
+/// Significant digits of latencies.
+const DIGITS: u8 = 3;
+
+/// Latencies in microseconds, from the moment at which a request was due.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
+pub struct Latency {
+    /// How many requests these are.
+    pub count: u64,
+    /// Half of the requests took up to this.
+    pub p50_us: u64,
+    /// 99 in 100 took up to this.
+    pub p99_us: u64,
+    /// 999 in 1,000 took up to this.
+    pub p999_us: u64,
+    /// The longest.
+    pub max_us: u64,
+}
+
+/// Figures of a run.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct Summary {
+    /// Requests that were sent.
+    pub sent: usize,
+    /// Requests that were due, but kept back because too many were in flight.
+    pub not_sent: u64,
+    /// Requests that were due each second.
+    pub rate: f64,
+    /// Requests that were done each second of the planned time.
+    pub done_rate: f64,
+    /// Requests by what their callers were told in the end.
+    pub outcomes: BTreeMap<CompactString, u64>,
+    /// Requests by last status and reason.
+    pub statuses: BTreeMap<CompactString, u64>,
+    /// Requests that took more than one attempt.
+    pub repeated: u64,
+    /// Latencies of requests that are done.
+    pub done: Latency,
+    /// Latencies of all others.
+    pub others: Latency,
+}
+
+/// Works out the figures of a run.
+///
+/// # Errors
+///
+/// Fails if no histogram can be made.
+pub fn summarise(settings: &Settings, driven: &Driven) -> Result<Summary, Error> {
+    let mut done = histogram()?;
+    let mut others = histogram()?;
+    let mut outcomes: BTreeMap<CompactString, u64> = BTreeMap::new();
+    let mut statuses: BTreeMap<CompactString, u64> = BTreeMap::new();
+    let mut repeated = 0;
+    for one in &driven.finished {
+        let told = one.told();
+        *outcomes.entry(name(told)).or_default() += 1;
+        let reason = one.attempts.last().map_or("", |last| last.reason.as_str());
+        let status = format_compact!("{} {reason}", one.status());
+        *statuses.entry(status.trim_end().into()).or_default() += 1;
+        repeated += u64::from(one.attempts.len() > 1);
+        if one.planned.due >= settings.warm_up {
+            let took = one.latency;
+            let into = if told == Told::Done {
+                &mut done
+            } else {
+                &mut others
+            };
+            into.saturating_record(micros(took));
+        }
+    }
+    let done_count = outcomes.get("done").copied().unwrap_or_default();
+    Ok(Summary {
+        sent: driven.finished.len(),
+        not_sent: driven.not_sent,
+        rate: settings.rate,
+        done_rate: done_count as f64 / settings.time.as_secs_f64(),
+        outcomes,
+        statuses,
+        repeated,
+        done: latency(&done),
+        others: latency(&others),
+    })
+}
+
+fn histogram() -> Result<Histogram<u64>, Error> {
+    Histogram::new_with_bounds(1, MAX_LATENCY_US, DIGITS)
+        .map_err(|err| Error::settings(err.to_string()))
+}
+
+/// Returns a duration in whole microseconds.
+pub(crate) fn micros(span: Duration) -> u64 {
+    u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
+}
+
+fn latency(histogram: &Histogram<u64>) -> Latency {
+    Latency {
+        count: histogram.len(),
+        p50_us: histogram.value_at_quantile(0.5),
+        p99_us: histogram.value_at_quantile(0.99),
+        p999_us: histogram.value_at_quantile(0.999),
+        max_us: histogram.max(),
+    }
+}
+
+fn name(told: Told) -> CompactString {
+    match told {
+        Told::Done => "done",
+        Told::NotRun => "not-run",
+        Told::Unknown => "unknown",
+        Told::NoAnswer => "no-answer",
+    }
+    .into()
+}
+
+impl fmt::Display for Latency {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let ms = |us: u64| us as f64 / 1_000.0;
+        write!(
+            f,
+            "p50 {:.2} ms, p99 {:.2} ms, p99.9 {:.2} ms, max {:.2} ms ({} requests)",
+            ms(self.p50_us),
+            ms(self.p99_us),
+            ms(self.p999_us),
+            ms(self.max_us),
+            self.count
+        )
+    }
+}
+
+impl fmt::Display for Summary {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            f,
+            "sent       {} ({} kept back), {:.0}/s due, {:.0}/s done",
+            self.sent, self.not_sent, self.rate, self.done_rate
+        )?;
+        writeln!(f, "done       {}", self.done)?;
+        if self.others.count > 0 {
+            writeln!(f, "others     {}", self.others)?;
+        }
+        for (outcome, count) in &self.outcomes {
+            writeln!(f, "outcome    {outcome}: {count}")?;
+        }
+        for (status, count) in &self.statuses {
+            writeln!(f, "status     {status}: {count}")?;
+        }
+        write!(f, "repeated   {}", self.repeated)
+    }
+}
--- a/crates/carawayrill-testkit/src/server/mod.rs
+++ b/crates/carawayrill-testkit/src/server/mod.rs
@@ -8,6 +8,7 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -42,6 +43,7 @@
 use crate::server::faults::FaultOrder;
 use crate::server::faults::Faults;
 use crate::server::records::Records;
+pub use crate::server::request::AnswerBody;
 
 /// Clocks of different servers differ by up to this, so that nobody may compare them.
 const CLOCK_SPREAD_MS: u64 = 1_000_000;
@@ -179,6 +181,15 @@
         state.stats.draining = draining;
     }
 
+    /// Also writes the record of runs to a file.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the file can't be opened.
+    pub fn record_to(&self, path: &Path) -> io::Result<()> {
+        self.inner.lock().records.write_to(path)
+    }
+
     /// Replaces the fault in force.
     pub fn set_fault(&self, order: FaultOrder) {
         self.inner.faults.set(order);
--- a/crates/carawayrill-testkit/src/server/records.rs
+++ b/crates/carawayrill-testkit/src/server/records.rs
@@ -1,5 +1,11 @@
 //! What a server has run: the evidence against which answers are checked.
 
+use std::fs::File;
+use std::fs::OpenOptions;
+use std::io;
+use std::io::Write;
+use std::path::Path;
+
 use carawayrill_core::data;
 use carawayrill_core::id::Incarnation;
 use carawayrill_core::id::ServerId;
@@ -63,11 +69,32 @@
 #[derive(Debug, Default)]
 pub struct Records {
     runs: Vec<Run>,
+    file: Option<File>,
 }
 
 impl Records {
+    /// Also writes each run that starts to a file, a JSON object a line, so that the record
+    /// outlives the process.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the file can't be opened.
+    pub fn write_to(&mut self, path: &Path) -> io::Result<()> {
+        self.file = Some(OpenOptions::new().create(true).append(true).open(path)?);
+        Ok(())
+    }
+
     /// Notes a run that starts and returns its number, from 0.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the record can't be written: a run without a record would go unseen.
     pub fn start(&mut self, run: Run) -> usize {
+        if let Some(file) = &mut self.file {
+            let mut line = serde_json::to_vec(&run).expect("a run can be written as JSON");
+            line.push(b'\n');
+            file.write_all(&line).expect("the record file takes a line");
+        }
         self.runs.push(run);
         self.runs.len() - 1
     }
--- /dev/null
+++ b/crates/carawayrill-testkit/tests/load.rs
@@ -0,0 +1,143 @@
+//! The load tool: its schedule, its bounds, and a check that finds what is planted.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use carawayrill_testkit::load;
+use carawayrill_testkit::load::Settings;
+use carawayrill_testkit::load::caller::Finished;
+use carawayrill_testkit::load::check;
+use carawayrill_testkit::load::check::Findings;
+use carawayrill_testkit::load::drive::Driven;
+use carawayrill_testkit::load::keys::HotKeys;
+use carawayrill_testkit::load::keys::KeyPattern;
+use carawayrill_testkit::load::plan::Plan;
+use carawayrill_testkit::server;
+use carawayrill_testkit::server::StandInServer;
+use carawayrill_testkit::server::faults::Fault;
+use carawayrill_testkit::server::faults::FaultOrder;
+use carawayrill_testkit::server::records::Run;
+use rstest::rstest;
+use tokio::net::TcpListener;
+
+/// Starts a server that checks no tokens.
+async fn stand_in() -> (StandInServer, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let mut settings = server::Settings::new("forms-1".parse().expect("an id"));
+    settings.fencing = false;
+    settings.queue = 1_000;
+    let (server, running) = server::start(listener, settings).expect("a server");
+    (server, running.address)
+}
+
+fn settings(address: SocketAddr) -> Settings {
+    let service = "forms=x-form".parse().expect("a service");
+    let mut settings = Settings::new(vec![address], vec![service]);
+    settings.direct = true;
+    settings.rate = 1_000.0;
+    settings.time = Duration::from_millis(100);
+    settings.once_share = 0.5;
+    settings
+}
+
+/// Makes a load on a server with a fault on its first request, and returns the server's record.
+async fn run(fault: Fault) -> (Driven, Vec<Run>) {
+    let (server, address) = stand_in().await;
+    server.set_fault(FaultOrder {
+        fault,
+        ms: 0,
+        count: Some(1),
+    });
+    let driven = load::drive(&settings(address)).await.expect("a run");
+    let client = load::drive::client().expect("a client");
+    let runs = check::records(&client, &[address]).await;
+    (driven, runs.expect("records"))
+}
+
+#[tokio::test]
+async fn all_requests_are_sent_and_a_clean_run_is_found_clean() {
+    let (driven, runs) = run(Fault::None).await;
+    assert_eq!((100, 0), (driven.finished.len(), driven.not_sent));
+    let expected = Findings {
+        runs: 100,
+        ..Findings::default()
+    };
+    assert_eq!(expected, check::check(&driven.finished, &runs, true));
+}
+
+#[tokio::test]
+async fn an_answer_without_a_whole_body_is_no_answer_and_no_breach() {
+    let (driven, runs) = run(Fault::BreakOff).await;
+    let findings = check::check(&driven.finished, &runs, true);
+    assert_eq!((100, true), (findings.runs, findings.is_clean()));
+}
+
+/// A change of a clean run's record or answers that the check has to find.
+type Plant = fn(&mut [Finished], &mut Vec<Run>);
+
+fn run_again(finished: &mut [Finished], runs: &mut Vec<Run>) {
+    let once = finished.iter().find(|one| one.planned.once.is_some());
+    let path = once.expect("one of 100").planned.path.clone();
+    let run = runs.iter().find(|run| run.path == path).cloned();
+    runs.push(run.expect("its run"));
+}
+
+fn say_not_run(finished: &mut [Finished], _runs: &mut Vec<Run>) {
+    finished[0].attempts[0].told = load::caller::Told::NotRun;
+}
+
+fn say_wrong(finished: &mut [Finished], _runs: &mut Vec<Run>) {
+    finished[0].attempts[0].wrong = true;
+}
+
+fn forget_run(_finished: &mut [Finished], runs: &mut Vec<Run>) {
+    runs.pop();
+}
+
+#[rstest]
+#[case::executed_twice(run_again, |found: &Findings| found.executed_twice)]
+#[case::said_not_run_but_run(say_not_run, |found: &Findings| found.said_not_run_but_run)]
+#[case::answered_wrongly(say_wrong, |found: &Findings| found.answered_wrongly)]
+#[case::said_done_but_not_run(forget_run, |found: &Findings| found.said_done_but_not_run)]
+#[tokio::test]
+async fn a_planted_breach_is_found(#[case] plant: Plant, #[case] count: fn(&Findings) -> usize) {
+    let (mut driven, mut runs) = run(Fault::None).await;
+    plant(&mut driven.finished, &mut runs);
+    let findings = check::check(&driven.finished, &runs, true);
+    assert_eq!((1, false), (count(&findings), findings.is_clean()));
+}
+
+#[rstest]
+#[case::far_address(|settings: &mut Settings| settings.addresses = vec!["192.0.2.1:80".parse().expect("an address")])]
+#[case::too_many(|settings: &mut Settings| settings.rate = 1e9)]
+#[case::too_long(|settings: &mut Settings| settings.time = Duration::from_hours(1))]
+#[case::no_rate(|settings: &mut Settings| settings.rate = 0.0)]
+#[case::bad_share(|settings: &mut Settings| settings.once_share = 2.0)]
+#[tokio::test]
+async fn load_out_of_bounds_is_refused(#[case] change: fn(&mut Settings)) {
+    let mut settings = settings("127.0.0.1:1".parse().expect("an address"));
+    change(&mut settings);
+    load::drive(&settings).await.expect_err("out of bounds");
+}
+
+#[test]
+fn the_schedule_depends_on_the_seed_alone() {
+    let mut settings = settings("127.0.0.1:1".parse().expect("an address"));
+    settings.keys = KeyPattern {
+        count: 100,
+        exponent: 1.0,
+        hot: Some(HotKeys {
+            count: 2,
+            share: 0.3,
+            change_every: Duration::from_millis(50),
+        }),
+    };
+    let lines = |settings: &Settings| -> Vec<String> {
+        Plan::new(settings)
+            .step_by(5)
+            .map(|one| format!("{:?} {} {} {:?}", one.due, one.path, one.key, one.once))
+            .collect()
+    };
+    assert_eq!(lines(&settings), lines(&settings));
+    insta::assert_snapshot!(lines(&settings).join("\n"));
+}
