--- a/crates/carawayrill-testkit/src/lib.rs
+++ b/crates/carawayrill-testkit/src/lib.rs
@@ -21,6 +21,8 @@
 pub mod connections;
 mod error;
 pub mod load;
+pub mod demo;
+pub mod fleet;
 pub mod process;
 pub mod serve;
 pub mod server;
