--- a/crates/carawayrill-router/src/entry/check.rs
+++ b/crates/carawayrill-router/src/entry/check.rs
@@ -11,6 +11,7 @@
 use carawayrill_core::id::ServiceId;
 use compact_str::CompactString;
 use http::HeaderMap;
+use http::HeaderValue;
 use http::Uri;
 
 /// The header with a request's time limit in milliseconds.
@@ -42,7 +43,7 @@
 /// Fails if there is no key, or an empty one.
 pub fn key(service: &Service, uri: &Uri, headers: &HeaderMap) -> Result<KeyHash, RefusalReason> {
     let found = match &service.key {
-        KeySource::Header(name) => headers.get(name.as_str()).map(|value| value.as_bytes()),
+        KeySource::Header(name) => headers.get(name.as_str()).map(HeaderValue::as_bytes),
         KeySource::Query(name) => query_value(uri, name).map(str::as_bytes),
         KeySource::Path(index) => segments(uri).nth(*index as usize + 1).map(str::as_bytes),
     };
--- a/crates/carawayrill-router/src/entry/pass.rs
+++ b/crates/carawayrill-router/src/entry/pass.rs
@@ -42,7 +42,7 @@
             return answer;
         }
         hint = answer.home_hint.filter(|hinted| *hinted != target);
-        avoid = if hint.is_none() { Some(target) } else { None };
+        avoid = hint.is_none().then_some(target);
         tokio::time::sleep(pause).await;
         pause = (pause * 2).min(LONGEST_PAUSE);
     }
--- a/crates/carawayrill-router/src/home/control.rs
+++ b/crates/carawayrill-router/src/home/control.rs
@@ -145,11 +145,8 @@
 
     /// Takes a new configuration in.
     pub fn configure(self: &Arc<Self>, cx: &Arc<Context>, whole: &Deployment) {
-        {
-            let mut table = lock(&self.table);
-            let fresh = || HomeTable::new(own_run(cx), limits(&whole.timing));
-            table.get_or_insert_with(fresh);
-        }
+        let fresh = || HomeTable::new(own_run(cx), limits(&whole.timing));
+        lock(&self.table).get_or_insert_with(fresh);
         for service in &whole.services {
             let service_id = service.id.clone();
             let policy = policy(service, &whole.timing);
@@ -170,27 +167,35 @@
     }
 
     fn note_homes(self: &Arc<Self>, cx: &Arc<Context>, block: &Block) {
-        let mut news = Vec::new();
-        {
-            let mut watched = lock(&self.watched);
-            for row in &block.rows {
-                let former = watched
-                    .server_homes
-                    .insert(row.owner.clone(), row.home.clone());
-                if former.as_ref() != Some(&row.home) {
-                    news.push((row.owner.clone(), row.home.clone()));
-                }
-            }
-            let me = Some(&cx.settings.router);
-            let routes = cx.routes();
-            let rows = routes.rows().filter(|row| row.standby_home.as_ref() == me);
-            watched.homes = rows.map(|row| row.home.clone()).collect();
-        }
+        let news = self.note_server_homes(block);
+        self.watch_homes(cx);
         for (server, home) in news {
             self.input(cx, Input::ServerHome { server, home });
         }
     }
 
+    /// Notes the homes of the block's owners and returns those that are news.
+    fn note_server_homes(&self, block: &Block) -> Vec<(ServerId, RouterId)> {
+        let mut watched = lock(&self.watched);
+        let mut news = Vec::new();
+        for row in &block.rows {
+            let former = watched
+                .server_homes
+                .insert(row.owner.clone(), row.home.clone());
+            if former.as_ref() != Some(&row.home) {
+                news.push((row.owner.clone(), row.home.clone()));
+            }
+        }
+        news
+    }
+
+    fn watch_homes(&self, cx: &Context) {
+        let me = Some(&cx.settings.router);
+        let routes = cx.routes();
+        let rows = routes.rows().filter(|row| row.standby_home.as_ref() == me);
+        lock(&self.watched).homes = rows.map(|row| row.home.clone()).collect();
+    }
+
     /// Returns the homes whose standby home this router is.
     pub(crate) fn watched_homes(&self) -> Vec<RouterId> {
         lock(&self.watched).homes.iter().cloned().collect()
