Carry out changes of assignments by intent and evidence in the controller

The planner turns lost and leaving servers and routers, balance and hot keys into changes for the table of takeovers, whose questions go to routers, servers and store by tasks of their own. Pre-agreed takeovers get 1.5 s before the controller steps in. Splits and merges write rows in the block of their range and move no key.

--- a/crates/carawayrill-controller/src/blocks.rs
+++ b/crates/carawayrill-controller/src/blocks.rs
@@ -9,10 +9,15 @@
 use carawayrill_core::assignment::BlockId;
 use carawayrill_core::assignment::Reason;
 use carawayrill_core::event::EventKind;
+use carawayrill_core::id::Incarnation;
+use carawayrill_core::id::RouterId;
 use carawayrill_core::id::ShardId;
+use carawayrill_core::id::ShardPart;
 use carawayrill_core::id::Version;
 use carawayrill_core::object::block_name;
+use carawayrill_core::placement::Move;
 use carawayrill_core::placement::Placed;
+use carawayrill_core::placement::Worth;
 use carawayrill_core::route::block_of;
 use carawayrill_core::time::WallTime;
 use carawayrill_core::token::Token;
@@ -65,7 +70,7 @@
         let write = writes
             .entry(id.clone())
             .or_insert_with(|| start_write(view, id));
-        let row = first_row(placed, now);
+        let row = first_row(view, placed, now);
         write.block.set(row.clone());
         write.changed.push(row);
     }
@@ -93,8 +98,14 @@
 }
 
 /// Makes the first assignment of a shard.
-fn first_row(placed: Placed, now: WallTime) -> Assignment {
+fn first_row(view: &View, placed: Placed, now: WallTime) -> Assignment {
+    let run = |router: &RouterId| {
+        let seen = view.members.get(router);
+        seen.map_or_else(Incarnation::default, |seen| seen.member.incarnation)
+    };
     Assignment {
+        home_run: run(&placed.home),
+        standby_home_run: placed.standby_home.as_ref().map(run).unwrap_or_default(),
         shard: placed.shard,
         owner: placed.owner,
         standby: placed.standby,
@@ -106,6 +117,94 @@
     }
 }
 
+/// Splits a hot key out of its range: the new row has the range's owner and homes, and the first
+/// token of the range's term. The range's term is above all that the key's shard had before, since
+/// [`merge_write`] sees to that.
+#[must_use]
+pub fn split_write(
+    deployment: &Deployment,
+    view: &View,
+    to: &Placed,
+    now: WallTime,
+) -> Option<BlockWrite> {
+    let id = block_id(deployment, &to.shard)?;
+    let range = range_of(deployment, &to.shard)?;
+    let mut write = start_write(view, id);
+    let row = write.block.row(&range)?;
+    if Placed::from(row)
+        != (Placed {
+            shard: range,
+            ..to.clone()
+        })
+    {
+        return None;
+    }
+    let row = Assignment {
+        shard: to.shard.clone(),
+        token: Token {
+            epoch: FIRST_TOKEN.epoch,
+            ..row.token
+        },
+        reason: Reason::HotKey,
+        since: now,
+        ..row.clone()
+    };
+    write.block.set(row.clone());
+    write.changed.push(row);
+    Some(write)
+}
+
+/// How a key's shard is merged into its range.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Merging {
+    /// By taking its row out.
+    Write(BlockWrite),
+    /// By this change of the range first: it raises the range's term above the key's, without
+    /// which a later split of the same key could use a token again.
+    Raise(Move),
+    /// Not at all: one of the two is not known any more.
+    Gone,
+}
+
+/// Tells how a key's shard is merged into its range.
+#[must_use]
+pub fn merge_write(
+    deployment: &Deployment,
+    view: &View,
+    shard: &ShardId,
+    into: &ShardId,
+) -> Merging {
+    let Some(id) = block_id(deployment, shard) else {
+        return Merging::Gone;
+    };
+    let mut write = start_write(view, id);
+    let (Some(key), Some(range)) = (write.block.row(shard), write.block.row(into)) else {
+        return Merging::Gone;
+    };
+    if range.token.term <= key.token.term {
+        let placed = Placed::from(range);
+        return Merging::Raise(Move {
+            from: placed.clone(),
+            to: placed,
+            reason: Reason::HotKey,
+            urgent: false,
+            worth: Worth::default(),
+        });
+    }
+    write.block.rows.retain(|row| row.shard != *shard);
+    Merging::Write(write)
+}
+
+/// Returns the range that a key's shard belongs to.
+fn range_of(deployment: &Deployment, shard: &ShardId) -> Option<ShardId> {
+    let ShardPart::Hot(key) = shard.part else {
+        return None;
+    };
+    let ranges = deployment.service(&shard.service)?.shards;
+    let service = shard.service.clone();
+    Some(ShardId::range(service, key.range_of(ranges)))
+}
+
 /// What became of a write.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Written {
--- a/crates/carawayrill-controller/src/error.rs
+++ b/crates/carawayrill-controller/src/error.rs
@@ -1,7 +1,6 @@
 //! The error of this layer.
 
 use std::fmt;
-use std::path::Path;
 
 use quick_error::quick_error;
 
@@ -15,10 +14,6 @@
     /// What went wrong. Private, so that kinds can be added without breaking callers.
     #[derive(Debug)]
     pub enum ErrorKind {
-        /// The settings file can't be used.
-        Settings { path: String, reason: String } {
-            display("settings file {path}: {reason}")
-        }
         /// A call to the store failed.
         Store(err: carawayrill_store::Error) {
             display("store: {err}")
@@ -28,6 +23,10 @@
         Object { name: String, reason: String } {
             display("object {name}: {reason}")
         }
+        /// A router can't be reached, or its answer can't be read.
+        Peer { reason: String } {
+            display("router: {reason}")
+        }
         /// Events, metrics or the listening socket can't be set up.
         Start { reason: String } {
             display("can't start: {reason}")
@@ -36,21 +35,20 @@
 }
 
 impl Error {
-    /// Makes the error of a settings file that can't be used.
-    pub fn settings(path: &Path, reason: impl fmt::Display) -> Self {
+    /// Makes the error of an object that doesn't have the form of its kind.
+    pub fn object(name: &str, reason: impl fmt::Display) -> Self {
         Self {
-            kind: ErrorKind::Settings {
-                path: path.display().to_string(),
+            kind: ErrorKind::Object {
+                name: name.to_owned(),
                 reason: reason.to_string(),
             },
         }
     }
 
-    /// Makes the error of an object that doesn't have the form of its kind.
-    pub fn object(name: &str, reason: impl fmt::Display) -> Self {
+    /// Makes the error of a router that can't be reached or understood.
+    pub fn peer(reason: impl fmt::Display) -> Self {
         Self {
-            kind: ErrorKind::Object {
-                name: name.to_owned(),
+            kind: ErrorKind::Peer {
                 reason: reason.to_string(),
             },
         }
--- a/crates/carawayrill-controller/src/fleet.rs
+++ b/crates/carawayrill-controller/src/fleet.rs
@@ -14,6 +14,7 @@
 
 use crate::heard::Heard;
 use crate::heard::HeardTable;
+use crate::heard::ServerView;
 use crate::view::MemberSeen;
 use crate::view::View;
 
@@ -87,22 +88,27 @@
 
     /// Tells whether a router has been silent too long.
     fn is_router_lost(&self, seen: &MemberSeen) -> bool {
+        let (silent, limit) = self.silence(seen);
+        silent >= limit
+    }
+
+    /// Returns how long a router has been silent, and the silence that makes it lost.
+    #[must_use]
+    pub fn silence(&self, seen: &MemberSeen) -> (Duration, Duration) {
         let since = seen.since.max(self.leading_since);
-        let limit: Duration = self.deployment.timing.router_silence.0;
-        let (silent, limit) = self.heard.silence(
+        self.heard.silence(
             &seen.member.router,
             seen.member.incarnation,
             since,
             self.now,
-            limit,
-        );
-        silent >= limit
+            self.deployment.timing.router_silence.0,
+        )
     }
 
     /// Lists the servers of which a live home says what `says` asks.
     ///
     /// A heartbeat from before a silence says nothing any more: the home may be the one at fault.
-    fn servers_said(&self, says: impl Fn(&crate::heard::ServerView) -> bool) -> BTreeSet<ServerId> {
+    fn servers_said(&self, says: impl Fn(&ServerView) -> bool) -> BTreeSet<ServerId> {
         let fresh = self.deployment.timing.router_silence.0;
         self.heard
             .iter()
--- /dev/null
+++ b/crates/carawayrill-controller/src/hold.rs
@@ -0,0 +1,80 @@
+//! Time that the pre-agreed takeovers get before the controller steps in.
+//!
+//! A home replaces a lost server by its standby on its own, and a standby home takes over from a
+//! lost home on its own. Both are faster than a change by the controller, which would only get in
+//! their way.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use carawayrill_core::assignment::Reason;
+use carawayrill_core::id::NodeId;
+use carawayrill_core::placement::Fleet;
+use carawayrill_core::placement::Move;
+use carawayrill_core::placement::NodeState;
+use carawayrill_core::time::Time;
+
+/// How long a pre-agreed takeover may take before the controller does it.
+pub const GRACE: Duration = Duration::from_millis(1_500);
+
+/// Since when servers and routers are held to be lost.
+#[derive(Debug, Default)]
+pub struct HoldTable {
+    lost: BTreeMap<NodeId, Time>,
+}
+
+impl HoldTable {
+    /// Notes which servers and routers are lost now.
+    pub fn on_fleet(&mut self, now: Time, fleet: &Fleet) {
+        let servers = fleet.servers.iter().map(|row| (row.id.as_str(), row.state));
+        let routers = fleet.routers.iter().map(|row| (row.id.as_str(), row.state));
+        let lost = servers
+            .chain(routers)
+            .filter(|(_, state)| *state == NodeState::Lost)
+            .filter_map(|(name, _)| NodeId::try_from(name).ok());
+        let before = std::mem::take(&mut self.lost);
+        let since = |name: &NodeId| before.get(name).copied().unwrap_or(now);
+        self.lost = lost
+            .map(|name| (since(&name), name))
+            .map(|(at, name)| (name, at))
+            .collect();
+    }
+
+    /// Tells whether a move is left to those who may do it on their own for now. `fenced` tells
+    /// whether the service's servers check fencing tokens: without that no standby home acts.
+    #[must_use]
+    pub fn holds(&self, now: Time, fleet: &Fleet, step: &Move, fenced: bool) -> bool {
+        let from = &step.from;
+        let server_lives = |id| {
+            fleet
+                .server(id)
+                .is_some_and(|row| row.state != NodeState::Lost)
+        };
+        let router_lives = |id| {
+            fleet
+                .router(id)
+                .is_some_and(|row| row.state != NodeState::Lost)
+        };
+        let (name, may_act) = match step.reason {
+            Reason::ServerLost => {
+                let standby = from.standby.as_ref().is_some_and(server_lives);
+                (from.owner.as_str(), standby && router_lives(&from.home))
+            }
+            Reason::HomeLost => {
+                let standby = from.standby_home.as_ref().is_some_and(router_lives);
+                (from.home.as_str(), standby && fenced)
+            }
+            _ => return false,
+        };
+        let since = NodeId::try_from(name)
+            .ok()
+            .and_then(|name| self.lost.get(&name));
+        may_act && since.is_some_and(|at| now.since(*at) < GRACE)
+    }
+
+    /// Tells whether any hold may end later without any other change.
+    #[must_use]
+    pub fn is_running(&self, now: Time) -> bool {
+        self.lost.values().any(|at| now.since(*at) < GRACE * 2)
+    }
+}
--- a/crates/carawayrill-controller/src/leader.rs
+++ b/crates/carawayrill-controller/src/leader.rs
@@ -4,15 +4,21 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use carawayrill_core::assignment::BlockId;
 use carawayrill_core::id::Revision;
 use carawayrill_core::object::ASSIGNMENTS;
 use carawayrill_core::object::CONFIG_HEAD;
 use carawayrill_core::object::DRAINS;
 use carawayrill_core::object::LEASES;
 use carawayrill_core::object::MEMBERS;
+use carawayrill_core::object::member_name;
+use carawayrill_core::ownership::takeover::Action;
+use carawayrill_core::ownership::takeover::Input;
+use carawayrill_core::placement::Step;
 use carawayrill_core::time::Time;
 use carawayrill_store::port::Changes;
 use carawayrill_store::port::ObjectStore;
+use carawayrill_store::port::ServerControl;
 use carawayrill_store::port::VmList;
 use carawayrill_store::port::VmState;
 use compact_str::CompactString;
@@ -25,8 +31,10 @@
 use crate::blocks::events;
 use crate::blocks::write_block;
 use crate::config::ConfigSource;
+use crate::control::balance_config;
 use crate::lease::LeaseRead;
-use crate::round::place_new;
+use crate::peers::Peers;
+use crate::planner::Planner;
 use crate::state::State;
 use crate::view::read;
 
@@ -52,6 +60,10 @@
     pub store: Arc<dyn ObjectStore>,
     /// Reads the configuration.
     pub config: Arc<dyn ConfigSource>,
+    /// The servers, for orders.
+    pub servers: Arc<dyn ServerControl>,
+    /// The routers.
+    pub peers: Arc<dyn Peers>,
     /// The index of the block of control work.
     pub block: u32,
 }
@@ -193,6 +205,12 @@
             generation: deployment.generation,
         });
         tables.view.deployment = Some(Arc::new(deployment));
+        tables.view.changes += 1;
+        if tables.takeover.is_some() {
+            let actions = tables.begin_takeover(self.state.now(), self);
+            drop(tables);
+            self.start(actions);
+        }
         Ok(())
     }
 
@@ -222,29 +240,63 @@
         }
     }
 
-    /// Places what is to be placed now.
+    /// Does what is to be done now.
     pub async fn tick(&self) {
-        for write in self.decide() {
-            if let Err(err) = self.write(&write).await {
-                log::warn!("block {}: {err}", write.block.id);
-                sleep(RETRY_AFTER).await;
-                return;
+        self.begin();
+        self.takeover_tick();
+        let now = self.state.now();
+        let wall = carawayrill_telemetry::wall_now();
+        let plan = self.state.tables().plan(now, wall);
+        for step in &plan.moves {
+            log::info!("{}", Step::Move(step.clone()));
+        }
+        for row in &plan.degraded {
+            log::warn!("{}: {}", row.shard, row.shortfall);
+        }
+        for change in plan.changes {
+            self.takeover_input(Input::Wanted { change, wall });
+        }
+        self.write_all(&plan.writes).await;
+        for (router, version) in plan.forget {
+            if let Err(err) = self.store.delete(&member_name(&router), version).await {
+                log::warn!("entry of {router}: {err}");
             }
         }
     }
 
-    /// Decides what to write.
-    fn decide(&self) -> Vec<BlockWrite> {
+    /// Starts the table of changes once this controller leads and has read the store, and takes in
+    /// the changes that the controller before it has left behind.
+    fn begin(&self) {
         let now = self.state.now();
-        let tables = self.state.tables();
-        let Some(judge) = tables.judge(now) else {
-            return Vec::new();
+        let (actions, left) = {
+            let mut tables = self.state.tables();
+            if tables.takeover.is_some() || !tables.is_ready(now) {
+                return;
+            }
+            let tables = &mut *tables;
+            if let Some(deployment) = &tables.view.deployment {
+                tables.planner = Planner::new(balance_config(deployment));
+            }
+            tables.planner.on_leading(now, &tables.view);
+            let blocks = tables.view.blocks.values();
+            let left = blocks.filter(|block| !block.value.intents.is_empty());
+            let left: Vec<BlockId> = left.map(|block| block.value.id.clone()).collect();
+            (tables.begin_takeover(now, self), left)
         };
-        let round = place_new(&judge, &judge.fleet(), carawayrill_telemetry::wall_now());
-        for row in &round.degraded {
-            log::warn!("{}: {}", row.shard, row.shortfall);
+        self.start(actions);
+        let reads = left.into_iter().map(|block| Action::ReadBlock { block });
+        self.start(reads.collect());
+    }
+
+    /// Writes blocks in turn, and stops at a failure of the store.
+    async fn write_all(&self, writes: &[BlockWrite]) {
+        for write in writes {
+            if let Err(err) = self.write(write).await {
+                log::warn!("block {}: {err}", write.block.id);
+                sleep(RETRY_AFTER).await;
+                return;
+            }
         }
-        round.writes
     }
 
     /// Writes one block and takes the result into the tables.
--- a/crates/carawayrill-controller/src/lib.rs
+++ b/crates/carawayrill-controller/src/lib.rs
@@ -4,16 +4,21 @@
 //! wait. A controller keeps nothing: [`view`] is read from the store and [`heard`] from the
 //! routers' heartbeats, after each start and each change of the holder.
 //!
-//! Decisions are functions over these tables ([`fleet`], [`round`]); the daemon around them reads,
+//! Decisions are functions over these tables ([`fleet`], [`planner`]); the daemon around them reads,
 //! writes and listens.
 
 pub mod blocks;
 pub mod config;
+pub mod control;
+pub mod demand;
 mod error;
 pub mod fleet;
 pub mod heard;
+pub mod hold;
 pub mod leader;
 pub mod lease;
+pub mod peers;
+pub mod planner;
 pub mod round;
 pub mod run;
 pub mod service;
--- a/crates/carawayrill-controller/src/service.rs
+++ b/crates/carawayrill-controller/src/service.rs
@@ -32,6 +32,7 @@
     routers: Vec<carawayrill_core::placement::RouterRow>,
     shards: usize,
     intents: usize,
+    pending: usize,
     unreadable: Vec<String>,
 }
 
@@ -48,7 +49,7 @@
         let beats = beats.collect::<Result<Vec<_>, _>>().map_err(invalid)?;
         let now = self.state.now();
         let mut tables = self.state.tables();
-        tables.heard.on_report(now, &relay, beats);
+        tables.on_report(now, &relay, beats);
         let leading = tables.lease.is_held(now);
         Ok(Response::new(wire::ReportReply {
             stamp: stamp(),
@@ -88,6 +89,7 @@
             routers: fleet.routers,
             shards: tables.view.rows().count(),
             intents: blocks.map(|block| block.value.intents.len()).sum(),
+            pending: tables.planner.pending(),
             unreadable: tables
                 .view
                 .unreadable
--- a/crates/carawayrill-controller/src/state.rs
+++ b/crates/carawayrill-controller/src/state.rs
@@ -7,14 +7,22 @@
 use std::time::Instant;
 
 use carawayrill_core::id::ControllerId;
+use carawayrill_core::id::RouterId;
+use carawayrill_core::ownership::takeover::TakeoverTable;
+use carawayrill_core::placement::BalanceConfig;
 use carawayrill_core::placement::Fleet;
 use carawayrill_core::time::Time;
+use carawayrill_core::time::WallTime;
 use carawayrill_core::time::millis;
 use compact_str::CompactString;
 
+use crate::demand::DemandTable;
 use crate::fleet::Judge;
+use crate::heard::Beat;
 use crate::heard::HeardTable;
 use crate::lease::LeaseTable;
+use crate::planner::Plan;
+use crate::planner::Planner;
 use crate::view::View;
 
 /// All tables.
@@ -30,6 +38,12 @@
     pub leaving: BTreeSet<CompactString>,
     /// When this controller began to lead, if it leads.
     pub leading_since: Option<Time>,
+    /// Demand out of heartbeats.
+    pub demand: DemandTable,
+    /// What is wanted, while this controller leads.
+    pub planner: Planner,
+    /// Changes under way, while this controller leads.
+    pub takeover: Option<TakeoverTable>,
     /// The prefixes of the store that were read in full since then.
     pub synced: BTreeSet<&'static str>,
 }
@@ -53,6 +67,9 @@
             heard: HeardTable::default(),
             leaving: BTreeSet::new(),
             leading_since: None,
+            demand: DemandTable::default(),
+            planner: Planner::new(BalanceConfig::default()),
+            takeover: None,
             synced: BTreeSet::new(),
         };
         Self {
@@ -93,9 +110,42 @@
         self.leading_since = held.then_some(now);
         self.synced.clear();
         self.view = View::default();
+        self.takeover = None;
+        self.planner = Planner::new(BalanceConfig::default());
+        self.demand.restart(now);
         true
     }
 
+    /// Takes in the heartbeats that a relay passed on.
+    pub fn on_report(&mut self, now: Time, relay: &RouterId, beats: Vec<Beat>) {
+        for beat in &beats {
+            self.demand.on_loads(&beat.loads);
+        }
+        self.heard.on_report(now, relay, beats);
+    }
+
+    /// Decides what to do now; nothing unless this controller leads and has read the store.
+    pub fn plan(&mut self, now: Time, wall: WallTime) -> Plan {
+        if !self.is_ready(now) {
+            return Plan::default();
+        }
+        let demand = self.demand.take(now);
+        let (Some(deployment), Some(leading_since)) =
+            (self.view.deployment.as_deref(), self.leading_since)
+        else {
+            return Plan::default();
+        };
+        let judge = Judge {
+            deployment,
+            view: &self.view,
+            heard: &self.heard,
+            leaving: &self.leaving,
+            leading_since,
+            now,
+        };
+        self.planner.plan(&judge, demand.as_deref(), wall)
+    }
+
     /// Returns what the fleet is judged by, once this controller leads and has read the store.
     #[must_use]
     pub fn judge(&self, now: Time) -> Option<Judge<'_>> {
--- a/crates/carawayrill-controller/src/view.rs
+++ b/crates/carawayrill-controller/src/view.rs
@@ -52,6 +52,8 @@
     pub drains: BTreeMap<CompactString, DrainOrder>,
     /// The configuration in force.
     pub deployment: Option<Arc<Deployment>>,
+    /// Counts what was taken in, so that a reader can tell whether anything is new.
+    pub changes: u64,
     /// Names of objects that could not be read, with the reason.
     pub unreadable: BTreeMap<CompactString, String>,
 }
@@ -63,6 +65,7 @@
     ///
     /// Fails if its value doesn't have the form of its kind. The former value then stays.
     pub fn apply(&mut self, now: Time, object: &Object) -> Result<(), Error> {
+        self.changes += 1;
         let name = object.name.as_str();
         let applied = if name.starts_with(ASSIGNMENTS) {
             self.apply_block(object)
@@ -89,6 +92,7 @@
     pub fn written(&mut self, version: Version, block: Block) {
         let known = self.blocks.get(&block.id);
         if known.is_none_or(|old| old.version < version) {
+            self.changes += 1;
             let id = block.id.clone();
             let value = block;
             self.blocks.insert(id, Versioned { version, value });
--- a/crates/carawayrill-controller/tests/leader.rs
+++ b/crates/carawayrill-controller/tests/leader.rs
@@ -13,6 +13,7 @@
 use carawayrill_controller::leader::Leader;
 use carawayrill_controller::leader::PREFIXES;
 use carawayrill_controller::lease::LeaseTable;
+use carawayrill_controller::peers::GrpcPeers;
 use carawayrill_controller::state::State;
 use carawayrill_core::assignment::Block;
 use carawayrill_core::id::Generation;
@@ -22,6 +23,7 @@
 use carawayrill_core::object::CONFIG_HEAD;
 use carawayrill_core::object::Member;
 use carawayrill_core::object::member_name;
+use carawayrill_store::http_servers::HttpServers;
 use carawayrill_store::memory::Fault;
 use carawayrill_store::memory::MemoryStore;
 use carawayrill_store::port::ObjectStore;
@@ -65,6 +67,8 @@
         state: Arc::new(State::new(me, lease)),
         store: Arc::new(store.clone()),
         config: Arc::new(Fixed(deployment)),
+        servers: Arc::new(HttpServers::new().unwrap()),
+        peers: Arc::new(GrpcPeers::new("c-0".parse().unwrap())),
         block: 0,
     }
 }
--- a/crates/carawayrill-core/src/placement/balance.rs
+++ b/crates/carawayrill-core/src/placement/balance.rs
@@ -134,6 +134,11 @@
         steps
     }
 
+    /// Notes that a shard was moved or split out at `now`, also if another balancer decided that.
+    pub fn note_moved(&mut self, now: Time, shard: &ShardId) {
+        self.moved.insert(shard.clone(), now);
+    }
+
     /// Tells whether a shard was moved too lately to be moved again.
     pub(crate) fn rests(&self, shard: &ShardId, now: Time) -> bool {
         self.moved
