--- a/crates/carawayrill-controller/src/error.rs
+++ b/crates/carawayrill-controller/src/error.rs
@@ -27,6 +27,11 @@
         Peer { reason: String } {
             display("router: {reason}")
         }
+        /// The configuration can't be read.
+        Config(err: carawayrill_config::accept::Error) {
+            display("configuration: {err}")
+            source(err)
+        }
         /// Events, metrics or the listening socket can't be set up.
         Start { reason: String } {
             display("can't start: {reason}")
@@ -54,6 +59,13 @@
         }
     }
 
+    /// Makes the error of a configuration that can't be read.
+    pub fn config(err: carawayrill_config::accept::Error) -> Self {
+        Self {
+            kind: ErrorKind::Config(err),
+        }
+    }
+
     /// Makes the error of a process that can't start.
     pub fn start(reason: impl fmt::Display) -> Self {
         Self {
