Start a router while the store is away, and stop the last ones quickly

Cause: a router that started during a store outage had nothing to route by, and the last routers of a deployment waited out their whole grace time for a successor that did not exist. What: the setting `seeds`; a never filled copy is taken from another router, and gives routes but no authority. A planned stop does not wait for a hand-over when every other router leaves too. Excluded: filling a copy that was filled before (its revision says where to go on, and the relay does that).

--- a/crates/carawayrill-config/src/daemon.rs
+++ b/crates/carawayrill-config/src/daemon.rs
@@ -42,6 +42,8 @@
         pub statsd: Option<SocketAddr>,
         /// How long a planned stop waits for requests in flight.
         pub stop_grace: Span,
+        /// Routers to ask for the configuration and assignments if the store is away at the start.
+        pub seeds: Vec<SocketAddr>,
     }
 
     /// The settings of a controller daemon.
@@ -132,6 +134,13 @@
     VM_LIST,
     STATSD,
     STOP_GRACE,
+    setting(
+        "seeds",
+        Kind::Addresses,
+        Some(""),
+        "Peer addresses of some other routers. A router that starts while the store is away takes \
+         the configuration and the assignments from them.",
+    ),
 ];
 
 /// All settings of a controller daemon.
@@ -226,10 +235,18 @@
             vm_list: row.get_if_written("vm_list")?,
             statsd: row.get_if_written("statsd")?,
             stop_grace: row.get("stop_grace")?,
+            seeds: addresses(&row.get::<CompactString>("seeds")?),
         })
     }
 }
 
+/// Splits a list that has been checked to hold addresses only.
+fn addresses(list: &str) -> Vec<SocketAddr> {
+    list.split_whitespace()
+        .filter_map(|text| text.parse().ok())
+        .collect()
+}
+
 impl TryFrom<&Row<'_>> for ControllerSettings {
     type Error = Problem;
 
--- a/crates/carawayrill-config/src/schema.rs
+++ b/crates/carawayrill-config/src/schema.rs
@@ -75,6 +75,8 @@
     Bool,
     /// IP number and port.
     Address,
+    /// IP numbers and ports with spaces between them; none is allowed.
+    Addresses,
     /// The root of an HTTP service: `http://` with IP number and port.
     Url,
     /// A [`KeySource`].
@@ -107,6 +109,10 @@
             }
             Self::Bool => "`true` or `false`".into(),
             Self::Address => "an IP number and a port, as in 127.0.0.1:21001".into(),
+            Self::Addresses => {
+                "IP numbers and ports with spaces between them, as in 10.0.0.1:7001 10.0.0.2:7001"
+                    .into()
+            }
             Self::Url => {
                 "`http://` with an IP number and a port, as in http://127.0.0.1:20000".into()
             }
@@ -137,6 +143,7 @@
             Self::BitRate => text.parse::<BitRate>().is_ok_and(|found| found.0 > 0),
             Self::Bool => text.parse::<bool>().is_ok(),
             Self::Address => is_address(text),
+            Self::Addresses => text.split_whitespace().all(is_address),
             Self::Url => text.strip_prefix("http://").is_some_and(is_address),
             Self::Key => text.parse::<KeySource>().is_ok(),
             Self::Repeat => text.parse::<Repeat>().is_ok(),
--- a/crates/carawayrill-router/src/feed.rs
+++ b/crates/carawayrill-router/src/feed.rs
@@ -2,6 +2,7 @@
 //!
 //! The relay of the data centre watches the store. The other routers watch the relay.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::PoisonError;
 use std::time::Duration;
@@ -9,6 +10,7 @@
 use carawayrill_config::accept;
 use carawayrill_core::assignment::Block;
 use carawayrill_core::event::EventKind;
+use carawayrill_core::id::Revision;
 use carawayrill_core::id::RouterId;
 use carawayrill_core::object::CONFIG_HEAD;
 use carawayrill_core::object::MEMBERS;
@@ -69,7 +71,10 @@
         let cache = self.cache(cx);
         match relay_of(cx) {
             Some(relay) if relay != cx.settings.router => from_relay(cx, &relay, cache).await,
-            _ => from_store(cx, cache).await,
+            _ => match from_store(cx, cache).await {
+                None if cache.revision() == Revision::default() => from_seeds(cx, cache).await,
+                changes => changes,
+            },
         }
     }
 
@@ -99,25 +104,47 @@
         .ok()
 }
 
-async fn from_relay(cx: &Context, relay: &RouterId, cache: &ObjectCache) -> Option<Changes> {
-    let address = cx.members.peer(relay)?;
+/// Takes all objects from the first other router that has any. Only a copy that has never been
+/// filled is filled in this way. Authority does not come from it: this router becomes the home of
+/// nothing until it reads the store itself.
+async fn from_seeds(cx: &Context, cache: &ObjectCache) -> Option<Changes> {
+    for seed in &cx.settings.seeds {
+        let changes = watch_at(cx, *seed, cache, Duration::ZERO).await;
+        if let Ok(changes) = changes
+            && changes.revision > Revision::default()
+        {
+            log::info!("{} taken from the router at {seed}", cache.prefix());
+            return Some(changes);
+        }
+    }
+    None
+}
+
+async fn watch_at(
+    cx: &Context,
+    address: SocketAddr,
+    cache: &ObjectCache,
+    wait: Duration,
+) -> Result<Changes, tonic::Status> {
     let mut req = tonic::Request::new(wire::WatchRequest {
         stamp: convert::stamp(),
         router: cx.settings.router.to_string(),
         prefix: cache.prefix().to_owned(),
         after: cache.revision().0,
-        wait_ms: millis(WATCH_WAIT),
+        wait_ms: millis(wait),
     });
-    req.set_timeout(WATCH_WAIT + WATCH_SLACK);
-    let reply = cx.peers.router(address).watch(req).await;
-    cx.members.note_call(relay, reply.is_ok(), cx.now());
-    match reply {
-        Ok(reply) => Some(convert::changes_from_wire(reply.into_inner())),
-        Err(status) => {
-            log::warn!("watching {} at {relay}: {status}", cache.prefix());
-            None
-        }
-    }
+    req.set_timeout(wait + WATCH_SLACK);
+    let reply = cx.peers.router(address).watch(req).await?;
+    Ok(convert::changes_from_wire(reply.into_inner()))
+}
+
+async fn from_relay(cx: &Context, relay: &RouterId, cache: &ObjectCache) -> Option<Changes> {
+    let address = cx.members.peer(relay)?;
+    let changes = watch_at(cx, address, cache, WATCH_WAIT).await;
+    cx.members.note_call(relay, changes.is_ok(), cx.now());
+    changes
+        .inspect_err(|status| log::warn!("watching {} at {relay}: {status}", cache.prefix()))
+        .ok()
 }
 
 /// Puts a new configuration in force, once all its parts are here.
--- a/crates/carawayrill-router/src/members.rs
+++ b/crates/carawayrill-router/src/members.rs
@@ -84,6 +84,14 @@
             .collect()
     }
 
+    /// Tells whether there is another router that could become the home of this one's servers.
+    #[must_use]
+    pub fn has_successor(&self, router: &RouterId) -> bool {
+        let rows = self.read();
+        rows.values()
+            .any(|row| row.member.router != *router && !row.member.draining)
+    }
+
     /// Notes whether a call to a router got an answer.
     pub fn note_call(&self, router: &RouterId, answered: bool, now: Time) {
         if let Some(row) = self.write().get_mut(router) {
--- a/crates/carawayrill-router/src/run.rs
+++ b/crates/carawayrill-router/src/run.rs
@@ -195,5 +195,6 @@
 
 fn may_close(cx: &Context, home: &Home, began: Time) -> bool {
     let noticed = cx.now().since(began) >= STOP_NOTICE;
-    noticed && cx.in_flight.load(Ordering::Relaxed) == 0 && home.control().is_idle(cx)
+    let handed_over = home.control().is_idle(cx) || !cx.members.has_successor(&cx.settings.router);
+    noticed && cx.in_flight.load(Ordering::Relaxed) == 0 && handed_over
 }
