Test the planner on losses, restarts, drains and hot keys; probe idle servers

A server that was lost and has lost its shards was taken for a live one without load, since homes probe only servers that own something: the controller now probes those itself. The entry of a lost router was never taken out once the fleet stood still; it is now. A merge no longer counts as a move that makes the key rest.

--- a/crates/carawayrill-controller/src/error.rs
+++ b/crates/carawayrill-controller/src/error.rs
@@ -60,6 +60,7 @@
     }
 
     /// Makes the error of a configuration that can't be read.
+    #[must_use]
     pub fn config(err: carawayrill_config::accept::Error) -> Self {
         Self {
             kind: ErrorKind::Config(err),
--- a/crates/carawayrill-controller/src/fleet.rs
+++ b/crates/carawayrill-controller/src/fleet.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use carawayrill_config::deployment::Deployment;
-use carawayrill_core::id::ServerId;
 use carawayrill_core::placement::Fleet;
 use carawayrill_core::placement::NodeState;
 use carawayrill_core::placement::RouterRow;
@@ -14,7 +13,7 @@
 
 use crate::heard::Heard;
 use crate::heard::HeardTable;
-use crate::heard::ServerView;
+use crate::servers::ServerTable;
 use crate::view::MemberSeen;
 use crate::view::View;
 
@@ -27,6 +26,8 @@
     pub view: &'a View,
     /// What the routers said.
     pub heard: &'a HeardTable,
+    /// What is known of servers.
+    pub servers: &'a ServerTable,
     /// Names of VMs that the platform will stop soon.
     pub leaving: &'a BTreeSet<CompactString>,
     /// When this controller began to lead: silence before that says nothing.
@@ -39,18 +40,17 @@
     /// Makes the tables.
     #[must_use]
     pub fn fleet(&self) -> Fleet {
-        let lost = self.servers_said(|server| server.lost);
-        let draining = self.servers_said(|server| server.draining);
         let servers = self.deployment.servers.iter().filter_map(|server| {
             let region = self.deployment.region_of(&server.data_centre)?.clone();
-            let leaves = draining.contains(&server.id) || self.is_told_to_leave(server.id.as_str());
+            let leaves =
+                self.servers.is_draining(&server.id) || self.is_told_to_leave(server.id.as_str());
             Some(ServerRow {
                 id: server.id.clone(),
                 service: server.service.clone(),
                 data_centre: server.data_centre.clone(),
                 region,
                 weight: 1,
-                state: state(lost.contains(&server.id), leaves),
+                state: state(self.servers.is_lost(&server.id), leaves),
             })
         });
         let routers = self
@@ -105,20 +105,6 @@
         )
     }
 
-    /// Lists the servers of which a live home says what `says` asks.
-    ///
-    /// A heartbeat from before a silence says nothing any more: the home may be the one at fault.
-    fn servers_said(&self, says: impl Fn(&ServerView) -> bool) -> BTreeSet<ServerId> {
-        let fresh = self.deployment.timing.router_silence.0;
-        self.heard
-            .iter()
-            .filter(|heard| self.now.since(heard.at) < fresh)
-            .flat_map(|heard| &heard.beat.servers)
-            .filter(|server| says(server))
-            .map(|server| server.server.clone())
-            .collect()
-    }
-
     /// Tells whether an operator or the platform wants a server or router to leave.
     fn is_told_to_leave(&self, name: &str) -> bool {
         self.view.drains.contains_key(name) || self.leaving.contains(name)
--- a/crates/carawayrill-controller/src/planner.rs
+++ b/crates/carawayrill-controller/src/planner.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::time::Duration;
 
 use carawayrill_core::assignment::Assignment;
 use carawayrill_core::id::RouterId;
@@ -18,7 +17,6 @@
 use carawayrill_core::placement::EndedRuns;
 use carawayrill_core::placement::Fleet;
 use carawayrill_core::placement::Move;
-use carawayrill_core::placement::NodeState;
 use carawayrill_core::placement::Placed;
 use carawayrill_core::placement::Step;
 use carawayrill_core::placement::bound;
@@ -39,6 +37,7 @@
 use crate::fleet::Judge;
 use crate::hold::HoldTable;
 use crate::round::is_settled;
+use crate::view::MemberSeen;
 use crate::view::View;
 
 /// Silences after which the entry of a lost router is taken out of the store.
@@ -120,7 +119,10 @@
         let state = (fleet, judge.view.changes);
         let is_same = self.last.as_ref() == Some(&state);
         if is_same && demand.is_none() && !self.hold.is_running(judge.now) && !is_waiting(judge) {
-            return Plan::default();
+            return Plan {
+                forget: forgettable(judge),
+                ..Plan::default()
+            };
         }
         let fleet = &self.last.insert(state).0.clone();
         self.drop_done(judge.view);
@@ -131,7 +133,7 @@
         if let Some(demand) = demand {
             self.balance(judge, fleet, &current, demand, &mut plan, wall);
         }
-        plan.forget = forgettable(judge, fleet, &current);
+        plan.forget = forgettable(judge);
         plan
     }
 
@@ -232,7 +234,7 @@
 
 /// Places all ranges that have no owner yet.
 fn place_new(judge: &Judge<'_>, fleet: &Fleet, current: &[Placed], wall: WallTime) -> Plan {
-    if !is_settled(judge, fleet) {
+    if !is_waiting(judge) || !is_settled(judge, fleet) {
         return Plan::default();
     }
     let placed = initial(fleet, &all_ranges(judge.deployment), current);
@@ -294,19 +296,23 @@
 }
 
 /// Lists the entries of routers that were lost long ago and are nobody's home.
-fn forgettable(judge: &Judge<'_>, fleet: &Fleet, current: &[Placed]) -> Vec<(RouterId, Version)> {
-    let wait: Duration = judge.deployment.timing.router_silence.0 * FORGET_SILENCES;
-    let used: BTreeSet<&RouterId> = current
-        .iter()
+fn forgettable(judge: &Judge<'_>) -> Vec<(RouterId, Version)> {
+    let wait = judge.deployment.timing.router_silence.0 * FORGET_SILENCES;
+    let members = judge.view.members.values();
+    let gone: Vec<&MemberSeen> = members
+        .filter(|seen| judge.silence(seen).0 >= wait)
+        .collect();
+    if gone.is_empty() {
+        return Vec::new();
+    }
+    let rows = judge.view.rows();
+    let used: BTreeSet<&RouterId> = rows
         .flat_map(|row| [Some(&row.home), row.standby_home.as_ref()])
         .flatten()
         .collect();
-    let lost = fleet
-        .routers
-        .iter()
-        .filter(|row| row.state == NodeState::Lost && !used.contains(&row.id));
-    lost.filter_map(|row| judge.view.members.get(&row.id))
-        .filter(|seen| judge.silence(seen).0 >= wait)
-        .map(|seen| (seen.member.router.clone(), seen.version))
+    gone.into_iter()
+        .map(|seen| (&seen.member.router, seen.version))
+        .filter(|(router, _)| !used.contains(router))
+        .map(|(router, version)| (router.clone(), version))
         .collect()
 }
--- /dev/null
+++ b/crates/carawayrill-controller/src/probe.rs
@@ -0,0 +1,71 @@
+//! Probes of servers that own nothing.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use carawayrill_core::id::ServerId;
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+
+use crate::leader::Leader;
+
+/// How often servers that own nothing are probed.
+const PROBE_EVERY: Duration = Duration::from_millis(500);
+/// How long a probe may take.
+const PROBE_WAIT: Duration = Duration::from_millis(500);
+/// Probes under way at a time.
+const PROBES_AT_ONCE: usize = 64;
+
+impl Leader {
+    /// Probes servers that own nothing while this controller leads, for ever.
+    pub async fn probe_servers(&self) {
+        loop {
+            let servers = self.unowned();
+            for part in servers.chunks(PROBES_AT_ONCE) {
+                self.probe(part).await;
+            }
+            sleep(PROBE_EVERY).await;
+        }
+    }
+
+    /// Lists the declared servers that own no shard, once this controller leads.
+    fn unowned(&self) -> Vec<(ServerId, SocketAddr)> {
+        let now = self.state.now();
+        let mut tables = self.state.tables();
+        if !tables.is_ready(now) {
+            return Vec::new();
+        }
+        let Some(deployment) = tables.view.deployment.clone() else {
+            return Vec::new();
+        };
+        let declared = deployment.servers.iter().map(|server| &server.id).collect();
+        tables.servers.keep(&declared);
+        let owners: BTreeSet<&ServerId> = tables.view.rows().map(|row| &row.owner).collect();
+        let rows = deployment.servers.iter();
+        rows.filter(|server| !owners.contains(&server.id))
+            .map(|server| (server.id.clone(), server.address))
+            .collect()
+    }
+
+    /// Probes some servers at once.
+    async fn probe(&self, servers: &[(ServerId, SocketAddr)]) {
+        let mut probes = JoinSet::new();
+        for (server, address) in servers.iter().cloned() {
+            let control = std::sync::Arc::clone(&self.servers);
+            probes.spawn(async move {
+                let reply = control.order(address, Vec::new(), PROBE_WAIT).await;
+                (server, reply.ok())
+            });
+        }
+        while let Some(probed) = probes.join_next().await {
+            let Ok((server, reply)) = probed else {
+                continue;
+            };
+            // Another process may have taken the address over.
+            let reply = reply.filter(|reply| reply.server == server);
+            let draining = reply.map(|reply| reply.load.draining);
+            self.state.tables().servers.on_probe(&server, draining);
+        }
+    }
+}
--- a/crates/carawayrill-controller/src/run.rs
+++ b/crates/carawayrill-controller/src/run.rs
@@ -107,6 +107,8 @@
     }
     let keeper = leader.clone();
     tasks.push(tokio::spawn(async move { keeper.keep_lease().await }));
+    let prober = leader.clone();
+    tasks.push(tokio::spawn(async move { prober.probe_servers().await }));
     let actor = leader.clone();
     tasks.push(tokio::spawn(async move { actor.act().await }));
     Ok(tasks)
--- a/crates/carawayrill-controller/src/state.rs
+++ b/crates/carawayrill-controller/src/state.rs
@@ -23,6 +23,7 @@
 use crate::lease::LeaseTable;
 use crate::planner::Plan;
 use crate::planner::Planner;
+use crate::servers::ServerTable;
 use crate::view::View;
 
 /// All tables.
@@ -34,6 +35,8 @@
     pub view: View,
     /// What routers said.
     pub heard: HeardTable,
+    /// What is known of servers.
+    pub servers: ServerTable,
     /// Names of VMs that the platform will stop soon.
     pub leaving: BTreeSet<CompactString>,
     /// When this controller began to lead, if it leads.
@@ -65,6 +68,7 @@
             lease,
             view: View::default(),
             heard: HeardTable::default(),
+            servers: ServerTable::default(),
             leaving: BTreeSet::new(),
             leading_since: None,
             demand: DemandTable::default(),
@@ -111,6 +115,7 @@
         self.synced.clear();
         self.view = View::default();
         self.takeover = None;
+        self.servers = ServerTable::default();
         self.planner = Planner::new(BalanceConfig::default());
         self.demand.restart(now);
         true
@@ -120,6 +125,9 @@
     pub fn on_report(&mut self, now: Time, relay: &RouterId, beats: Vec<Beat>) {
         for beat in &beats {
             self.demand.on_loads(&beat.loads);
+            for server in &beat.servers {
+                self.servers.on_view(server);
+            }
         }
         self.heard.on_report(now, relay, beats);
     }
@@ -139,6 +147,7 @@
             deployment,
             view: &self.view,
             heard: &self.heard,
+            servers: &self.servers,
             leaving: &self.leaving,
             leading_since,
             now,
@@ -156,6 +165,7 @@
             deployment: self.view.deployment.as_deref()?,
             view: &self.view,
             heard: &self.heard,
+            servers: &self.servers,
             leaving: &self.leaving,
             leading_since: self.leading_since?,
             now,
--- a/crates/carawayrill-controller/tests/leader.rs
+++ b/crates/carawayrill-controller/tests/leader.rs
@@ -19,14 +19,19 @@
 use carawayrill_core::id::Generation;
 use carawayrill_core::id::Incarnation;
 use carawayrill_core::id::Revision;
+use carawayrill_core::id::ServerId;
 use carawayrill_core::id::Version;
 use carawayrill_core::object::CONFIG_HEAD;
 use carawayrill_core::object::Member;
 use carawayrill_core::object::member_name;
-use carawayrill_store::http_servers::HttpServers;
+use carawayrill_core::order::LoadReport;
+use carawayrill_core::order::Order;
+use carawayrill_core::order::OrderReply;
+use carawayrill_core::time::ServerTime;
 use carawayrill_store::memory::Fault;
 use carawayrill_store::memory::MemoryStore;
 use carawayrill_store::port::ObjectStore;
+use carawayrill_store::port::ServerControl;
 use tokio::time::timeout;
 
 /// Three data centres of one region with two servers each, 32 shards in blocks of 8.
@@ -56,6 +61,44 @@
     }
 }
 
+/// Servers of which all but the named ones answer. Their addresses tell them apart.
+#[derive(Debug, Default)]
+struct Servers {
+    lost: Vec<ServerId>,
+}
+
+#[async_trait]
+impl ServerControl for Servers {
+    async fn order(
+        &self,
+        address: SocketAddr,
+        _orders: Vec<Order>,
+        _wait: Duration,
+    ) -> Result<OrderReply, carawayrill_store::Error> {
+        let index = address.port() - 21_000;
+        let server = ServerId::try_from(format!("forms-{index}").as_str()).unwrap();
+        if self.lost.contains(&server) {
+            return Err(carawayrill_store::Error::no_answer("lost"));
+        }
+        Ok(OrderReply {
+            server,
+            incarnation: Incarnation(1),
+            clock: ServerTime(1),
+            load: LoadReport::default(),
+            acks: Vec::new(),
+        })
+    }
+
+    async fn cancel(
+        &self,
+        _address: SocketAddr,
+        _request: &str,
+        _wait: Duration,
+    ) -> Result<(), carawayrill_store::Error> {
+        Ok(())
+    }
+}
+
 fn leader(name: &str, store: &MemoryStore) -> Leader {
     let peer: SocketAddr = "127.0.0.1:1".parse().unwrap();
     let length = Duration::from_millis(500);
@@ -67,7 +110,7 @@
         state: Arc::new(State::new(me, lease)),
         store: Arc::new(store.clone()),
         config: Arc::new(Fixed(deployment)),
-        servers: Arc::new(HttpServers::new().unwrap()),
+        servers: Arc::new(Servers::default()),
         peers: Arc::new(GrpcPeers::new("c-0".parse().unwrap())),
         block: 0,
     }
@@ -81,6 +124,8 @@
     }
     let keeper = leader.clone();
     tasks.push(tokio::spawn(async move { keeper.keep_lease().await }));
+    let prober = leader.clone();
+    tasks.push(tokio::spawn(async move { prober.probe_servers().await }));
     let actor = leader.clone();
     tasks.push(tokio::spawn(async move { actor.act().await }));
     tasks
@@ -148,6 +193,26 @@
     tasks.iter().for_each(tokio::task::JoinHandle::abort);
 }
 
+/// A server that does not answer gets nothing, as owner or as standby.
+#[tokio::test]
+async fn lost_server_gets_nothing() {
+    let store = MemoryStore::new();
+    add_routers(&store).await;
+    let lost = ServerId::try_from("forms-2").unwrap();
+    let servers = Servers {
+        lost: vec![lost.clone()],
+    };
+    let leader = Leader {
+        servers: Arc::new(servers),
+        ..leader("c-1", &store)
+    };
+    let tasks = start(&leader);
+    let blocks = all_assigned(&store).await;
+    let mut rows = blocks.iter().flat_map(|(_, block)| &block.rows);
+    assert!(rows.all(|row| row.owner != lost && row.standby.as_ref() != Some(&lost)));
+    tasks.iter().for_each(tokio::task::JoinHandle::abort);
+}
+
 #[tokio::test]
 async fn second_controller_takes_over_and_changes_nothing() {
     let store = MemoryStore::new();
--- /dev/null
+++ b/crates/carawayrill-controller/tests/planner.rs
@@ -0,0 +1,496 @@
+//! What a leading controller wants after losses, restarts, drains and hot keys.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use carawayrill_config::Parts;
+use carawayrill_controller::blocks::BlockWrite;
+use carawayrill_controller::fleet::Judge;
+use carawayrill_controller::heard::Beat;
+use carawayrill_controller::heard::HeardTable;
+use carawayrill_controller::heard::ServerView;
+use carawayrill_controller::hold::GRACE;
+use carawayrill_controller::planner::Plan;
+use carawayrill_controller::planner::Planner;
+use carawayrill_controller::servers::ServerTable;
+use carawayrill_controller::view::View;
+use carawayrill_core::assignment::Assignment;
+use carawayrill_core::assignment::Reason;
+use carawayrill_core::id::Incarnation;
+use carawayrill_core::id::KeyHash;
+use carawayrill_core::id::RouterId;
+use carawayrill_core::id::ServerId;
+use carawayrill_core::id::ShardId;
+use carawayrill_core::id::Version;
+use carawayrill_core::object::DrainOrder;
+use carawayrill_core::object::Member;
+use carawayrill_core::ownership::takeover::Change;
+use carawayrill_core::placement::BalanceConfig;
+use carawayrill_core::placement::Demand;
+use carawayrill_core::placement::HotDemand;
+use carawayrill_core::time::Time;
+use carawayrill_core::time::WallTime;
+use carawayrill_core::time::millis;
+use carawayrill_core::token::Token;
+use carawayrill_store::port::Object;
+use rstest::rstest;
+
+/// Three data centres of one region, each with two servers and two routers; 24 shards.
+const BASE: &str = "
+name: example
+region_link: 1Gbit/s
+data_centres:
+  north-1: {region: north}
+  north-2: {region: north}
+  north-3: {region: north}
+services:
+  forms: {key: header x-form, shards: 24, shards_per_block: 8, slots: 4, connections: 20}
+servers:
+  forms-1: {service: forms, data_centre: north-1, address: 127.0.0.1:21001}
+  forms-2: {service: forms, data_centre: north-2, address: 127.0.0.1:21002}
+  forms-3: {service: forms, data_centre: north-3, address: 127.0.0.1:21003}
+  forms-4: {service: forms, data_centre: north-1, address: 127.0.0.1:21004}
+  forms-5: {service: forms, data_centre: north-2, address: 127.0.0.1:21005}
+  forms-6: {service: forms, data_centre: north-3, address: 127.0.0.1:21006}
+";
+const SILENCE: Duration = Duration::from_secs(1);
+const LEADING_SINCE: Time = Time(1_000);
+
+/// All tables of a leading controller.
+struct World {
+    now: Time,
+    view: View,
+    heard: HeardTable,
+    servers: ServerTable,
+    leaving: BTreeSet<compact_str::CompactString>,
+    planner: Planner,
+}
+
+fn router_name(index: u32) -> RouterId {
+    format!("router-{index}").parse().unwrap()
+}
+
+impl World {
+    /// Starts with six routers and all shards placed.
+    fn placed() -> Self {
+        let mut view = View::default();
+        let deployment = Parts::new(BASE).check().unwrap().deployment;
+        view.deployment = Some(Arc::new(deployment));
+        let mut world = Self {
+            now: LEADING_SINCE,
+            view,
+            heard: HeardTable::default(),
+            servers: ServerTable::default(),
+            leaving: BTreeSet::new(),
+            planner: Planner::new(BalanceConfig::default()),
+        };
+        for index in 1..=6 {
+            world.start_router(index, 1);
+            let server = format!("forms-{index}").parse().unwrap();
+            world.servers.on_probe(&server, Some(false));
+        }
+        world.step(400, &[]);
+        let plan = world.plan(None);
+        assert_eq!(plan.writes.len(), 3);
+        world.write(plan.writes);
+        world
+    }
+
+    fn start_router(&mut self, index: u32, incarnation: u64) {
+        let member = Member {
+            router: router_name(index),
+            incarnation: Incarnation(incarnation),
+            data_centre: format!("north-{}", (index - 1) % 3 + 1).parse().unwrap(),
+            peer: "127.0.0.1:1".parse().unwrap(),
+            http: "127.0.0.1:1".parse().unwrap(),
+            draining: false,
+        };
+        let object = Object {
+            name: carawayrill_core::object::member_name(&member.router),
+            version: Version(self.now.0 + incarnation),
+            value: serde_json::to_vec(&member).unwrap().into(),
+        };
+        self.view.apply(self.now, &object).unwrap();
+    }
+
+    /// Lets time pass, with heartbeats of all routers but the silent ones in its course. Routers
+    /// 1 to 3 are the relays.
+    fn step(&mut self, millis: u64, silent: &[u32]) {
+        let end = self.now + Duration::from_millis(millis);
+        while self.now < end {
+            self.now = (self.now + Duration::from_millis(200)).min(end);
+            for index in (1..=6).filter(|index| !silent.contains(index)) {
+                let relay = (index - 1) % 3 + 1;
+                let relay = if silent.contains(&relay) {
+                    relay + 3
+                } else {
+                    relay
+                };
+                self.beat(index, relay, &[]);
+            }
+        }
+    }
+
+    fn beat(&mut self, index: u32, relay: u32, lost: &[&str]) {
+        let router = router_name(index);
+        let Some(seen) = self.view.members.get(&router) else {
+            return;
+        };
+        let member = &seen.member;
+        let servers = lost.iter().map(|name| ServerView {
+            server: name.parse().unwrap(),
+            lost: true,
+            draining: false,
+        });
+        let beat = Beat {
+            router: member.router.clone(),
+            incarnation: member.incarnation,
+            data_centre: member.data_centre.clone(),
+            draining: false,
+            servers: servers.collect(),
+            loads: Vec::new(),
+        };
+        for server in &beat.servers {
+            self.servers.on_view(server);
+        }
+        self.heard
+            .on_report(self.now, &router_name(relay), vec![beat]);
+    }
+
+    fn plan(&mut self, demand: Option<&[Demand]>) -> Plan {
+        let judge = Judge {
+            deployment: self.view.deployment.as_deref().unwrap(),
+            view: &self.view,
+            heard: &self.heard,
+            servers: &self.servers,
+            leaving: &self.leaving,
+            leading_since: LEADING_SINCE,
+            now: self.now,
+        };
+        self.planner.plan(&judge, demand, WallTime(1))
+    }
+
+    fn write(&mut self, writes: Vec<BlockWrite>) {
+        for write in writes {
+            let version = Version(write.expected.0 + 100);
+            self.view.written(version, write.block);
+        }
+    }
+
+    /// Puts changes in force as the table of takeovers would, each with the next stored term.
+    fn carry_out(&mut self, changes: &[Change]) {
+        for change in changes {
+            let mut known = self.view.blocks[&change.block].clone();
+            let old = known.value.row(&change.shard).unwrap();
+            let term = old.token.term.next_stored();
+            let row = Assignment {
+                owner: change.owner.clone(),
+                standby: change.standby.clone(),
+                home: change.home.router.clone(),
+                home_run: change.home.incarnation,
+                standby_home: change.standby_home.as_ref().map(|run| run.router.clone()),
+                standby_home_run: change
+                    .standby_home
+                    .as_ref()
+                    .map_or(Incarnation(0), |run| run.incarnation),
+                token: Token { term, ..old.token },
+                ..old.clone()
+            };
+            known.value.set(row);
+            self.view.written(known.version.next(), known.value);
+        }
+    }
+
+    fn rows(&self) -> Vec<Assignment> {
+        self.view.rows().cloned().collect()
+    }
+}
+
+fn by_reason(plan: &Plan) -> BTreeMap<String, usize> {
+    let mut counts = BTreeMap::new();
+    for change in &plan.changes {
+        *counts.entry(format!("{:?}", change.reason)).or_default() += 1;
+    }
+    counts
+}
+
+#[test]
+fn quiet_fleet_wants_nothing() {
+    let mut world = World::placed();
+    for _ in 0..20 {
+        world.step(500, &[]);
+        let plan = world.plan(None);
+        assert!(plan.changes.is_empty() && plan.writes.is_empty() && plan.forget.is_empty());
+    }
+}
+
+/// The home gets its time to act on its own; then each shard is wanted once, not each tick.
+#[test]
+fn lost_server_after_the_grace() {
+    let mut world = World::placed();
+    let lost: ServerId = "forms-1".parse().unwrap();
+    let home = world
+        .rows()
+        .into_iter()
+        .find(|row| row.owner == lost)
+        .unwrap()
+        .home;
+    let index = home.as_str().rsplit('-').next().unwrap().parse().unwrap();
+    world.beat(index, index, &["forms-1"]);
+    let standbys = world
+        .rows()
+        .iter()
+        .filter(|row| row.standby.as_ref() == Some(&lost))
+        .count();
+    let owned = world.rows().iter().filter(|row| row.owner == lost).count();
+    let first = world.plan(None);
+    assert!(
+        first
+            .changes
+            .iter()
+            .all(|change| change.reason != Reason::ServerLost)
+    );
+    assert_eq!(
+        first.changes.len(),
+        standbys,
+        "only standby servers are replaced at once"
+    );
+    world.carry_out(&first.changes);
+    world.step(millis(GRACE), &[]);
+    let plan = world.plan(None);
+    assert_eq!(
+        by_reason(&plan),
+        BTreeMap::from([("ServerLost".to_owned(), owned)])
+    );
+    world.step(200, &[]);
+    assert!(world.plan(None).changes.is_empty(), "wanted already");
+    world.carry_out(&plan.changes);
+    world.step(200, &[]);
+    assert!(world.plan(None).changes.is_empty(), "in force");
+    assert!(world.rows().iter().all(|row| row.owner != lost));
+}
+
+#[rstest]
+#[case::just_silent(900, 0)]
+#[case::lost_but_left_to_the_standby_home(1_200, 0)]
+#[case::after_the_grace(2_800, 1)]
+fn lost_router(#[case] silent_ms: u64, #[case] expected: usize) {
+    let mut world = World::placed();
+    let mut wanted = 0;
+    for _ in 0..silent_ms / 100 {
+        world.step(100, &[6]);
+        let plan = world.plan(None);
+        wanted += plan.moves.iter().filter(|step| step.changes_home()).count();
+        world.carry_out(&plan.changes);
+    }
+    let name = router_name(6);
+    let is_home = |row: &Assignment| row.home == name;
+    assert_eq!(usize::from(wanted > 0), expected);
+    assert_eq!(world.rows().iter().any(is_home), expected == 0);
+}
+
+/// The loss of a relay silences its data centre: the others there get twice the time.
+#[test]
+fn relay_lost_is_not_its_data_centre_lost() {
+    let mut world = World::placed();
+    let quiet = world.now;
+    while world.now.since(quiet) < SILENCE + Duration::from_millis(600) {
+        world.now = world.now + Duration::from_millis(200);
+        for index in [2, 3, 5, 6] {
+            world.beat(index, (index - 1) % 3 + 1, &[]);
+        }
+    }
+    let lost = |world: &World| {
+        let judge = Judge {
+            deployment: world.view.deployment.as_deref().unwrap(),
+            view: &world.view,
+            heard: &world.heard,
+            servers: &world.servers,
+            leaving: &world.leaving,
+            leading_since: LEADING_SINCE,
+            now: world.now,
+        };
+        let rows = judge.fleet().routers.into_iter();
+        rows.filter(|row| row.state == carawayrill_core::placement::NodeState::Lost)
+            .map(|row| row.id.to_string())
+            .collect::<Vec<_>>()
+    };
+    assert_eq!(lost(&world), ["router-1"]);
+    world.now = world.now + SILENCE;
+    for index in [2, 3, 5, 6] {
+        world.beat(index, (index - 1) % 3 + 1, &[]);
+    }
+    assert_eq!(lost(&world), ["router-1", "router-4"]);
+}
+
+/// A restarted router is nobody's home; it may be appointed again with its new run.
+#[test]
+fn restarted_router_is_replaced() {
+    let mut world = World::placed();
+    world.step(200, &[]);
+    world.start_router(6, 2);
+    let name = router_name(6);
+    let homes = world.rows().iter().filter(|row| row.home == name).count();
+    let mut changed = 0;
+    for _ in 0..30 {
+        world.step(100, &[]);
+        let plan = world.plan(None);
+        changed += plan
+            .changes
+            .iter()
+            .filter(|change| change.reason == Reason::HomeLost)
+            .count();
+        world.carry_out(&plan.changes);
+    }
+    let stale = |row: &Assignment| row.home == name && row.home_run == Incarnation(1);
+    assert!(homes > 0 && changed >= homes);
+    assert!(!world.rows().iter().any(stale));
+}
+
+/// What stops a router from serving and from taking part is taken out of the store in the end.
+#[test]
+fn entry_of_a_lost_router_is_forgotten() {
+    let mut world = World::placed();
+    let mut forgotten = Vec::new();
+    for _ in 0..150 {
+        world.step(100, &[6]);
+        let plan = world.plan(None);
+        world.carry_out(&plan.changes);
+        forgotten.extend(plan.forget);
+        if !forgotten.is_empty() {
+            break;
+        }
+    }
+    let silent = world.now.since(Time(1_400));
+    assert_eq!(
+        forgotten.first().map(|(router, _)| router.clone()),
+        Some(router_name(6))
+    );
+    assert!(silent >= SILENCE * 10, "{silent:?}");
+}
+
+#[rstest]
+#[case::operator(true)]
+#[case::platform(false)]
+fn drain_moves_a_few_at_a_time(#[case] by_operator: bool) {
+    let mut world = World::placed();
+    if by_operator {
+        let order = DrainOrder {
+            name: "forms-2".into(),
+            reason: "upgrade".into(),
+            since: WallTime(1),
+        };
+        let object = Object {
+            name: "drains/forms-2".into(),
+            version: Version(9),
+            value: serde_json::to_vec(&order).unwrap().into(),
+        };
+        world.view.apply(world.now, &object).unwrap();
+    } else {
+        world.leaving.insert("forms-2".into());
+    }
+    let most = BalanceConfig::default().max_moves;
+    let owned = |world: &World| {
+        world
+            .rows()
+            .iter()
+            .filter(|row| row.owner.as_str() == "forms-2")
+            .count()
+    };
+    let mut moves = 0;
+    for _ in 0..10 {
+        let before = owned(&world);
+        let plan = world.plan(None);
+        world.step(200, &[]);
+        assert!(
+            world
+                .plan(None)
+                .changes
+                .iter()
+                .all(|change| change.reason != Reason::Drain),
+            "no more while these are under way"
+        );
+        world.carry_out(&plan.changes);
+        assert!(before - owned(&world) <= most);
+        moves += before - owned(&world);
+    }
+    assert_eq!((owned(&world), moves), (0, 4));
+}
+
+/// A key is split in place, moved later, raised above its old token, and merged.
+#[test]
+fn hot_key_from_split_to_merge() {
+    let mut world = World::placed();
+    let key = KeyHash(1);
+    let service = "forms".parse().unwrap();
+    let hot = ShardId::hot(service, key);
+    let mut log = Vec::new();
+    let mut tokens = Vec::new();
+    for window in 0..24_u64 {
+        world.step(10_000, &[]);
+        let load = if (3..18).contains(&window) { 2 } else { 900 };
+        let rows = world.rows();
+        let mut demand: Vec<Demand> = rows
+            .iter()
+            .map(|row| Demand::of_load(row.shard.clone(), 100))
+            .collect();
+        match demand.iter_mut().find(|row| row.shard == hot) {
+            Some(row) => row.load = load,
+            None => demand[0].hot = Some(HotDemand { key, load }),
+        }
+        let plan = world.plan(Some(&demand));
+        let split: Vec<String> = plan
+            .writes
+            .iter()
+            .flat_map(|write| &write.changed)
+            .map(|row| format!("split {} {} at {}", row.shard, row.token, row.owner))
+            .collect();
+        let merged = plan
+            .writes
+            .iter()
+            .filter(|write| write.changed.is_empty())
+            .count();
+        let changes: Vec<String> = plan
+            .changes
+            .iter()
+            .filter(|change| change.reason == Reason::HotKey)
+            .map(|change| format!("change {}", change.shard))
+            .collect();
+        if !split.is_empty() || merged > 0 || !changes.is_empty() {
+            log.push(format!("{window}: {split:?} merged {merged} {changes:?}"));
+        }
+        world.write(plan.writes);
+        world.carry_out(&plan.changes);
+        tokens.extend(
+            world
+                .rows()
+                .iter()
+                .find(|row| row.shard == hot)
+                .map(|row| row.token),
+        );
+    }
+    insta::assert_snapshot!(log.join("\n"));
+    assert!(
+        tokens.is_sorted(),
+        "a token of the key went back: {tokens:?}"
+    );
+}
+
+/// A server that lost its shards with it is not taken for an idle one.
+#[rstest]
+#[case::never_heard_of(&[], false)]
+#[case::first_probe_fails(&[None], true)]
+#[case::one_failure_of_a_live_one(&[Some(false), None], false)]
+#[case::three_failures(&[Some(false), None, None, None], true)]
+#[case::one_answer_of_a_lost_one(&[None, Some(false)], true)]
+#[case::two_answers(&[None, Some(false), Some(false)], false)]
+fn probes_tell_lost_from_idle(#[case] probes: &[Option<bool>], #[case] lost: bool) {
+    let mut table = ServerTable::default();
+    let server: ServerId = "forms-1".parse().unwrap();
+    for probe in probes {
+        table.on_probe(&server, *probe);
+    }
+    assert_eq!(table.is_lost(&server), lost);
+}
--- a/crates/carawayrill-core/src/placement/balance.rs
+++ b/crates/carawayrill-core/src/placement/balance.rs
@@ -128,7 +128,10 @@
                 .count();
             steps.extend(found);
         }
-        for step in &steps {
+        let moving = steps
+            .iter()
+            .filter(|step| !matches!(step, Step::Merge { .. }));
+        for step in moving {
             self.moved.insert(step.shard().clone(), now);
         }
         steps
