--- /dev/null
+++ b/crates/carawayrill-controller/src/error.rs
@@ -0,0 +1,98 @@
+//! The error of this layer.
+
+use std::fmt;
+
+use quick_error::quick_error;
+
+/// An error of the controller daemon.
+#[derive(Debug)]
+pub struct Error {
+    kind: ErrorKind,
+}
+
+quick_error! {
+    /// What went wrong. Private, so that kinds can be added without breaking callers.
+    #[derive(Debug)]
+    pub enum ErrorKind {
+        /// A call to the store failed.
+        Store(err: carawayrill_store::Error) {
+            display("store: {err}")
+            source(err)
+        }
+        /// An object of the store doesn't have the form of its kind.
+        Object { name: String, reason: String } {
+            display("object {name}: {reason}")
+        }
+        /// A router can't be reached, or its answer can't be read.
+        Peer { reason: String } {
+            display("router: {reason}")
+        }
+        /// The configuration can't be read.
+        Config(err: carawayrill_config::accept::Error) {
+            display("configuration: {err}")
+            source(err)
+        }
+        /// Events, metrics or the listening socket can't be set up.
+        Start { reason: String } {
+            display("can't start: {reason}")
+        }
+    }
+}
+
+impl Error {
+    /// Makes the error of an object that doesn't have the form of its kind.
+    pub fn object(name: &str, reason: impl fmt::Display) -> Self {
+        Self {
+            kind: ErrorKind::Object {
+                name: name.to_owned(),
+                reason: reason.to_string(),
+            },
+        }
+    }
+
+    /// Makes the error of a router that can't be reached or understood.
+    pub fn peer(reason: impl fmt::Display) -> Self {
+        Self {
+            kind: ErrorKind::Peer {
+                reason: reason.to_string(),
+            },
+        }
+    }
+
+    /// Makes the error of a configuration that can't be read.
+    #[must_use]
+    pub fn config(err: carawayrill_config::accept::Error) -> Self {
+        Self {
+            kind: ErrorKind::Config(err),
+        }
+    }
+
+    /// Makes the error of a process that can't start.
+    pub fn start(reason: impl fmt::Display) -> Self {
+        Self {
+            kind: ErrorKind::Start {
+                reason: reason.to_string(),
+            },
+        }
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.kind.fmt(f)
+    }
+}
+
+impl std::error::Error for Error {
+    fn source(&self) -> Option<&(dyn std::error::Error + 'static)> {
+        std::error::Error::source(&self.kind)
+    }
+}
+
+impl From<carawayrill_store::Error> for Error {
+    fn from(err: carawayrill_store::Error) -> Self {
+        Self {
+            kind: ErrorKind::Store(err),
+        }
+    }
+}
--- a/crates/carawayrill-router/src/entry/pass.rs
+++ b/crates/carawayrill-router/src/entry/pass.rs
@@ -42,7 +42,7 @@
             return answer;
         }
         hint = answer.home_hint.filter(|hinted| *hinted != target);
-        avoid = if hint.is_none() { Some(target) } else { None };
+        avoid = hint.is_none().then_some(target);
         tokio::time::sleep(pause).await;
         pause = (pause * 2).min(LONGEST_PAUSE);
     }
@@ -133,7 +133,10 @@
     if now >= deadline || status.code() == Code::DeadlineExceeded {
         return Answer::from(RefusalReason::AnswerLate);
     }
-    lost(&format!("the call to {target} failed: {}", status.message()))
+    lost(&format!(
+        "the call to {target} failed: {}",
+        status.message()
+    ))
 }
 
 fn never_connected(status: &Status) -> bool {
--- a/crates/carawayrill-router/src/feed.rs
+++ b/crates/carawayrill-router/src/feed.rs
@@ -2,12 +2,15 @@
 //!
 //! The relay of the data centre watches the store. The other routers watch the relay.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::PoisonError;
 use std::time::Duration;
 
 use carawayrill_config::accept;
 use carawayrill_core::assignment::Block;
 use carawayrill_core::event::EventKind;
+use carawayrill_core::id::Revision;
 use carawayrill_core::id::RouterId;
 use carawayrill_core::object::CONFIG_HEAD;
 use carawayrill_core::object::MEMBERS;
@@ -16,10 +19,10 @@
 use carawayrill_proto::wire;
 use carawayrill_store::port::Changes;
 use carawayrill_store::port::Object;
-use std::sync::PoisonError;
 
 use crate::cache::ObjectCache;
 use crate::context::Context;
+use crate::home::Home;
 use crate::peer::convert;
 
 /// How long one watch waits for a change.
@@ -52,11 +55,11 @@
     }
 
     /// Keeps this kind of objects up to date for as long as the process runs.
-    pub async fn run(self, cx: Arc<Context>) {
+    pub async fn run(self, cx: Arc<Context>, home: Arc<Home>) {
         loop {
             if let Some(changes) = self.next(&cx).await {
                 let news = self.cache(&cx).apply(changes);
-                self.take_in(&cx, news).await;
+                self.take_in(&cx, &home, news).await;
             } else {
                 tokio::time::sleep(RETRY_PAUSE).await;
             }
@@ -68,14 +71,17 @@
         let cache = self.cache(cx);
         match relay_of(cx) {
             Some(relay) if relay != cx.settings.router => from_relay(cx, &relay, cache).await,
-            _ => from_store(cx, cache).await,
+            _ => match from_store(cx, cache).await {
+                None if cache.revision() == Revision::default() => from_seeds(cx, cache).await,
+                changes => changes,
+            },
         }
     }
 
-    async fn take_in(self, cx: &Context, news: Vec<Object>) {
+    async fn take_in(self, cx: &Arc<Context>, home: &Home, news: Vec<Object>) {
         match self {
-            Self::Config => take_in_config(cx, &news).await,
-            Self::Assignments => take_in_blocks(cx, news),
+            Self::Config => take_in_config(cx, home, &news).await,
+            Self::Assignments => take_in_blocks(cx, home, news),
             Self::Members => take_in_members(cx, news),
         }
     }
@@ -84,44 +90,74 @@
 /// Returns the relay of this data centre.
 #[must_use]
 pub fn relay_of(cx: &Context) -> Option<RouterId> {
-    cx.members.relay(&cx.settings.data_centre, cx.now(), RELAY_SILENCE)
+    cx.members
+        .relay(&cx.settings.data_centre, cx.now(), RELAY_SILENCE)
 }
 
 async fn from_store(cx: &Context, cache: &ObjectCache) -> Option<Changes> {
-    let changes = cx.store.watch(cache.prefix(), cache.revision(), WATCH_WAIT).await;
-    changes.inspect_err(|err| log::warn!("watching {} at the store: {err}", cache.prefix())).ok()
+    let changes = cx
+        .store
+        .watch(cache.prefix(), cache.revision(), WATCH_WAIT)
+        .await;
+    changes
+        .inspect_err(|err| log::warn!("watching {} at the store: {err}", cache.prefix()))
+        .ok()
 }
 
-async fn from_relay(cx: &Context, relay: &RouterId, cache: &ObjectCache) -> Option<Changes> {
-    let address = cx.members.peer(relay)?;
+/// Takes all objects from the first other router that has any. Only a copy that has never been
+/// filled is filled in this way. Authority does not come from it: this router becomes the home of
+/// nothing until it reads the store itself.
+async fn from_seeds(cx: &Context, cache: &ObjectCache) -> Option<Changes> {
+    for seed in &cx.settings.seeds {
+        let changes = watch_at(cx, *seed, cache, Duration::ZERO).await;
+        if let Ok(changes) = changes
+            && changes.revision > Revision::default()
+        {
+            log::info!("{} taken from the router at {seed}", cache.prefix());
+            return Some(changes);
+        }
+    }
+    None
+}
+
+async fn watch_at(
+    cx: &Context,
+    address: SocketAddr,
+    cache: &ObjectCache,
+    wait: Duration,
+) -> Result<Changes, tonic::Status> {
     let mut req = tonic::Request::new(wire::WatchRequest {
         stamp: convert::stamp(),
         router: cx.settings.router.to_string(),
         prefix: cache.prefix().to_owned(),
         after: cache.revision().0,
-        wait_ms: millis(WATCH_WAIT),
+        wait_ms: millis(wait),
     });
-    req.set_timeout(WATCH_WAIT + WATCH_SLACK);
-    let reply = cx.peers.router(address).watch(req).await;
-    cx.members.note_call(relay, reply.is_ok(), cx.now());
-    match reply {
-        Ok(reply) => Some(convert::changes_from_wire(reply.into_inner())),
-        Err(status) => {
-            log::warn!("watching {} at {relay}: {status}", cache.prefix());
-            None
-        }
-    }
+    req.set_timeout(wait + WATCH_SLACK);
+    let reply = cx.peers.router(address).watch(req).await?;
+    Ok(convert::changes_from_wire(reply.into_inner()))
+}
+
+async fn from_relay(cx: &Context, relay: &RouterId, cache: &ObjectCache) -> Option<Changes> {
+    let address = cx.members.peer(relay)?;
+    let changes = watch_at(cx, address, cache, WATCH_WAIT).await;
+    cx.members.note_call(relay, changes.is_ok(), cx.now());
+    changes
+        .inspect_err(|status| log::warn!("watching {} at {relay}: {status}", cache.prefix()))
+        .ok()
 }
 
 /// Puts a new configuration in force, once all its parts are here.
-async fn take_in_config(cx: &Context, news: &[Object]) {
+async fn take_in_config(cx: &Arc<Context>, home: &Home, news: &[Object]) {
     if news.is_empty() {
         return;
     }
     match accept::fetch(&cx.caches.config).await {
         Ok(Some(accepted)) if accepted.generation > cx.generation() => {
             let generation = accepted.generation;
-            cx.deployment.store(Some(Arc::new(accepted.deployment)));
+            let whole = Arc::new(accepted.deployment);
+            cx.deployment.store(Some(Arc::clone(&whole)));
+            home.control().configure(cx, &whole);
             carawayrill_telemetry::emit(EventKind::ConfigInForce { generation });
         }
         Ok(_) => {}
@@ -129,23 +165,30 @@
     }
 }
 
-fn take_in_blocks(cx: &Context, news: Vec<Object>) {
+fn take_in_blocks(cx: &Arc<Context>, home: &Home, news: Vec<Object>) {
     for object in news {
         if object.version.0 == 0 {
             continue;
         }
         match serde_json::from_slice::<Block>(&object.value) {
-            Ok(block) => take_in_block(cx, &object, block),
+            Ok(block) => take_in_block(cx, home, &object, block),
             Err(err) => log::error!("{}: {err}", object.name),
         }
     }
 }
 
-fn take_in_block(cx: &Context, object: &Object, block: Block) {
+fn take_in_block(cx: &Arc<Context>, home: &Home, object: &Object, block: Block) {
     let id = block.id.clone();
-    let mut routes = cx.routes.write().unwrap_or_else(PoisonError::into_inner);
-    if routes.apply(object.version, block) {
-        carawayrill_telemetry::emit(EventKind::BlockSeen { block: id, version: object.version });
+    let news = {
+        let mut routes = cx.routes.write().unwrap_or_else(PoisonError::into_inner);
+        routes.apply(object.version, block.clone())
+    };
+    if news {
+        home.control().hint(cx, object.version, block);
+        carawayrill_telemetry::emit(EventKind::BlockSeen {
+            block: id,
+            version: object.version,
+        });
     }
 }
 
--- a/crates/carawayrill-router/src/run.rs
+++ b/crates/carawayrill-router/src/run.rs
@@ -11,6 +11,7 @@
 use carawayrill_proto::wire::router_server::RouterServer;
 use carawayrill_store::http_servers::HttpServers;
 use carawayrill_store::http_store::HttpStore;
+use carawayrill_store::url;
 use poem::listener::Acceptor;
 use poem::listener::Listener;
 use poem::listener::TcpListener;
@@ -49,12 +50,19 @@
         .map_err(|err| Error::settings(err.to_string()))?;
     carawayrill_telemetry::init(node)?;
     let metrics = carawayrill_telemetry::metrics(settings.statsd)?;
-    let store = HttpStore::new(settings.store).map_err(|err| Error::settings(err.to_string()))?;
+    let store = url::address_of(&settings.store)
+        .and_then(HttpStore::new)
+        .map_err(|err| Error::settings(err.to_string()))?;
     let servers = HttpServers::new().map_err(|err| Error::settings(err.to_string()))?;
     let incarnation = clock::new_incarnation();
-    let cx = Arc::new(Context::new(settings, incarnation, Arc::new(store), metrics));
+    let cx = Arc::new(Context::new(
+        settings,
+        incarnation,
+        Arc::new(store),
+        metrics,
+    ));
     let versions = Arc::new(VersionReader::default());
-    let control = Control::new(&cx, Arc::new(servers), Arc::clone(&versions));
+    let control = Arc::new(Control::new(Arc::new(servers), Arc::clone(&versions)));
     let home = Arc::new(Home::new(control));
     let beats = Arc::new(HeartbeatTable::default());
     let service = PeerService::new(
@@ -85,7 +93,9 @@
 type Listening = tokio::task::JoinHandle<Result<(), Error>>;
 
 async fn finish(listening: Listening) -> Result<(), Error> {
-    listening.await.unwrap_or_else(|err| Err(Error::serve(err.to_string())))
+    listening
+        .await
+        .unwrap_or_else(|err| Err(Error::serve(err.to_string())))
 }
 
 async fn serve_peers(
@@ -100,7 +110,9 @@
     let service = RouterServer::new(service)
         .max_decoding_message_size(MAX_MESSAGE_BYTES)
         .max_encoding_message_size(MAX_MESSAGE_BYTES);
-    let server = tonic::transport::Server::builder().tcp_nodelay(true).add_service(service);
+    let server = tonic::transport::Server::builder()
+        .tcp_nodelay(true)
+        .add_service(service);
     Ok(tokio::spawn(async move {
         let until = async move {
             // An error means that the sender is gone, which also ends the serving.
@@ -138,14 +150,18 @@
 
 fn start_tasks(cx: &Arc<Context>, home: &Arc<Home>, beats: &Arc<HeartbeatTable>) {
     for feed in [Feed::Members, Feed::Config, Feed::Assignments] {
-        tokio::spawn(feed.run(Arc::clone(cx)));
+        tokio::spawn(feed.run(Arc::clone(cx), Arc::clone(home)));
     }
     let entry = Arc::clone(cx);
     tokio::spawn(async move { membership::register(&entry).await });
-    tokio::spawn(membership::heartbeats(Arc::clone(cx), Arc::clone(home), Arc::clone(beats)));
+    tokio::spawn(membership::heartbeats(
+        Arc::clone(cx),
+        Arc::clone(home),
+        Arc::clone(beats),
+    ));
     tokio::spawn(relay::report(Arc::clone(cx), Arc::clone(beats)));
-    let (cx, home) = (Arc::clone(cx), Arc::clone(home));
-    tokio::spawn(async move { home.control().run(cx).await });
+    tokio::spawn(Arc::clone(home.control()).run(Arc::clone(cx)));
+    tokio::spawn(Arc::clone(home.control()).probe_homes(Arc::clone(cx)));
 }
 
 async fn wait_for_signal() -> Result<(), Error> {
@@ -179,5 +195,6 @@
 
 fn may_close(cx: &Context, home: &Home, began: Time) -> bool {
     let noticed = cx.now().since(began) >= STOP_NOTICE;
-    noticed && cx.in_flight.load(Ordering::Relaxed) == 0 && home.control().is_idle()
+    let handed_over = home.control().is_idle(cx) || !cx.members.has_successor(&cx.settings.router);
+    noticed && cx.in_flight.load(Ordering::Relaxed) == 0 && handed_over
 }
