--- a/crates/carawayrill-core/src/assignment.rs
+++ b/crates/carawayrill-core/src/assignment.rs
@@ -97,14 +97,12 @@
 }
 
 impl Assignment {
-    /// Returns whether `next` leaves the home and the pair of servers' owner as they are, so that
-    /// the home may go on while the change is written. It may have replaced the owner by the
-    /// standby server without the store.
+    /// Returns whether `next` leaves home and owner as they are stored, so that the home may go on
+    /// while the change is written.
     #[must_use]
     pub fn is_kept_by(&self, next: &Self) -> bool {
         let same_home = self.home == next.home && self.home_run == next.home_run;
-        let same_owner = next.owner == self.owner || Some(&next.owner) == self.standby.as_ref();
-        same_home && same_owner
+        same_home && self.owner == next.owner
     }
 }
 
--- a/crates/carawayrill-core/src/lib.rs
+++ b/crates/carawayrill-core/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod outcome;
 pub mod ownership;
 pub mod placement;
+pub mod replay;
 pub mod route;
 pub mod time;
 pub mod token;
--- a/crates/carawayrill-core/src/ownership/home/failover.rs
+++ b/crates/carawayrill-core/src/ownership/home/failover.rs
@@ -89,12 +89,15 @@
     }
 
     /// Returns the server that may replace a lost owner now.
-    pub(super) fn successor(&self, row: &Row) -> Option<ServerId> {
+    pub(super) fn successor(&self, now: Time, row: &Row) -> Option<ServerId> {
         if !row.is_live() || row.pledged || row.blocked {
             return None;
         }
         let owner = self.servers.get(&row.serving)?;
-        let is_over = owner.lost && (owner.gone || self.fences(row));
+        // A restarted owner can't be trusted while the store can't be read.
+        let untrusted = owner.run.is_some() && !self.trusts(row, &row.serving);
+        let stuck = untrusted && elapsed(now, owner.run_seen) > self.limits.server_silence;
+        let is_over = (owner.lost && (owner.gone || self.fences(row))) || stuck;
         let other = row.other(&row.serving)?;
         let known = self.servers.get(other)?;
         let takes = !known.lost && !known.leaving && !known.draining && self.trusts(row, other);
@@ -106,7 +109,7 @@
         let Some(row) = self.rows.get(shard) else {
             return;
         };
-        let Some(next) = self.successor(row) else {
+        let Some(next) = self.successor(now, row) else {
             return;
         };
         let lost = row.serving.clone();
--- a/crates/carawayrill-core/src/ownership/home/gate.rs
+++ b/crates/carawayrill-core/src/ownership/home/gate.rs
@@ -9,6 +9,19 @@
 use crate::id::ShardId;
 use crate::time::Time;
 
+/// What a router knows of one server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ServerSeen<'a> {
+    /// The server.
+    pub server: &'a ServerId,
+    /// Its latest run, if it has ever answered.
+    pub incarnation: Option<Incarnation>,
+    /// Whether it is held to be lost.
+    pub lost: bool,
+    /// Whether it leaves by plan or asks for no new work.
+    pub draining: bool,
+}
+
 impl HomeTable {
     /// Chooses the server and token for a request that has just arrived.
     ///
@@ -47,11 +60,14 @@
         Ok(())
     }
 
-    /// Returns what is known of the servers of this router's shards: name, latest run and whether
-    /// the server is held to be lost.
-    pub fn servers(&self) -> impl Iterator<Item = (&ServerId, Option<Incarnation>, bool)> {
-        let servers = self.servers.iter();
-        servers.map(|(id, known)| (id, known.run, known.lost))
+    /// Returns what is known of the servers of this router's shards.
+    pub fn servers(&self) -> impl Iterator<Item = ServerSeen<'_>> {
+        self.servers.iter().map(|(server, known)| ServerSeen {
+            server,
+            incarnation: known.run,
+            lost: known.lost,
+            draining: known.draining || known.leaving,
+        })
     }
 
     /// Returns until when requests of a row may be sent.
@@ -73,7 +89,9 @@
         }
         let owner = self.servers.get(&row.serving).ok_or(Denial::NoGrant)?;
         let lane = self.serving_lane(row).and_then(|id| row.lanes.get(&id));
-        let lane = lane.filter(|lane| lane.token == row.token && !owner.lost);
+        // A silent owner that nobody can replace is sent to for as long as its grant lasts.
+        let replaced = owner.lost && self.successor(now, row).is_some();
+        let lane = lane.filter(|lane| lane.token == row.token && !replaced);
         let end = lane.and_then(|lane| lane.certain_end);
         match end {
             Some(end) if now < end => Ok(end.min(deadline)),
--- a/crates/carawayrill-core/src/ownership/home/message.rs
+++ b/crates/carawayrill-core/src/ownership/home/message.rs
@@ -19,6 +19,7 @@
 use crate::ownership::evidence::Claimed;
 use crate::ownership::evidence::Released;
 use crate::ownership::evidence::Standing;
+use crate::ownership::limits::Limits;
 use crate::ownership::limits::Policy;
 use crate::time::Time;
 use crate::token::Token;
@@ -27,6 +28,11 @@
     /// One input. Inputs are recorded as events of kind `input` with table `home`.
     #[serde(tag = "input", rename_all = "snake_case")]
     pub enum Input {
+        /// New time limits came into force. Grants that were given keep the ends that they have.
+        Limits {
+            /// The limits.
+            limits: Limits,
+        },
         /// A service's policy came into force.
         Policy {
             /// The service.
--- a/crates/carawayrill-core/src/ownership/home/mod.rs
+++ b/crates/carawayrill-core/src/ownership/home/mod.rs
@@ -23,6 +23,7 @@
 
 use self::blocks::BlockRow;
 use self::failover::Peer;
+pub use self::gate::ServerSeen;
 pub use self::message::Action;
 pub use self::message::BlockVersion;
 pub use self::message::Denial;
@@ -117,6 +118,7 @@
 
     fn take(&mut self, now: Time, input: Input) {
         match input {
+            Input::Limits { limits } => self.limits = limits,
             Input::Policy { service, policy } => {
                 self.policies.insert(service, policy);
             }
--- a/crates/carawayrill-core/src/ownership/home/orders.rs
+++ b/crates/carawayrill-core/src/ownership/home/orders.rs
@@ -43,7 +43,7 @@
         if !row.acting {
             return row.rounds.want(row.stored.token.term);
         }
-        if row.ended {
+        if row.ended && row.stopping != Some(Stopping::Quiesced) {
             return None;
         }
         let known = self.servers.get(server)?;
@@ -59,8 +59,8 @@
         if row.stopping == Some(Stopping::Quiesced) || *server != row.serving {
             return revoke.or_else(|| self.want_evidence(row, server));
         }
-        if known.lost {
-            return revoke.filter(|_| self.successor(row).is_some());
+        if self.successor(now, row).is_some() {
+            return revoke;
         }
         if !self.trusts(row, server) {
             return Some(Want::Fence(row.token.term));
@@ -206,6 +206,7 @@
         known.lost = false;
         known.draining = reply.load.draining;
         if former != known.run {
+            self.end_former_runs(&reply.server, reply.incarnation);
             self.touch_server(&reply.server);
         }
         for (order, ack) in orders.iter().zip(&reply.acks) {
@@ -221,6 +222,20 @@
         }
     }
 
+    /// Ends the lanes of a server's former runs if the server does not check fencing: there is no
+    /// end of a grant to wait for, and a name is used again only once its process has ended.
+    fn end_former_runs(&mut self, server: &ServerId, run: Incarnation) {
+        let policies = &self.policies;
+        let unfenced = |row: &&mut Row| {
+            let policy = policies.get(&row.stored.shard.service);
+            policy.is_some_and(|policy| !policy.fencing)
+        };
+        for row in self.rows.values_mut().filter(unfenced) {
+            row.lanes
+                .retain(|id, _| id.server != *server || id.run >= run);
+        }
+    }
+
     /// Notes that rows with this server have to be looked at.
     pub(super) fn touch_server(&mut self, server: &ServerId) {
         let rows = self.rows.iter();
--- a/crates/carawayrill-core/src/ownership/home/release.rs
+++ b/crates/carawayrill-core/src/ownership/home/release.rs
@@ -62,7 +62,7 @@
         let end = lane.and_then(|lane| lane.certain_end);
         let owner = self.servers.get(&row.serving);
         let serves = end.is_some_and(|end| now < end) && owner.is_some_and(|owner| !owner.lost);
-        let recovers = self.successor(row).is_some();
+        let recovers = self.successor(now, row).is_some();
         let asked = row.keeping && row.is_live();
         let Some(row) = self.rows.get_mut(shard) else {
             return;
--- a/crates/carawayrill-core/src/ownership/home/trust.rs
+++ b/crates/carawayrill-core/src/ownership/home/trust.rs
@@ -107,6 +107,9 @@
 
     /// Asks standby homes about rows with servers that are not cleared.
     pub(super) fn ask_standbys(&mut self, now: Time) {
+        if !self.mechanisms.server_incarnation {
+            return;
+        }
         let retry = self.limits.retry_after;
         let mut asks: BTreeMap<RouterId, Vec<Claimed>> = BTreeMap::new();
         let mut asked = Vec::new();
--- a/crates/carawayrill-core/src/ownership/server.rs
+++ b/crates/carawayrill-core/src/ownership/server.rs
@@ -171,6 +171,13 @@
         }
     }
 
+    /// Returns the token under which a request of a shard may start to run at `now`.
+    #[must_use]
+    pub fn open_grant(&self, now: ServerTime, shard: &ShardId) -> Option<Token> {
+        let held = self.shards.get(shard)?.held?;
+        self.check(now, shard, held.token).ok().map(|()| held.token)
+    }
+
     /// Returns the highest token seen for a shard.
     #[must_use]
     pub fn highest(&self, shard: &ShardId) -> Token {
--- a/crates/carawayrill-core/src/ownership/takeover/evidence.rs
+++ b/crates/carawayrill-core/src/ownership/takeover/evidence.rs
@@ -73,8 +73,10 @@
                 let standby_homes = releases.entry(standby_home.clone()).or_default();
                 standby_homes.push(claimed.clone());
             }
-            let promises = questions.promises.entry(standby_home.clone()).or_default();
-            promises.push(claimed);
+            if self.mechanisms.promise {
+                let promises = questions.promises.entry(standby_home.clone()).or_default();
+                promises.push(claimed);
+            }
         }
         let home_lost = elapsed(now, task.home_heard) > silence && !task.keeps_home(&row);
         // A fence interrupts a home that still sends; one that has stopped loses nothing by it.
--- a/crates/carawayrill-core/src/ownership/takeover/mod.rs
+++ b/crates/carawayrill-core/src/ownership/takeover/mod.rs
@@ -101,6 +101,7 @@
 
     fn take(&mut self, now: Time, input: Input) {
         match input {
+            Input::Limits { limits } => self.limits = limits,
             Input::Policy { service, policy } => {
                 self.policies.insert(service, policy);
             }
--- /dev/null
+++ b/crates/carawayrill-core/src/replay/mod.rs
@@ -0,0 +1,70 @@
+//! Replay of recorded traces against stated outcomes.
+//!
+//! A trace is a text of JSON lines. The first line is the header, `{"carawayrill_trace":1}`, with
+//! an optional `about`. Each other line is an event as the processes write it, or a statement.
+//! Inputs of the decision tables are replayed through the same code that ran in the daemons; the
+//! statements are judged after every event. Events are counted from 1.
+//!
+//! # Examples
+//!
+//! ```
+//! let text = concat!(
+//!     r#"{"carawayrill_trace":1,"about":"nothing happens"}"#, "\n",
+//!     r#"{"at":"1000.0","node":"r1","seq":0,"event":"started","role":"router","incarnation":1}"#, "\n",
+//!     r#"{"statement":"not_sent","shard":"forms/0","after":1}"#, "\n",
+//! );
+//! let outcomes = carawayrill_core::replay::run(text)?;
+//! assert_eq!("holds: forms/0 is not sent from event 1 on", outcomes[0].to_string());
+//! # Ok::<(), carawayrill_core::Error>(())
+//! ```
+
+mod judge;
+mod player;
+mod record;
+mod statement;
+mod trace;
+
+use std::fmt;
+
+pub use self::record::Recorded;
+pub use self::record::ServerInput;
+pub use self::record::Start;
+pub use self::record::TICK;
+pub use self::record::recorded;
+pub use self::statement::Statement;
+pub use self::trace::Trace;
+pub use self::trace::VERSION;
+use crate::Error;
+
+/// What became of one statement.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Outcome {
+    /// The statement.
+    pub statement: Statement,
+    /// The number of the event after which it did not hold, counted from 1.
+    pub broken_at: Option<usize>,
+    /// What was found instead.
+    pub found: Option<String>,
+}
+
+impl fmt::Display for Outcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match (self.broken_at, &self.found) {
+            (None, _) => write!(f, "holds: {}", self.statement),
+            (Some(at), None) => write!(f, "broken at event {at}: {}", self.statement),
+            (Some(at), Some(found)) => {
+                write!(f, "broken at event {at}: {}; found {found}", self.statement)
+            }
+        }
+    }
+}
+
+/// Replays a trace and judges its statements, in their order.
+///
+/// # Errors
+///
+/// Fails with the line if the text is not a whole trace of a known version, in order.
+pub fn run(text: &str) -> Result<Vec<Outcome>, Error> {
+    let trace: Trace = text.parse()?;
+    judge::judge(&trace)
+}
--- /dev/null
+++ b/crates/carawayrill-core/tests/ownership_losses.rs
@@ -0,0 +1,101 @@
+//! Single losses: each shard is served again in time, with the store up and down.
+
+mod world;
+
+use carawayrill_core::ownership::limits::Limits;
+use carawayrill_core::ownership::limits::Mechanisms;
+use carawayrill_core::ownership::limits::Policy;
+use rstest::rstest;
+
+use crate::world::World;
+use crate::world::clock::MS;
+use crate::world::clock::Micros;
+use crate::world::fault::Fault;
+use crate::world::fault::Planned;
+use crate::world::node::Setup;
+use crate::world::topology::node_ix;
+
+/// A key is served again within this time of a loss.
+const TARGET: Micros = 5_000 * MS;
+/// When the loss comes.
+const LOSS: Micros = 4_000 * MS;
+/// The store goes down this long before the loss.
+const OUTAGE_BEFORE: Micros = 1_000 * MS;
+/// How finely the time without service is measured.
+const STEP: Micros = 10 * MS;
+const SEEDS: u64 = 20;
+
+/// Returns the longest time for which some shard was not served after the loss.
+fn unserved(seed: u64, fault: &Fault, outage: bool) -> Micros {
+    let setup = Setup {
+        limits: Limits::default(),
+        policy: Policy {
+            validity: 20_000,
+            fencing: true,
+        },
+        mechanisms: Mechanisms::ALL,
+    };
+    let mut plan = vec![Planned {
+        at: LOSS,
+        fault: fault.clone(),
+    }];
+    if outage {
+        let down = Fault::StoreDown { span: 60_000 * MS };
+        plan.push(Planned {
+            at: LOSS - OUTAGE_BEFORE,
+            fault: down,
+        });
+    }
+    let mut world = World::new(seed, setup, &plan).lossless();
+    world.run_until(LOSS);
+    let mut last = LOSS;
+    while world.now < LOSS + 2 * TARGET {
+        world.run_until(world.now + STEP);
+        if !world.shards.iter().all(|shard| world.is_served(shard)) {
+            last = world.now;
+        }
+    }
+    assert_eq!(None, world.checks.broken);
+    last - LOSS
+}
+
+fn kill(name: &str) -> Fault {
+    Fault::Kill {
+        node: node_ix(name),
+        back_after: None,
+    }
+}
+
+#[rstest]
+#[case::owner("owner", kill("s0"))]
+#[case::standby_server_and_owner("owner of one, standby of the other", kill("s1"))]
+#[case::home("home", kill("r0"))]
+#[case::home_of_the_other("home of the other", kill("r1"))]
+#[case::standby_home("standby home", kill("r2"))]
+#[case::controller("controller", kill("c0"))]
+#[case::owner_restarts("owner, back after 300 ms", Fault::Kill { node: node_ix("s0"), back_after: Some(300 * MS) })]
+#[case::home_restarts("home, back after 300 ms", Fault::Kill { node: node_ix("r0"), back_after: Some(300 * MS) })]
+#[case::owner_frozen("owner frozen for 3 s", Fault::Pause { node: node_ix("s0"), span: 3_000 * MS })]
+#[case::home_frozen("home frozen for 3 s", Fault::Pause { node: node_ix("r0"), span: 3_000 * MS })]
+#[case::data_centre_0("data centre 0", Fault::KillDataCentre { data_centre: 0, back_after: None })]
+#[case::data_centre_1("data centre 1", Fault::KillDataCentre { data_centre: 1, back_after: None })]
+#[case::data_centre_2("data centre 2", Fault::KillDataCentre { data_centre: 2, back_after: None })]
+#[case::data_centre_3("data centre 3", Fault::KillDataCentre { data_centre: 3, back_after: None })]
+#[case::data_centre_5("data centre 5", Fault::KillDataCentre { data_centre: 5, back_after: None })]
+fn a_single_loss_is_made_good_in_time(
+    #[case] name: &str,
+    #[case] fault: Fault,
+    #[values(false, true)] outage: bool,
+) {
+    let worst = (0..SEEDS).map(|seed| unserved(seed, &fault, outage)).max();
+    let worst = worst.unwrap_or(0);
+    println!(
+        "loss of {name}, store outage {outage}: not served for at most {} ms",
+        worst / MS
+    );
+    assert!(
+        worst <= TARGET,
+        "loss of {name}, store outage {outage}: {} ms",
+        worst / MS
+    );
+}
--- a/crates/carawayrill-core/tests/world/check.rs
+++ b/crates/carawayrill-core/tests/world/check.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use carawayrill_core::id::ShardId;
+use carawayrill_core::ownership::home::Permit;
 use carawayrill_core::token::Token;
 
 use super::World;
@@ -10,6 +11,7 @@
 use super::node::Kind;
 use super::topology::ROUTERS;
 use super::topology::SERVERS;
+use super::topology::node_ix;
 
 /// A statement that was broken.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
@@ -36,45 +38,38 @@
 }
 
 impl World {
-    /// Returns the servers that would run a request for a shard now: they would accept one that
-    /// some router may send or has sent.
+    /// Returns the servers that would run a request for a shard now: those with a grant that has
+    /// not ended, or, if servers don't check, those that some router may send to or has sent to.
     pub fn runnable(&self, shard: &ShardId) -> Vec<(NodeIx, Token)> {
-        let mut found = Vec::new();
-        for (ix, token) in self.sendable(shard) {
-            let node = &self.nodes[ix];
-            let Kind::Server(fence) = &node.kind else {
-                continue;
-            };
-            let accepts = fence
-                .check(node.clock.server(self.now), shard, token)
-                .is_ok();
-            if node.up && accepts {
-                found.push((ix, token));
-            }
+        if !self.setup.mechanisms.fence || !self.setup.policy.fencing {
+            return self.sendable(shard);
+        }
+        let servers = SERVERS.filter(|ix| self.nodes[*ix].up);
+        let open = servers.filter_map(|ix| Some((ix, self.open_grant(ix, shard)?)));
+        open.collect()
+    }
+
+    fn open_grant(&self, ix: NodeIx, shard: &ShardId) -> Option<Token> {
+        let node = &self.nodes[ix];
+        match &node.kind {
+            Kind::Server(fence) => fence.open_grant(node.clock.server(self.now), shard),
+            _ => None,
         }
-        found
     }
 
     fn sendable(&self, shard: &ShardId) -> Vec<(NodeIx, Token)> {
-        let mut found: Vec<(NodeIx, Token)> = self
-            .in_flight
-            .get(shard)
-            .into_iter()
-            .flatten()
-            .copied()
-            .collect();
+        let mut found = Vec::new();
+        if self.setup.policy.fencing {
+            found.extend(self.in_flight.get(shard).into_iter().flatten().copied());
+        }
         for ix in ROUTERS {
             let node = &self.nodes[ix];
             let Kind::Router(table) = &node.kind else {
                 continue;
             };
-            if node.up
-                && let Ok(permit) = table.permit(node.clock.local(self.now), shard)
-            {
-                found.push((
-                    super::topology::node_ix(permit.server.as_str()),
-                    permit.token,
-                ));
+            let permit = table.permit(node.clock.local(self.now), shard).ok();
+            if let Some(permit) = permit.filter(|_| node.up) {
+                found.push((node_ix(permit.server.as_str()), permit.token));
             }
         }
         found
@@ -127,6 +122,9 @@
 
     /// Checks a request that starts to run against the ones that ran before.
     pub fn check_run(&mut self, ix: NodeIx, shard: &ShardId, token: Token) {
+        if !self.setup.policy.fencing {
+            return;
+        }
         let last = self.checks.last_run.get(shard).copied();
         if let Some((newer, by)) = last
             && newer > token
@@ -143,6 +141,23 @@
         }
     }
 
+    /// Checks a request that is written to a server which does not check fencing: no other server
+    /// may be sent to at the same time.
+    pub fn check_sent(&mut self, permit: &Permit) {
+        if self.setup.policy.fencing {
+            return;
+        }
+        let to = node_ix(permit.server.as_str());
+        let others = self.sendable(&permit.shard);
+        if let Some((other, token)) = others.into_iter().find(|(ix, _)| *ix != to) {
+            let text = format!(
+                "{}: sent to {to} while {token} allows {other}",
+                permit.shard
+            );
+            self.fail(Broken::TwoOwners, text);
+        }
+    }
+
     /// Checks that a granted token of a stored term is one that the store has acknowledged.
     pub fn check_granted(&mut self, shard: &ShardId, token: Token) {
         let stored = |term| {
@@ -194,7 +209,7 @@
         let Ok(permit) = table.permit(now, shard) else {
             return false;
         };
-        let to = super::topology::node_ix(permit.server.as_str());
+        let to = node_ix(permit.server.as_str());
         let server = &self.nodes[to];
         let Kind::Server(fence) = &server.kind else {
             return false;
--- a/crates/carawayrill-core/tests/world/fault.rs
+++ b/crates/carawayrill-core/tests/world/fault.rs
@@ -123,6 +123,7 @@
         };
         let twice = plan.last().filter(|_| rng.random_bool(0.1)).cloned();
         let fault = twice.map_or_else(|| fault(rng), |last| last.fault);
+        let at = at.min(window + 2_000 * MS);
         plan.push(Planned { at, fault });
     }
     plan
--- a/crates/carawayrill-core/tests/world/mod.rs
+++ b/crates/carawayrill-core/tests/world/mod.rs
@@ -11,7 +11,9 @@
 pub mod message;
 pub mod node;
 pub mod planner;
+pub mod record;
 pub mod run;
+pub mod schedule;
 pub mod store;
 pub mod topology;
 
@@ -20,7 +22,6 @@
 use std::collections::BinaryHeap;
 
 use carawayrill_core::id::ShardId;
-use carawayrill_core::ownership::home;
 use carawayrill_core::token::Token;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -36,6 +37,7 @@
 use self::node::Kind;
 use self::node::Node;
 use self::node::Setup;
+use self::record::Recorder;
 use self::store::Store;
 use self::topology::CONTROLLERS;
 use self::topology::NODES;
@@ -86,8 +88,9 @@
     sequence: u64,
     cuts: Vec<Cut>,
     loss: f64,
-    /// Why each shard was last not permitted, for the reader of a broken run.
     pub steps: u64,
+    /// The lines of the trace, if one is written.
+    pub trace: Option<Recorder>,
 }
 
 impl World {
@@ -113,6 +116,7 @@
             cuts: Vec::new(),
             loss,
             steps: 0,
+            trace: None,
         };
         for planned in plan {
             world.push(planned.at, Event::Fault(planned.fault.clone()));
@@ -123,6 +127,21 @@
         world
     }
 
+    /// Lets the network lose no message but by faults.
+    pub fn lossless(mut self) -> Self {
+        self.loss = 0.0;
+        self
+    }
+
+    /// Writes a trace from now on; the world must not have run yet.
+    pub fn recording(mut self) -> Self {
+        self.trace = Some(Recorder::default());
+        for ix in topology::processes() {
+            self.record_start(ix);
+        }
+        self
+    }
+
     /// Runs until a point in true time or until something is broken.
     pub fn run_until(&mut self, end: Micros) {
         while self.checks.broken.is_none() {
@@ -149,7 +168,7 @@
             Event::Fault(_) | Event::Back(_) | Event::StoreUp => true,
         };
         match event {
-            Event::Deliver(envelope) => self.deliver(*envelope),
+            Event::Deliver(envelope) => self.deliver(envelope),
             Event::Fault(fault) => self.strike(&fault),
             Event::Back(ix) => self.restart(ix),
             Event::StoreUp => {
@@ -179,23 +198,6 @@
         if SERVERS.contains(&ix) {
             return;
         }
-        let policy = home::Input::Policy {
-            service: topology::service(),
-            policy: self.setup.policy,
-        };
-        let policy_too = carawayrill_core::ownership::takeover::Input::Policy {
-            service: topology::service(),
-            policy: self.setup.policy,
-        };
-        match &mut self.nodes[ix].kind {
-            Kind::Router(table) => drop(table.input(carawayrill_core::time::Time(0), policy)),
-            Kind::Controller(controller) => drop(
-                controller
-                    .table
-                    .input(carawayrill_core::time::Time(0), policy_too),
-            ),
-            Kind::Server(_) | Kind::Store => {}
-        }
         let delay = self.rng.random_range(0..50) * MS;
         self.later(ix, delay, Message::Tick);
     }
@@ -213,11 +215,15 @@
         self.push(self.now + delay, Event::Deliver(Box::new(envelope)));
     }
 
-    /// Sends a message over the network.
+    /// Sends a message over the network; it may come twice.
     fn send(&mut self, from: NodeIx, to: NodeIx, message: Message) {
         self.send_after(from, to, 0, message);
     }
 
+    #[expect(
+        clippy::needless_pass_by_value,
+        reason = "callers make the message for the call"
+    )]
     fn send_after(&mut self, from: NodeIx, to: NodeIx, delay: Micros, message: Message) {
         if self.is_cut(from, to) || (self.loss > 0.0 && self.rng.random_bool(self.loss)) {
             return;
@@ -253,7 +259,7 @@
         self.cuts.iter().any(cuts)
     }
 
-    fn deliver(&mut self, envelope: Envelope) {
+    fn deliver(&mut self, envelope: Box<Envelope>) {
         if let Some((shard, flight)) = flight(&envelope.message) {
             let flights = self.in_flight.entry(shard).or_default();
             if let Some(at) = flights.iter().position(|other| *other == flight) {
@@ -266,10 +272,10 @@
         }
         if node.paused_until > self.now {
             let at = node.paused_until;
-            self.push(at, Event::Deliver(Box::new(envelope)));
+            self.push(at, Event::Deliver(envelope));
             return;
         }
-        self.handle(envelope);
+        self.handle(*envelope);
     }
 
     fn strike(&mut self, fault: &Fault) {
@@ -377,6 +383,7 @@
         let boot = self.nodes[ix].boot + 1;
         let ppm = self.rng.random_range(-200..=200);
         self.nodes[ix] = Node::start(ix, self.now, boot, ppm, &self.setup);
+        self.record_start(ix);
         self.begin(ix);
     }
 }
--- a/crates/carawayrill-core/tests/world/node.rs
+++ b/crates/carawayrill-core/tests/world/node.rs
@@ -6,11 +6,13 @@
 use carawayrill_core::id::ServerId;
 use carawayrill_core::id::Version;
 use carawayrill_core::ownership::evidence::Run;
+use carawayrill_core::ownership::home;
 use carawayrill_core::ownership::home::HomeTable;
 use carawayrill_core::ownership::limits::Limits;
 use carawayrill_core::ownership::limits::Mechanisms;
 use carawayrill_core::ownership::limits::Policy;
 use carawayrill_core::ownership::server::FenceTable;
+use carawayrill_core::ownership::takeover;
 use carawayrill_core::ownership::takeover::TakeoverTable;
 use carawayrill_core::time::Time;
 
@@ -92,13 +94,15 @@
                 router: name.parse().expect("a router name"),
                 incarnation: run,
             };
-            node.kind = Kind::Router(Box::new(
-                HomeTable::new(me, setup.limits).mechanisms(setup.mechanisms),
-            ));
+            let mut table = HomeTable::new(me, setup.limits).mechanisms(setup.mechanisms);
+            table.input(Time(0), home_policy(setup));
+            node.kind = Kind::Router(Box::new(table));
         } else if CONTROLLERS.contains(&ix) {
             let me = ControllerId::try_from(name).expect("a controller name");
+            let mut table = TakeoverTable::new(me, setup.limits).mechanisms(setup.mechanisms);
+            table.input(Time(0), takeover_policy(setup));
             node.kind = Kind::Controller(Box::new(Controller {
-                table: TakeoverTable::new(me, setup.limits).mechanisms(setup.mechanisms),
+                table,
                 view: View::default(),
                 leading: false,
                 rival_heard: Time(0),
@@ -117,3 +121,17 @@
         self.up && self.paused_until <= now
     }
 }
+
+pub fn home_policy(setup: &Setup) -> home::Input {
+    home::Input::Policy {
+        service: topology::service(),
+        policy: setup.policy,
+    }
+}
+
+pub fn takeover_policy(setup: &Setup) -> takeover::Input {
+    takeover::Input::Policy {
+        service: topology::service(),
+        policy: setup.policy,
+    }
+}
--- a/crates/carawayrill-core/tests/world/planner.rs
+++ b/crates/carawayrill-core/tests/world/planner.rs
@@ -68,11 +68,7 @@
     }
 
     fn change(&mut self, now: Time, row: &Assignment) -> Option<Change> {
-        let index = if row.shard == topology::shard(0) {
-            0
-        } else {
-            1
-        };
+        let index = u32::from(row.shard != topology::shard(0));
         let moved = self.wanted_moves.contains(&(index as usize));
         let home_ok = self.is_run(now, &row.home, row.home_run);
         let standby_home = row.standby_home.as_ref();
@@ -153,7 +149,7 @@
         let former = row.standby_home.as_ref().into_iter().chain(&routers);
         let second =
             former.filter(|id| **id != home.router && dc(id.as_str()) != dc(home.router.as_str()));
-        let standby_home = second.filter_map(|id| self.run(now, id)).next();
+        let standby_home = second.into_iter().find_map(|id| self.run(now, id));
         let change = Change {
             block: topology::block_id(),
             shard: row.shard.clone(),
--- /dev/null
+++ b/crates/carawayrill-core/tests/world/record.rs
@@ -0,0 +1,101 @@
+//! Writing what the model does as a trace.
+
+use std::collections::BTreeMap;
+
+use carawayrill_core::event::Event;
+use carawayrill_core::event::EventKind;
+use carawayrill_core::hlc::Stamp;
+use carawayrill_core::id::Incarnation;
+use carawayrill_core::replay;
+use carawayrill_core::replay::ServerInput;
+use carawayrill_core::replay::Start;
+use serde::Serialize;
+
+use super::World;
+use super::clock::MS;
+use super::message::NodeIx;
+use super::node;
+use super::node::Kind;
+
+/// The lines of a trace.
+#[derive(Debug, Default)]
+pub struct Recorder {
+    pub lines: Vec<String>,
+    sequences: BTreeMap<NodeIx, u64>,
+    count: u32,
+}
+
+/// The recorded input of a tick.
+#[derive(Debug, Serialize)]
+pub struct Tick {
+    input: &'static str,
+}
+
+impl Default for Tick {
+    fn default() -> Self {
+        Self {
+            input: replay::TICK,
+        }
+    }
+}
+
+impl World {
+    /// Writes one input of a node's table.
+    pub fn record<T: Serialize>(&mut self, ix: NodeIx, table: &str, now: u64, input: &T) {
+        if self.trace.is_some() {
+            self.write_event(ix, replay::recorded(table, now, input));
+        }
+    }
+
+    pub fn write_event(&mut self, ix: NodeIx, kind: EventKind) {
+        let Some(trace) = &mut self.trace else {
+            return;
+        };
+        let seq = trace.sequences.entry(ix).or_default();
+        trace.count += 1;
+        let event = Event {
+            at: Stamp {
+                wall: self.now / MS,
+                count: trace.count,
+            },
+            node: self.nodes[ix].name.parse().expect("a node's name"),
+            seq: *seq,
+            kind,
+        };
+        *seq += 1;
+        let line = serde_json::to_string(&event).expect("an event is plain data");
+        trace.lines.push(line);
+    }
+
+    /// Writes the start of a node's table, and the policy that it was given.
+    pub fn record_start(&mut self, ix: NodeIx) {
+        let node = &self.nodes[ix];
+        let setup = self.setup;
+        let incarnation = Incarnation(node.boot);
+        let start = Start {
+            name: node.name.into(),
+            incarnation,
+            limits: setup.limits,
+        };
+        match node.kind {
+            Kind::Server(_) => {
+                let start = ServerInput::Start {
+                    server: node.name.parse().expect("a server"),
+                    incarnation,
+                    checking: setup.mechanisms.fence && setup.policy.fencing,
+                };
+                let clock = node.clock.server(self.now);
+                self.record(ix, "server", clock.0, &start);
+            }
+            Kind::Router(_) => {
+                self.record(ix, "home", 0, &start);
+                self.record(ix, "home", 0, &node::home_policy(&setup));
+            }
+            Kind::Controller(_) => {
+                self.record(ix, "takeover", 0, &start);
+                self.record(ix, "takeover", 0, &node::takeover_policy(&setup));
+            }
+            Kind::Store => {}
+        }
+    }
+}
--- a/crates/carawayrill-core/tests/world/run.rs
+++ b/crates/carawayrill-core/tests/world/run.rs
@@ -4,13 +4,16 @@
 use carawayrill_core::id::Incarnation;
 use carawayrill_core::id::RouterId;
 use carawayrill_core::id::ServerId;
+use carawayrill_core::id::ShardId;
 use carawayrill_core::order::Order;
 use carawayrill_core::ownership::home;
 use carawayrill_core::ownership::home::BlockVersion;
 use carawayrill_core::ownership::takeover;
+use carawayrill_core::replay::ServerInput;
 use carawayrill_core::time::ServerTime;
 use carawayrill_core::time::Time;
 use carawayrill_core::time::WallTime;
+use carawayrill_core::token::Token;
 use rand::RngExt;
 
 use super::Envelope;
@@ -20,6 +23,7 @@
 use super::message::Message;
 use super::message::NodeIx;
 use super::node::Kind;
+use super::record::Tick;
 use super::topology;
 use super::topology::CONTROLLERS;
 use super::topology::NODES;
@@ -80,6 +84,10 @@
             Message::Check { started } => Message::CheckReply { started, version },
             Message::Write { expected, block } => {
                 let lost = self.rng.random_range(0..100) < self.store.lost_answers;
+                if lost && self.rng.random_bool(0.3) {
+                    // The fate is unknown to the caller: this one took no effect.
+                    return self.send_after(STORE, from, delay, Message::WriteFailed);
+                }
                 let written = self.store.write(expected, block);
                 self.check_stored();
                 self.hint_all();
@@ -120,6 +128,8 @@
                     orders.clone()
                 };
                 let reply = fence.apply(clock, &obeyed);
+                let input = ServerInput::Orders { orders: obeyed };
+                self.record(ix, "server", clock.0, &input);
                 self.send(
                     ix,
                     envelope.from,
@@ -130,18 +140,26 @@
                     },
                 );
             }
-            Message::Request { shard, token, .. } => {
-                if fence.start(clock, &shard, token).is_ok() {
-                    self.check_run(ix, &shard, token);
-                    let span = self.rng.random_range(1..30) * MS;
-                    self.later(ix, span, Message::Finish { shard });
-                }
-            }
+            Message::Request { shard, token, .. } => self.start_request(ix, shard, token),
             Message::Finish { shard } => fence.finish(&shard),
             _ => {}
         }
     }
 
+    /// Runs a request at a server, unless the server refuses it.
+    fn start_request(&mut self, ix: NodeIx, shard: ShardId, token: Token) {
+        let clock = self.nodes[ix].clock.server(self.now);
+        let Kind::Server(fence) = &mut self.nodes[ix].kind else {
+            return;
+        };
+        if fence.start(clock, &shard, token).is_err() {
+            return;
+        }
+        self.check_run(ix, &shard, token);
+        let span = self.rng.random_range(1..30) * MS;
+        self.later(ix, span, Message::Finish { shard });
+    }
+
     fn handle_router(&mut self, envelope: Envelope) {
         let (ix, from) = (envelope.to, envelope.from);
         let now = self.nodes[ix].clock.local(self.now);
@@ -151,24 +169,17 @@
                 let Kind::Router(table) = &self.nodes[ix].kind else {
                     return;
                 };
-                if table.confirm(now, &permit).is_ok() {
+                let confirmed = table.confirm(now, &permit).is_ok();
+                if confirmed && !self.setup.policy.fencing {
+                    return self.write_request(ix, permit);
+                }
+                if confirmed {
                     let gap = self.rng.random_range(0..MS);
                     self.later(ix, gap, Message::Send(permit));
                 }
                 return;
             }
-            Message::Send(permit) => {
-                let to = node_ix(permit.server.as_str());
-                return self.send(
-                    ix,
-                    to,
-                    Message::Request {
-                        shard: permit.shard,
-                        token: permit.token,
-                        to,
-                    },
-                );
-            }
+            Message::Send(permit) => return self.write_request(ix, permit),
             Message::Heartbeat { incarnation, .. } => home::Input::PeerSeen {
                 router: router(from),
                 incarnation,
@@ -232,7 +243,20 @@
         self.feed_router(ix, from, now, input);
     }
 
+    /// Writes a request to the socket of a server.
+    fn write_request(&mut self, ix: NodeIx, permit: home::Permit) {
+        self.check_sent(&permit);
+        let to = node_ix(permit.server.as_str());
+        let request = Message::Request {
+            shard: permit.shard,
+            token: permit.token,
+            to,
+        };
+        self.send(ix, to, request);
+    }
+
     fn feed_router(&mut self, ix: NodeIx, from: NodeIx, now: Time, input: home::Input) {
+        self.record(ix, "home", now.0, &input);
         let Kind::Router(table) = &mut self.nodes[ix].kind else {
             return;
         };
@@ -243,14 +267,15 @@
     fn tick_router(&mut self, ix: NodeIx, now: Time) {
         self.later(ix, TICK, Message::Tick);
         let boot = self.nodes[ix].boot;
+        self.record(ix, "home", now.0, &Tick::default());
         let Kind::Router(table) = &mut self.nodes[ix].kind else {
             return;
         };
         let actions = table.tick(now);
         let lost: Vec<(ServerId, bool)> = table
             .servers()
-            .filter(|(_, run, _)| run.is_some())
-            .map(|(id, _, lost)| (id.clone(), lost))
+            .filter(|seen| seen.incarnation.is_some())
+            .map(|seen| (seen.server.clone(), seen.lost))
             .collect();
         let permits: Vec<home::Permit> = self
             .shards
@@ -260,7 +285,7 @@
         self.act_router(ix, ix, now, actions);
         for permit in permits {
             if self.rng.random_bool(0.3) {
-                let gap = self.rng.random_range(0..3 * MS);
+                let gap = self.rng.random_range(0..40 * MS);
                 self.later(ix, gap, Message::Confirm(permit));
             }
         }
@@ -285,13 +310,13 @@
                     Message::Orders { sent: now, orders },
                 ),
                 home::Action::ReadBlock { .. } => {
-                    self.send(ix, STORE, Message::Read { started: now })
+                    self.send(ix, STORE, Message::Read { started: now });
                 }
                 home::Action::CheckVersions { .. } => {
-                    self.send(ix, STORE, Message::Check { started: now })
+                    self.send(ix, STORE, Message::Check { started: now });
                 }
                 home::Action::WriteBlock { expected, block } => {
-                    self.send(ix, STORE, Message::Write { expected, block })
+                    self.send(ix, STORE, Message::Write { expected, block });
                 }
                 home::Action::AskStandby { router, rows } => {
                     self.send(
@@ -327,10 +352,12 @@
                         },
                     );
                 }
-                home::Action::Emit {
-                    kind: EventKind::Granted { shard, token, .. },
-                } => self.check_granted(&shard, token),
-                home::Action::Emit { .. } => {}
+                home::Action::Emit { kind } => {
+                    if let EventKind::Granted { shard, token, .. } = &kind {
+                        self.check_granted(shard, *token);
+                    }
+                    self.write_event(ix, kind);
+                }
             }
         }
     }
@@ -391,7 +418,8 @@
             },
             _ => return,
         };
-        let actions = controller.table.input(now, input);
+        let actions = controller.table.input(now, input.clone());
+        self.record(ix, "takeover", now.0, &input);
         self.act_controller(ix, now, actions);
     }
 
@@ -421,10 +449,14 @@
             }
         }
         let mut actions = Vec::new();
-        for input in inputs {
-            actions.extend(controller.table.input(now, input));
+        for input in &inputs {
+            actions.extend(controller.table.input(now, input.clone()));
         }
         actions.extend(controller.table.tick(now));
+        for input in &inputs {
+            self.record(ix, "takeover", now.0, input);
+        }
+        self.record(ix, "takeover", now.0, &Tick::default());
         self.act_controller(ix, now, actions);
         if plans {
             self.send(ix, STORE, Message::Read { started: now });
@@ -442,10 +474,10 @@
         for action in actions {
             match action {
                 takeover::Action::ReadBlock { .. } => {
-                    self.send(ix, STORE, Message::Read { started: now })
+                    self.send(ix, STORE, Message::Read { started: now });
                 }
                 takeover::Action::WriteBlock { expected, block } => {
-                    self.send(ix, STORE, Message::Write { expected, block })
+                    self.send(ix, STORE, Message::Write { expected, block });
                 }
                 takeover::Action::Order { server, orders } => self.send(
                     ix,
@@ -453,7 +485,7 @@
                     Message::Orders { sent: now, orders },
                 ),
                 takeover::Action::AskRelease { router, rows } => {
-                    self.send(ix, node_ix(router.as_str()), Message::AskRelease { rows })
+                    self.send(ix, node_ix(router.as_str()), Message::AskRelease { rows });
                 }
                 takeover::Action::AskPromise { router, rows } => {
                     self.send(
@@ -466,7 +498,7 @@
                         },
                     );
                 }
-                takeover::Action::Emit { .. } => {}
+                takeover::Action::Emit { kind } => self.write_event(ix, kind),
             }
         }
     }
--- /dev/null
+++ b/crates/carawayrill-core/tests/world/schedule.rs
@@ -0,0 +1,104 @@
+//! Running schedules of faults and making broken ones smaller.
+
+use std::collections::BTreeMap;
+
+use carawayrill_core::ownership::limits::Limits;
+use carawayrill_core::ownership::limits::Mechanisms;
+use carawayrill_core::ownership::limits::Policy;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use super::World;
+use super::check::Broken;
+use super::clock::MS;
+use super::clock::Micros;
+use super::fault;
+use super::fault::Planned;
+use super::node::Setup;
+
+/// Faults begin before this time.
+const WINDOW: Micros = 6_000 * MS;
+/// All faults are over by this time.
+const HEALED: Micros = 9_000 * MS;
+/// A shard is served again by this time.
+const SERVED: Micros = 14_500 * MS;
+/// Schedules run on this many threads.
+const THREADS: u64 = 3;
+
+/// When, what and where something was broken.
+pub type Break = (Micros, Broken, String);
+
+/// Returns the setup of a seed: each fourth holds on during a store outage, each sixteenth has
+/// servers that do not check fencing.
+pub fn setup(seed: u64) -> Setup {
+    let validity = if seed.is_multiple_of(4) {
+        20_000
+    } else {
+        2_000
+    };
+    Setup {
+        limits: Limits::default(),
+        policy: Policy {
+            validity,
+            fencing: seed % 16 != 15,
+        },
+        mechanisms: Mechanisms::ALL,
+    }
+}
+
+pub fn plan(seed: u64) -> Vec<Planned> {
+    fault::schedule(&mut ChaCha8Rng::seed_from_u64(seed ^ 0x5eed), WINDOW)
+}
+
+/// Runs one schedule and returns what it broke.
+pub fn run(seed: u64, setup: Setup, plan: &[Planned]) -> Option<Break> {
+    play(World::new(seed, setup, plan)).checks.broken
+}
+
+/// Runs a world through its faults and past their end.
+pub fn play(mut world: World) -> World {
+    world.run_until(HEALED);
+    world.heal();
+    world.run_until(SERVED);
+    for shard in world.shards.clone() {
+        if !world.is_served(&shard) {
+            world.fail(Broken::NotServed, shard.to_string());
+        }
+    }
+    world
+}
+
+/// Takes out faults one by one while the same kind of break remains.
+pub fn shrink(seed: u64, setup: Setup, mut plan: Vec<Planned>, kind: &Broken) -> Vec<Planned> {
+    let mut at = 0;
+    while at < plan.len() {
+        let mut fewer = plan.clone();
+        fewer.remove(at);
+        if run(seed, setup, &fewer).is_some_and(|(_, broken, _)| broken == *kind) {
+            plan = fewer;
+        } else {
+            at += 1;
+        }
+    }
+    plan
+}
+
+/// Runs the schedules of seeds from 0 to `count` and returns the broken ones by their seeds.
+pub fn run_all(count: u64, change: impl Fn(Setup) -> Setup + Sync) -> BTreeMap<u64, Break> {
+    let change = &change;
+    let work = move |first: u64| {
+        let seeds = (first..count).step_by(3);
+        let broken =
+            seeds.filter_map(|seed| Some((seed, run(seed, change(setup(seed)), &plan(seed))?)));
+        broken.collect::<Vec<_>>()
+    };
+    std::thread::scope(|scope| {
+        let workers: Vec<_> = (0..THREADS)
+            .map(|first| scope.spawn(move || work(first)))
+            .collect();
+        let parts = workers
+            .into_iter()
+            .map(|worker| worker.join().expect("a worker"));
+        parts.flatten().collect()
+    })
+}
