Bring configurations into force by generations over the store

Cause: operators race on base file and overlays, and an answer of the store can be lost after its change took effect.

Parts are immutable objects named by digest; config/head names them and is changed by conditional update; each head keeps the digest of the one before. So an edit that started from an older generation is merged by field with what came between, and one whose answer was lost is found by walking back. ConfigView takes only higher generations.

Excluded: a list of recent edits in the head (it would have to hold digests of all parts to merge from, and forgets); one object a generation beside the head (two objects that can differ).

--- /dev/null
+++ b/crates/carawayrill-config/src/accept/head.rs
@@ -0,0 +1,129 @@
+//! The object `config/head` and the names of the parts.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::str::FromStr;
+
+use bytes::Bytes;
+use carawayrill_core::data;
+use carawayrill_core::id::DataCentreId;
+use carawayrill_core::id::Generation;
+use carawayrill_core::object::CONFIG_PARTS;
+use carawayrill_core::time::WallTime;
+use compact_str::CompactString;
+use compact_str::format_compact;
+use serde::Deserialize;
+use serde::Serialize;
+use xxhash_rust::xxh3::xxh3_128;
+
+use crate::Parts;
+use crate::accept::Error;
+
+/// The digest of a part's bytes; it names the part.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "CompactString", into = "CompactString")]
+pub struct Digest(u128);
+
+data! {
+    /// The configuration in force.
+    pub struct Head {
+        /// Its number.
+        pub generation: Generation,
+        /// The edit that made it. The same edit always has the same digest.
+        pub edit: Digest,
+        /// The base file.
+        pub base: Digest,
+        /// The overlays.
+        pub sites: BTreeMap<DataCentreId, Digest>,
+        /// Who brought it in.
+        pub by: CompactString,
+        /// When it was accepted, on the clock of whoever brought it in.
+        pub at: WallTime,
+        /// The head that it replaced.
+        pub previous: Option<Digest>,
+    }
+}
+
+impl Digest {
+    /// Computes the digest of some bytes.
+    #[must_use]
+    pub fn of(bytes: &[u8]) -> Self {
+        Self(xxh3_128(bytes))
+    }
+
+    /// Returns the name of the object that holds the part.
+    #[must_use]
+    pub fn object_name(self) -> CompactString {
+        format_compact!("{CONFIG_PARTS}{self}")
+    }
+}
+
+impl fmt::Display for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
+impl FromStr for Digest {
+    type Err = carawayrill_core::Error;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let bad = || carawayrill_core::Error::syntax("Digest", text, "32 hex digits");
+        if text.len() != 32 {
+            return Err(bad());
+        }
+        u128::from_str_radix(text, 16)
+            .map(Self)
+            .map_err(|_err| bad())
+    }
+}
+
+impl TryFrom<CompactString> for Digest {
+    type Error = carawayrill_core::Error;
+
+    fn try_from(text: CompactString) -> Result<Self, Self::Error> {
+        text.parse()
+    }
+}
+
+impl From<Digest> for CompactString {
+    fn from(digest: Digest) -> Self {
+        format_compact!("{digest}")
+    }
+}
+
+impl Head {
+    /// Lists the digests of all parts.
+    pub fn digests(&self) -> impl Iterator<Item = Digest> + '_ {
+        std::iter::once(self.base).chain(self.sites.values().copied())
+    }
+
+    /// Tells whether this head names exactly these parts.
+    #[must_use]
+    pub fn names(&self, parts: &Parts) -> bool {
+        let (base, sites) = digests_of(parts);
+        self.base == base && self.sites == sites
+    }
+
+    /// Writes the head as the value of its object.
+    pub(crate) fn to_bytes(&self) -> Result<Bytes, Error> {
+        serde_json::to_vec(self)
+            .map(Bytes::from)
+            .map_err(|err| Error::corrupt(format!("a head can't be written: {err}")))
+    }
+
+    /// Reads the value of a head's object.
+    pub(crate) fn from_bytes(name: &str, bytes: &[u8]) -> Result<Self, Error> {
+        serde_json::from_slice(bytes).map_err(|err| Error::corrupt(format!("{name}: {err}")))
+    }
+}
+
+/// Returns the digest of the base file and of each overlay.
+pub(crate) fn digests_of(parts: &Parts) -> (Digest, BTreeMap<DataCentreId, Digest>) {
+    let sites = parts
+        .sites
+        .iter()
+        .map(|(site, text)| (site.clone(), Digest::of(text.as_bytes())))
+        .collect();
+    (Digest::of(parts.base.as_bytes()), sites)
+}
--- /dev/null
+++ b/crates/carawayrill-config/src/accept/merge.rs
@@ -0,0 +1,220 @@
+//! The three-way merge of two edits that started from the same generation.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::fmt;
+
+use carawayrill_core::id::DataCentreId;
+
+use crate::Parts;
+use crate::accept::write;
+use crate::fields::Fields;
+use crate::fields::FileReader;
+use crate::parts::BASE_FILE;
+use crate::parts::site_file;
+use crate::settings::DEPLOYMENT;
+
+/// A field that both sides changed, each in its way.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Clash {
+    /// The file.
+    pub file: String,
+    /// The path of the field, or of the entity that one side removed or both added.
+    pub field: String,
+    /// The value that both started from; `None`: there was none.
+    pub before: Option<String>,
+    /// The value of the edit; `None`: the edit removes it.
+    pub ours: Option<String>,
+    /// The value in force; `None`: it has been removed.
+    pub theirs: Option<String>,
+}
+
+/// The flat values of one file.
+type Flat = BTreeMap<String, String>;
+
+/// Three states of one file: the common origin, the edit, and what is in force.
+#[derive(Debug)]
+struct Three<T> {
+    before: T,
+    ours: T,
+    theirs: T,
+}
+
+/// Merges `ours` with `theirs`, which both started from `before`. All three are right by
+/// themselves; whether the outcome is has to be checked.
+///
+/// # Errors
+///
+/// Fails with every field that both changed to different values.
+pub fn merge(before: &Parts, ours: &Parts, theirs: &Parts) -> Result<Parts, Vec<Clash>> {
+    let mut clashes = Vec::new();
+    let texts = Three {
+        before: Some(before.base.as_str()),
+        ours: Some(ours.base.as_str()),
+        theirs: Some(theirs.base.as_str()),
+    };
+    let base = merge_file(BASE_FILE, &texts, &mut clashes);
+    let mut sites = BTreeMap::new();
+    let names: BTreeSet<&DataCentreId> = [before, ours, theirs]
+        .iter()
+        .flat_map(|parts| parts.sites.keys())
+        .collect();
+    for site in names {
+        let texts = Three {
+            before: before.sites.get(site).map(String::as_str),
+            ours: ours.sites.get(site).map(String::as_str),
+            theirs: theirs.sites.get(site).map(String::as_str),
+        };
+        if let Some(text) = merge_file(&site_file(site), &texts, &mut clashes) {
+            sites.insert(site.clone(), text);
+        }
+    }
+    if clashes.is_empty() {
+        let base = base.unwrap_or_default();
+        return Ok(Parts { base, sites });
+    }
+    Err(clashes)
+}
+
+/// Merges one file. `None` stands for a file that does not exist.
+fn merge_file(file: &str, texts: &Three<Option<&str>>, clashes: &mut Vec<Clash>) -> Option<String> {
+    if texts.ours == texts.before || texts.ours == texts.theirs {
+        return texts.theirs.map(str::to_owned);
+    }
+    if texts.theirs == texts.before {
+        return texts.ours.map(str::to_owned);
+    }
+    let read = |text: Option<&str>| fields_of(file, text.unwrap_or_default());
+    let fields = Three {
+        before: read(texts.before),
+        ours: read(texts.ours),
+        theirs: read(texts.theirs),
+    };
+    let flat = Three {
+        before: flat_of(&fields.before),
+        ours: flat_of(&fields.ours),
+        theirs: flat_of(&fields.theirs),
+    };
+    entity_clashes(file, &flat, clashes);
+    let merged = merge_fields(file, &flat, clashes);
+    let is_removed = texts.ours.is_none() || texts.theirs.is_none();
+    if merged.is_empty() && is_removed {
+        return None;
+    }
+    let from_theirs = write::changed(texts.theirs, &fields.theirs, &merged);
+    let from_ours = || write::changed(texts.ours, &fields.ours, &merged);
+    let kept = from_theirs.or_else(from_ours);
+    let kept = kept.filter(|text| flat_of(&fields_of(file, text)) == merged);
+    Some(kept.unwrap_or_else(|| write::anew(&merged)))
+}
+
+/// Merges the fields of one file.
+fn merge_fields(file: &str, flat: &Three<Flat>, clashes: &mut Vec<Clash>) -> Flat {
+    let paths: BTreeSet<&String> = [&flat.before, &flat.ours, &flat.theirs]
+        .into_iter()
+        .flat_map(Flat::keys)
+        .collect();
+    let mut merged = Flat::new();
+    for path in paths {
+        let before = flat.before.get(path);
+        let ours = flat.ours.get(path);
+        let theirs = flat.theirs.get(path);
+        let is_clash = ours != before && theirs != before && ours != theirs;
+        if is_clash && !clashes.iter().any(|clash| clash.covers(file, path)) {
+            clashes.push(Clash {
+                file: file.to_owned(),
+                field: path.clone(),
+                before: before.cloned(),
+                ours: ours.cloned(),
+                theirs: theirs.cloned(),
+            });
+        }
+        let kept = if ours == before { theirs } else { ours };
+        merged.extend(kept.map(|value| (path.clone(), value.clone())));
+    }
+    merged
+}
+
+/// Finds entities that one side removed and the other changed, or that both added differently.
+/// Merged field by field, they would become entities that nobody declared.
+fn entity_clashes(file: &str, flat: &Three<Flat>, clashes: &mut Vec<Clash>) {
+    let names: BTreeSet<&str> = [&flat.before, &flat.ours, &flat.theirs]
+        .into_iter()
+        .flat_map(Flat::keys)
+        .filter_map(|path| entity_of(path))
+        .collect();
+    for name in names {
+        let before = entity(&flat.before, name);
+        let ours = entity(&flat.ours, name);
+        let theirs = entity(&flat.theirs, name);
+        let differ = ours != theirs && ours != before && theirs != before;
+        let ends_or_begins = before.is_none() || ours.is_none() || theirs.is_none();
+        // An overlay's section of a service is no entity: its fields stand for themselves.
+        let is_adjustment = file != BASE_FILE && name.starts_with("services.");
+        if differ && ends_or_begins && !is_adjustment {
+            clashes.push(Clash {
+                file: file.to_owned(),
+                field: name.to_owned(),
+                before,
+                ours,
+                theirs,
+            });
+        }
+    }
+}
+
+/// Returns the part of a path that names an entity, as in `services.forms`.
+fn entity_of(path: &str) -> Option<&str> {
+    let (entity, _field) = path.rsplit_once('.')?;
+    entity.contains('.').then_some(entity)
+}
+
+/// Writes all fields of an entity; `None` if there is no such entity.
+fn entity(flat: &Flat, name: &str) -> Option<String> {
+    let prefix = format!("{name}.");
+    let fields: Vec<String> = flat
+        .range(prefix.clone()..)
+        .take_while(|(path, _)| path.starts_with(&prefix))
+        .map(|(path, value)| format!("{}: {value}", &path[prefix.len()..]))
+        .collect();
+    (!fields.is_empty()).then(|| format!("{{{}}}", fields.join(", ")))
+}
+
+/// Reads the fields of a file that has been checked before.
+fn fields_of(file: &str, text: &str) -> Fields {
+    FileReader::new(file, DEPLOYMENT, file != BASE_FILE).read(text)
+}
+
+/// Returns the values without their places.
+fn flat_of(fields: &Fields) -> Flat {
+    fields
+        .values
+        .iter()
+        .map(|(path, value)| (path.clone(), value.text.clone()))
+        .collect()
+}
+
+impl Clash {
+    /// Tells whether this clash of an entity speaks for the field at `path` as well.
+    fn covers(&self, file: &str, path: &str) -> bool {
+        self.file == file && entity_of(path) == Some(self.field.as_str())
+    }
+}
+
+impl fmt::Display for Clash {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let shown = |value: &Option<String>| match value {
+            Some(value) => format!("`{value}`"),
+            None => "nothing".to_owned(),
+        };
+        write!(
+            f,
+            "{}: {}: your edit has {}, in force is {}, both started from {}",
+            self.file,
+            self.field,
+            shown(&self.ours),
+            shown(&self.theirs),
+            shown(&self.before)
+        )
+    }
+}
--- /dev/null
+++ b/crates/carawayrill-config/src/accept/view.rs
@@ -0,0 +1,123 @@
+//! What a daemon holds of the configuration.
+
+use std::sync::Arc;
+
+use carawayrill_core::data;
+use carawayrill_core::id::Generation;
+use carawayrill_core::time::WallTime;
+use carawayrill_store::port::ObjectStore;
+use compact_str::CompactString;
+
+use crate::Parts;
+use crate::accept::Error;
+use crate::accept::head::Head;
+use crate::accept::history::History;
+use crate::deployment::Deployment;
+
+data! {
+    /// A configuration that is, or was, in force.
+    pub struct Accepted {
+        /// Its number.
+        pub generation: Generation,
+        /// The merged and checked whole, with the same number.
+        pub deployment: Deployment,
+        /// Who brought it in.
+        pub by: CompactString,
+        /// When it was accepted.
+        pub at: WallTime,
+    }
+}
+
+/// The highest generation that a process has seen. It never goes back.
+#[derive(Debug, Default)]
+pub struct ConfigView {
+    current: Option<Arc<Accepted>>,
+    history: History,
+}
+
+impl ConfigView {
+    /// Returns the configuration in force here.
+    #[must_use]
+    pub fn current(&self) -> Option<Arc<Accepted>> {
+        self.current.clone()
+    }
+
+    /// Returns the number of the configuration in force here; 0 if there is none.
+    #[must_use]
+    pub fn generation(&self) -> Generation {
+        let current = self.current.as_ref();
+        current.map_or(Generation(0), |accepted| accepted.generation)
+    }
+
+    /// Takes a configuration, as from a peer. Returns false, and changes nothing, unless it is
+    /// higher than the one in force here.
+    pub fn offer(&mut self, accepted: Accepted) -> bool {
+        if accepted.generation <= self.generation() {
+            return false;
+        }
+        self.current = Some(Arc::new(accepted));
+        true
+    }
+
+    /// Reads the store and takes a higher generation if there is one; parts that are known are not
+    /// read again. Returns whether there was.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store does not serve or the stored configuration can't be used. What was in
+    /// force here stays.
+    pub async fn refresh(&mut self, store: &dyn ObjectStore) -> Result<bool, Error> {
+        let Some((_, head)) = self.history.head(store).await? else {
+            return Ok(false);
+        };
+        if head.generation <= self.generation() {
+            return Ok(false);
+        }
+        let parts = self.history.parts_of(store, &head).await?;
+        self.history.keep_only(&head);
+        Ok(self.offer(accepted(&head, &parts)?))
+    }
+}
+
+/// Reads the configuration in force; `None` if there is none yet.
+///
+/// # Errors
+///
+/// Fails if the store does not serve or the stored configuration can't be used.
+pub async fn fetch(store: &dyn ObjectStore) -> Result<Option<Accepted>, Error> {
+    match fetch_parts(store).await? {
+        Some((head, parts)) => accepted(&head, &parts).map(Some),
+        None => Ok(None),
+    }
+}
+
+/// Reads the files of the configuration in force, as written.
+///
+/// # Errors
+///
+/// Fails if the store does not serve or the stored objects can't be read.
+pub async fn fetch_parts(store: &dyn ObjectStore) -> Result<Option<(Head, Parts)>, Error> {
+    let mut history = History::default();
+    match history.head(store).await? {
+        Some((_, head)) => {
+            let parts = history.parts_of(store, &head).await?;
+            Ok(Some((head, parts)))
+        }
+        None => Ok(None),
+    }
+}
+
+/// Checks the parts of a generation.
+fn accepted(head: &Head, parts: &Parts) -> Result<Accepted, Error> {
+    let loaded = parts.check().map_err(|err| Error::wrong(None, err))?;
+    let generation = head.generation;
+    Ok(Accepted {
+        generation,
+        deployment: Deployment {
+            generation,
+            ..loaded.deployment
+        },
+        by: head.by.clone(),
+        at: head.at,
+    })
+}
--- /dev/null
+++ b/crates/carawayrill-config/src/accept/write.rs
@@ -0,0 +1,61 @@
+//! Writes merged fields back as YAML.
+
+use std::collections::BTreeMap;
+
+use serde_yaml_ng::Mapping;
+use serde_yaml_ng::Value;
+
+use crate::fields::Fields;
+
+/// Changes the values of a written file in place, so that its comments and order stay. Returns
+/// nothing if fields were added or removed, or if a value can't be found as it was read.
+pub(crate) fn changed(
+    text: Option<&str>,
+    fields: &Fields,
+    wanted: &BTreeMap<String, String>,
+) -> Option<String> {
+    if !fields.values.keys().eq(wanted.keys()) {
+        return None;
+    }
+    let mut lines: Vec<String> = text?.lines().map(str::to_owned).collect();
+    let mut edits: Vec<_> = fields
+        .values
+        .iter()
+        .zip(wanted.values())
+        .filter(|((_, value), wanted)| value.text != **wanted)
+        .map(|((_, value), wanted)| (&value.origin, value.text.as_str(), wanted.as_str()))
+        .collect();
+    // From the end of a line to its start, so that the columns before stay right.
+    edits.sort_by_key(|(origin, _, _)| std::cmp::Reverse((origin.line, origin.column)));
+    for (origin, old, new) in edits {
+        let line = lines.get_mut(origin.line.checked_sub(1)?)?;
+        let column = origin.column.checked_sub(1)?;
+        let start = line.char_indices().nth(column).map(|(at, _)| at)?;
+        let rest = line[start..].strip_prefix(old)?;
+        *line = format!("{}{new}{rest}", &line[..start]);
+    }
+    Some(lines.join("\n") + "\n")
+}
+
+/// Writes fields as a new file.
+pub(crate) fn anew(fields: &BTreeMap<String, String>) -> String {
+    let mut root = Mapping::new();
+    for (path, value) in fields {
+        insert(&mut root, path, value);
+    }
+    serde_yaml_ng::to_string(&root).unwrap_or_default()
+}
+
+/// Puts one value at its path.
+fn insert(map: &mut Mapping, path: &str, value: &str) {
+    let Some((key, rest)) = path.split_once('.') else {
+        map.insert(path.into(), value.into());
+        return;
+    };
+    let inner = map
+        .entry(key.into())
+        .or_insert_with(|| Value::Mapping(Mapping::new()));
+    if let Value::Mapping(inner) = inner {
+        insert(inner, rest, value);
+    }
+}
--- a/crates/carawayrill-config/src/lib.rs
+++ b/crates/carawayrill-config/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! A deployment is written as one base file and an overlay a site; each data centre is one site.
 //! [`Parts`] holds these files as text, [`Loaded`] the merged and checked whole together with the
-//! place where each value was written. [`deployment`] has the checked types that the daemons work
+//! place where each value was written. [`accept`] puts a deployment in force through the store. [`deployment`] has the checked types that the daemons work
 //! with, [`daemon`] the settings of a single process.
 //!
 //! # Examples
@@ -28,6 +28,7 @@
 //! # Ok::<(), carawayrill_config::Error>(())
 //! ```
 
+pub mod accept;
 mod checked;
 pub mod daemon;
 pub mod deployment;
