--- a/crates/carawayrill-core/src/assignment.rs
+++ b/crates/carawayrill-core/src/assignment.rs
@@ -4,6 +4,7 @@
 
 use crate::data;
 use crate::id::ControllerId;
+use crate::id::Incarnation;
 use crate::id::RouterId;
 use crate::id::ServerId;
 use crate::id::ServiceId;
@@ -49,8 +50,14 @@
         pub standby: Option<ServerId>,
         /// The one router that sends to the owner.
         pub home: RouterId,
+        /// The run of the home that was appointed. A later run of the same router is nobody's home.
+        #[serde(default)]
+        pub home_run: Incarnation,
         /// The router that may take over on its own, under the reserved term, if the home is lost.
         pub standby_home: Option<RouterId>,
+        /// The run of the standby home that was appointed.
+        #[serde(default)]
+        pub standby_home_run: Incarnation,
         /// The lowest token of grants under this assignment. Its term is even.
         pub token: Token,
         /// Why it was made.
@@ -89,6 +96,18 @@
     }
 }
 
+impl Assignment {
+    /// Returns whether `next` leaves the home and the pair of servers' owner as they are, so that
+    /// the home may go on while the change is written. It may have replaced the owner by the
+    /// standby server without the store.
+    #[must_use]
+    pub fn is_kept_by(&self, next: &Self) -> bool {
+        let same_home = self.home == next.home && self.home_run == next.home_run;
+        let same_owner = next.owner == self.owner || Some(&next.owner) == self.standby.as_ref();
+        same_home && same_owner
+    }
+}
+
 impl Block {
     /// Makes a block without assignments.
     #[must_use]
--- /dev/null
+++ b/crates/carawayrill-core/src/placement/homes.rs
@@ -0,0 +1,238 @@
+//! One home and one standby home a server.
+//!
+//! All shards of a server share its home, so that the home counts the server's slots exactly.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+
+use super::replace::EndedRuns;
+use super::rows::Fleet;
+use super::rows::NodeState;
+use super::rows::Placed;
+use super::rows::RouterRow;
+use super::rows::ServerRow;
+use crate::data;
+use crate::id::DataCentreId;
+use crate::id::RouterId;
+use crate::id::ServerId;
+
+data! {
+    /// The two routers that stand for one server.
+    pub struct HomePair {
+        /// The one router that sends to the server.
+        pub home: RouterId,
+        /// The router that may take over.
+        pub standby_home: Option<RouterId>,
+    }
+}
+
+/// The homes of all servers.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Homes {
+    pairs: BTreeMap<ServerId, HomePair>,
+    /// Servers a router is the home of.
+    served: BTreeMap<RouterId, u32>,
+    /// Servers a router is the standby home of.
+    backed: BTreeMap<RouterId, u32>,
+}
+
+impl Homes {
+    /// Takes the homes out of placements in force, and gives one to each server that has none or
+    /// whose home may take no work. A home that may stay, stays.
+    #[must_use]
+    pub fn assign(fleet: &Fleet, current: &[Placed]) -> Self {
+        Self::assign_without(fleet, current, &EndedRuns::default())
+    }
+
+    /// Does the same, and takes no home or standby home to be in force whose run has ended.
+    #[must_use]
+    pub fn assign_without(fleet: &Fleet, current: &[Placed], ended: &EndedRuns) -> Self {
+        let fleet = fleet.sorted();
+        let mut homes = Self::default();
+        let mut open = Vec::new();
+        let found = pairs_of(current, ended);
+        for server in &fleet.servers {
+            let kept = found
+                .get(&server.id)
+                .and_then(|pair| pair.keep(&fleet, server));
+            match kept {
+                Some(pair) => homes.set(server.id.clone(), pair),
+                None if server.state == NodeState::Lost => {}
+                None => open.push(server),
+            }
+        }
+        for server in open {
+            let former = found
+                .get(&server.id)
+                .and_then(|pair| pair.standby_home.as_ref());
+            if let Some(pair) = homes.choose(&fleet, server, former) {
+                homes.set(server.id.clone(), pair);
+            }
+        }
+        homes.complete(&fleet);
+        homes
+    }
+
+    /// Returns the homes of a server.
+    #[must_use]
+    pub fn pair(&self, server: &ServerId) -> Option<&HomePair> {
+        self.pairs.get(server)
+    }
+
+    /// Returns how many servers a router is the home of.
+    #[must_use]
+    pub fn count(&self, router: &RouterId) -> u32 {
+        self.served.get(router).copied().unwrap_or(0)
+    }
+
+    /// Notes the homes of a server and counts them.
+    fn set(&mut self, server: ServerId, pair: HomePair) {
+        *self.served.entry(pair.home.clone()).or_default() += 1;
+        if let Some(standby) = &pair.standby_home {
+            *self.backed.entry(standby.clone()).or_default() += 1;
+        }
+        self.pairs.insert(server, pair);
+    }
+
+    /// Chooses the homes of one server. The former standby home goes first where rule 1 allows
+    /// it: it holds the server's mirrored claims and may serve already.
+    fn choose(
+        &self,
+        fleet: &Fleet,
+        server: &ServerRow,
+        former: Option<&RouterId>,
+    ) -> Option<HomePair> {
+        let home = live(fleet).min_by_key(|router| {
+            let shares = router.data_centre == server.data_centre;
+            let outside = router.region != server.region;
+            let other = former != Some(&router.id);
+            (shares, outside, other, self.count(&router.id), &router.id)
+        })?;
+        Some(HomePair {
+            home: home.id.clone(),
+            standby_home: self.choose_standby(fleet, server, home),
+        })
+    }
+
+    /// Chooses the standby home beside a given home: in another data centre than that; in the
+    /// server's region; best also in another data centre than the server.
+    fn choose_standby(
+        &self,
+        fleet: &Fleet,
+        server: &ServerRow,
+        home: &RouterRow,
+    ) -> Option<RouterId> {
+        live(fleet)
+            .filter(|router| router.id != home.id)
+            .min_by_key(|router| {
+                let shares = router.data_centre == home.data_centre;
+                let outside = router.region != server.region;
+                let beside = router.data_centre == server.data_centre;
+                let count = self.backed.get(&router.id).copied().unwrap_or(0);
+                (shares, outside, beside, count, &router.id)
+            })
+            .map(|router| router.id.clone())
+    }
+
+    /// Gives a standby home to each server whose former one may take no work.
+    fn complete(&mut self, fleet: &Fleet) {
+        let open: Vec<ServerId> = self
+            .pairs
+            .iter()
+            .filter(|(_, pair)| pair.standby_home.is_none())
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in open {
+            let Some(standby) = self.missing_standby(fleet, &id) else {
+                continue;
+            };
+            *self.backed.entry(standby.clone()).or_default() += 1;
+            if let Some(pair) = self.pairs.get_mut(&id) {
+                pair.standby_home = Some(standby);
+            }
+        }
+    }
+
+    /// Chooses the standby home that one server lacks.
+    fn missing_standby(&self, fleet: &Fleet, id: &ServerId) -> Option<RouterId> {
+        let server = fleet.find_server(id)?;
+        let home = fleet.find_router(&self.pairs.get(id)?.home)?;
+        self.choose_standby(fleet, server, home)
+    }
+}
+
+/// Lists the routers that may take work.
+fn live(fleet: &Fleet) -> impl Iterator<Item = &RouterRow> {
+    fleet
+        .routers
+        .iter()
+        .filter(|router| router.state == NodeState::Live)
+}
+
+/// The homes of one server as found in placements in force.
+#[derive(Debug, Default)]
+struct Found {
+    /// The home, unless its run has ended.
+    home: Option<RouterId>,
+    /// The standby home, unless its run has ended.
+    standby_home: Option<RouterId>,
+}
+
+/// Collects the homes of servers out of placements in force. Where shards of one server disagree
+/// (after a change was recorded for a part of them), the homes of most shards count.
+fn pairs_of(current: &[Placed], ended: &EndedRuns) -> BTreeMap<ServerId, Found> {
+    let mut homes = BTreeMap::new();
+    let mut standbys = BTreeMap::new();
+    for row in current {
+        if !ended.homes.contains(&row.shard) {
+            *homes.entry((&row.owner, &row.home)).or_default() += 1;
+        }
+        if let Some(standby) = &row.standby_home
+            && !ended.standby_homes.contains(&row.shard)
+        {
+            *standbys.entry((&row.owner, standby)).or_default() += 1;
+        }
+    }
+    let mut found: BTreeMap<ServerId, Found> = BTreeMap::new();
+    for (server, home) in most_voted(homes) {
+        found.entry(server).or_default().home = Some(home);
+    }
+    for (server, standby) in most_voted(standbys) {
+        found.entry(server).or_default().standby_home = Some(standby);
+    }
+    found
+}
+
+/// Returns the router with the most votes for each server.
+fn most_voted(votes: BTreeMap<(&ServerId, &RouterId), u32>) -> BTreeMap<ServerId, RouterId> {
+    let mut ranked: Vec<_> = votes.into_iter().collect();
+    ranked.sort_by_key(|&(key, count)| (count, Reverse(key)));
+    let chosen = ranked.into_iter();
+    chosen
+        .map(|((server, router), _)| (server.clone(), router.clone()))
+        .collect()
+}
+
+impl Found {
+    /// Keeps the homes as far as they may take work and break no rule that could be kept.
+    fn keep(&self, fleet: &Fleet, server: &ServerRow) -> Option<HomePair> {
+        let find = |id: &RouterId| {
+            fleet
+                .find_router(id)
+                .filter(|router| router.state == NodeState::Live)
+        };
+        let home = self.home.as_ref().and_then(find)?;
+        let elsewhere = |dc: &DataCentreId| live(fleet).any(|router| router.data_centre != *dc);
+        if home.data_centre == server.data_centre && elsewhere(&server.data_centre) {
+            return None;
+        }
+        let standby = self.standby_home.as_ref().and_then(find).filter(|standby| {
+            let shares = standby.data_centre == home.data_centre;
+            standby.id != home.id && !(shares && elsewhere(&home.data_centre))
+        });
+        Some(HomePair {
+            home: home.id.clone(),
+            standby_home: standby.map(|router| router.id.clone()),
+        })
+    }
+}
--- /dev/null
+++ b/crates/carawayrill-core/src/placement/mod.rs
@@ -0,0 +1,55 @@
+//! Placement: which server owns a shard, who stands by, and which routers are their homes.
+//!
+//! Inputs are plain rows ([`Fleet`], shards and assignments in force), outputs are plain rows
+//! with the reason for each. Nothing here depends on how operators declare a service, and the
+//! same input always gives the same output.
+//!
+//! # Examples
+//!
+//! ```
+//! use carawayrill_core::placement::Fleet;
+//! use carawayrill_core::placement::initial;
+//!
+//! // Without servers nothing is placed, and the plan says so by leaving the shards open.
+//! let plan = initial(&Fleet::default(), &["forms/0".parse()?], &[]);
+//! assert!(plan.placed.is_empty());
+//! assert_eq!(plan.open.len(), 1);
+//! # Ok::<(), carawayrill_core::Error>(())
+//! ```
+
+mod balance;
+pub mod baseline;
+mod config;
+mod demand;
+mod homes;
+mod hot_key;
+mod initial;
+mod replace;
+mod rows;
+mod standby;
+mod step;
+
+pub use self::balance::Balancer;
+pub use self::config::BalanceConfig;
+pub use self::demand::Demand;
+pub use self::demand::HotDemand;
+pub use self::demand::RegionBytes;
+pub use self::homes::HomePair;
+pub use self::homes::Homes;
+pub use self::initial::Plan;
+pub use self::initial::initial;
+pub use self::replace::EndedRuns;
+pub use self::replace::bound;
+pub use self::replace::price;
+pub use self::replace::replace;
+pub use self::rows::Degraded;
+pub use self::rows::Fleet;
+pub use self::rows::NodeState;
+pub use self::rows::Placed;
+pub use self::rows::RouterRow;
+pub use self::rows::ServerRow;
+pub use self::rows::Shortfall;
+pub use self::rows::shortfalls;
+pub use self::step::Move;
+pub use self::step::Step;
+pub use self::step::Worth;
