--- a/crates/carawayrill-config/src/accept/error.rs
+++ b/crates/carawayrill-config/src/accept/error.rs
@@ -132,6 +132,16 @@
         )
     }
 
+    /// Tells whether the edit is refused because of what others brought in meanwhile.
+    #[must_use]
+    pub fn is_from_others(&self) -> bool {
+        match &self.kind {
+            ErrorKind::Clash { .. } | ErrorKind::Origin { .. } => true,
+            ErrorKind::Wrong { merged_with, .. } => merged_with.is_some(),
+            _ => false,
+        }
+    }
+
     /// Returns the fields that others changed too; empty for other errors.
     #[must_use]
     pub fn clashes(&self) -> &[Clash] {
--- /dev/null
+++ b/crates/carawayrill/src/apply.rs
@@ -0,0 +1,98 @@
+//! `apply`: brings the files of a deployment into force.
+
+use std::process::ExitCode;
+
+use carawayrill_config::Parts;
+use carawayrill_config::accept::Answer;
+use carawayrill_config::accept::Edit;
+use carawayrill_config::accept::propose;
+use carawayrill_store::http_store::HttpStore;
+use serde_json::json;
+
+use crate::cli::ApplyArgs;
+use crate::error::Error;
+use crate::generation_file;
+use crate::output::print_json;
+use crate::output::say;
+use crate::store::Patience;
+use crate::wait;
+use crate::wait::InForce;
+
+/// Runs the subcommand.
+pub async fn run(args: &ApplyArgs) -> Result<ExitCode, Error> {
+    let from = match args.from {
+        Some(from) => from,
+        None => generation_file::read(&args.dir)?,
+    };
+    let edit = Edit {
+        from,
+        parts: Parts::read(&args.dir)?,
+        by: args.by.clone(),
+    };
+    let store = args.store.connect()?;
+    let now = carawayrill_telemetry::wall_now();
+    let answer = propose(&store, &edit, now, &Patience::new(args.patience.0)).await?;
+    keep(args, &answer)?;
+    let in_force = wait_if_asked(args, &store, &answer).await?;
+    report(args, &answer, in_force.as_ref());
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Writes merged files and the generation to the directory, as the start of the next edit.
+fn keep(args: &ApplyArgs, answer: &Answer) -> Result<(), Error> {
+    if let Answer::Accepted {
+        parts,
+        merged: true,
+        ..
+    } = answer
+    {
+        parts.write(&args.dir)?;
+    }
+    generation_file::write(&args.dir, answer.generation())
+}
+
+/// Waits for the routers if the operator asked for it.
+async fn wait_if_asked(
+    args: &ApplyArgs,
+    store: &HttpStore,
+    answer: &Answer,
+) -> Result<Option<InForce>, Error> {
+    match args.wait {
+        Some(span) => wait::for_routers(store, answer.generation(), span.0)
+            .await
+            .map(Some),
+        None => Ok(None),
+    }
+}
+
+/// Tells what came of it.
+fn report(args: &ApplyArgs, answer: &Answer, in_force: Option<&InForce>) {
+    let generation = answer.generation();
+    let merged = matches!(answer, Answer::Accepted { merged: true, .. });
+    let changed = matches!(answer, Answer::Accepted { .. });
+    if args.json {
+        print_json(&json!({
+            "generation": generation,
+            "changed": changed,
+            "merged": merged,
+            "routers": in_force.map(|in_force| in_force.routers),
+            "in_force_after_ms": in_force.map(|in_force| in_force.after_ms),
+        }));
+        return;
+    }
+    match (changed, merged) {
+        (false, _) => say(&format!("no change: this is generation {generation}")),
+        (true, false) => say(&format!("accepted as generation {generation}")),
+        (true, true) => say(&format!(
+            "accepted as generation {generation}, merged with edits of others; the merged files \
+             are in {}",
+            args.dir.display()
+        )),
+    }
+    if let Some(in_force) = in_force {
+        say(&format!(
+            "in force at all {} routers after {} ms",
+            in_force.routers, in_force.after_ms
+        ));
+    }
+}
--- /dev/null
+++ b/crates/carawayrill/src/diff.rs
@@ -0,0 +1,94 @@
+//! `diff`: the files of a deployment against what is in force.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::process::ExitCode;
+
+use carawayrill_config::Loaded;
+use carawayrill_config::Parts;
+use carawayrill_config::accept::fetch_parts;
+use carawayrill_core::id::Generation;
+use serde_json::json;
+
+use crate::cli::DirArgs;
+use crate::error::EXIT_DIFFERENT;
+use crate::error::Error;
+use crate::output::print_json;
+use crate::output::say;
+
+/// A value that differs.
+#[derive(Debug)]
+struct Difference {
+    path: String,
+    in_force: Option<String>,
+    in_files: Option<String>,
+}
+
+/// Runs the subcommand.
+pub async fn run(args: &DirArgs) -> Result<ExitCode, Error> {
+    let files = Parts::read(&args.dir)?.check()?;
+    let store = args.store.connect()?;
+    let found = fetch_parts(&store).await?;
+    let (generation, in_force) = match &found {
+        Some((head, parts)) => (head.generation, values(&parts.check()?)),
+        None => (Generation(0), BTreeMap::new()),
+    };
+    let differences = differences(&in_force, &values(&files));
+    if args.json {
+        let rows: Vec<_> = differences
+            .iter()
+            .map(|d| json!({"path": d.path, "in_force": d.in_force, "in_files": d.in_files}))
+            .collect();
+        print_json(&json!({"generation": generation, "differences": rows}));
+    } else {
+        print_text(generation, &differences);
+    }
+    if differences.is_empty() {
+        return Ok(ExitCode::SUCCESS);
+    }
+    Ok(ExitCode::from(EXIT_DIFFERENT))
+}
+
+/// Returns all values by path; those of an overlay have its site in front.
+fn values(loaded: &Loaded) -> BTreeMap<String, String> {
+    let shown = loaded.shown().into_iter();
+    let named = shown.map(|value| match value.site {
+        Some(site) => (format!("[{site}] {}", value.path), value.value),
+        None => (value.path, value.value),
+    });
+    named.collect()
+}
+
+/// Lists the values that differ, by path.
+fn differences(
+    in_force: &BTreeMap<String, String>,
+    in_files: &BTreeMap<String, String>,
+) -> Vec<Difference> {
+    let paths: BTreeSet<&String> = in_force.keys().chain(in_files.keys()).collect();
+    paths
+        .into_iter()
+        .filter(|path| in_force.get(*path) != in_files.get(*path))
+        .map(|path| Difference {
+            path: path.clone(),
+            in_force: in_force.get(path).cloned(),
+            in_files: in_files.get(path).cloned(),
+        })
+        .collect()
+}
+
+/// Writes differences as `-` lines for what is in force and `+` lines for the files.
+fn print_text(generation: Generation, differences: &[Difference]) {
+    if differences.is_empty() {
+        say(&format!("no difference from generation {generation}"));
+        return;
+    }
+    say(&format!("against generation {generation}:"));
+    for difference in differences {
+        if let Some(value) = &difference.in_force {
+            say(&format!("- {} = {value}", difference.path));
+        }
+        if let Some(value) = &difference.in_files {
+            say(&format!("+ {} = {value}", difference.path));
+        }
+    }
+}
--- /dev/null
+++ b/crates/carawayrill/src/fetch.rs
@@ -0,0 +1,37 @@
+//! `fetch`: writes the files in force to a directory.
+
+use std::process::ExitCode;
+
+use carawayrill_config::accept::fetch_parts;
+use serde_json::json;
+
+use crate::cli::DirArgs;
+use crate::error::Error;
+use crate::generation_file;
+use crate::output::print_json;
+use crate::output::say;
+use crate::utc::utc;
+
+/// Runs the subcommand.
+pub async fn run(args: &DirArgs) -> Result<ExitCode, Error> {
+    let store = args.store.connect()?;
+    let Some((head, parts)) = fetch_parts(&store).await? else {
+        return Err(Error::refused(
+            "The store has no configuration yet. Bring one in with `carawayrill apply DIR`.",
+        ));
+    };
+    parts.write(&args.dir)?;
+    generation_file::write(&args.dir, head.generation)?;
+    if args.json {
+        print_json(&json!({"generation": head.generation, "by": head.by, "at": head.at}));
+    } else {
+        say(&format!(
+            "generation {}, accepted {} by {}, is in {}",
+            head.generation,
+            utc(head.at),
+            head.by,
+            args.dir.display()
+        ));
+    }
+    Ok(ExitCode::SUCCESS)
+}
--- /dev/null
+++ b/crates/carawayrill/src/output.rs
@@ -0,0 +1,35 @@
+//! What commands write to standard output.
+
+use std::fmt::Display;
+use std::io::Write;
+use std::io::stdout;
+
+/// Writes one line. A reader that has gone away, as `head` does, is no error of ours.
+pub fn say(line: &dyn Display) {
+    drop(writeln!(stdout(), "{line}"));
+}
+
+/// Writes a JSON value on one line.
+pub fn print_json(value: &serde_json::Value) {
+    say(value);
+}
+
+/// Writes rows in columns; the first row is the head, which does not stand alone.
+pub fn table(rows: &[Vec<String>]) {
+    if rows.len() < 2 {
+        return;
+    }
+    let columns = rows.iter().map(Vec::len).max().unwrap_or(0);
+    let width = |column: usize| {
+        let cells = rows.iter().filter_map(|row| row.get(column));
+        cells.map(String::len).max().unwrap_or(0)
+    };
+    let widths: Vec<usize> = (0..columns).map(width).collect();
+    for row in rows {
+        let cells = row.iter().zip(&widths);
+        let line: Vec<String> = cells
+            .map(|(cell, width)| format!("{cell:width$}"))
+            .collect();
+        say(&format!("  {}", line.join("  ").trim_end()));
+    }
+}
--- /dev/null
+++ b/crates/carawayrill/src/own_key.rs
@@ -0,0 +1,161 @@
+//! `status --service S --key K`: who owns this key, why, and since when.
+
+use carawayrill_config::accept::Accepted;
+use carawayrill_config::deployment::Service;
+use carawayrill_core::assignment::Assignment;
+use carawayrill_core::assignment::Block;
+use carawayrill_core::assignment::BlockId;
+use carawayrill_core::assignment::Intent;
+use carawayrill_core::assignment::Reason;
+use carawayrill_core::id::KeyHash;
+use carawayrill_core::id::RouterId;
+use carawayrill_core::id::ServiceId;
+use carawayrill_core::id::ShardId;
+use carawayrill_core::object::block_name;
+use carawayrill_store::port::ObjectStore;
+use serde_json::json;
+
+use crate::error::Error;
+use crate::members;
+use crate::members::RouterSeen;
+use crate::output::print_json;
+use crate::output::say;
+use crate::utc::utc;
+
+/// Tells who owns one key.
+pub async fn tell(
+    store: &dyn ObjectStore,
+    config: &Accepted,
+    service: &ServiceId,
+    key: &str,
+    is_json: bool,
+) -> Result<(), Error> {
+    let declared = config.deployment.service(service).ok_or_else(|| {
+        let known: Vec<&str> = config
+            .deployment
+            .services
+            .iter()
+            .map(|s| s.id.as_str())
+            .collect();
+        Error::wrong(format!(
+            "There is no service `{service}`; there are {}.",
+            known.join(", ")
+        ))
+    })?;
+    let hash = KeyHash::of(key.as_bytes());
+    let block = block_of(store, declared, hash).await?;
+    let hot = ShardId::hot(service.clone(), hash);
+    let range = ShardId::range(service.clone(), hash.range_of(declared.shards));
+    let row = block.row(&hot).or_else(|| block.row(&range));
+    let Some(row) = row else {
+        return Err(Error::refused(format!(
+            "Shard {range} of this key has no owner yet. `carawayrill status` shows whether a \
+             controller is leading."
+        )));
+    };
+    let home = ask_home(store, &row.home).await?;
+    if is_json {
+        print_json(&json!({
+            "shard": row.shard,
+            "assignment": row,
+            "intent": block.intent(&row.shard),
+            "home_in_force": home.as_ref().map(|home| home_row(home, row)),
+        }));
+        return Ok(());
+    }
+    print_text(key, row, block.intent(&row.shard), home.as_ref());
+    Ok(())
+}
+
+/// Reads the block that holds the shard of a key. A hot key's row is in the block of its range.
+async fn block_of(
+    store: &dyn ObjectStore,
+    service: &Service,
+    hash: KeyHash,
+) -> Result<Block, Error> {
+    let id = BlockId {
+        service: service.id.clone(),
+        index: hash.range_of(service.shards) / service.shards_per_block,
+    };
+    match store.get(&block_name(&id)).await? {
+        Some(object) => serde_json::from_slice(&object.value).map_err(|err| {
+            Error::wrong(format!(
+                "The stored object {} can't be read: {err}",
+                object.name
+            ))
+        }),
+        None => Ok(Block::empty(id)),
+    }
+}
+
+/// Asks the home of a shard what it holds.
+async fn ask_home(store: &dyn ObjectStore, home: &RouterId) -> Result<Option<RouterSeen>, Error> {
+    let mut members = members::list(store).await?;
+    members.retain(|member| member.router == *home);
+    Ok(members::ask_routers(members).await.pop())
+}
+
+/// Returns what the home itself holds for a shard.
+fn home_row<'a>(home: &'a RouterSeen, row: &Assignment) -> Option<&'a Assignment> {
+    let page = home.page.as_ref()?;
+    page.assignments.iter().find(|held| held.shard == row.shard)
+}
+
+/// Writes the answer as text.
+fn print_text(key: &str, row: &Assignment, intent: Option<&Intent>, home: Option<&RouterSeen>) {
+    let name = |id: Option<&str>| id.unwrap_or("none").to_owned();
+    say(&format!("key `{key}` is in shard {}", row.shard));
+    say(&format!("  owner         {}", row.owner));
+    say(&format!("  why           {}", why(row.reason)));
+    say(&format!("  since         {}", utc(row.since)));
+    say(&format!("  token         {}", row.token));
+    let standby = row
+        .standby
+        .as_ref()
+        .map(carawayrill_core::id::ServerId::as_str);
+    say(&format!("  standby       {}", name(standby)));
+    say(&format!(
+        "  home          {} ({})",
+        row.home,
+        state(row, home)
+    ));
+    let standby_home = row.standby_home.as_ref().map(RouterId::as_str);
+    say(&format!("  standby home  {}", name(standby_home)));
+    if let Some(intent) = intent {
+        say(&format!(
+            "  to come       owner {}, home {}: written {} by {}, waits for evidence that the old \
+             authority has ended",
+            intent.next.owner,
+            intent.next.home,
+            utc(intent.written),
+            intent.by
+        ));
+    }
+}
+
+/// Says what the home says of the assignment.
+fn state(row: &Assignment, home: Option<&RouterSeen>) -> String {
+    let Some(home) = home else {
+        return "not running".to_owned();
+    };
+    if home.page.is_none() {
+        return home.silence.clone();
+    }
+    match home_row(home, row) {
+        Some(held) if held == row => "holds this assignment".to_owned(),
+        Some(held) => format!("serves by owner {} under token {}", held.owner, held.token),
+        None => "does not hold it now".to_owned(),
+    }
+}
+
+/// Says in words why an assignment was made.
+fn why(reason: Reason) -> &'static str {
+    match reason {
+        Reason::Initial => "the shard had no owner before",
+        Reason::ServerLost => "its former owner was lost",
+        Reason::HomeLost => "its former home router was lost",
+        Reason::Drain => "its former owner or home leaves by plan",
+        Reason::Balance => "it was moved to even out the load",
+        Reason::HotKey => "it holds a hot key that was split out",
+    }
+}
--- /dev/null
+++ b/crates/carawayrill/src/status.rs
@@ -0,0 +1,299 @@
+//! `status`: which generation is in force where, and in which state routers and servers are.
+
+use std::collections::BTreeMap;
+use std::process::ExitCode;
+
+use carawayrill_config::accept::Accepted;
+use carawayrill_config::accept::fetch;
+use carawayrill_core::assignment::Block;
+use carawayrill_core::id::ServerId;
+use carawayrill_core::object::ASSIGNMENTS;
+use carawayrill_core::object::ControllerLease;
+use carawayrill_core::object::DrainOrder;
+use carawayrill_store::port::ObjectStore;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::cli::StatusArgs;
+use crate::error::Error;
+use crate::members;
+use crate::members::RouterSeen;
+use crate::output::print_json;
+use crate::output::say;
+use crate::output::table;
+use crate::own_key;
+use crate::utc::utc;
+
+/// What was found out.
+#[derive(Debug)]
+struct Overview {
+    config: Option<Accepted>,
+    routers: Vec<RouterSeen>,
+    controllers: Vec<(ControllerLease, Result<Value, String>)>,
+    blocks: Vec<Block>,
+    drains: Vec<DrainOrder>,
+}
+
+/// What one server has.
+#[derive(Debug, Default, Clone, Copy)]
+struct Held {
+    owned: usize,
+    standby: usize,
+}
+
+/// Runs the subcommand.
+pub async fn run(args: &StatusArgs) -> Result<ExitCode, Error> {
+    let store = args.store.connect()?;
+    let config = fetch(&store).await?;
+    match (&args.service, &args.key, &config) {
+        (None, None, _) => {}
+        (Some(service), Some(key), Some(config)) => {
+            own_key::tell(&store, config, service, key, args.json).await?;
+            return Ok(ExitCode::SUCCESS);
+        }
+        (Some(_), Some(_), None) => {
+            return Err(Error::refused(
+                "The store has no configuration yet. Bring one in with `carawayrill apply DIR`.",
+            ));
+        }
+        _ => {
+            return Err(Error::wrong(
+                "--service and --key go together, as in `carawayrill status --service forms --key form-17`.",
+            ));
+        }
+    }
+    let overview = look(&store, config).await?;
+    if args.json {
+        print_json(&overview.to_json());
+    } else {
+        overview.print();
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Asks the store and the processes.
+async fn look(store: &dyn ObjectStore, config: Option<Accepted>) -> Result<Overview, Error> {
+    let routers = members::ask_routers(members::list(store).await?).await;
+    let mut controllers = Vec::new();
+    for lease in members::leases(store).await? {
+        let page = members::controller_page(lease.peer).await;
+        controllers.push((lease, page));
+    }
+    Ok(Overview {
+        config,
+        routers,
+        controllers,
+        blocks: members::all(store, ASSIGNMENTS).await?,
+        drains: members::drains(store).await?,
+    })
+}
+
+impl Overview {
+    /// Counts the shards of each server.
+    fn held(&self) -> BTreeMap<&ServerId, Held> {
+        let mut held: BTreeMap<&ServerId, Held> = BTreeMap::new();
+        for row in self.blocks.iter().flat_map(|block| &block.rows) {
+            held.entry(&row.owner).or_default().owned += 1;
+            if let Some(standby) = &row.standby {
+                held.entry(standby).or_default().standby += 1;
+            }
+        }
+        held
+    }
+
+    /// Returns the state of a server or router as the leading controller sees it.
+    fn seen_by_controller(&self, section: &str, name: &str) -> String {
+        let pages = self
+            .controllers
+            .iter()
+            .filter_map(|(_, page)| page.as_ref().ok());
+        let rows = pages
+            .filter_map(|page| page.get(section)?.as_array())
+            .flatten();
+        let row = rows.into_iter().find(|row| row["id"] == name);
+        match row.and_then(|row| row["state"].as_str()) {
+            Some(state) => state.to_owned(),
+            None => "unknown".to_owned(),
+        }
+    }
+
+    /// Returns the reason of a drain order for `name`.
+    fn drain_of(&self, name: &str) -> Option<&DrainOrder> {
+        self.drains.iter().find(|order| order.name == name)
+    }
+
+    /// Lists the servers with what each has.
+    fn servers(&self) -> Vec<Value> {
+        let held = self.held();
+        let declared = self
+            .config
+            .iter()
+            .flat_map(|config| &config.deployment.servers);
+        declared
+            .map(|server| {
+                let has = held.get(&server.id).copied().unwrap_or_default();
+                json!({
+                    "server": server.id,
+                    "service": server.service,
+                    "data_centre": server.data_centre,
+                    "state": self.seen_by_controller("servers", server.id.as_str()),
+                    "owned": has.owned,
+                    "standby": has.standby,
+                    "drain": self.drain_of(server.id.as_str()),
+                })
+            })
+            .collect()
+    }
+
+    /// Writes everything as JSON.
+    fn to_json(&self) -> Value {
+        let config = self.config.as_ref();
+        let routers: Vec<Value> = self
+            .routers
+            .iter()
+            .map(|seen| json!({"member": seen.member, "page": seen.page, "silence": seen.silence}))
+            .collect();
+        let controllers: Vec<Value> = self
+            .controllers
+            .iter()
+            .map(|(lease, page)| match page {
+                Ok(page) => json!({"lease": lease, "page": page}),
+                Err(silence) => json!({"lease": lease, "silence": silence}),
+            })
+            .collect();
+        json!({
+            "generation": config.map(|config| config.generation),
+            "by": config.map(|config| config.by.as_str()),
+            "at": config.map(|config| config.at),
+            "routers": routers,
+            "controllers": controllers,
+            "servers": self.servers(),
+            "intents": self.intents(),
+            "drains": self.drains,
+        })
+    }
+
+    /// Counts changes that wait for evidence.
+    fn intents(&self) -> usize {
+        self.blocks.iter().map(|block| block.intents.len()).sum()
+    }
+
+    /// Writes everything as text.
+    fn print(&self) {
+        match &self.config {
+            Some(config) => say(&format!(
+                "configuration: generation {}, accepted {} by {}",
+                config.generation,
+                utc(config.at),
+                config.by
+            )),
+            None => say(&"configuration: none yet; bring one in with `carawayrill apply DIR`"),
+        }
+        self.print_controllers();
+        self.print_routers();
+        self.print_servers();
+        say(&format!(
+            "changes that wait for evidence: {}",
+            self.intents()
+        ));
+        for order in &self.drains {
+            let since = utc(order.since);
+            say(&format!(
+                "drain: {} since {since} ({})",
+                order.name, order.reason
+            ));
+        }
+    }
+
+    fn print_controllers(&self) {
+        if self.controllers.is_empty() {
+            say(&"controllers: none holds the lease; owners stay, but nothing is moved by plan");
+        }
+        for (lease, page) in &self.controllers {
+            let state = match page {
+                Ok(page) => format!(
+                    "leading {}, generation {}",
+                    page["leading"], page["generation"]
+                ),
+                Err(silence) => silence.clone(),
+            };
+            say(&format!(
+                "controller: {} holds the lease ({state})",
+                lease.holder
+            ));
+        }
+    }
+
+    fn print_routers(&self) {
+        say(&format!("routers: {}", self.routers.len()));
+        let head = [
+            "router",
+            "data centre",
+            "state",
+            "generation",
+            "in flight",
+            "home of",
+        ];
+        let mut rows = vec![head.map(str::to_owned).to_vec()];
+        for seen in &self.routers {
+            let name = seen.member.router.as_str();
+            let (state, numbers) = self.router_cells(seen);
+            let mut row = vec![name.to_owned(), seen.member.data_centre.to_string(), state];
+            row.extend(numbers);
+            rows.push(row);
+        }
+        table(&rows);
+    }
+
+    /// Returns the state of a router, and its generation, requests in flight and count of shards.
+    fn router_cells(&self, seen: &RouterSeen) -> (String, [String; 3]) {
+        let Some(page) = &seen.page else {
+            let there = self.seen_by_controller("routers", seen.member.router.as_str());
+            let state = format!("{}, {there} to the controller", seen.silence);
+            return (state, ["-", "-", "-"].map(str::to_owned));
+        };
+        let state = if page.draining { "draining" } else { "serving" };
+        let numbers = [
+            page.generation.to_string(),
+            page.in_flight.to_string(),
+            page.assignments.len().to_string(),
+        ];
+        (state.to_owned(), numbers)
+    }
+
+    fn print_servers(&self) {
+        let servers = self.servers();
+        say(&format!("servers: {}", servers.len()));
+        let head = [
+            "server",
+            "service",
+            "data centre",
+            "state",
+            "owns",
+            "standby of",
+            "order",
+        ];
+        let mut rows = vec![head.map(str::to_owned).to_vec()];
+        for server in &servers {
+            let text = |name: &str| match &server[name] {
+                Value::String(text) => text.clone(),
+                value => value.to_string(),
+            };
+            let order = server["drain"]["reason"].as_str();
+            let mut row: Vec<String> = [
+                "server",
+                "service",
+                "data_centre",
+                "state",
+                "owned",
+                "standby",
+            ]
+            .iter()
+            .map(|name| text(name))
+            .collect();
+            row.push(order.map_or_else(String::new, |reason| format!("drain: {reason}")));
+            rows.push(row);
+        }
+        table(&rows);
+    }
+}
--- /dev/null
+++ b/crates/carawayrill/src/store.rs
@@ -0,0 +1,71 @@
+//! How commands reach the store.
+
+use std::net::SocketAddr;
+use std::str::FromStr;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_trait::async_trait;
+use carawayrill_config::accept::Pause;
+use carawayrill_store::http_store::HttpStore;
+
+use crate::error::Error;
+
+/// The first pause between two attempts.
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
+/// The longest pause between two attempts.
+const LONGEST_PAUSE: Duration = Duration::from_secs(1);
+
+/// The root of the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StoreUrl(pub SocketAddr);
+
+impl FromStr for StoreUrl {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        text.strip_prefix("http://")
+            .map(|rest| rest.trim_end_matches('/'))
+            .and_then(|rest| rest.parse().ok())
+            .map(Self)
+            .ok_or_else(|| {
+                "expected `http://` with an IP number and a port, as in http://127.0.0.1:20000"
+                    .to_owned()
+            })
+    }
+}
+
+impl StoreUrl {
+    /// Makes a client of the store.
+    pub fn connect(self) -> Result<HttpStore, Error> {
+        Ok(HttpStore::new(self.0)?)
+    }
+}
+
+/// Waits longer and longer between attempts, until a deadline.
+#[derive(Debug)]
+pub struct Patience {
+    until: Instant,
+}
+
+impl Patience {
+    /// Makes a pause that gives up after `span`.
+    pub fn new(span: Duration) -> Self {
+        Self {
+            until: Instant::now() + span,
+        }
+    }
+}
+
+#[async_trait]
+impl Pause for Patience {
+    async fn pause(&self, attempt: u32) -> bool {
+        let grown = FIRST_PAUSE.saturating_mul(1 << attempt.min(8));
+        let pause = grown.min(LONGEST_PAUSE);
+        if Instant::now() + pause >= self.until {
+            return false;
+        }
+        tokio::time::sleep(pause).await;
+        true
+    }
+}
--- /dev/null
+++ b/crates/carawayrill/src/timeline.rs
@@ -0,0 +1,148 @@
+//! `timeline`: the events of many processes in one order of cause and effect.
+
+use std::collections::BTreeMap;
+use std::fs;
+use std::io::Read;
+use std::io::stdin;
+use std::path::Path;
+use std::process::ExitCode;
+
+use carawayrill_core::event::Event;
+use carawayrill_core::id::NodeId;
+use carawayrill_core::time::WallTime;
+use serde_json::Value;
+
+use crate::cli::TimelineArgs;
+use crate::error::Error;
+use crate::output::say;
+use crate::timeline_filter::Filter;
+use crate::utc::utc;
+
+/// The fields that stand in front of each event.
+const HEAD_FIELDS: &[&str] = &["at", "node", "seq", "event"];
+
+/// One event as read.
+#[derive(Debug)]
+pub struct Line {
+    /// The event.
+    pub event: Event,
+    /// The same as JSON.
+    pub json: Value,
+}
+
+/// What was found besides events.
+#[derive(Debug, Default)]
+struct Noted {
+    cut: usize,
+    lost: BTreeMap<NodeId, u64>,
+}
+
+/// Runs the subcommand.
+pub fn run(args: &TimelineArgs) -> Result<ExitCode, Error> {
+    let filter = Filter::try_from(args)?;
+    let mut noted = Noted::default();
+    let mut lines = Vec::new();
+    for file in &args.files {
+        let text = read(file)?;
+        let found = events(&text, &mut noted);
+        note_gaps(&found, &mut noted);
+        lines.extend(found);
+    }
+    lines.sort_by(|a, b| {
+        let a = (a.event.at, &a.event.node, a.event.seq);
+        a.cmp(&(b.event.at, &b.event.node, b.event.seq))
+    });
+    for line in filter.keep(lines) {
+        if args.json {
+            say(&line.json);
+        } else {
+            say(&shown(&line));
+        }
+    }
+    warn(&noted);
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Reads a whole file, or standard input for `-`.
+fn read(file: &Path) -> Result<String, Error> {
+    let fail = |err: std::io::Error| Error::wrong(format!("{}: {err}", file.display()));
+    let mut bytes = Vec::new();
+    if file.as_os_str() == "-" {
+        stdin().read_to_end(&mut bytes).map_err(fail)?;
+    } else {
+        bytes = fs::read(file).map_err(fail)?;
+    }
+    // A line may have been cut within a character.
+    Ok(String::from_utf8_lossy(&bytes).into_owned())
+}
+
+/// Reads the events of one file. Lines that are no events are counted.
+fn events(text: &str, noted: &mut Noted) -> Vec<Line> {
+    let mut found = Vec::new();
+    for line in text.lines().filter(|line| !line.trim().is_empty()) {
+        match event(line) {
+            Some(line) => found.push(line),
+            None => noted.cut += 1,
+        }
+    }
+    found
+}
+
+/// Reads one line.
+fn event(line: &str) -> Option<Line> {
+    let json: Value = serde_json::from_str(line).ok()?;
+    let event = serde_json::from_value(json.clone()).ok()?;
+    Some(Line { event, json })
+}
+
+/// Counts the events that are missing between two lines of one run of a process.
+fn note_gaps(lines: &[Line], noted: &mut Noted) {
+    let mut last: BTreeMap<&NodeId, u64> = BTreeMap::new();
+    for line in lines {
+        let event = &line.event;
+        // A number that does not rise is the first of a new run.
+        if let Some(before) = last.insert(&event.node, event.seq)
+            && event.seq > before + 1
+        {
+            *noted.lost.entry(event.node.clone()).or_default() += event.seq - before - 1;
+        }
+    }
+}
+
+/// Tells on standard error what the time line lacks.
+fn warn(noted: &Noted) {
+    if noted.cut > 0 {
+        eprintln!(
+            "warning: {} lines are no events or were cut; they are left out",
+            noted.cut
+        );
+    }
+    for (node, count) in &noted.lost {
+        eprintln!("warning: {count} events of {node} are missing between others");
+    }
+}
+
+/// Writes an event for people: time, process, number, event and its fields.
+fn shown(line: &Line) -> String {
+    let event = &line.event;
+    let fields = line.json.as_object();
+    let fields = fields.into_iter().flatten();
+    let fields = fields.filter(|(name, _)| !HEAD_FIELDS.contains(&name.as_str()));
+    let fields: Vec<String> = fields
+        .filter(|(_, value)| !value.is_null())
+        .map(|(name, value)| match value {
+            Value::String(text) => format!("{name}={text}"),
+            value => format!("{name}={value}"),
+        })
+        .collect();
+    format!(
+        "{}+{:<3} {:<18} {:<17} {}",
+        utc(WallTime(event.at.wall)),
+        event.at.count,
+        event.node.as_str(),
+        line.json["event"].as_str().unwrap_or_default(),
+        fields.join(" ")
+    )
+    .trim_end()
+    .to_owned()
+}
--- /dev/null
+++ b/crates/carawayrill/src/wait.rs
@@ -0,0 +1,87 @@
+//! Waits until every router has a generation in force.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+use std::time::Instant;
+
+use carawayrill_core::id::Generation;
+use carawayrill_core::id::RouterId;
+use carawayrill_core::time::millis;
+use carawayrill_store::port::ObjectStore;
+use indicatif::ProgressBar;
+use indicatif::ProgressStyle;
+
+use crate::error::Error;
+use crate::members;
+use crate::members::RouterSeen;
+
+/// The time between two rounds of questions.
+const ROUND: Duration = Duration::from_millis(50);
+
+/// When a generation was in force everywhere.
+#[derive(Debug, Clone, Copy)]
+pub struct InForce {
+    /// How many routers there are.
+    pub routers: usize,
+    /// Time from the start of the wait to the last acknowledgement, in milliseconds.
+    pub after_ms: u64,
+}
+
+/// Asks all routers until each has `generation` or a higher one.
+///
+/// Routers that start meanwhile are asked too. Those that don't answer count as lagging.
+pub async fn for_routers(
+    store: &dyn ObjectStore,
+    generation: Generation,
+    patience: Duration,
+) -> Result<InForce, Error> {
+    let began = Instant::now();
+    let bar = bar(generation);
+    loop {
+        let seen = members::ask_routers(members::list(store).await?).await;
+        let lagging = lagging(&seen, generation);
+        bar.set_length(seen.len() as u64);
+        bar.set_position((seen.len() - lagging.len()) as u64);
+        if lagging.is_empty() {
+            bar.finish_and_clear();
+            return Ok(InForce {
+                routers: seen.len(),
+                after_ms: millis(began.elapsed()),
+            });
+        }
+        if began.elapsed() + ROUND > patience {
+            bar.finish_and_clear();
+            return Err(Error::waiting(told(generation, &lagging)));
+        }
+        tokio::time::sleep(ROUND).await;
+    }
+}
+
+/// Makes the progress bar. It shows on a terminal only.
+fn bar(generation: Generation) -> ProgressBar {
+    let bar = ProgressBar::new(0);
+    if let Ok(style) = ProgressStyle::with_template("{msg} {bar:30} {pos} of {len} routers") {
+        bar.set_style(style);
+    }
+    bar.set_message(format!("generation {generation}"));
+    bar
+}
+
+/// Lists the routers that have not acknowledged.
+fn lagging(seen: &[RouterSeen], generation: Generation) -> BTreeSet<RouterId> {
+    let late = seen.iter().filter(|router| {
+        let page = router.page.as_ref();
+        page.is_none_or(|page| page.generation < generation)
+    });
+    late.map(|router| router.member.router.clone()).collect()
+}
+
+/// Says who lags.
+fn told(generation: Generation, lagging: &BTreeSet<RouterId>) -> String {
+    let names: Vec<&str> = lagging.iter().map(RouterId::as_str).collect();
+    format!(
+        "Generation {generation} is not yet in force at {} routers: {}.",
+        names.len(),
+        names.join(", ")
+    )
+}
