Check one version for all blocks

Excluded: a watch as the read (the platform does not promise that it is linearizable); larger blocks alone (contention on writes). What: controllers raise the version of one object after they wrote an intent and before they count on it; relays read that one version. Conclusion: idle reads grow with data centres, no longer with blocks.

--- a/crates/carawayrill-controller/src/control.rs
+++ b/crates/carawayrill-controller/src/control.rs
@@ -29,6 +29,7 @@
 use serde::Serialize;
 
 use crate::Error;
+use crate::announce::announce;
 use crate::blocks::BlockWrite;
 use crate::blocks::Written;
 use crate::blocks::write_block;
@@ -145,6 +146,7 @@
         };
         let block: Block = read(&object)?;
         let version = object.version;
+        self.announce(version, &block).await?;
         self.state.tables().view.written(version, block.clone());
         Ok(Input::Block { version, block })
     }
@@ -160,6 +162,10 @@
         };
         match write_block(&*self.store, &write).await {
             Ok(Written::Done(version)) => {
+                if let Err(err) = self.announce(version, &write.block).await {
+                    log::warn!("intents of block {id} are not announced: {err}");
+                    return Input::WriteFailed { block: id };
+                }
                 self.state.tables().view.written(version, write.block);
                 Input::Written { block: id, version }
             }
@@ -171,6 +177,22 @@
         }
     }
 
+    /// Raises the version of the changes object, unless this version of the block is announced or
+    /// has no intent. The table learns of an intent only after that, and so counts time and asks
+    /// for evidence only after that.
+    async fn announce(&self, version: Version, block: &Block) -> Result<(), Error> {
+        let is_announced = self.state.tables().announced.get(&block.id) == Some(&version);
+        if block.intents.is_empty() || is_announced {
+            return Ok(());
+        }
+        announce(&*self.store).await?;
+        self.state
+            .tables()
+            .announced
+            .insert(block.id.clone(), version);
+        Ok(())
+    }
+
     /// Sends orders to a server.
     async fn order(&self, server: &ServerId, orders: Vec<Order>) -> Result<Input, Error> {
         let address = self.server_address(server)?;
--- a/crates/carawayrill-controller/src/lib.rs
+++ b/crates/carawayrill-controller/src/lib.rs
@@ -7,6 +7,7 @@
 //! Decisions are functions over these tables ([`fleet`], [`planner`]); the daemon around them reads,
 //! writes and listens.
 
+pub mod announce;
 pub mod blocks;
 pub mod config;
 pub mod control;
--- a/crates/carawayrill-controller/src/state.rs
+++ b/crates/carawayrill-controller/src/state.rs
@@ -1,13 +1,16 @@
 //! The tables of the daemon behind one lock, and its clock.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Instant;
 
+use carawayrill_core::assignment::BlockId;
 use carawayrill_core::id::ControllerId;
 use carawayrill_core::id::RouterId;
+use carawayrill_core::id::Version;
 use carawayrill_core::ownership::takeover::TakeoverTable;
 use carawayrill_core::placement::BalanceConfig;
 use carawayrill_core::placement::Fleet;
@@ -47,6 +50,8 @@
     pub planner: Planner,
     /// Changes under way, while this controller leads.
     pub takeover: Option<TakeoverTable>,
+    /// The last version of each block whose intents were announced to the holders of authority.
+    pub announced: BTreeMap<BlockId, Version>,
     /// The prefixes of the store that were read in full since then.
     pub synced: BTreeSet<&'static str>,
 }
@@ -69,6 +74,7 @@
             view: View::default(),
             heard: HeardTable::default(),
             servers: ServerTable::default(),
+            announced: BTreeMap::new(),
             leaving: BTreeSet::new(),
             leading_since: None,
             demand: DemandTable::default(),
--- a/crates/carawayrill-core/src/object.rs
+++ b/crates/carawayrill-core/src/object.rs
@@ -28,6 +28,14 @@
 /// The prefix of operators' drain orders.
 pub const DRAINS: &str = "drains/";
 
+/// The object whose version rises after each intent that was written, and before its writer counts
+/// any time or asks for any evidence.
+///
+/// Its version stands for the versions of all blocks: while it does not change, no holder of
+/// authority has an intent to learn of. So one read of it serves a whole data centre, however many
+/// blocks there are.
+pub const CHANGES: &str = "authority/changes";
+
 /// Returns the name of the object that holds a block of assignments.
 #[must_use]
 pub fn block_name(id: &BlockId) -> CompactString {
--- a/crates/carawayrill-router/src/cache.rs
+++ b/crates/carawayrill-router/src/cache.rs
@@ -76,6 +76,15 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the version of one object as known here; 0 if there is none.
+    #[must_use]
+    pub fn known_version(&self, name: &str) -> Version {
+        self.lock()
+            .objects
+            .get(name)
+            .map_or_else(Version::default, |cached| cached.version)
+    }
+
     /// Takes changes in and returns the objects that are news here. Changes up to a revision that
     /// is already held are dropped, so a slow source never sets the copy back.
     pub fn apply(&self, changes: Changes) -> Vec<Object> {
--- a/crates/carawayrill-router/src/clock.rs
+++ b/crates/carawayrill-router/src/clock.rs
@@ -1,12 +1,14 @@
 //! The monotonic clock of this process.
 
-use std::time::Instant;
+use std::time::Duration;
 
 use carawayrill_core::id::Incarnation;
 use carawayrill_core::time::Time;
 use carawayrill_core::time::millis;
+use tokio::time::Instant;
 
-/// Reads the time since the process started.
+/// Reads the time since the process started. It follows the runtime's clock, so that tests can run
+/// it in virtual time.
 #[derive(Debug, Clone, Copy)]
 pub struct MonotonicClock {
     start: Instant,
@@ -29,8 +31,8 @@
 
     /// Returns the instant at which this clock reads `at`.
     #[must_use]
-    pub fn instant(&self, at: Time) -> tokio::time::Instant {
-        tokio::time::Instant::from_std(self.start + std::time::Duration::from_millis(at.0))
+    pub fn instant(&self, at: Time) -> Instant {
+        self.start + Duration::from_millis(at.0)
     }
 }
 
--- a/crates/carawayrill-router/src/home/control.rs
+++ b/crates/carawayrill-router/src/home/control.rs
@@ -39,7 +39,7 @@
 
 use crate::context::Context;
 use crate::home::flights::Flights;
-use crate::relay::VersionReader;
+use crate::versions::VersionReader;
 
 /// How often the table's systems run.
 const TICK: Duration = Duration::from_millis(50);
--- a/crates/carawayrill-router/src/home/perform.rs
+++ b/crates/carawayrill-router/src/home/perform.rs
@@ -105,12 +105,12 @@
         cx: &Context,
         names: &[CompactString],
     ) -> Option<(Time, Vec<Version>)> {
-        let reads = self.versions.check(cx, names).await.ok()?;
-        let started = reads.iter().map(|read| read.started).min()?;
-        Some((
-            started,
-            reads.into_iter().map(|read| read.version).collect(),
-        ))
+        let seen = |name: &str| cx.caches.assignments.known_version(name);
+        let read = self.versions.check(names, seen).await;
+        let read = read
+            .inspect_err(|err| log::debug!("version check: {err}"))
+            .ok()?;
+        Some((read.started, read.versions))
     }
 
     /// Probes the homes whose standby home this router is, for as long as the process runs.
--- a/crates/carawayrill-router/src/lib.rs
+++ b/crates/carawayrill-router/src/lib.rs
@@ -22,5 +22,6 @@
 pub mod relay;
 pub mod run;
 pub mod status;
+pub mod versions;
 
 pub use crate::error::Error;
--- a/crates/carawayrill-router/src/peer/service.rs
+++ b/crates/carawayrill-router/src/peer/service.rs
@@ -20,8 +20,8 @@
 use crate::peer::authority;
 use crate::peer::convert;
 use crate::relay::HeartbeatTable;
-use crate::relay::VersionReader;
 use crate::status;
+use crate::versions::VersionReader;
 
 /// The longest wait of a watch.
 const MAX_WATCH_WAIT: Duration = Duration::from_secs(10);
@@ -125,28 +125,22 @@
         let wire = request.into_inner();
         convert::observe(wire.stamp);
         let names: Vec<_> = wire.names.into_iter().map(CompactString::from).collect();
-        let reads = self
-            .versions
-            .check(&self.cx, &names)
-            .await
-            .map_err(|err| Status::unavailable(err.to_string()))?;
-        let now = self.cx.now();
-        let oldest = reads
-            .iter()
-            .map(|read| now.since(read.started))
-            .max()
-            .unwrap_or_default();
-        let versions = names
-            .iter()
-            .zip(&reads)
-            .map(|(name, read)| wire::ObjectVersion {
-                name: name.to_string(),
-                version: read.version.0,
-            });
+        let seen = |name: &str| self.cx.caches.assignments.known_version(name);
+        let read = self.versions.check(&names, seen).await;
+        let read = read.map_err(|err| Status::unavailable(err.to_string()))?;
+        let age = self.cx.now().since(read.started);
+        let versions =
+            names
+                .iter()
+                .zip(&read.versions)
+                .map(|(name, version)| wire::ObjectVersion {
+                    name: name.to_string(),
+                    version: version.0,
+                });
         Ok(Response::new(wire::CheckVersionsReply {
             stamp: convert::stamp(),
             versions: versions.collect(),
-            age_ms: carawayrill_core::time::millis(oldest),
+            age_ms: carawayrill_core::time::millis(age),
         }))
     }
 
--- a/crates/carawayrill-router/src/relay.rs
+++ b/crates/carawayrill-router/src/relay.rs
@@ -1,8 +1,7 @@
-//! What the relay of a data centre does for its routers, besides passing watches on: it reads
-//! versions from the store once for all of them, and sends their heartbeats on to the controller.
+//! What the relay of a data centre does for its routers, besides passing watches and version checks
+//! on: it sends their heartbeats on to the controller.
 
 use std::collections::BTreeMap;
-use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -10,79 +9,18 @@
 use std::time::Duration;
 
 use carawayrill_core::id::RouterId;
-use carawayrill_core::id::Version;
 use carawayrill_core::object::ControllerLease;
 use carawayrill_core::object::LEASES;
-use carawayrill_core::time::Time;
 use carawayrill_proto::wire;
-use carawayrill_store::Error;
-use compact_str::CompactString;
 use compact_str::format_compact;
-use futures_util::future::join_all;
 
 use crate::context::Context;
 use crate::feed;
 use crate::peer::convert;
 
-/// A read of a version that started at most this long ago is passed on again.
-const SHARED_READ: Duration = Duration::from_millis(200);
 /// The time limit of one report to the controller.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// One read of an object's version.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct VersionRead {
-    /// The version; 0 if there is no such object.
-    pub version: Version,
-    /// When the read started, on this router's clock.
-    pub started: Time,
-}
-
-/// Reads versions from the store, once for all routers that ask at about the same time.
-#[derive(Debug, Default)]
-pub struct VersionReader {
-    /// Held for the length of a read, so that those who ask meanwhile share its answer.
-    reads: tokio::sync::Mutex<HashMap<CompactString, VersionRead>>,
-}
-
-impl VersionReader {
-    /// Returns the versions of the named objects, each with the start of its read.
-    ///
-    /// # Errors
-    ///
-    /// Fails if any of them can't be read.
-    pub async fn check(
-        &self,
-        cx: &Context,
-        names: &[CompactString],
-    ) -> Result<Vec<VersionRead>, Error> {
-        let mut reads = self.reads.lock().await;
-        let now = cx.now();
-        let is_fresh = |name: &&CompactString| {
-            reads
-                .get(*name)
-                .is_some_and(|read| now.since(read.started) <= SHARED_READ)
-        };
-        let stale: Vec<_> = names
-            .iter()
-            .filter(|name| !is_fresh(name))
-            .cloned()
-            .collect();
-        let answers = join_all(stale.iter().map(|name| cx.store.version(name))).await;
-        for (name, answer) in stale.into_iter().zip(answers) {
-            let read = VersionRead {
-                version: answer?,
-                started: now,
-            };
-            reads.insert(name, read);
-        }
-        Ok(names
-            .iter()
-            .filter_map(|name| reads.get(name).copied())
-            .collect())
-    }
-}
-
 /// The latest heartbeat of each router of this data centre.
 #[derive(Debug, Default)]
 pub struct HeartbeatTable {
--- a/crates/carawayrill-router/src/run.rs
+++ b/crates/carawayrill-router/src/run.rs
@@ -32,7 +32,7 @@
 use crate::peer::service::PeerService;
 use crate::relay;
 use crate::relay::HeartbeatTable;
-use crate::relay::VersionReader;
+use crate::versions::VersionReader;
 
 /// How often a planned stop looks whether all is done.
 const STOP_POLL: Duration = Duration::from_millis(20);
@@ -61,7 +61,7 @@
         Arc::new(store),
         metrics,
     ));
-    let versions = Arc::new(VersionReader::default());
+    let versions = Arc::new(VersionReader::new(Arc::clone(&cx.store), cx.clock));
     let control = Arc::new(Control::new(Arc::new(servers), Arc::clone(&versions)));
     let home = Arc::new(Home::new(control));
     let beats = Arc::new(HeartbeatTable::default());
--- a/crates/carawayrill-testkit/src/demo/mod.rs
+++ b/crates/carawayrill-testkit/src/demo/mod.rs
@@ -38,6 +38,8 @@
 const STOP_LIMIT: Duration = Duration::from_secs(15);
 /// The pause between two looks at something awaited.
 const POLL: Duration = Duration::from_millis(50);
+/// How long the store's calls are counted.
+const IDLE_SPAN: Duration = Duration::from_secs(4);
 /// Lines of the time line that are printed.
 const TIME_LINE_ROWS: usize = 40;
 
@@ -68,6 +70,7 @@
     wait_ready(&fleet).await?;
     let routes = wait_assigned(&fleet, &whole).await?;
     ask_each_service(&fleet, &whole, &routes).await?;
+    print_idle_calls(&fleet).await?;
     lose_home(&mut fleet, &whole, &routes).await?;
     println!("stopping all processes by plan");
     fleet.stop(STOP_LIMIT)?;
@@ -184,6 +187,28 @@
     Ok(())
 }
 
+/// Prints how many calls the store gets while nothing happens.
+async fn print_idle_calls(fleet: &Fleet) -> Result<(), Error> {
+    let before = read_calls(fleet).await?;
+    tokio::time::sleep(IDLE_SPAN).await;
+    let after = read_calls(fleet).await?;
+    let seconds = IDLE_SPAN.as_secs_f64();
+    let rate = |kind: &str| {
+        let count = |calls: &serde_json::Value| calls[kind].as_u64().unwrap_or_default();
+        count(&after).saturating_sub(count(&before)) as f64 / seconds
+    };
+    let (reads, writes, watches) = (rate("reads"), rate("writes"), rate("watches"));
+    println!(
+        "store calls a second while idle: {reads:.1} reads, {writes:.1} writes, {watches:.1} watches"
+    );
+    Ok(())
+}
+
+async fn read_calls(fleet: &Fleet) -> Result<serde_json::Value, Error> {
+    let url = format!("http://{}/control/calls", fleet.store());
+    Ok(reqwest::get(url).await?.json().await?)
+}
+
 /// Kills the home router of one key and waits until the key is answered again.
 async fn lose_home(
     fleet: &mut Fleet,
