Let waiting requests follow their shard; drop parking from the core

A request that reaches its home while its shard is between two servers is held by the router's permit wait, which exists; a second place for it was not needed. When a shard is seen with another owner, what waits for the former one moves to the new one's queue.

--- a/crates/carawayrill-core/src/answer/mirror.rs
+++ b/crates/carawayrill-core/src/answer/mirror.rs
@@ -97,12 +97,6 @@
         }
     }
 
-    /// Returns the standby home of `shard`, whether or not its copy is complete.
-    #[must_use]
-    pub fn standby(&self, shard: &ShardId) -> Option<&RouterId> {
-        self.links.get(shard).map(|link| &link.standby)
-    }
-
     /// Returns the copies that have to be made, at most `max`, of one standby home.
     #[must_use]
     pub fn to_sync(&self, standby: &RouterId, max: usize) -> Vec<PendingCopy> {
--- a/crates/carawayrill-core/src/answer/reply.rs
+++ b/crates/carawayrill-core/src/answer/reply.rs
@@ -2,11 +2,14 @@
 
 use std::sync::Arc;
 
+use bytes::Bytes;
 use compact_str::CompactString;
 
 use crate::answer::refusal::Refusal;
 use crate::data;
+use crate::id::ServerId;
 use crate::outcome::Outcome;
+use crate::token::Token;
 
 data! {
     /// One header of an answer.
@@ -14,7 +17,7 @@
         /// Its name, in lower case.
         pub name: CompactString,
         /// Its value.
-        pub value: Vec<u8>,
+        pub value: Bytes,
     }
 
     /// The whole answer of a server.
@@ -24,7 +27,11 @@
         /// The headers that are passed on.
         pub headers: Vec<AnswerHeader>,
         /// The whole body.
-        pub body: Vec<u8>,
+        pub body: Bytes,
+        /// The server that answered.
+        pub server: ServerId,
+        /// The token that the request was sent under.
+        pub token: Token,
     }
 
     /// What a caller gets. A request gets exactly one.
--- a/crates/carawayrill-core/src/answer/serving/ending.rs
+++ b/crates/carawayrill-core/src/answer/serving/ending.rs
@@ -5,6 +5,7 @@
 
 use crate::answer::claims::ClaimKey;
 use crate::answer::inflight::Stage;
+use crate::answer::mirror::Need;
 use crate::answer::queue::Ended;
 use crate::answer::refusal::Refusal;
 use crate::answer::refusal::RefusalReason;
@@ -14,7 +15,6 @@
 use crate::answer::serving::Action;
 use crate::answer::serving::Serving;
 use crate::answer::serving::types::Abandoned;
-use crate::answer::serving::types::PARK_LIMIT;
 use crate::answer::serving::types::Phase;
 use crate::answer::serving::types::Row;
 use crate::id::RequestId;
@@ -41,7 +41,7 @@
     /// Returns false if the request got its final answer in the meantime: it must not be written.
     #[must_use]
     pub fn sending(&mut self, request: &RequestId, server: &ServerId, token: Token) -> bool {
-        let slot = |row: &Row| row.phase == Phase::Slot && row.server.as_ref() == Some(server);
+        let slot = |row: &Row| row.phase == Phase::Slot && row.server == *server;
         self.rows.get(request).is_some_and(slot) && self.inflight.sending(request, server, token)
     }
 
@@ -142,7 +142,7 @@
 
     /// Takes in that a server is held to be lost: what was sent to it gets its final answer.
     pub fn server_lost(&mut self, now: Time, server: &ServerId) -> Vec<Action> {
-        let sent = |row: &Row| row.phase == Phase::Slot && row.server.as_ref() == Some(server);
+        let sent = |row: &Row| row.phase == Phase::Slot && row.server == *server;
         let mut actions = Vec::new();
         for request in self.requests(sent) {
             let held = RefusalReason::ServerLost;
@@ -151,19 +151,13 @@
         actions
     }
 
-    /// Gives all requests their final answer whose deadline has passed, and those that waited too
-    /// long for a shard between two servers.
+    /// Gives all requests their final answer whose deadline has passed.
     pub(super) fn expire_requests(&mut self, now: Time) -> Vec<Action> {
         let mut actions = Vec::new();
         for request in self.inflight.overdue(now) {
             let held = RefusalReason::DeadlinePassed;
             actions.extend(self.give_up(now, &request, held, RefusalReason::AnswerLate));
         }
-        let stuck =
-            |row: &Row| matches!(row.phase, Phase::Parked(since) if since + PARK_LIMIT <= now);
-        for request in self.requests(stuck) {
-            actions.extend(self.refuse(&request, RefusalReason::Moving.into()));
-        }
         actions
     }
 
@@ -222,9 +216,9 @@
     }
 
     fn free_slot(&mut self, now: Time, request: &RequestId, row: &Row) -> Vec<Action> {
-        match (row.phase, &row.server) {
-            (Phase::Slot, Some(server)) => self.end(now, request, server, Ended::Other),
-            _ => Vec::new(),
+        match row.phase {
+            Phase::Slot => self.end(now, request, &row.server, Ended::Other),
+            Phase::Mirroring | Phase::Queued => Vec::new(),
         }
     }
 
@@ -302,7 +296,9 @@
     }
 
     fn update(&self, key: ClaimKey) -> Option<Action> {
-        let standby = self.mirror.standby(&key.shard)?;
-        Some(Action::Update(standby.clone(), key))
+        match self.mirror.need(&key.shard) {
+            Need::Acknowledgement(standby) => Some(Action::Update(standby, key)),
+            Need::Nothing => None,
+        }
     }
 }
--- a/crates/carawayrill-core/src/answer/serving/mod.rs
+++ b/crates/carawayrill-core/src/answer/serving/mod.rs
@@ -49,7 +49,8 @@
     pub claims: ClaimTable,
     /// The standby homes of the shards of this home.
     pub mirror: MirrorTable,
-    parked: usize,
+    /// The server that each shard was last seen with.
+    owners: BTreeMap<ShardId, ServerId>,
     stopping: bool,
 }
 
@@ -65,7 +66,7 @@
             queues: BTreeMap::new(),
             claims,
             mirror: MirrorTable::default(),
-            parked: 0,
+            owners: BTreeMap::new(),
             stopping: false,
         }
     }
@@ -138,23 +139,22 @@
             claim: key.clone(),
             phase: Phase::Mirroring,
         };
+        let mut actions = self.note_owner(now, &row.shard, &row.server);
         self.rows.insert(request.clone(), row);
         match (need, key) {
             (Need::Acknowledgement(standby), Some(key)) => {
-                Ok(vec![Action::Mirror(request, standby, key)])
+                actions.push(Action::Mirror(request, standby, key));
             }
-            _ => Ok(self.enqueue(now, &request)),
+            _ => actions.extend(self.enqueue(now, &request)),
         }
+        Ok(actions)
     }
 
     /// Checks everything that would refuse the request, before a claim is made for it.
     fn check_room(&self, now: Time, arrival: &Arrival) -> Result<(), Refusal> {
-        let Some(server) = &arrival.server else {
-            return self.check_parking();
-        };
         let queue = self
             .queues
-            .get(server)
+            .get(&arrival.server)
             .ok_or_else(|| Refusal::from(RefusalReason::ServerLost))?;
         self.check_total(queue)?;
         let waiting = Waiting {
@@ -177,13 +177,6 @@
         Ok(())
     }
 
-    fn check_parking(&self) -> Result<(), Refusal> {
-        if self.parked >= self.cfg.parked {
-            return Err(RefusalReason::Moving.into());
-        }
-        Ok(())
-    }
-
     fn claim(&mut self, now: Time, ask: Option<ClaimAsk>) -> Result<Option<ClaimKey>, Reply> {
         let Some(ask) = ask else {
             return Ok(None);
@@ -210,16 +203,12 @@
         }
     }
 
-    /// Puts a request into the queue of its server, or parks it if its shard has none.
+    /// Puts a request into the queue of its server.
     fn enqueue(&mut self, now: Time, request: &RequestId) -> Vec<Action> {
         let Some(row) = self.rows.get_mut(request) else {
             return Vec::new();
         };
-        let Some(server) = row.server.clone() else {
-            row.phase = Phase::Parked(now);
-            self.parked += 1;
-            return Vec::new();
-        };
+        let server = row.server.clone();
         row.phase = Phase::Queued;
         let waiting = Waiting {
             request: request.clone(),
@@ -254,32 +243,38 @@
         actions
     }
 
-    /// Sends the waiting requests of a shard to another server, or parks them until it has one.
-    /// Requests that have a slot are not touched.
-    pub fn redirect(&mut self, now: Time, shard: &ShardId, to: Option<&ServerId>) -> Vec<Action> {
-        let to_move = |row: &Row| {
-            let waits = matches!(row.phase, Phase::Parked(_) | Phase::Queued);
-            row.shard == *shard && waits && row.server.as_ref() != to
-        };
+    /// Moves the waiting requests of a shard to the queue of its new owner. Requests that have a
+    /// slot are not touched.
+    fn redirect(&mut self, now: Time, shard: &ShardId, to: &ServerId) -> Vec<Action> {
+        let to_move =
+            |row: &Row| row.shard == *shard && row.phase != Phase::Slot && row.server != *to;
         let mut actions = Vec::new();
         for request in self.requests(to_move) {
             self.leave_queue(&request);
-            if let Some(row) = self.rows.get_mut(&request) {
-                row.server = to.cloned();
-            }
-            actions.extend(self.enqueue(now, &request));
-        }
-        for row in self.rows.values_mut() {
-            if row.shard == *shard && row.phase == Phase::Mirroring {
-                row.server = to.cloned();
+            let Some(row) = self.rows.get_mut(&request) else {
+                continue;
+            };
+            row.server = to.clone();
+            if row.phase == Phase::Queued {
+                actions.extend(self.enqueue(now, &request));
             }
         }
         actions
     }
 
+    /// Notes the owner of a shard, and moves what waits for a former one.
+    fn note_owner(&mut self, now: Time, shard: &ShardId, owner: &ServerId) -> Vec<Action> {
+        let former = self.owners.insert(shard.clone(), owner.clone());
+        if former.is_none_or(|former| former == *owner) {
+            return Vec::new();
+        }
+        self.redirect(now, shard, owner)
+    }
+
     /// Refuses the requests of a shard that were not sent, because this router may not send them
     /// any more.
     pub fn refuse_shard(&mut self, shard: &ShardId, reason: RefusalReason) -> Vec<Action> {
+        self.owners.remove(shard);
         let held = |row: &Row| row.shard == *shard && row.phase != Phase::Slot;
         let requests = self.requests(held);
         let refused = requests
@@ -313,17 +308,15 @@
         rows.map(|(request, _)| request.clone()).collect()
     }
 
-    /// Takes a request out of the queue or the parked ones; it keeps its row.
+    /// Takes a request out of its queue; it keeps its row.
     fn leave_queue(&mut self, request: &RequestId) {
         let Some(row) = self.rows.get(request) else {
             return;
         };
-        if let Phase::Parked(_) = row.phase {
-            self.parked -= 1;
+        if row.phase != Phase::Queued {
+            return;
         }
-        if let (Phase::Queued, Some(server)) = (row.phase, &row.server)
-            && let Some(queue) = self.queues.get_mut(server)
-        {
+        if let Some(queue) = self.queues.get_mut(&row.server) {
             queue.remove(request);
         }
     }
--- a/crates/carawayrill-core/src/answer/serving/types.rs
+++ b/crates/carawayrill-core/src/answer/serving/types.rs
@@ -14,8 +14,6 @@
 use crate::time::Time;
 use crate::token::Token;
 
-/// How long requests wait for a shard that is between two servers.
-pub(super) const PARK_LIMIT: Duration = Duration::from_secs(2);
 /// Claims that one tick looks at for their end.
 pub(super) const EXPIRE_BUDGET: usize = 1_000;
 
@@ -41,8 +39,8 @@
     pub caller: CompactString,
     /// When its answer is due.
     pub deadline: Time,
-    /// The server that owns the shard; none while the shard is between two servers.
-    pub server: Option<ServerId>,
+    /// The server that owns the shard.
+    pub server: ServerId,
     /// Set if the request must not run twice.
     pub claim: Option<ClaimAsk>,
 }
@@ -66,8 +64,6 @@
 pub(super) enum Phase {
     /// Its claim is on the way to the standby home.
     Mirroring,
-    /// Its shard has no server; since then.
-    Parked(Time),
     /// It waits for a slot.
     Queued,
     /// It has a slot.
@@ -79,7 +75,7 @@
     pub(super) shard: ShardId,
     pub(super) caller: CompactString,
     pub(super) deadline: Time,
-    pub(super) server: Option<ServerId>,
+    pub(super) server: ServerId,
     pub(super) claim: Option<ClaimKey>,
     pub(super) phase: Phase,
 }
@@ -107,7 +103,6 @@
 pub struct ServingConfig {
     pub(super) in_flight: usize,
     pub(super) waiting: u32,
-    pub(super) parked: usize,
 }
 
 impl Default for ServingConfig {
@@ -115,7 +110,6 @@
         Self {
             in_flight: 20_000,
             waiting: 10_000,
-            parked: 2_000,
         }
     }
 }
@@ -134,11 +128,4 @@
         self.waiting = requests;
         self
     }
-
-    /// Sets the most requests that wait for shards between two servers. 2,000 by default.
-    #[must_use]
-    pub fn max_parked(mut self, requests: usize) -> Self {
-        self.parked = requests;
-        self
-    }
 }
