Tell by the assignment what a new home may know of the claims

A copy is trusted only for the assignment for which it was completed. A home that is told its term for the first time was first taken for one that had it before; the takeover property of answer_claims caught that, and the term is now looked up before the row is made.

--- a/crates/carawayrill-core/src/answer/claims/copy.rs
+++ b/crates/carawayrill-core/src/answer/claims/copy.rs
@@ -17,7 +17,7 @@
 impl ClaimTable {
     /// Starts a copy of another home's claims of `shard`.
     pub fn begin_copy(&mut self, shard: &ShardId, from: &RouterId, incarnation: Incarnation) {
-        let home = |claims: &ShardClaims| !matches!(claims.known, Known::Copy { .. });
+        let home = |claims: &ShardClaims| claims.term().is_some();
         if self.shards.get(shard).is_some_and(home) {
             return;
         }
--- a/crates/carawayrill-core/src/answer/claims/mod.rs
+++ b/crates/carawayrill-core/src/answer/claims/mod.rs
@@ -6,6 +6,8 @@
 //! that a standby home keeps for other homes.
 
 mod copy;
+mod key;
+mod origin;
 mod row;
 
 use std::collections::BTreeMap;
@@ -13,9 +15,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use compact_str::CompactString;
-
-use crate::Error;
+pub use crate::answer::claims::key::ClaimKey;
+pub use crate::answer::claims::key::Fingerprint;
+pub use crate::answer::claims::key::IdempotencyKey;
+pub use crate::answer::claims::origin::Lineage;
+pub use crate::answer::claims::origin::Origin;
+pub use crate::answer::claims::origin::origin_of;
 use crate::answer::claims::row::Known;
 use crate::answer::claims::row::Row;
 use crate::answer::claims::row::Rows;
@@ -27,46 +32,11 @@
 use crate::data;
 use crate::id::KeyHash;
 use crate::id::ShardId;
-use crate::number;
 use crate::time::Time;
+use crate::token::Term;
 
 /// Bytes that a claim takes beside its idempotency key and its answer.
 pub const CLAIM_BYTES: u64 = 256;
-/// The longest idempotency key, in bytes.
-const MAX_KEY_BYTES: usize = 128;
-
-number! {
-    /// Identifies the request behind an idempotency key: a hash of method, path, key and body.
-    Fingerprint;
-    /// Identifies the assignment under which claims were copied to a standby home. A standby home
-    /// knows all claims of the assignment that is in force only if the lineages are equal.
-    Lineage;
-}
-
-/// An idempotency key, as sent by a caller.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct IdempotencyKey(CompactString);
-
-impl IdempotencyKey {
-    /// Returns the key as text.
-    #[must_use]
-    pub fn as_str(&self) -> &str {
-        &self.0
-    }
-}
-
-impl TryFrom<&str> for IdempotencyKey {
-    type Error = Error;
-
-    fn try_from(text: &str) -> Result<Self, Error> {
-        let visible = text.bytes().all(|byte| byte.is_ascii_graphic());
-        if text.is_empty() || text.len() > MAX_KEY_BYTES || !visible {
-            let expected = "1 to 128 visible ASCII characters";
-            return Err(Error::syntax("IdempotencyKey", text, expected));
-        }
-        Ok(Self(text.into()))
-    }
-}
 
 data! {
     /// What is known of a claimed request.
@@ -82,18 +52,6 @@
     }
 }
 
-/// Names a claim. The service's key is part of it, so that claims go along when a hot key is
-/// split out of its shard.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
-pub struct ClaimKey {
-    /// The shard that the service's key belongs to now.
-    pub shard: ShardId,
-    /// The service's key.
-    pub key: KeyHash,
-    /// The caller's idempotency key.
-    pub idempotency: IdempotencyKey,
-}
-
 /// A claim as it is copied to another home.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Claim {
@@ -107,17 +65,6 @@
     pub left: Duration,
 }
 
-/// How a router came to be the home of a shard.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Origin {
-    /// The shard has never had a home before.
-    Initial,
-    /// This router was the home all the time; only its assignment changed.
-    Kept,
-    /// Another home had it, under the assignment with this lineage.
-    TakenOver(Lineage),
-}
-
 /// Bounds of a table of claims.
 ///
 /// # Examples
@@ -185,26 +132,64 @@
         }
     }
 
-    /// Takes in that this router is the home of `shard` from now on.
+    /// Returns whether this router was told that it is the home of `shard` under `term`.
+    #[must_use]
+    pub fn owns(&self, shard: &ShardId, term: Term) -> bool {
+        let home = self.shards.get(shard).and_then(ShardClaims::term);
+        home == Some(term)
+    }
+
+    /// Takes in that this router is the home of `shard` under `term` from now on.
     ///
     /// `window` is the time within which claims of a former home may be used. Requests that must
     /// not run twice are refused for as long, unless all claims are known.
-    pub fn own(&mut self, now: Time, shard: &ShardId, origin: Origin, window: Duration) {
-        let unknown = Known::SomeUntil(now + window);
+    pub fn own(
+        &mut self,
+        now: Time,
+        shard: &ShardId,
+        term: Term,
+        origin: Origin,
+        window: Duration,
+    ) {
+        let former = self.shards.get(shard).and_then(ShardClaims::term);
+        if former.is_some_and(|former| former == term || former.is_recorded_as(term)) {
+            self.rename_term(shard, term);
+            return;
+        }
         let claims = self.shards.entry(shard.clone()).or_insert(ShardClaims {
-            known: unknown.clone(),
+            known: Known::SomeUntil(term, now + window),
             rows: Rows::new(),
         });
-        let was_home = !matches!(claims.known, Known::Copy { .. });
-        match origin {
-            Origin::Initial => claims.known = Known::All,
-            Origin::Kept if was_home => return,
-            Origin::TakenOver(lineage) if claims.is_complete(lineage) => claims.known = Known::All,
-            Origin::Kept | Origin::TakenOver(_) => claims.known = unknown,
-        }
+        let complete = match origin {
+            Origin::Initial => true,
+            Origin::TakenOver(lineage) => claims.is_complete(lineage),
+        };
+        claims.known = if complete {
+            Known::All(term)
+        } else {
+            Known::SomeUntil(term, now + window)
+        };
         claims.lose_running();
     }
 
+    /// This router was the home all the time, and only a record was made of it.
+    fn rename_term(&mut self, shard: &ShardId, term: Term) {
+        if let Some(claims) = self.shards.get_mut(shard) {
+            claims.known = match claims.known {
+                Known::SomeUntil(_, until) => Known::SomeUntil(term, until),
+                _ => Known::All(term),
+            };
+        }
+    }
+
+    /// Returns all shards of which claims or copies are kept, with whether this router keeps them
+    /// as their home.
+    pub fn shards(&self) -> impl Iterator<Item = (&ShardId, bool)> {
+        self.shards
+            .iter()
+            .map(|(shard, claims)| (shard, claims.term().is_some()))
+    }
+
     /// Drops a shard of which this router is neither home nor standby home any more.
     pub fn disown(&mut self, shard: &ShardId) {
         if let Some(claims) = self.shards.remove(shard) {
@@ -350,7 +335,7 @@
             known: known.clone(),
             rows: Rows::new(),
         });
-        if let Known::SomeUntil(_) = known {
+        if let Known::SomeUntil(..) = known {
             target.known = known;
         }
         target.rows.extend(moved);
--- a/crates/carawayrill-core/src/answer/claims/row.rs
+++ b/crates/carawayrill-core/src/answer/claims/row.rs
@@ -18,13 +18,14 @@
 use crate::id::KeyHash;
 use crate::id::RouterId;
 use crate::time::Time;
+use crate::token::Term;
 
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) enum Known {
-    /// This router is the home and knows all claims.
-    All,
-    /// This router is the home and may lack claims until then.
-    SomeUntil(Time),
+    /// This router is the home under this term and knows all claims.
+    All(Term),
+    /// This router is the home under this term and may lack claims until then.
+    SomeUntil(Term, Time),
     /// This router keeps copies for `from`.
     Copy {
         from: RouterId,
@@ -87,12 +88,12 @@
 impl ShardClaims {
     pub(super) fn check_known(&mut self, now: Time) -> Result<(), Repeat> {
         match self.known {
-            Known::All => Ok(()),
-            Known::SomeUntil(until) if until <= now => {
-                self.known = Known::All;
+            Known::All(_) => Ok(()),
+            Known::SomeUntil(term, until) if until <= now => {
+                self.known = Known::All(term);
                 Ok(())
             }
-            Known::SomeUntil(until) => {
+            Known::SomeUntil(_, until) => {
                 let refusal = Refusal::from(RefusalReason::ClaimsNotKnown);
                 Err(Repeat::Refused(refusal.after(until.since(now))))
             }
@@ -105,6 +106,14 @@
             if from == home && *incarnation == run)
     }
 
+    /// Returns the term under which this router is the home; none for a copy.
+    pub(super) fn term(&self) -> Option<Term> {
+        match self.known {
+            Known::All(term) | Known::SomeUntil(term, _) => Some(term),
+            Known::Copy { .. } => None,
+        }
+    }
+
     pub(super) fn is_complete(&self, lineage: Lineage) -> bool {
         matches!(&self.known, Known::Copy { complete, .. } if *complete == Some(lineage))
     }
--- a/crates/carawayrill-core/src/token.rs
+++ b/crates/carawayrill-core/src/token.rs
@@ -24,6 +24,13 @@
         Self((self.0 & !1) + 1)
     }
 
+    /// Returns whether this is a reserved term and `stored` is the one under which the standby
+    /// home's own takeover is recorded.
+    #[must_use]
+    pub const fn is_recorded_as(self, stored: Self) -> bool {
+        self.0 & 1 == 1 && stored.0 == self.0 + 1
+    }
+
     /// Returns the next term that a stored change of home takes.
     #[must_use]
     pub const fn next_stored(self) -> Self {
--- a/crates/carawayrill-core/tests/answer_claims.rs
+++ b/crates/carawayrill-core/tests/answer_claims.rs
@@ -14,15 +14,21 @@
 use carawayrill_core::answer::claims::Lineage;
 use carawayrill_core::answer::claims::Origin;
 use carawayrill_core::answer::claims::Repeat;
+use carawayrill_core::answer::claims::origin_of;
 use carawayrill_core::answer::mirror::MirrorTable;
 use carawayrill_core::answer::mirror::Need;
 use carawayrill_core::answer::refusal::RefusalReason;
 use carawayrill_core::answer::reply::Answer;
+use carawayrill_core::assignment::Assignment;
+use carawayrill_core::assignment::Reason;
 use carawayrill_core::id::Incarnation;
 use carawayrill_core::id::KeyHash;
 use carawayrill_core::id::RouterId;
 use carawayrill_core::id::ShardId;
+use carawayrill_core::ownership::evidence::Run;
 use carawayrill_core::time::Time;
+use carawayrill_core::time::WallTime;
+use carawayrill_core::token::Term;
 use carawayrill_core::token::Token;
 use proptest::prelude::*;
 use rstest::rstest;
@@ -30,6 +36,7 @@
 const WINDOW: Duration = Duration::from_mins(1);
 const RUN: Incarnation = Incarnation(1);
 const LINEAGE: Lineage = Lineage(9);
+const TERM: Term = Term(4);
 
 fn shard() -> ShardId {
     ShardId::range("renewals".parse().unwrap(), 0)
@@ -59,7 +66,7 @@
 
 fn owned(cfg: ClaimConfig) -> ClaimTable {
     let mut table = ClaimTable::new(cfg);
-    table.own(Time(0), &shard(), Origin::Initial, WINDOW);
+    table.own(Time(0), &shard(), TERM, Origin::Initial, WINDOW);
     table
 }
 
@@ -161,7 +168,9 @@
 ) {
     let mut table = standby(complete);
     assert_eq!(claim(&mut table, 0, "other"), "not-home");
-    table.own(Time(1_000), &shard(), Origin::TakenOver(LINEAGE), WINDOW);
+    let origin = Origin::TakenOver(LINEAGE);
+    table.own(Time(1_000), &shard(), TERM.reserved(), origin, WINDOW);
+    assert!(table.owns(&shard(), TERM.reserved()));
     assert_eq!(claim(&mut table, 1_000, "running"), "first-answer-lost");
     assert_eq!(
         claim(&mut table, 1_000, "answered"),
@@ -172,20 +181,91 @@
 }
 
 #[rstest]
-#[case::kept(Origin::Kept, "fresh")]
-#[case::initial(Origin::Initial, "fresh")]
-#[case::another_was_home(Origin::TakenOver(LINEAGE), "claims-not-known")]
-fn what_a_change_of_assignment_does(#[case] origin: Origin, #[case] expected: &str) {
-    let mut table = owned(ClaimConfig::default());
-    table.own(Time(0), &shard(), origin, WINDOW);
+#[case::same_term(Term(4), Term(4), "fresh")]
+#[case::own_takeover_is_recorded(Term(5), Term(6), "fresh")]
+#[case::another_was_home(Term(4), Term(6), "claims-not-known")]
+#[case::another_stood_in(Term(4), Term(5), "claims-not-known")]
+#[case::another_stood_in_and_was_replaced(Term(5), Term(8), "claims-not-known")]
+fn what_a_change_of_term_means(#[case] first: Term, #[case] second: Term, #[case] expected: &str) {
+    let mut table = ClaimTable::new(ClaimConfig::default());
+    table.own(Time(0), &shard(), first, Origin::Initial, WINDOW);
+    table.own(
+        Time(0),
+        &shard(),
+        second,
+        Origin::TakenOver(LINEAGE),
+        WINDOW,
+    );
     assert_eq!(claim(&mut table, 0, "k"), expected);
 }
 
+fn assignment() -> Assignment {
+    Assignment {
+        shard: shard(),
+        owner: "renewals-1".parse().unwrap(),
+        standby: None,
+        home: home(),
+        home_run: RUN,
+        standby_home: Some(Pair::standby_id()),
+        standby_home_run: RUN,
+        token: Token::new(4, 1),
+        reason: Reason::Initial,
+        since: WallTime(0),
+    }
+}
+
+#[rstest]
+#[case::first_home("router-1", 1, 4, Reason::Initial, "initial")]
+#[case::first_home_restarted("router-1", 2, 4, Reason::Initial, "nothing is known")]
+#[case::appointed_later("router-1", 1, 4, Reason::Drain, "this assignment")]
+#[case::standby_home("router-2", 1, 5, Reason::Initial, "this assignment")]
+#[case::standby_home_restarted("router-2", 2, 5, Reason::Initial, "nothing is known")]
+#[case::another("router-3", 1, 6, Reason::Initial, "nothing is known")]
+#[case::under_another_term("router-1", 1, 6, Reason::Initial, "nothing is known")]
+fn what_an_assignment_tells_of_claims(
+    #[case] router: &str,
+    #[case] run: u64,
+    #[case] term: u64,
+    #[case] reason: Reason,
+    #[case] expected: &str,
+) {
+    let me = Run {
+        router: router.parse().unwrap(),
+        incarnation: Incarnation(run),
+    };
+    let row = Assignment {
+        reason,
+        ..assignment()
+    };
+    let told = match origin_of(Some(&row), &me, Term(term)) {
+        Origin::Initial => "initial",
+        Origin::TakenOver(Lineage::UNKNOWN) => "nothing is known",
+        Origin::TakenOver(lineage) if lineage == Lineage::of(&row) => "this assignment",
+        Origin::TakenOver(_) => "another assignment",
+    };
+    assert_eq!(told, expected);
+}
+
 #[test]
-fn a_restarted_home_knows_no_claims() {
-    let mut table = ClaimTable::new(ClaimConfig::default());
-    table.own(Time(0), &shard(), Origin::Kept, WINDOW);
-    assert_eq!(claim(&mut table, 0, "k"), "claims-not-known");
+fn an_assignment_that_is_written_again_has_another_lineage() {
+    let again = Assignment {
+        since: WallTime(1),
+        ..assignment()
+    };
+    assert_ne!(Lineage::of(&assignment()), Lineage::of(&again));
+}
+
+#[test]
+fn requests_differ_by_each_of_their_parts() {
+    let parts = [
+        ("POST", "/a", "xy"),
+        ("PUT", "/a", "xy"),
+        ("POST", "/ax", "y"),
+        ("POST", "/a", "x"),
+    ];
+    let prints = parts.map(|(method, path, body)| Fingerprint::of(method, path, body.as_bytes()));
+    let different: BTreeSet<_> = prints.into_iter().collect();
+    assert_eq!(different.len(), parts.len());
 }
 
 #[test]
@@ -353,7 +433,8 @@
             pair.run(step);
         }
         let origin = Origin::TakenOver(pair.lineage);
-        pair.standby.own(Time(0), &shard(), origin, WINDOW);
+        pair.standby
+            .own(Time(0), &shard(), TERM.reserved(), origin, WINDOW);
         for number in pair.sent {
             let told = claim(&mut pair.standby, 0, &format!("k{number}"));
             prop_assert_ne!(told, "fresh", "k{} runs twice", number);
--- a/crates/carawayrill-core/tests/answer_serving.rs
+++ b/crates/carawayrill-core/tests/answer_serving.rs
@@ -76,7 +76,7 @@
     serving.set_server(Time(0), &new_owner(), limits);
     serving
         .claims
-        .own(Time(0), &shard(), Origin::Initial, WINDOW);
+        .own(Time(0), &shard(), TOKEN.term, Origin::Initial, WINDOW);
     serving
 }
 
--- a/crates/carawayrill-router/src/home/control.rs
+++ b/crates/carawayrill-router/src/home/control.rs
@@ -49,7 +49,7 @@
 pub struct Control {
     pub(crate) servers: Arc<dyn ServerControl>,
     pub(crate) versions: Arc<VersionReader>,
-    pub(crate) flights: Flights,
+    pub(crate) flights: Arc<Flights>,
     /// None until there is a configuration, which has the time limits.
     table: Mutex<Option<HomeTable>>,
     changed: Notify,
@@ -85,7 +85,7 @@
         Self {
             servers,
             versions,
-            flights: Flights::default(),
+            flights: Arc::default(),
             table: Mutex::default(),
             changed: Notify::new(),
             asks: Mutex::default(),
--- a/crates/carawayrill-router/src/home/flights.rs
+++ b/crates/carawayrill-router/src/home/flights.rs
@@ -1,6 +1,7 @@
 //! Requests of each shard that were given out and not answered yet.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
@@ -17,8 +18,8 @@
 
 /// One request in flight, until it is dropped.
 #[derive(Debug)]
-pub struct Flight<'a> {
-    flights: &'a Flights,
+pub struct Flight {
+    flights: Arc<Flights>,
     shard: ShardId,
 }
 
@@ -28,10 +29,10 @@
     }
 
     /// Counts one more request of a shard.
-    pub fn begin(&self, shard: &ShardId) -> Flight<'_> {
+    pub fn begin(self: &Arc<Self>, shard: &ShardId) -> Flight {
         *self.lock().entry(shard.clone()).or_default() += 1;
         Flight {
-            flights: self,
+            flights: Arc::clone(self),
             shard: shard.clone(),
         }
     }
@@ -48,7 +49,7 @@
     }
 }
 
-impl Drop for Flight<'_> {
+impl Drop for Flight {
     fn drop(&mut self) {
         let mut counts = self.flights.lock();
         let left = counts.get_mut(&self.shard).map_or(0, |count| {
