--- a/crates/carawayrill-testkit/src/lib.rs
+++ b/crates/carawayrill-testkit/src/lib.rs
@@ -19,6 +19,8 @@
 //! ```
 
 pub mod connections;
+mod error;
+pub mod load;
 pub mod demo;
 pub mod fleet;
 pub mod process;
@@ -26,3 +28,5 @@
 pub mod server;
 pub mod store;
 pub mod vms;
+
+pub use crate::error::Error;
