Serve requests at their home through the answer tables

The home's slots, queue, claims, matching of answers, cancellation and late answers now come from carawayrill-core's answer::serving; the router carries out its actions. Claims are mirrored to the standby home in batches by one task each, copied whole when a standby home is named, and handed over at a planned move. The client to servers follows no redirects and repeats nothing by itself: either would run a request twice. The entry's loop of retries draws on a budget. Tests follow.

--- a/crates/carawayrill-core/src/answer/claims/mod.rs
+++ b/crates/carawayrill-core/src/answer/claims/mod.rs
@@ -182,12 +182,20 @@
         }
     }
 
-    /// Returns all shards of which claims or copies are kept, with whether this router keeps them
-    /// as their home.
-    pub fn shards(&self) -> impl Iterator<Item = (&ShardId, bool)> {
-        self.shards
+    /// Returns whether this router keeps the claims of `shard` as its home.
+    #[must_use]
+    pub fn is_home(&self, shard: &ShardId) -> bool {
+        let claims = self.shards.get(shard);
+        claims.is_some_and(|claims| claims.term().is_some())
+    }
+
+    /// Returns the shards whose claims this router keeps as their home.
+    pub fn homes(&self) -> impl Iterator<Item = &ShardId> {
+        let homes = self
+            .shards
             .iter()
-            .map(|(shard, claims)| (shard, claims.term().is_some()))
+            .filter(|(_, claims)| claims.term().is_some());
+        homes.map(|(shard, _)| shard)
     }
 
     /// Drops a shard of which this router is neither home nor standby home any more.
--- a/crates/carawayrill-core/src/answer/queue.rs
+++ b/crates/carawayrill-core/src/answer/queue.rs
@@ -101,6 +101,15 @@
         }
     }
 
+    /// Makes the queue of a server that has served before, under another home.
+    #[must_use]
+    pub fn warm(limits: Limits, now: Time) -> Self {
+        Self {
+            ramp: Ramp::warm(limits.slots, limits.warm_up, now),
+            ..Self::new(limits, now)
+        }
+    }
+
     /// Checks whether a request would be taken in now, and changes nothing.
     ///
     /// # Errors
@@ -217,7 +226,7 @@
     /// Changes the declared limits.
     pub fn set_limits(&mut self, now: Time, limits: Limits) {
         if limits.slots != self.limits.slots {
-            self.ramp = Ramp::new(limits.slots, limits.warm_up, now);
+            self.ramp = Ramp::warm(limits.slots, limits.warm_up, now);
         }
         self.limits = limits;
     }
--- a/crates/carawayrill-core/src/answer/ramp.rs
+++ b/crates/carawayrill-core/src/answer/ramp.rs
@@ -41,6 +41,15 @@
         }
     }
 
+    /// Makes the ramp of a server that already runs at its full load.
+    #[must_use]
+    pub fn warm(slots: u32, warm_up: Duration, now: Time) -> Self {
+        Self {
+            from: f64::from(slots.max(1)),
+            ..Self::new(slots, warm_up, now)
+        }
+    }
+
     /// Returns the slots that may be used, at least one unless the server is paused.
     #[must_use]
     pub fn allowed(&self, now: Time) -> u32 {
--- a/crates/carawayrill-core/src/answer/serving/mod.rs
+++ b/crates/carawayrill-core/src/answer/serving/mod.rs
@@ -17,7 +17,6 @@
 use crate::answer::inflight::InFlightTable;
 use crate::answer::mirror::MirrorTable;
 use crate::answer::mirror::Need;
-use crate::answer::queue::Limits;
 use crate::answer::queue::QueueAction;
 use crate::answer::queue::ServerQueue;
 use crate::answer::refusal::Refusal;
@@ -71,12 +70,9 @@
         }
     }
 
-    /// Takes in a server, or its changed limits.
-    pub fn set_server(&mut self, now: Time, server: &ServerId, limits: Limits) {
-        self.queues
-            .entry(server.clone())
-            .and_modify(|queue| queue.set_limits(now, limits))
-            .or_insert_with(|| ServerQueue::new(limits, now));
+    /// Takes in a server with its queue. No effect on one that is there.
+    pub fn add_server(&mut self, server: &ServerId, queue: ServerQueue) {
+        self.queues.entry(server.clone()).or_insert(queue);
     }
 
     /// Drops a server of which this router is not the home any more. What it still runs goes on;
@@ -271,10 +267,15 @@
         self.redirect(now, shard, owner)
     }
 
+    /// Forgets who owns a shard of which this router is not the home any more.
+    pub fn forget_owner(&mut self, shard: &ShardId) {
+        self.owners.remove(shard);
+    }
+
     /// Refuses the requests of a shard that were not sent, because this router may not send them
     /// any more.
     pub fn refuse_shard(&mut self, shard: &ShardId, reason: RefusalReason) -> Vec<Action> {
-        self.owners.remove(shard);
+        self.forget_owner(shard);
         let held = |row: &Row| row.shard == *shard && row.phase != Phase::Slot;
         let requests = self.requests(held);
         let refused = requests
--- a/crates/carawayrill-core/tests/answer_queue.rs
+++ b/crates/carawayrill-core/tests/answer_queue.rs
@@ -159,6 +159,10 @@
     };
     let queue = ServerQueue::new(limits, Time(0));
     assert_eq!(queue.allowed(Time(at)), allowed);
+    let mut queue = ServerQueue::warm(limits, Time(0));
+    assert_eq!(queue.allowed(Time(at)), 4);
+    queue.restart(Time(0));
+    assert_eq!(queue.allowed(Time(at)), allowed);
 }
 
 #[test]
--- a/crates/carawayrill-core/tests/answer_serving.rs
+++ b/crates/carawayrill-core/tests/answer_serving.rs
@@ -14,6 +14,7 @@
 use carawayrill_core::answer::claims::Origin;
 use carawayrill_core::answer::mirror::PendingCopy;
 use carawayrill_core::answer::queue::Limits;
+use carawayrill_core::answer::queue::ServerQueue;
 use carawayrill_core::answer::refusal::RefusalReason;
 use carawayrill_core::answer::refusal::ServerRefusal;
 use carawayrill_core::answer::reply::Answer;
@@ -72,8 +73,9 @@
         queue: 8,
         warm_up: Duration::ZERO,
     };
-    serving.set_server(Time(0), &server(), limits);
-    serving.set_server(Time(0), &new_owner(), limits);
+    for server in [server(), new_owner()] {
+        serving.add_server(&server, ServerQueue::new(limits, Time(0)));
+    }
     serving
         .claims
         .own(Time(0), &shard(), TOKEN.term, Origin::Initial, WINDOW);
--- a/crates/carawayrill-router/src/context.rs
+++ b/crates/carawayrill-router/src/context.rs
@@ -27,6 +27,7 @@
 
 use crate::cache::ObjectCache;
 use crate::clock::MonotonicClock;
+use crate::entry::retries::Retries;
 use crate::members::MemberTable;
 use crate::peer::pool::PeerPool;
 
@@ -55,6 +56,8 @@
     pub members: MemberTable,
     /// Connections to other routers.
     pub peers: PeerPool,
+    /// Retries of this router as entry.
+    pub retries: Retries,
     /// Metrics.
     pub metrics: StatsdClient,
     /// Set once the planned stop has begun.
@@ -112,6 +115,7 @@
             routes: RwLock::default(),
             members: MemberTable::default(),
             peers: PeerPool::default(),
+            retries: Retries::new(incarnation),
             metrics,
             stopping: AtomicBool::new(false),
             in_flight: AtomicU32::new(0),
--- a/crates/carawayrill-router/src/entry/check.rs
+++ b/crates/carawayrill-router/src/entry/check.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use carawayrill_config::deployment::Deployment;
 use carawayrill_config::deployment::KeySource;
+use carawayrill_config::deployment::Repeat;
 use carawayrill_config::deployment::Service;
 use carawayrill_core::answer::refusal::RefusalReason;
 use carawayrill_core::id::KeyHash;
@@ -12,6 +13,7 @@
 use compact_str::CompactString;
 use http::HeaderMap;
 use http::HeaderValue;
+use http::Method;
 use http::Uri;
 
 /// The header with a request's time limit in milliseconds.
@@ -99,6 +101,32 @@
     Ok(Some(text.into()))
 }
 
+/// Returns whether a service declares that requests of this method may run more than once.
+#[must_use]
+pub fn is_repeatable(service: &Service, method: &Method) -> bool {
+    match service.repeat {
+        Repeat::All => true,
+        Repeat::SafeMethods => *method == Method::GET || *method == Method::HEAD,
+        Repeat::Never => false,
+    }
+}
+
+/// Checks that a request has an idempotency key if it must not run twice.
+///
+/// # Errors
+///
+/// Fails if the key is missing.
+pub fn has_needed_key(
+    service: &Service,
+    method: &Method,
+    key: Option<&CompactString>,
+) -> Result<(), RefusalReason> {
+    if key.is_none() && !is_repeatable(service, method) {
+        return Err(RefusalReason::NoIdempotencyKey);
+    }
+    Ok(())
+}
+
 /// Checks a body that was read up to one byte beyond the limit against the announced length.
 ///
 /// # Errors
--- a/crates/carawayrill-router/src/entry/http.rs
+++ b/crates/carawayrill-router/src/entry/http.rs
@@ -97,6 +97,7 @@
         let key = check::key(service, &parts.uri, &parts.headers)?;
         let limit = check::time_limit(service, &parts.headers)?;
         let idempotency_key = check::idempotency_key(&parts.headers)?;
+        check::has_needed_key(service, &parts.method, idempotency_key.as_ref())?;
         let body = read_body(service, &parts.headers, body).await?;
         let shard = self.cx.routes().shard_of(&service.id, key, service.shards);
         Ok(Request {
--- a/crates/carawayrill-router/src/entry/mod.rs
+++ b/crates/carawayrill-router/src/entry/mod.rs
@@ -5,3 +5,4 @@
 pub mod check;
 pub mod http;
 pub mod pass;
+pub mod retries;
--- a/crates/carawayrill-router/src/entry/pass.rs
+++ b/crates/carawayrill-router/src/entry/pass.rs
@@ -1,74 +1,131 @@
 //! From the entry router to the home of a request's shard.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use carawayrill_core::answer::refusal::Refusal;
 use carawayrill_core::answer::refusal::RefusalReason;
+use carawayrill_core::answer::retry::FailedTry;
+use carawayrill_core::answer::retry::RetryDecision;
+use carawayrill_core::id::RequestId;
 use carawayrill_core::id::RouterId;
 use carawayrill_core::id::ShardId;
+use carawayrill_core::outcome::Outcome;
 use carawayrill_core::time::Time;
 use tonic::Code;
 use tonic::Status;
 
 use crate::context::Context;
+use crate::entry::check;
 use crate::home::Home;
 use crate::message::Answer;
 use crate::message::Request;
 use crate::peer::convert;
 
-/// The first pause before a request that has not run is passed on again.
-const FIRST_PAUSE: Duration = Duration::from_millis(20);
-/// The longest such pause.
-const LONGEST_PAUSE: Duration = Duration::from_millis(160);
+/// How much longer than the deadline a call to a home may take, so that the home's own answer at
+/// the deadline comes first.
+const HOME_SLACK: Duration = Duration::from_millis(50);
+/// Bytes that a request or an answer takes beside its body, about.
+const FRAME_BYTES: usize = 512;
 
 /// Passes a request to its home and returns the answer.
 ///
-/// A request that has provably not run is passed on again, to the home that the answer hints at or
-/// to the standby home, until its deadline leaves no time. Any other answer is final.
-pub async fn pass(cx: &Context, home: &Home, req: Request) -> Answer {
-    let mut pause = FIRST_PAUSE;
+/// A request that has provably not run is passed on again within the service's budget of retries,
+/// to the home that the answer hints at or to the standby home. One that may have run is passed on
+/// again only if the service declares that it may be repeated. Any other answer is final.
+pub async fn pass(cx: &Arc<Context>, home: &Home, mut req: Request) -> Answer {
+    cx.retries.first_try(&req.service);
+    let id = req.id.clone();
+    let mut tries = 0;
     let mut hint = None;
     let mut avoid = None;
     loop {
-        let Some(target) = choose(cx, &req.shard, hint.take(), avoid.as_ref()) else {
-            return Answer::from(RefusalReason::NoHome);
+        tries += 1;
+        let target = choose(cx, &req.shard, hint.take(), avoid.as_ref());
+        let answer = match &target {
+            None => Answer::from(RefusalReason::NoHome),
+            Some(target) => try_at(cx, home, target, &req).await,
         };
-        let answer = if target == cx.settings.router {
-            home.serve(cx, req.clone()).await
-        } else {
-            forward(cx, &target, &req).await
+        let crossing_bytes = match &target {
+            Some(target) => count_bytes(cx, home, target, &req, &answer),
+            None => 0,
         };
-        if !may_pass_again(&answer) || cx.now() + pause >= req.deadline {
+        let Some(wait) = wait_before_retry(cx, &req, &answer, tries, crossing_bytes) else {
             return answer;
+        };
+        hint = answer
+            .home_hint
+            .filter(|hinted| Some(hinted) != target.as_ref());
+        avoid = if hint.is_none() { target } else { None };
+        if answer.outcome == Outcome::Unknown {
+            // The first try may still be in flight at the home under its own identifier.
+            req.id = retry_id(&id, tries);
         }
-        hint = answer.home_hint.filter(|hinted| *hinted != target);
-        avoid = hint.is_none().then_some(target);
-        tokio::time::sleep(pause).await;
-        pause = (pause * 2).min(LONGEST_PAUSE);
+        tokio::time::sleep(wait).await;
+    }
+}
+
+async fn try_at(cx: &Arc<Context>, home: &Home, target: &RouterId, req: &Request) -> Answer {
+    if *target == cx.settings.router {
+        home.serve(cx, req.clone()).await
+    } else {
+        forward(cx, target, req).await
+    }
+}
+
+/// Returns how long to wait before the next try, or nothing if the answer is final.
+fn wait_before_retry(
+    cx: &Context,
+    req: &Request,
+    answer: &Answer,
+    tries: u32,
+    crossing_bytes: u64,
+) -> Option<Duration> {
+    let failed = FailedTry {
+        refusal: Refusal::from(answer.reason?),
+        tries,
+        deadline: req.deadline,
+        repeatable: is_repeatable(cx, req),
+        crossing_bytes,
+    };
+    match cx.retries.decide(&req.service, &failed, cx.now()) {
+        RetryDecision::After(wait) => Some(wait),
+        RetryDecision::GiveUp(_) => None,
     }
 }
 
-/// Tells whether another try may help and can do no harm.
-fn may_pass_again(answer: &Answer) -> bool {
-    answer.reason.is_some_and(is_routing)
+/// Returns whether the service declares that the request may run more than once.
+fn is_repeatable(cx: &Context, req: &Request) -> bool {
+    let whole = cx.deployment.load();
+    let service = whole.as_ref().and_then(|whole| whole.service(&req.service));
+    let declared = service.is_some_and(|service| check::is_repeatable(service, &req.method));
+    declared && req.idempotency_key.is_none()
+}
+
+fn retry_id(first: &RequestId, tries: u32) -> RequestId {
+    let text = format!("{first}-r{tries}");
+    RequestId::try_from(text.as_str()).unwrap_or_else(|_too_long| first.clone())
 }
 
-/// Tells whether a reason says that the request met a router or server that could not take it, and
-/// that it has not run.
-fn is_routing(reason: RefusalReason) -> bool {
-    matches!(
-        reason,
-        RefusalReason::NotReady
-            | RefusalReason::NoHome
-            | RefusalReason::HomeUnreachable
-            | RefusalReason::NotHome
-            | RefusalReason::NoAuthority
-            | RefusalReason::ServerLost
-            | RefusalReason::ServerUnreachable
-            | RefusalReason::Moving
-            | RefusalReason::Fenced
-            | RefusalReason::NoGrant
-    )
+/// Counts the bytes of a try, if its home is in another region. Returns those that crossed.
+fn count_bytes(
+    cx: &Context,
+    home: &Home,
+    target: &RouterId,
+    req: &Request,
+    answer: &Answer,
+) -> u64 {
+    let whole = cx.deployment.load();
+    let (Some(whole), Some(member)) = (whole.as_ref(), cx.members.get(target)) else {
+        return 0;
+    };
+    let own = whole.region_of(&cx.settings.data_centre);
+    let (Some(own), Some(other)) = (own, whole.region_of(&member.data_centre)) else {
+        return 0;
+    };
+    let size = |body: usize| u64::try_from(body + FRAME_BYTES).unwrap_or(u64::MAX);
+    let sent = home.count_bytes(&req.shard, own, other, size(req.body.len()));
+    sent + home.count_bytes(&req.shard, other, own, size(answer.body.len()))
 }
 
 fn unreachable_home(home: &RouterId) -> Answer {
@@ -106,7 +163,7 @@
     let now = cx.now();
     let left = req.deadline.since(now);
     let mut call = tonic::Request::new(convert::request_to_wire(req, now));
-    call.set_timeout(left);
+    call.set_timeout(left + HOME_SLACK);
     let reply = cx.peers.router(address).forward(call).await;
     match reply {
         Ok(reply) => read_reply(reply.into_inner(), req),
--- /dev/null
+++ b/crates/carawayrill-router/src/entry/retries.rs
@@ -0,0 +1,69 @@
+//! Retries of one router as entry: the budget of each service, and the waits.
+
+use std::collections::HashMap;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use carawayrill_core::answer::retry;
+use carawayrill_core::answer::retry::Backoff;
+use carawayrill_core::answer::retry::FailedTry;
+use carawayrill_core::answer::retry::RetryBudget;
+use carawayrill_core::answer::retry::RetryDecision;
+use carawayrill_core::id::Incarnation;
+use carawayrill_core::id::ServiceId;
+use carawayrill_core::time::Time;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+#[derive(Debug)]
+struct State {
+    budgets: HashMap<ServiceId, RetryBudget>,
+    rng: ChaCha8Rng,
+}
+
+/// The retries of one router.
+#[derive(Debug)]
+pub struct Retries {
+    backoff: Backoff,
+    state: Mutex<State>,
+}
+
+impl Retries {
+    /// Makes full budgets. The run of the router seeds the waits, so that two routers wait for
+    /// different times.
+    #[must_use]
+    pub fn new(incarnation: Incarnation) -> Self {
+        let state = State {
+            budgets: HashMap::new(),
+            rng: ChaCha8Rng::seed_from_u64(incarnation.0),
+        };
+        Self {
+            backoff: Backoff::default(),
+            state: Mutex::new(state),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes in that a request is tried for the first time.
+    pub fn first_try(&self, service: &ServiceId) {
+        let mut state = self.lock();
+        if let Some(budget) = state.budgets.get_mut(service) {
+            budget.first_try();
+        } else {
+            let budget = RetryBudget::default();
+            state.budgets.insert(service.clone(), budget);
+        }
+    }
+
+    /// Decides about a failed try.
+    pub fn decide(&self, service: &ServiceId, failed: &FailedTry, now: Time) -> RetryDecision {
+        let mut state = self.lock();
+        let State { budgets, rng } = &mut *state;
+        let budget = budgets.entry(service.clone()).or_default();
+        retry::decide(failed, now, &self.backoff, budget, rng)
+    }
+}
--- a/crates/carawayrill-router/src/home/control.rs
+++ b/crates/carawayrill-router/src/home/control.rs
@@ -18,10 +18,13 @@
 use carawayrill_config::deployment::Service;
 use carawayrill_config::deployment::Timing;
 use carawayrill_core::assignment::Block;
+use carawayrill_core::id::Incarnation;
 use carawayrill_core::id::RouterId;
 use carawayrill_core::id::ServerId;
 use carawayrill_core::id::ShardId;
 use carawayrill_core::id::Version;
+use carawayrill_core::order::LoadReport;
+use carawayrill_core::order::OrderReply;
 use carawayrill_core::ownership::evidence::Run;
 use carawayrill_core::ownership::home::Action;
 use carawayrill_core::ownership::home::Denial;
@@ -32,7 +35,6 @@
 use carawayrill_core::ownership::limits::Policy;
 use carawayrill_core::time::Time;
 use carawayrill_core::time::millis;
-use carawayrill_proto::wire;
 use carawayrill_store::port::ServerControl;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
@@ -56,6 +58,7 @@
     asks: Mutex<HashMap<u64, oneshot::Sender<Reply>>>,
     next_ask: AtomicU64,
     watched: Mutex<Watched>,
+    runs: Mutex<HashMap<ServerId, ServerRun>>,
 }
 
 /// What the table answered to a question of another process.
@@ -65,6 +68,19 @@
     Standing(Vec<carawayrill_core::ownership::evidence::Standing>),
 }
 
+/// What a server said of itself last.
+#[derive(Debug, Clone)]
+pub struct ServerRun {
+    /// The server.
+    pub server: ServerId,
+    /// Its run.
+    pub incarnation: Incarnation,
+    /// Its own report of its load.
+    pub load: LoadReport,
+    /// When the report came.
+    pub at: Time,
+}
+
 /// What follows from the assignments for this router's own probes.
 #[derive(Debug, Default)]
 struct Watched {
@@ -91,6 +107,7 @@
             asks: Mutex::default(),
             next_ask: AtomicU64::new(0),
             watched: Mutex::default(),
+            runs: Mutex::default(),
         }
     }
 
@@ -269,10 +286,21 @@
         reply.ok()?.ok()
     }
 
-    /// Tells what is seen of the servers whose home this is.
+    /// Notes what a server says of itself in an answer to orders.
+    pub(crate) fn note_run(&self, now: Time, reply: &OrderReply) {
+        let run = ServerRun {
+            server: reply.server.clone(),
+            incarnation: reply.incarnation,
+            load: reply.load,
+            at: now,
+        };
+        lock(&self.runs).insert(reply.server.clone(), run);
+    }
+
+    /// Returns what the servers said of themselves last.
     #[must_use]
-    pub fn servers_seen(&self) -> Vec<wire::ServerSeen> {
-        Vec::new()
+    pub fn runs(&self) -> Vec<ServerRun> {
+        lock(&self.runs).values().cloned().collect()
     }
 
     /// Tells whether this router is the home of nothing, by the stored assignments.
--- a/crates/carawayrill-router/src/home/mod.rs
+++ b/crates/carawayrill-router/src/home/mod.rs
@@ -3,7 +3,6 @@
 pub mod control;
 pub mod flights;
 pub mod perform;
-pub mod send;
 pub mod serve;
 
 pub use crate::home::serve::Home;
--- a/crates/carawayrill-router/src/home/perform.rs
+++ b/crates/carawayrill-router/src/home/perform.rs
@@ -66,11 +66,14 @@
             .order(address, orders.clone(), ORDER_TIMEOUT)
             .await
         {
-            Ok(reply) if reply.server == server => Input::OrderReply {
-                sent,
-                orders,
-                reply,
-            },
+            Ok(reply) if reply.server == server => {
+                self.note_run(cx.now(), &reply);
+                Input::OrderReply {
+                    sent,
+                    orders,
+                    reply,
+                }
+            }
             Ok(reply) => {
                 log::error!("{server} at {address} answers as {}", reply.server);
                 Input::OrderFailed { server, sent }
--- /dev/null
+++ b/crates/carawayrill-router/src/home/serve/exchange.rs
@@ -0,0 +1,217 @@
+//! One exchange with a server, direct or through the server's own home.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use carawayrill_core::answer::refusal::RefusalReason;
+use carawayrill_core::answer::refusal::ServerRefusal;
+use carawayrill_core::answer::reply::Answer;
+use carawayrill_core::id::ServerId;
+use carawayrill_core::outcome::Outcome;
+use carawayrill_core::time::millis;
+use carawayrill_core::token::Token;
+use http::HeaderMap;
+use http::Method;
+use http::StatusCode;
+use reqwest::redirect::Policy;
+
+use crate::headers;
+use crate::home::serve::convert;
+use crate::message;
+use crate::message::Request;
+
+/// The header that a server sets on a request that it has not run.
+const REFUSED_HEADER: &str = "x-carawayrill-refused";
+/// The header that names a request.
+const REQUEST_HEADER: &str = "x-carawayrill-request";
+/// The longest answer of a server, in bytes.
+const MAX_ANSWER_BYTES: usize = 64 << 20;
+/// How long opening a connection to a server may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long after its deadline an answer is still read: the caller has its final answer then, and
+/// a claim may still learn the first answer.
+const LATE_ANSWER: Duration = Duration::from_secs(2);
+
+/// Where a request goes, and under which authority.
+#[derive(Debug, Clone)]
+pub struct Target {
+    /// The server.
+    pub server: ServerId,
+    /// Its address.
+    pub address: SocketAddr,
+    /// The token of its grant.
+    pub token: Token,
+}
+
+/// How an exchange ended.
+#[derive(Debug)]
+pub enum Exchange {
+    /// The server's whole answer, and the time that it took.
+    Answered(Answer, Duration),
+    /// The server says that it has not run the request.
+    Refused(ServerRefusal),
+    /// Nothing was written to the server.
+    NotWritten(RefusalReason),
+    /// The request may have run.
+    Lost(RefusalReason),
+}
+
+/// Makes the client for requests to servers.
+///
+/// It follows no redirects and takes no proxy: a request goes to the owner of its key, once.
+///
+/// # Errors
+///
+/// Fails if the HTTP library can't be set up.
+pub fn client() -> Result<reqwest::Client, reqwest::Error> {
+    reqwest::Client::builder()
+        .redirect(Policy::none())
+        .retry(reqwest::retry::never())
+        .no_proxy()
+        .tcp_nodelay(true)
+        .connect_timeout(CONNECT_TIMEOUT)
+        .build()
+}
+
+/// Sends a request to a server and reads its whole answer.
+pub async fn send(
+    client: &reqwest::Client,
+    target: &Target,
+    req: &Request,
+    left: Duration,
+) -> Exchange {
+    let started = Instant::now();
+    let call = call(client, target, req, left);
+    match call.send().await {
+        Ok(response) => read(response, target, req, started).await,
+        Err(err) => read_failure(&err),
+    }
+}
+
+fn call(
+    client: &reqwest::Client,
+    target: &Target,
+    req: &Request,
+    left: Duration,
+) -> reqwest::RequestBuilder {
+    let url = format!("http://{}{}", target.address, req.path_and_query);
+    let call = client
+        .request(req.method.clone(), url)
+        .headers(req.headers.clone())
+        .header(REQUEST_HEADER, req.id.as_str())
+        .header("x-carawayrill-service", req.service.as_str())
+        .header("x-carawayrill-shard", req.shard.to_string())
+        .header("x-carawayrill-token", target.token.to_string())
+        .header("x-carawayrill-deadline-ms", millis(left))
+        .timeout(left + LATE_ANSWER)
+        .body(req.body.clone());
+    match &req.idempotency_key {
+        Some(key) => call.header("idempotency-key", key.as_str()),
+        None => call,
+    }
+}
+
+async fn read(
+    response: reqwest::Response,
+    target: &Target,
+    req: &Request,
+    started: Instant,
+) -> Exchange {
+    let status = response.status();
+    let headers = response.headers().clone();
+    if !names(&headers, req) {
+        log::warn!("{} answered another request than {}", target.server, req.id);
+        return Exchange::Lost(RefusalReason::AnswerLost);
+    }
+    if let Some(word) = refused(&headers) {
+        return Exchange::Refused(word);
+    }
+    if !has_end(status, &headers, &req.method) {
+        return Exchange::Lost(RefusalReason::AnswerBrokenOff);
+    }
+    match read_body(response).await {
+        Ok(body) => {
+            let answer = Answer {
+                status: status.as_u16(),
+                headers: convert::headers_to_core(&headers::end_to_end(&headers)),
+                body,
+                server: target.server.clone(),
+                token: target.token,
+            };
+            Exchange::Answered(answer, started.elapsed())
+        }
+        Err(reason) => Exchange::Lost(reason),
+    }
+}
+
+/// Returns whether an answer is for this request.
+fn names(headers: &HeaderMap, req: &Request) -> bool {
+    let named = headers.get(REQUEST_HEADER);
+    named.is_some_and(|id| id.as_bytes() == req.id.as_str().as_bytes())
+}
+
+/// Returns the server's statement that it has not run the request, if it made one.
+fn refused(headers: &HeaderMap) -> Option<ServerRefusal> {
+    headers.get(REFUSED_HEADER)?.to_str().ok()?.parse().ok()
+}
+
+/// Returns whether the end of the body can be told from a broken connection: it has a length, is
+/// sent in chunks, or there is none.
+fn has_end(status: StatusCode, headers: &HeaderMap, method: &Method) -> bool {
+    let bare = matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+    bare || *method == Method::HEAD
+        || headers.contains_key(http::header::CONTENT_LENGTH)
+        || headers.contains_key(http::header::TRANSFER_ENCODING)
+}
+
+/// Tells what a failed exchange means. Only a connection that never opened proves that the server
+/// has not seen the request.
+fn read_failure(err: &reqwest::Error) -> Exchange {
+    log::debug!("exchange with a server: {err}");
+    if err.is_connect() || err.is_builder() {
+        return Exchange::NotWritten(RefusalReason::ServerUnreachable);
+    }
+    Exchange::Lost(RefusalReason::AnswerLost)
+}
+
+/// Reads a whole body. A body that ends before its announced end is an error, never a short body.
+async fn read_body(mut response: reqwest::Response) -> Result<Bytes, RefusalReason> {
+    let mut body = BytesMut::new();
+    loop {
+        let chunk = response.chunk().await;
+        let chunk = chunk.map_err(|err| {
+            log::debug!("answer of a server: {err}");
+            RefusalReason::AnswerBrokenOff
+        })?;
+        let Some(chunk) = chunk else {
+            return Ok(body.freeze());
+        };
+        if body.len() + chunk.len() > MAX_ANSWER_BYTES {
+            return Err(RefusalReason::AnswerTooLarge);
+        }
+        body.extend_from_slice(&chunk);
+    }
+}
+
+/// Reads the answer of the server's own home to a request that was passed on to it.
+pub fn read_passed_on(answer: message::Answer, target: &Target, took: Duration) -> Exchange {
+    match (answer.outcome, answer.reason) {
+        (Outcome::Done, _) => {
+            let answer = Answer {
+                status: answer.status,
+                headers: convert::headers_to_core(&answer.headers),
+                body: answer.body,
+                server: target.server.clone(),
+                token: target.token,
+            };
+            Exchange::Answered(answer, took)
+        }
+        (Outcome::NotRun, reason) => {
+            Exchange::NotWritten(reason.unwrap_or(RefusalReason::ServerUnreachable))
+        }
+        (Outcome::Unknown, reason) => Exchange::Lost(reason.unwrap_or(RefusalReason::HomeLost)),
+    }
+}
--- /dev/null
+++ b/crates/carawayrill-router/src/home/serve/route.rs
@@ -0,0 +1,46 @@
+//! Where a request goes from its home.
+
+use carawayrill_core::id::RouterId;
+use carawayrill_core::id::ServerId;
+use carawayrill_core::ownership::home::Permit;
+use carawayrill_core::token::Token;
+
+use crate::message::OnBehalf;
+
+/// The authority under which a request reached the desk.
+#[derive(Debug, Clone)]
+pub enum Route {
+    /// This router is the home of the request's shard.
+    Home(Permit),
+    /// Another home has activated a server of this router and sends under its own token.
+    OnBehalf(OnBehalf),
+}
+
+impl Route {
+    /// Returns the server that the request goes to.
+    #[must_use]
+    pub fn server(&self) -> &ServerId {
+        match self {
+            Self::Home(permit) => &permit.server,
+            Self::OnBehalf(on) => &on.server,
+        }
+    }
+
+    /// Returns the token that it is sent under.
+    #[must_use]
+    pub fn token(&self) -> Token {
+        match self {
+            Self::Home(permit) => permit.token,
+            Self::OnBehalf(on) => on.token,
+        }
+    }
+
+    /// Returns the router that has to send, if it is another one.
+    #[must_use]
+    pub fn via(&self) -> Option<&RouterId> {
+        match self {
+            Self::Home(permit) => permit.via.as_ref(),
+            Self::OnBehalf(_) => None,
+        }
+    }
+}
--- a/crates/carawayrill-router/src/peer/service.rs
+++ b/crates/carawayrill-router/src/peer/service.rs
@@ -82,7 +82,7 @@
     ) -> Result<Response<wire::CancelReply>, Status> {
         let wire = request.into_inner();
         convert::observe(wire.stamp);
-        self.home.cancel(&wire.request_id);
+        self.home.cancel(&self.cx, &wire.request_id);
         Ok(Response::new(wire::CancelReply {}))
     }
 
@@ -92,11 +92,7 @@
     ) -> Result<Response<wire::MirrorReply>, Status> {
         let wire = request.into_inner();
         convert::observe(wire.stamp);
-        let kept = self.home.keep_mirror(&self.cx, wire);
-        Ok(Response::new(wire::MirrorReply {
-            kept,
-            incarnation: self.cx.incarnation.0,
-        }))
+        Ok(Response::new(self.home.keep_mirror(&self.cx, wire)))
     }
 
     async fn heartbeat(
@@ -175,12 +171,15 @@
         let limit = Duration::from_millis(wire.drain_ms) + ANSWER_SLACK;
         let ask = |ask| Input::Release { ask, rows };
         match self.home.control().ask(&self.cx, limit, ask).await {
-            Some(Reply::Released(rows)) => Ok(Response::new(wire::ReleaseReply {
-                stamp: convert::stamp(),
-                released: authority::released_to_wire(rows),
-                router: self.cx.settings.router.to_string(),
-                incarnation: self.cx.incarnation.0,
-            })),
+            Some(Reply::Released(rows)) => {
+                self.home.hand_over(&self.cx, &rows).await;
+                Ok(Response::new(wire::ReleaseReply {
+                    stamp: convert::stamp(),
+                    released: authority::released_to_wire(rows),
+                    router: self.cx.settings.router.to_string(),
+                    incarnation: self.cx.incarnation.0,
+                }))
+            }
             _ => Err(Status::deadline_exceeded("requests are still in flight")),
         }
     }
--- a/crates/carawayrill-router/src/run.rs
+++ b/crates/carawayrill-router/src/run.rs
@@ -63,7 +63,8 @@
     ));
     let versions = Arc::new(VersionReader::default());
     let control = Arc::new(Control::new(Arc::new(servers), Arc::clone(&versions)));
-    let home = Arc::new(Home::new(control));
+    let home = Home::new(control).map_err(|err| Error::serve(err.to_string()))?;
+    let home = Arc::new(home);
     let beats = Arc::new(HeartbeatTable::default());
     let service = PeerService::new(
         Arc::clone(&cx),
@@ -161,6 +162,7 @@
     ));
     tokio::spawn(relay::report(Arc::clone(cx), Arc::clone(beats)));
     tokio::spawn(Arc::clone(home.control()).run(Arc::clone(cx)));
+    tokio::spawn(Arc::clone(home.desk()).run(Arc::clone(cx)));
     tokio::spawn(Arc::clone(home.control()).probe_homes(Arc::clone(cx)));
 }
 
