Add experiments on the real processes

Losses with and without the store, a frozen server, a rolling restart, duplicates under kills, goodput and latency. Ports are taken from below the range of outgoing connections, since a router that starts again has to find its port free.

--- a/crates/carawayrill-testkit/src/bin/carawayrill-load.rs
+++ b/crates/carawayrill-testkit/src/bin/carawayrill-load.rs
@@ -94,6 +94,7 @@
         |(count, exponent, hot, share, change_every)| KeyPattern {
             count,
             exponent,
+            names: Vec::new(),
             hot: (hot > 0).then_some(HotKeys {
                 count: hot,
                 share,
--- a/crates/carawayrill-testkit/src/fleet/mod.rs
+++ b/crates/carawayrill-testkit/src/fleet/mod.rs
@@ -4,12 +4,12 @@
 //! its event lines to a file of its own in the fleet's folder. Processes are ended by their own id
 //! only, and whatever still runs is ended when the [`Fleet`] is dropped.
 
+pub mod ports;
 pub mod process;
 
 use std::collections::BTreeMap;
 use std::fs;
 use std::net::SocketAddr;
-use std::net::TcpListener;
 use std::path::Path;
 use std::path::PathBuf;
 use std::time::Duration;
@@ -17,6 +17,7 @@
 use carawayrill_config::deployment::Deployment;
 use carawayrill_core::id::DataCentreId;
 
+pub use crate::fleet::ports::free_address;
 use crate::fleet::process::Process;
 
 /// An error in starting or steering processes.
@@ -90,16 +91,6 @@
     processes: BTreeMap<String, Process>,
 }
 
-/// Picks a free loopback port. Another process may take it before it is used; the start then
-/// fails with a clear error.
-///
-/// # Errors
-///
-/// Fails if there is no free port.
-pub fn free_address() -> Result<SocketAddr, Error> {
-    Ok(TcpListener::bind("127.0.0.1:0")?.local_addr()?)
-}
-
 impl Fleet {
     /// Starts the stand-ins, routers and controllers for a deployment. Files go to `dir`, which is
     /// made if it is missing.
--- a/crates/carawayrill-testkit/src/fleet/process.rs
+++ b/crates/carawayrill-testkit/src/fleet/process.rs
@@ -132,6 +132,18 @@
         Ok(())
     }
 
+    /// Tells whether it has ended by itself.
+    ///
+    /// # Errors
+    ///
+    /// Fails if its state can't be read.
+    pub fn has_ended(&mut self) -> Result<bool, Error> {
+        match &mut self.child {
+            Some(child) => Ok(child.try_wait()?.is_some()),
+            None => Ok(true),
+        }
+    }
+
     /// Waits until it has ended by itself.
     ///
     /// # Errors
--- a/crates/carawayrill-testkit/src/lib.rs
+++ b/crates/carawayrill-testkit/src/lib.rs
@@ -18,11 +18,12 @@
 //! # });
 //! ```
 
+pub mod bench;
 pub mod connections;
-mod error;
-pub mod load;
 pub mod demo;
+mod error;
 pub mod fleet;
+pub mod load;
 pub mod process;
 pub mod serve;
 pub mod server;
--- a/crates/carawayrill-testkit/src/load/keys.rs
+++ b/crates/carawayrill-testkit/src/load/keys.rs
@@ -14,6 +14,8 @@
     pub count: u32,
     /// The exponent of a Zipf distribution; 0 is uniform.
     pub exponent: f64,
+    /// The keys by name; without any, they are named `key-0` and so on.
+    pub names: Vec<CompactString>,
     /// Hot keys besides, if any.
     pub hot: Option<HotKeys>,
 }
@@ -30,12 +32,37 @@
 }
 
 impl KeyPattern {
+    /// Spreads requests evenly over the keys `names`.
+    #[must_use]
+    pub fn named(names: Vec<CompactString>) -> Self {
+        Self {
+            names,
+            ..Self::uniform(0)
+        }
+    }
+
+    /// Returns how many keys there are.
+    #[must_use]
+    pub fn len(&self) -> u32 {
+        if self.names.is_empty() {
+            return self.count;
+        }
+        u32::try_from(self.names.len()).unwrap_or(u32::MAX)
+    }
+
+    /// Tells whether there is no key.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
     /// Spreads requests evenly over `count` keys.
     #[must_use]
     pub fn uniform(count: u32) -> Self {
         Self {
             count,
             exponent: 0.0,
+            names: Vec::new(),
             hot: None,
         }
     }
@@ -54,7 +81,7 @@
     #[must_use]
     pub fn new(pattern: KeyPattern) -> Self {
         let mut sum = 0.0;
-        let weights = (1..=pattern.count).map(|rank| f64::from(rank).powf(-pattern.exponent));
+        let weights = (1..=pattern.len()).map(|rank| f64::from(rank).powf(-pattern.exponent));
         let sums = weights
             .map(|weight| {
                 sum += weight;
@@ -76,6 +103,9 @@
         let total = self.sums.last().copied().unwrap_or_default();
         let point = rng.random::<f64>() * total;
         let rank = self.sums.partition_point(|sum| *sum <= point);
-        format_compact!("key-{rank}")
+        match self.pattern.names.get(rank) {
+            Some(name) => name.clone(),
+            None => format_compact!("key-{rank}"),
+        }
     }
 }
--- a/crates/carawayrill-testkit/src/load/settings.rs
+++ b/crates/carawayrill-testkit/src/load/settings.rs
@@ -124,7 +124,7 @@
                 "a run has up to 5,000,000 requests",
             ),
             (self.attempts > 0, "each request is sent at least once"),
-            (self.keys.count > 0, "at least one key is needed"),
+            (!self.keys.is_empty(), "at least one key is needed"),
         ];
         match rules.iter().find(|(holds, _)| !holds) {
             Some((_, expected)) => Err(Error::settings(*expected)),
--- a/crates/carawayrill-testkit/tests/load.rs
+++ b/crates/carawayrill-testkit/tests/load.rs
@@ -126,6 +126,7 @@
     settings.keys = KeyPattern {
         count: 100,
         exponent: 1.0,
+        names: Vec::new(),
         hot: Some(HotKeys {
             count: 2,
             share: 0.3,
