--- a/crates/carawayrill-testkit/src/bench/running.rs
+++ b/crates/carawayrill-testkit/src/bench/running.rs
@@ -4,16 +4,23 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::path::PathBuf;
-use std::process::Command;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
+use async_trait::async_trait;
+use carawayrill_config::Parts;
+use carawayrill_config::accept;
+use carawayrill_config::accept::Edit;
+use carawayrill_config::accept::Pause;
 use carawayrill_config::deployment::Deployment;
 use carawayrill_core::assignment::Assignment;
+use carawayrill_core::id::Generation;
 use carawayrill_core::id::KeyHash;
 use carawayrill_core::id::ServiceId;
 use carawayrill_core::route::RouteTable;
+use carawayrill_store::http_store::HttpStore;
+use carawayrill_telemetry::wall_now;
 use compact_str::CompactString;
 use compact_str::format_compact;
 
@@ -25,7 +32,6 @@
 use crate::fleet::Fleet;
 use crate::fleet::FleetConfig;
 use crate::fleet::RouterPlace;
-use crate::fleet::process;
 use crate::load::check;
 use crate::server::records::Run;
 
@@ -36,6 +42,17 @@
 /// Keys that are tried when one with a certain property is sought.
 const KEYS_TRIED: u32 = 100_000;
 
+/// Gives an edit up at the first failure: the store of a new bench has none.
+#[derive(Debug)]
+struct NoRepeat;
+
+#[async_trait]
+impl Pause for NoRepeat {
+    async fn pause(&self, _attempt: u32) -> bool {
+        false
+    }
+}
+
 /// A running deployment.
 #[derive(Debug)]
 pub struct Bench {
@@ -77,19 +94,14 @@
     /// Puts the deployment's configuration in force.
     async fn apply(&self) -> Result<(), Error> {
         state::wait_store(self.fleet.store(), START_LIMIT).await?;
-        let output = Command::new(process::binary("carawayrill")?)
-            .args([
-                "apply",
-                "--store",
-                &format!("http://{}", self.fleet.store()),
-            ])
-            .arg(self.dir.join("deployment"))
-            .output()?;
-        if output.status.success() {
-            return Ok(());
-        }
-        let said = String::from_utf8_lossy(&output.stderr).into_owned();
-        Err(format!("apply ended with {}: {said}", output.status).into())
+        let store = HttpStore::new(self.fleet.store())?;
+        let edit = Edit {
+            from: Generation(0),
+            parts: Parts::read(&self.dir.join("deployment"))?,
+            by: "bench".into(),
+        };
+        accept::propose(&store, &edit, wall_now(), &NoRepeat).await?;
+        Ok(())
     }
 
     /// Waits until every shard has an owner and a key of each is answered.
