--- a/crates/carawayrill-core/src/placement/balance.rs
+++ b/crates/carawayrill-core/src/placement/balance.rs
@@ -128,12 +128,20 @@
                 .count();
             steps.extend(found);
         }
-        for step in &steps {
+        let moving = steps
+            .iter()
+            .filter(|step| !matches!(step, Step::Merge { .. }));
+        for step in moving {
             self.moved.insert(step.shard().clone(), now);
         }
         steps
     }
 
+    /// Notes that a shard was moved or split out at `now`, also if another balancer decided that.
+    pub fn note_moved(&mut self, now: Time, shard: &ShardId) {
+        self.moved.insert(shard.clone(), now);
+    }
+
     /// Tells whether a shard was moved too lately to be moved again.
     pub(crate) fn rests(&self, shard: &ShardId, now: Time) -> bool {
         self.moved
