Deal shards to servers in a row

Dealt in turn, the shards of each stored block had their homes in every data centre, and each data centre's relay had to check the versions of all blocks. Dealt in a row by region and data centre, a block touches one or two.

--- a/crates/carawayrill-core/src/placement/initial.rs
+++ b/crates/carawayrill-core/src/placement/initial.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::collections::VecDeque;
 
 use super::homes::Homes;
 use super::rows::Degraded;
@@ -35,6 +36,10 @@
 ///
 /// Shards are spread over the servers of their service in relation to the servers' weights, and
 /// homes over the routers. What is in force stays as it is and counts.
+///
+/// Each server gets shards that follow each other in `shards`, and so do the servers of one data
+/// centre. The shards of one stored block thus have their homes in few data centres, each of
+/// which has to check the versions of few blocks.
 #[must_use]
 pub fn initial(fleet: &Fleet, shards: &[ShardId], current: &[Placed]) -> Plan {
     let fleet = &fleet.sorted();
@@ -47,9 +52,16 @@
     }
     let mut owners = Owners::new(fleet, &homes, current);
     let taken: BTreeSet<&ShardId> = current.iter().map(|row| &row.shard).collect();
+    let open: Vec<&ShardId> = shards
+        .iter()
+        .filter(|shard| !taken.contains(shard))
+        .collect();
+    let mut dealt = deal(fleet, &mut owners, &open);
     let mut plan = Plan::default();
-    for shard in shards.iter().filter(|shard| !taken.contains(shard)) {
-        match place(fleet, &homes, &mut owners, &mut standbys, shard) {
+    for shard in open {
+        let queue = dealt.get_mut(&shard.service);
+        let owner = queue.and_then(VecDeque::pop_front);
+        match owner.and_then(|owner| place(&homes, &mut standbys, owner, shard)) {
             Some(placed) => plan.push(fleet, placed),
             None => plan.open.push(shard.clone()),
         }
@@ -57,16 +69,33 @@
     plan
 }
 
-/// Places one shard.
+/// Lists the owners of each service's open shards: as many shards a server as its load allows, and
+/// the servers by region, data centre and name.
+fn deal<'a>(
+    fleet: &'a Fleet,
+    owners: &mut Owners<'_>,
+    open: &[&'a ShardId],
+) -> BTreeMap<&'a ServiceId, VecDeque<&'a ServerRow>> {
+    let mut dealt: BTreeMap<&ServiceId, Vec<&ServerRow>> = BTreeMap::new();
+    for shard in open {
+        let owner = owners.take(&shard.service);
+        let row = owner.and_then(|owner| fleet.find_server(&owner));
+        dealt.entry(&shard.service).or_default().extend(row);
+    }
+    let sorted = dealt.into_iter().map(|(service, mut rows)| {
+        rows.sort_by_key(|row| (&row.region, &row.data_centre, &row.id));
+        (service, rows.into())
+    });
+    sorted.collect()
+}
+
+/// Places one shard on a server.
 fn place(
-    fleet: &Fleet,
     homes: &Homes,
-    owners: &mut Owners<'_>,
     standbys: &mut Standbys<'_>,
+    owner: &ServerRow,
     shard: &ShardId,
 ) -> Option<Placed> {
-    let owner = owners.take(&shard.service)?;
-    let owner = fleet.find_server(&owner)?;
     let pair = homes.pair(&owner.id)?;
     Some(Placed {
         shard: shard.clone(),
--- a/crates/carawayrill-core/tests/placement_initial.rs
+++ b/crates/carawayrill-core/tests/placement_initial.rs
@@ -123,6 +123,18 @@
 proptest! {
     #![proptest_config(ProptestConfig { rng_seed: prop::test_runner::RngSeed::Fixed(6), ..ProptestConfig::with_cases(200) })]
 
+    /// A block that is shorter than a data centre's share of the shards touches at most two of them.
+    #[test]
+    fn blocks_touch_few_data_centres(servers in 1_u32..4, routers in 1_u32..3) {
+        let fleet = fleet(2, 3, servers, routers);
+        let plan = initial(&fleet, &shards(6 * 32), &[]);
+        for block in plan.placed.chunks(24) {
+            let owner = |row: &Placed| fleet.server(&row.owner).unwrap().data_centre.clone();
+            let centres: BTreeSet<_> = block.iter().map(owner).collect();
+            prop_assert!(centres.len() <= 2);
+        }
+    }
+
     /// Three data centres a region suffice for all of rule 1; shards, homes and standby servers
     /// are even; the order of the rows does not matter; a second call adds nothing.
     #[test]
