--- a/crates/carawayrill/src/cli.rs
+++ b/crates/carawayrill/src/cli.rs
@@ -134,7 +134,7 @@
 }
 
 /// Writes help or what is wrong with the arguments, and returns the exit code.
-pub fn end(told: ParseFailure) -> ExitCode {
+pub fn end(told: &ParseFailure) -> ExitCode {
     told.print_message(MESSAGE_WIDTH);
     match told {
         ParseFailure::Stdout(..) | ParseFailure::Completion(..) => ExitCode::SUCCESS,
--- a/crates/carawayrill/src/main.rs
+++ b/crates/carawayrill/src/main.rs
@@ -31,7 +31,7 @@
 async fn main() -> ExitCode {
     let command = match cli::options().run_inner(bpaf::Args::current_args()) {
         Ok(command) => command,
-        Err(told) => return cli::end(told),
+        Err(told) => return cli::end(&told),
     };
     match run(command).await {
         Ok(code) => code,
