--- a/crates/carawayrill-testkit/src/bench/duplicates.rs
+++ b/crates/carawayrill-testkit/src/bench/duplicates.rs
@@ -12,6 +12,7 @@
 use crate::bench::loaded::Loading;
 use crate::bench::shape::Shape;
 use crate::fleet::Error;
+use crate::load::settings::MAX_TIME;
 
 /// Attempts of each request.
 const ATTEMPTS: u32 = 8;
@@ -20,8 +21,6 @@
 const DEADLINE: Duration = Duration::from_millis(500);
 /// How long one loss lasts before the next.
 const STEP: Duration = Duration::from_secs(3);
-/// The time after the last loss in which callers get their answers.
-const REST: Duration = Duration::from_secs(2);
 
 /// What was done and found.
 #[derive(Debug, Clone, PartialEq, Serialize)]
@@ -41,7 +40,7 @@
 pub async fn run(bench: &mut Bench, shape: &Shape, rate: f64) -> Result<DuplicatesReport, Error> {
     let mut settings = loaded::settings(bench, shape)?;
     settings.rate = rate;
-    settings.time = STEP * 7 + REST;
+    settings.time = MAX_TIME;
     settings.attempts = ATTEMPTS;
     settings.deadline = DEADLINE;
     settings.once_share = 1.0;
@@ -65,7 +64,8 @@
     let last = servers.last().unwrap_or(&servers[0]);
     bench.fleet.process(last)?.kill()?;
     steps.push(format!("killed {last}"));
-    let (load, _driven) = loading.finish(bench).await?;
+    loading.go_on(STEP).await;
+    let (load, _driven) = loading.stop(bench).await?;
     Ok(DuplicatesReport { steps, load })
 }
 
--- a/crates/carawayrill-testkit/src/bench/frozen.rs
+++ b/crates/carawayrill-testkit/src/bench/frozen.rs
@@ -13,6 +13,7 @@
 use crate::bench::probe;
 use crate::bench::shape::Shape;
 use crate::fleet::Error;
+use crate::load::settings::MAX_TIME;
 
 /// How long the load goes on before the freeze and after the return.
 const REST: Duration = Duration::from_secs(2);
@@ -20,8 +21,6 @@
 const ATTEMPTS: u32 = 10;
 /// The time limit of each attempt.
 const DEADLINE: Duration = Duration::from_secs(1);
-/// The planned time of the load; the freeze has to fit in.
-const LOAD_TIME: Duration = Duration::from_secs(15);
 
 /// What a freeze did.
 #[derive(Debug, Clone, PartialEq, Serialize)]
@@ -59,7 +58,7 @@
     let keys = bench.keys(|row| here(row.owner.as_str()), 1).await?;
     let mut settings = loaded::settings(bench, shape)?;
     settings.rate = rate;
-    settings.time = LOAD_TIME;
+    settings.time = MAX_TIME;
     settings.attempts = ATTEMPTS;
     settings.deadline = DEADLINE;
     settings.once_share = 1.0;
@@ -68,7 +67,8 @@
     bench.fleet.process(&frozen)?.freeze()?;
     let times = probe::all_answered(&bench.entries(), &keys, limit).await?;
     bench.fleet.process(&frozen)?.thaw()?;
-    let (load, _driven) = loading.finish(bench).await?;
+    loading.go_on(REST).await;
+    let (load, _driven) = loading.stop(bench).await?;
     Ok(FrozenReport {
         frozen,
         keys: times.len(),
--- a/crates/carawayrill-testkit/src/bench/loaded.rs
+++ b/crates/carawayrill-testkit/src/bench/loaded.rs
@@ -1,6 +1,9 @@
 //! Load on a bench while something happens to it.
 
 use std::fmt;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use serde::Serialize;
@@ -9,10 +12,10 @@
 use crate::bench::Bench;
 use crate::bench::shape::Shape;
 use crate::fleet::Error;
-use crate::load;
 use crate::load::Settings;
 use crate::load::check;
 use crate::load::check::Findings;
+use crate::load::drive;
 use crate::load::drive::Driven;
 use crate::load::settings::Target;
 use crate::load::summary;
@@ -48,6 +51,7 @@
 #[derive(Debug)]
 pub struct Loading {
     settings: Settings,
+    stop: Arc<AtomicBool>,
     task: JoinHandle<Result<Driven, crate::Error>>,
 }
 
@@ -56,9 +60,13 @@
     #[must_use]
     pub fn start(settings: Settings) -> Self {
         let own = settings.clone();
+        let stop: Arc<AtomicBool> = Arc::default();
+        let stopped = Arc::clone(&stop);
+        let task = tokio::spawn(async move { drive::drive_until(&own, stopped).await });
         Self {
             settings,
-            task: tokio::spawn(async move { load::drive(&own).await }),
+            stop,
+            task,
         }
     }
 
@@ -67,6 +75,16 @@
         tokio::time::sleep(span).await;
     }
 
+    /// Ends the load now, waits for all answers and checks them.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the load or the record failed.
+    pub async fn stop(self, bench: &Bench) -> Result<(LoadReport, Driven), Error> {
+        self.stop.store(true, Ordering::Relaxed);
+        self.finish(bench).await
+    }
+
     /// Waits for the end of the load and checks it against all runs on record.
     ///
     /// # Errors
--- a/crates/carawayrill-testkit/src/bench/rolling.rs
+++ b/crates/carawayrill-testkit/src/bench/rolling.rs
@@ -14,6 +14,7 @@
 use crate::fleet::Error;
 use crate::load::caller::Finished;
 use crate::load::caller::Told;
+use crate::load::settings::MAX_TIME;
 
 /// How long one router may take to stop, or to be ready again.
 const LIMIT: Duration = Duration::from_secs(30);
@@ -45,20 +46,15 @@
     }
 }
 
-/// Restarts all routers, one after the other, under a load of `rate` requests a second for `time`.
+/// Restarts all routers, one after the other, under a load of `rate` requests a second.
 ///
 /// # Errors
 ///
 /// Fails if a router does not stop or is not ready in time.
-pub async fn run(
-    bench: &mut Bench,
-    shape: &Shape,
-    rate: f64,
-    time: Duration,
-) -> Result<RollingReport, Error> {
+pub async fn run(bench: &mut Bench, shape: &Shape, rate: f64) -> Result<RollingReport, Error> {
     let mut settings = loaded::settings(bench, shape)?;
     settings.rate = rate;
-    settings.time = time;
+    settings.time = MAX_TIME;
     settings.attempts = ATTEMPTS;
     let loading = Loading::start(settings);
     let mut restarted = Vec::new();
@@ -72,7 +68,8 @@
         state::wait_ready(router.http, LIMIT).await?;
         restarted.push(router.name);
     }
-    let (load, driven) = loading.finish(bench).await?;
+    loading.go_on(PAUSE).await;
+    let (load, driven) = loading.stop(bench).await?;
     let failed: Vec<&Finished> = driven
         .finished
         .iter()
--- a/crates/carawayrill-testkit/src/bench/running.rs
+++ b/crates/carawayrill-testkit/src/bench/running.rs
@@ -77,16 +77,18 @@
         let cfg = cfg
             .server_option("--record-file")
             .server_option(runs.to_string_lossy());
-        let bench = Self {
+        let mut bench = Self {
             fleet: Fleet::start(&dir.join("fleet"), &deployment, cfg)?,
             deployment,
             shape: shape.clone(),
             dir: dir.to_owned(),
         };
         bench.apply().await?;
+        bench.fleet.check()?;
         for router in bench.fleet.routers() {
             state::wait_ready(router.http, START_LIMIT).await?;
         }
+        bench.fleet.check()?;
         bench.wait_answered().await?;
         Ok(bench)
     }
--- a/crates/carawayrill-testkit/src/bin/carawayrill-experiment.rs
+++ b/crates/carawayrill-testkit/src/bin/carawayrill-experiment.rs
@@ -117,7 +117,7 @@
     let time = Duration::from_secs_f64(args.seconds);
     let clean = match args.name.as_str() {
         "rolling" => {
-            let report = rolling::run(&mut bench, &shape, args.rate, time).await?;
+            let report = rolling::run(&mut bench, &shape, args.rate).await?;
             print(args, &report, report.is_clean())
         }
         "duplicates" => {
--- a/crates/carawayrill-testkit/src/fleet/mod.rs
+++ b/crates/carawayrill-testkit/src/fleet/mod.rs
@@ -258,6 +258,15 @@
             .ok_or_else(|| format!("no process `{name}`").into())
     }
 
+    /// Checks that all processes that were started and not ended here still run.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the last line of one that has ended by itself, as on an address that is taken.
+    pub fn check(&mut self) -> Result<(), Error> {
+        self.processes.values_mut().try_for_each(Process::check)
+    }
+
     /// Returns the files with the event lines of all processes.
     #[must_use]
     pub fn logs(&self) -> Vec<PathBuf> {
--- a/crates/carawayrill-testkit/src/fleet/process.rs
+++ b/crates/carawayrill-testkit/src/fleet/process.rs
@@ -1,6 +1,7 @@
 //! One process of a fleet.
 
 use std::env;
+use std::fs;
 use std::fs::File;
 use std::path::Path;
 use std::path::PathBuf;
@@ -132,6 +133,23 @@
         Ok(())
     }
 
+    /// Checks that it still runs.
+    ///
+    /// # Errors
+    ///
+    /// Fails with its last line if it has ended by itself.
+    pub fn check(&mut self) -> Result<(), Error> {
+        let Some(child) = &mut self.child else {
+            return Ok(());
+        };
+        let Some(status) = child.try_wait()? else {
+            return Ok(());
+        };
+        let text = fs::read_to_string(&self.log)?;
+        let last = text.lines().last().unwrap_or("it wrote nothing");
+        Err(format!("{} ended with {status}: {last}", self.name).into())
+    }
+
     /// Tells whether it has ended by itself.
     ///
     /// # Errors
--- a/crates/carawayrill-testkit/src/load/drive.rs
+++ b/crates/carawayrill-testkit/src/load/drive.rs
@@ -1,6 +1,8 @@
 //! Sends the requests of a plan at the moments at which they are due.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -23,8 +25,8 @@
     pub finished: Vec<Finished>,
     /// Requests that were due while too many were in flight, and were not sent.
     pub not_sent: u64,
-    /// From the start until the last answer.
-    pub took: Duration,
+    /// From the start until the last request was due.
+    pub sending: Duration,
 }
 
 /// Makes the HTTP client of all callers.
@@ -48,6 +50,15 @@
 ///
 /// Fails if the settings are out of range.
 pub async fn drive(settings: &Settings) -> Result<Driven, Error> {
+    drive_until(settings, Arc::default()).await
+}
+
+/// Makes the load until its time is over or `stop` is set, and waits for all answers.
+///
+/// # Errors
+///
+/// Fails if the settings are out of range.
+pub async fn drive_until(settings: &Settings, stop: Arc<AtomicBool>) -> Result<Driven, Error> {
     settings.check()?;
     let (tx, mut rx) = mpsc::unbounded_channel();
     let handle = Handle::current();
@@ -56,20 +67,20 @@
         settings: Arc::new(settings.clone()),
         room: Arc::new(Semaphore::new(settings.in_flight)),
         start: Instant::now(),
+        stop,
         tx,
     };
-    let start = dispatcher.start;
     // A thread of its own: the runtime's timers are a whole millisecond apart.
     let sent = std::thread::spawn(move || dispatcher.send_all(&handle));
     let mut finished = Vec::new();
     while let Some(one) = rx.recv().await {
         finished.push(one);
     }
-    let not_sent = sent.join().unwrap_or_default();
+    let (not_sent, sending) = sent.join().unwrap_or_default();
     Ok(Driven {
         finished,
         not_sent,
-        took: start.elapsed(),
+        sending,
     })
 }
 
@@ -80,19 +91,23 @@
     settings: Arc<Settings>,
     room: Arc<Semaphore>,
     start: Instant,
+    stop: Arc<AtomicBool>,
     tx: mpsc::UnboundedSender<Finished>,
 }
 
 impl Dispatcher {
-    /// Sends all requests and returns how many could not be sent.
-    fn send_all(self, handle: &Handle) -> u64 {
+    /// Sends all requests and returns how many could not be sent, and how long it went on.
+    fn send_all(self, handle: &Handle) -> (u64, Duration) {
         let mut not_sent = 0;
         for planned in Plan::new(&self.settings) {
+            if self.stop.load(Ordering::Relaxed) {
+                break;
+            }
             let due = self.start + planned.due;
             std::thread::sleep(due.saturating_duration_since(Instant::now()));
             not_sent += u64::from(!self.send(handle, planned, due));
         }
-        not_sent
+        (not_sent, self.start.elapsed())
     }
 
     /// Sends one request, if there is room.
--- a/crates/carawayrill-testkit/src/load/summary.rs
+++ b/crates/carawayrill-testkit/src/load/summary.rs
@@ -43,7 +43,7 @@
     pub not_sent: u64,
     /// Requests that were due each second.
     pub rate: f64,
-    /// Requests that were done each second of the planned time.
+    /// Requests that were done, for each second in which requests were sent.
     pub done_rate: f64,
     /// Requests by what their callers were told in the end.
     pub outcomes: BTreeMap<CompactString, u64>,
@@ -90,7 +90,7 @@
         sent: driven.finished.len(),
         not_sent: driven.not_sent,
         rate: settings.rate,
-        done_rate: done_count as f64 / settings.time.as_secs_f64(),
+        done_rate: done_count as f64 / driven.sending.as_secs_f64(),
         outcomes,
         statuses,
         repeated,
