--- a/crates/carawayrill-router/src/run.rs
+++ b/crates/carawayrill-router/src/run.rs
@@ -32,7 +32,7 @@
 use crate::peer::service::PeerService;
 use crate::relay;
 use crate::relay::HeartbeatTable;
-use crate::relay::VersionReader;
+use crate::versions::VersionReader;
 
 /// How often a planned stop looks whether all is done.
 const STOP_POLL: Duration = Duration::from_millis(20);
@@ -61,9 +61,10 @@
         Arc::new(store),
         metrics,
     ));
-    let versions = Arc::new(VersionReader::default());
+    let versions = Arc::new(VersionReader::new(Arc::clone(&cx.store), cx.clock));
     let control = Arc::new(Control::new(Arc::new(servers), Arc::clone(&versions)));
-    let home = Arc::new(Home::new(control));
+    let home = Home::new(control).map_err(|err| Error::serve(err.to_string()))?;
+    let home = Arc::new(home);
     let beats = Arc::new(HeartbeatTable::default());
     let service = PeerService::new(
         Arc::clone(&cx),
@@ -161,6 +162,7 @@
     ));
     tokio::spawn(relay::report(Arc::clone(cx), Arc::clone(beats)));
     tokio::spawn(Arc::clone(home.control()).run(Arc::clone(cx)));
+    tokio::spawn(Arc::clone(home.desk()).run(Arc::clone(cx)));
     tokio::spawn(Arc::clone(home.control()).probe_homes(Arc::clone(cx)));
 }
 
