--- a/crates/carawayrill-core/tests/ownership_random.rs
+++ b/crates/carawayrill-core/tests/ownership_random.rs
@@ -116,24 +116,94 @@
 
 #[test]
 fn explain() {
-    let Ok(seed) = std::env::var("EXPLAIN") else { return };
+    let Ok(seed) = std::env::var("EXPLAIN") else {
+        return;
+    };
     let seed = seed.parse().unwrap();
     let mut p = plan(seed);
-    if let Some((_, k, _)) = run(seed, setup(seed), &p) { p = shrink(seed, setup(seed), p, &k); }
+    if let Some((_, k, _)) = run(seed, setup(seed), &p) {
+        p = shrink(seed, setup(seed), p, &k);
+    }
     println!("{p:?}");
     let mut world = World::new(seed, setup(seed), &p);
     let mut t = 0;
-    let step: u64 = std::env::var("STEP").ok().and_then(|s| s.parse().ok()).unwrap_or(500);
+    let step: u64 = std::env::var("STEP")
+        .ok()
+        .and_then(|s| s.parse().ok())
+        .unwrap_or(500);
     while t < SERVED {
         t += step * MS;
-        if t == HEALED { world.run_until(t); world.heal(); } else { world.run_until(t); }
-        let served: Vec<bool> = world.shards.clone().iter().map(|s| world.is_served(s)).collect();
-        println!("== {} served {served:?} store v{}", t / MS, world.store.version);
-        for r in &world.store.block.rows { println!("   row {} {}/{:?} home {}#{} sh {:?}#{} {}", r.shard, r.owner, r.standby, r.home, r.home_run, r.standby_home, r.standby_home_run, r.token); }
-        for i in &world.store.block.intents { println!("   intent {} {}/{:?} home {}#{} sh {:?}#{} {} by {} at {}", i.next.shard, i.next.owner, i.next.standby, i.next.home, i.next.home_run, i.next.standby_home, i.next.standby_home_run, i.next.token, i.by, i.written); }
-        for n in &world.nodes { if let crate::world::node::Kind::Router(tb) = &n.kind { for s in &world.shards { println!("   {} up {} paused {} {s}: {:?}", n.name, n.up, n.paused_until > world.now, tb.permit(n.clock.local(world.now), s).map(|p| (p.server, p.token))); } } }
-        if std::env::var("DUMP").is_ok() { for n in &world.nodes { if let crate::world::node::Kind::Controller(c) = &n.kind { println!("{} {:#?}", n.name, c); } } 
-         for n in &world.nodes { if let crate::world::node::Kind::Router(c) = &n.kind { println!("{} {:#?}", n.name, c); } } }
+        if t == HEALED {
+            world.run_until(t);
+            world.heal();
+        } else {
+            world.run_until(t);
+        }
+        let served: Vec<bool> = world
+            .shards
+            .clone()
+            .iter()
+            .map(|s| world.is_served(s))
+            .collect();
+        println!(
+            "== {} served {served:?} store v{}",
+            t / MS,
+            world.store.version
+        );
+        for r in &world.store.block.rows {
+            println!(
+                "   row {} {}/{:?} home {}#{} sh {:?}#{} {}",
+                r.shard,
+                r.owner,
+                r.standby,
+                r.home,
+                r.home_run,
+                r.standby_home,
+                r.standby_home_run,
+                r.token
+            );
+        }
+        for i in &world.store.block.intents {
+            println!(
+                "   intent {} {}/{:?} home {}#{} sh {:?}#{} {} by {} at {}",
+                i.next.shard,
+                i.next.owner,
+                i.next.standby,
+                i.next.home,
+                i.next.home_run,
+                i.next.standby_home,
+                i.next.standby_home_run,
+                i.next.token,
+                i.by,
+                i.written
+            );
+        }
+        for n in &world.nodes {
+            if let crate::world::node::Kind::Router(tb) = &n.kind {
+                for s in &world.shards {
+                    println!(
+                        "   {} up {} paused {} {s}: {:?}",
+                        n.name,
+                        n.up,
+                        n.paused_until > world.now,
+                        tb.permit(n.clock.local(world.now), s)
+                            .map(|p| (p.server, p.token))
+                    );
+                }
+            }
+        }
+        if std::env::var("DUMP").is_ok() {
+            for n in &world.nodes {
+                if let crate::world::node::Kind::Controller(c) = &n.kind {
+                    println!("{} {:#?}", n.name, c);
+                }
+            }
+            for n in &world.nodes {
+                if let crate::world::node::Kind::Router(c) = &n.kind {
+                    println!("{} {:#?}", n.name, c);
+                }
+            }
+        }
     }
     println!("{:?} steps {}", world.checks.broken, world.steps);
 }
--- a/crates/carawayrill-testkit/src/demo/mod.rs
+++ b/crates/carawayrill-testkit/src/demo/mod.rs
@@ -7,17 +7,13 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use async_trait::async_trait;
 use carawayrill_config::Parts;
-use carawayrill_config::accept;
-use carawayrill_config::accept::Edit;
-use carawayrill_config::accept::Pause;
 use carawayrill_config::deployment::Deployment;
 use carawayrill_core::assignment::Assignment;
 use carawayrill_core::assignment::Block;
-use carawayrill_core::id::Generation;
 use carawayrill_core::id::Revision;
 use carawayrill_core::id::RouterId;
+use carawayrill_core::id::ShardId;
 use carawayrill_core::object::ASSIGNMENTS;
 use carawayrill_core::route::RouteTable;
 use carawayrill_store::http_store::HttpStore;
@@ -40,8 +36,6 @@
 const POLL: Duration = Duration::from_millis(50);
 /// How long the store's calls are counted.
 const IDLE_SPAN: Duration = Duration::from_secs(4);
-/// Lines of the time line that are printed.
-const TIME_LINE_ROWS: usize = 40;
 
 /// What to show.
 #[derive(Debug, Clone)]
@@ -66,40 +60,34 @@
         fleet.running().len(),
         whole.name
     );
-    apply(&fleet, options).await?;
+    apply(&fleet, options)?;
     wait_ready(&fleet).await?;
     let routes = wait_assigned(&fleet, &whole).await?;
     ask_each_service(&fleet, &whole, &routes).await?;
     print_idle_calls(&fleet).await?;
-    lose_home(&mut fleet, &whole, &routes).await?;
+    let shard = lose_home(&mut fleet, &whole, &routes).await?;
     println!("stopping all processes by plan");
     fleet.stop(STOP_LIMIT)?;
-    print_time_line(&fleet)
+    print_time_line(&fleet, &shard)
 }
 
-/// Gives up after the first failed attempt.
-#[derive(Debug)]
-struct NoRetry;
-
-#[async_trait]
-impl Pause for NoRetry {
-    async fn pause(&self, _attempt: u32) -> bool {
-        false
+/// Brings a copy of the deployment's files into force, as an operator does. A copy, because the
+/// command notes the generation beside the files.
+fn apply(fleet: &Fleet, options: &Options) -> Result<(), Error> {
+    let copy = options.work.join("deployment");
+    Parts::read(&options.deployment)?.write(&copy)?;
+    let status = Command::new(process::binary("carawayrill")?)
+        .args(["apply", "--by", "demo", "--wait", "10s", "--store"])
+        .arg(format!("http://{}", fleet.store()))
+        .arg(&copy)
+        .status()?;
+    if status.success() {
+        Ok(())
+    } else {
+        Err(format!("apply ended with {status}").into())
     }
 }
 
-async fn apply(fleet: &Fleet, options: &Options) -> Result<(), Error> {
-    let store = HttpStore::new(fleet.store())?;
-    let edit = Edit {
-        from: Generation::default(),
-        parts: Parts::read(&options.deployment)?,
-        by: "demo".into(),
-    };
-    let at = carawayrill_telemetry::wall_now();
-    accept::propose(&store, &edit, at, &NoRetry).await?;
-    Ok(())
-}
-
 /// Waits until every router says that it is ready.
 async fn wait_ready(fleet: &Fleet) -> Result<(), Error> {
     let client = reqwest::Client::new();
@@ -209,18 +197,19 @@
     Ok(reqwest::get(url).await?.json().await?)
 }
 
-/// Kills the home router of one key and waits until the key is answered again.
+/// Kills the home router of one key and waits until the key is answered again. Returns the shard.
 async fn lose_home(
     fleet: &mut Fleet,
     whole: &Deployment,
     routes: &RouteTable,
-) -> Result<(), Error> {
+) -> Result<ShardId, Error> {
     let service = whole
         .services
         .first()
         .ok_or("the deployment has no service")?;
     let question = Question::new(service, &format!("{}-demo", service.id));
-    let home = row_of(routes, &question, service.shards)?.home.clone();
+    let row = row_of(routes, &question, service.shards)?;
+    let (shard, home) = (row.shard.clone(), row.home.clone());
     let entry = other_router(fleet, &home)?;
     println!("killing {home}, the home of the key of {}", service.id);
     fleet.process(home.as_str())?.kill()?;
@@ -233,7 +222,7 @@
                     service.id,
                     began.elapsed().as_millis()
                 );
-                return Ok(());
+                return Ok(shard);
             }
             Err(err) => check_limit(began, RECOVERY_LIMIT, &err.to_string())?,
         }
@@ -270,20 +259,28 @@
     Err(format!("{what}, {} ms on", began.elapsed().as_millis()).into())
 }
 
-/// Prints the last rows of the merged time line of all processes.
-fn print_time_line(fleet: &Fleet) -> Result<(), Error> {
+/// Prints the merged time line of all processes, as far as it is about one shard.
+fn print_time_line(fleet: &Fleet, shard: &ShardId) -> Result<(), Error> {
+    let all = time_line(fleet, &[])?;
+    let rows = time_line(fleet, &["--shard", &shard.to_string()])?;
+    println!(
+        "the time line has {} events; those of {shard}:",
+        all.lines().count()
+    );
+    for row in rows.lines() {
+        println!("  {row}");
+    }
+    Ok(())
+}
+
+fn time_line(fleet: &Fleet, options: &[&str]) -> Result<String, Error> {
     let output = Command::new(process::binary("carawayrill")?)
         .arg("timeline")
+        .args(options)
         .args(fleet.logs())
         .output()?;
     if !output.status.success() {
         return Err(format!("timeline: {}", String::from_utf8_lossy(&output.stderr)).into());
     }
-    let text = String::from_utf8_lossy(&output.stdout);
-    let rows: Vec<_> = text.lines().collect();
-    println!("time line: {} rows, the last ones:", rows.len());
-    for row in &rows[rows.len().saturating_sub(TIME_LINE_ROWS)..] {
-        println!("  {row}");
-    }
-    Ok(())
+    Ok(String::from_utf8(output.stdout)?)
 }
