Send directly to the server of a home that was taken over

Cause: during a store outage the record that names the standby home as home can't be written, so the server's home stayed the lost router, and the standby home passed each request on to it: no key was answered while the outage lasted (503 home-unreachable for 60 s). Excluded: the grant (took_over and granted 3.1 within about 1 s). What: the stored home of a row that is acted on as standby home is no router to pass requests on to.

--- a/crates/carawayrill-core/src/ownership/home/gate.rs
+++ b/crates/carawayrill-core/src/ownership/home/gate.rs
@@ -82,9 +82,11 @@
     }
 
     /// Returns the router that has to send for us, because it counts the server's slots. A server
-    /// without fencing is sent to directly: our own check before the send is all there is.
+    /// without fencing is sent to directly: our own check before the send is all there is. So is the
+    /// server of a home that this router took over from: nobody else counts its slots then.
     fn via(&self, row: &Row) -> Option<crate::id::RouterId> {
         let home = self.servers.get(&row.serving)?.home.as_ref()?;
-        (*home != self.me.router && self.fences(row)).then(|| home.clone())
+        let is_other = *home != self.me.router && *home != row.stored.home;
+        (is_other && self.fences(row)).then(|| home.clone())
     }
 }
