--- a/crates/carawayrill-testkit/src/bench/loss.rs
+++ b/crates/carawayrill-testkit/src/bench/loss.rs
@@ -88,7 +88,63 @@
     pub event_calls: CallRates,
 }
 
-/// Loses a part of the deployment and waits until the keys concerned are answered.
+/// A loss that is about to come.
+#[derive(Debug)]
+pub struct Planned {
+    loss: Loss,
+    killed: Vec<String>,
+    keys: Vec<Question>,
+}
+
+/// Chooses what will be killed and finds the keys concerned.
+///
+/// # Errors
+///
+/// Fails if the store does not answer.
+pub async fn plan(bench: &Bench, loss: Loss) -> Result<Planned, Error> {
+    let killed = victims(bench, loss).await?;
+    Ok(Planned {
+        keys: concerned(bench, loss, &killed).await?,
+        loss,
+        killed,
+    })
+}
+
+impl Planned {
+    /// Kills the processes, with the store down from before if `store_down`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a process can't be killed.
+    pub async fn kill(&self, bench: &mut Bench, store_down: bool) -> Result<Instant, Error> {
+        if store_down {
+            state::set_fault(bench.fleet.store(), r#"{"fault":"down"}"#).await?;
+            tokio::time::sleep(DOWN_BEFORE).await;
+        }
+        for name in &self.killed {
+            bench.fleet.process(name)?.kill()?;
+        }
+        Ok(Instant::now())
+    }
+
+    /// Waits until all keys concerned are answered, and returns how long after `since` each was.
+    ///
+    /// # Errors
+    ///
+    /// Fails if one is not answered within `limit`.
+    pub async fn answered(
+        &self,
+        bench: &Bench,
+        since: Instant,
+        limit: Duration,
+    ) -> Result<Vec<Duration>, Error> {
+        let entries = bench.entries_without(&self.killed);
+        probe::all_answered_since(&entries, &self.keys, since, limit).await
+    }
+}
+
+/// Loses a part of the deployment, waits until the keys concerned are answered, and counts store
+/// calls before and after.
 ///
 /// # Errors
 ///
@@ -100,27 +156,18 @@
     limit: Duration,
 ) -> Result<LossReport, Error> {
     let idle_calls = rates(bench, COUNT_TIME).await?;
-    let killed = victims(bench, loss).await?;
-    let keys = concerned(bench, loss, &killed).await?;
-    if store_down {
-        state::set_fault(bench.fleet.store(), r#"{"fault":"down"}"#).await?;
-        tokio::time::sleep(DOWN_BEFORE).await;
-    }
-    for name in &killed {
-        bench.fleet.process(name)?.kill()?;
-    }
-    let since = Instant::now();
-    let entries = bench.entries_without(&killed);
+    let planned = plan(bench, loss).await?;
+    let since = planned.kill(bench, store_down).await?;
     let (times, event_calls) = tokio::join!(
-        probe::all_answered_since(&entries, &keys, since, limit),
+        planned.answered(bench, since, limit),
         rates(bench, COUNT_TIME)
     );
     let times = times?;
     let at = |index: usize| times.get(index).copied().map_or(0, millis);
     Ok(LossReport {
-        loss,
+        loss: planned.loss,
         store_down,
-        killed,
+        killed: planned.killed,
         keys: times.len(),
         first_ms: at(0),
         median_ms: at(times.len() / 2),
