Test the home role over real sockets; stop requests whose caller hung up

Over HTTP a caller that hung up did not stop its request: poem awaits a connection a second time after it ended with an error, and so goes on with the request until the server's deadline (test a_connection_that_ends_cancels_its_request, 20 s and "504 done" before). The entry now watches its connections itself. A server's 499, or a 504 in the last moment before the deadline, says that it stopped midway: that is told as unknown and not kept as a first answer.

--- a/crates/carawayrill-core/src/answer/claims/origin.rs
+++ b/crates/carawayrill-core/src/answer/claims/origin.rs
@@ -37,31 +37,32 @@
 }
 
 /// Tells how this router came to be the home of a shard under `term`, by the assignment that it
-/// knows.
-///
-/// The assignment may be older or newer than the authority under which this router acts; the
-/// answer is then that claims may be missing.
+/// knows. Returns nothing if that assignment is not the one that the term belongs to: it has to be
+/// read first.
 ///
 /// - If the assignment appoints this run of the router, the former home may have handed its claims
 ///   over for just this assignment.
 /// - If this router acts under the reserved term of an assignment that names it as standby home,
 ///   the home copied its claims for that assignment.
 #[must_use]
-pub fn origin_of(row: Option<&Assignment>, me: &Run, term: Term) -> Origin {
-    let Some(row) = row else {
-        return Origin::TakenOver(Lineage::UNKNOWN);
-    };
+pub fn origin_of(row: &Assignment, me: &Run, term: Term) -> Option<Origin> {
     let appointed = row.home == me.router && row.home_run == me.incarnation;
     let standby =
         row.standby_home.as_ref() == Some(&me.router) && row.standby_home_run == me.incarnation;
-    if appointed && row.token.term == term {
-        return match row.reason {
+    if row.token.term == term {
+        return Some(match row.reason {
+            _ if !appointed => Origin::TakenOver(Lineage::UNKNOWN),
             Reason::Initial => Origin::Initial,
             _ => Origin::TakenOver(Lineage::of(row)),
-        };
+        });
     }
-    if standby && row.token.term.reserved() == term {
-        return Origin::TakenOver(Lineage::of(row));
+    if row.token.term.reserved() == term {
+        let lineage = if standby {
+            Lineage::of(row)
+        } else {
+            Lineage::UNKNOWN
+        };
+        return Some(Origin::TakenOver(lineage));
     }
-    Origin::TakenOver(Lineage::UNKNOWN)
+    None
 }
--- a/crates/carawayrill-core/src/answer/serving/ending.rs
+++ b/crates/carawayrill-core/src/answer/serving/ending.rs
@@ -59,8 +59,8 @@
         if self.inflight.answer(request, server, token).is_ok() {
             let claim = self.rows.remove(request).and_then(|row| row.claim);
             actions.extend(self.keep_answer(now, claim, &answer));
-            let reply = Reply::Answer(answer);
-            actions.insert(0, Action::Reply(request.clone(), reply));
+            // The copy of the answer goes out first: whatever the caller sends next comes after it.
+            actions.push(Action::Reply(request.clone(), Reply::Answer(answer)));
         } else {
             let Some(late) = self.take_abandoned(request, server, token) else {
                 return actions;
--- /dev/null
+++ b/crates/carawayrill-router/src/entry/callers.rs
@@ -0,0 +1,146 @@
+//! Connections of callers, and whether a caller has hung up.
+//!
+//! The HTTP library goes on with a request whose connection has ended. A caller that hangs up
+//! cancels its request, so that the connections are watched here: the library reads from a
+//! connection while a request runs, and the end of that read is the caller's leaving.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::task::Context;
+use std::task::Poll;
+
+use http::uri::Scheme;
+use poem::listener::Acceptor;
+use poem::web::LocalAddr;
+use poem::web::RemoteAddr;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::io::ReadBuf;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+
+/// The open connections of callers.
+#[derive(Debug, Clone, Default)]
+pub struct Callers {
+    open: Arc<Mutex<HashMap<SocketAddr, watch::Receiver<bool>>>>,
+}
+
+impl Callers {
+    fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, watch::Receiver<bool>>> {
+        self.open.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Accepts on `listener` and watches what is accepted.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the listener has no local address.
+    pub fn accept_on(&self, listener: TcpListener) -> io::Result<CallerAcceptor> {
+        Ok(CallerAcceptor {
+            local: listener.local_addr()?,
+            listener,
+            callers: self.clone(),
+        })
+    }
+
+    /// Waits until the caller at `peer` has hung up. Never ends for an unknown one.
+    pub async fn hung_up(&self, peer: Option<SocketAddr>) {
+        let gone = peer.and_then(|peer| self.lock().get(&peer).cloned());
+        let Some(mut gone) = gone else {
+            return std::future::pending().await;
+        };
+        // A dropped sender is a closed connection, which counts as well.
+        let _closed = gone.wait_for(|gone| *gone).await;
+    }
+}
+
+/// One connection of a caller.
+#[derive(Debug)]
+pub struct CallerStream {
+    stream: TcpStream,
+    peer: SocketAddr,
+    gone: watch::Sender<bool>,
+    callers: Callers,
+}
+
+impl Drop for CallerStream {
+    fn drop(&mut self) {
+        self.callers.lock().remove(&self.peer);
+    }
+}
+
+impl AsyncRead for CallerStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let (before, room) = (buf.filled().len(), buf.remaining());
+        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
+        let ended = match &read {
+            Poll::Pending => false,
+            Poll::Ready(Ok(())) => room > 0 && buf.filled().len() == before,
+            Poll::Ready(Err(_)) => true,
+        };
+        if ended {
+            self.gone.send_replace(true);
+        }
+        read
+    }
+}
+
+impl AsyncWrite for CallerStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
+
+/// Accepts connections of callers.
+#[derive(Debug)]
+pub struct CallerAcceptor {
+    listener: TcpListener,
+    local: SocketAddr,
+    callers: Callers,
+}
+
+impl Acceptor for CallerAcceptor {
+    type Io = CallerStream;
+
+    fn local_addr(&self) -> Vec<LocalAddr> {
+        vec![LocalAddr(self.local.into())]
+    }
+
+    async fn accept(&mut self) -> io::Result<(Self::Io, LocalAddr, RemoteAddr, Scheme)> {
+        let (stream, peer) = self.listener.accept().await?;
+        stream.set_nodelay(true)?;
+        let (gone, watched) = watch::channel(false);
+        self.callers.lock().insert(peer, watched);
+        let io = CallerStream {
+            stream,
+            peer,
+            gone,
+            callers: self.callers.clone(),
+        };
+        let (local, remote) = (LocalAddr(self.local.into()), RemoteAddr(peer.into()));
+        Ok((io, local, remote, Scheme::HTTP))
+    }
+}
--- a/crates/carawayrill-router/src/entry/http.rs
+++ b/crates/carawayrill-router/src/entry/http.rs
@@ -21,6 +21,7 @@
 use poem::Response;
 
 use crate::context::Context;
+use crate::entry::callers::Callers;
 use crate::entry::check;
 use crate::entry::pass;
 use crate::headers;
@@ -36,6 +37,7 @@
 pub struct Entry {
     cx: Arc<Context>,
     home: Arc<Home>,
+    callers: Callers,
 }
 
 /// Counts a request as in flight until it is dropped.
@@ -58,7 +60,28 @@
     /// Makes the endpoint.
     #[must_use]
     pub fn new(cx: Arc<Context>, home: Arc<Home>) -> Self {
-        Self { cx, home }
+        Self {
+            cx,
+            home,
+            callers: Callers::default(),
+        }
+    }
+
+    /// Returns the connections of callers, which the endpoint has to be served on.
+    #[must_use]
+    pub fn callers(&self) -> &Callers {
+        &self.callers
+    }
+
+    /// Answers one request, or stops it if the caller hangs up: what follows from it is dropped
+    /// and with it cancelled.
+    async fn answer_or_stop(&self, id: RequestId, started: Time, req: poem::Request) -> Answer {
+        let peer = req.remote_addr().as_socket_addr().copied();
+        tokio::select! {
+            biased;
+            answer = self.answer(id, started, req) => answer,
+            () = self.callers.hung_up(peer) => Answer::from(RefusalReason::CallerGoneAfterSend),
+        }
     }
 
     /// Answers one request.
@@ -169,7 +192,7 @@
         let started = self.cx.now();
         let clock = std::time::Instant::now();
         let id = self.cx.next_request();
-        let answer = self.answer(id.clone(), started, req).await;
+        let answer = self.answer_or_stop(id.clone(), started, req).await;
         let took_us = u64::try_from(clock.elapsed().as_micros()).unwrap_or(u64::MAX);
         let (outcome, status) = (answer.outcome, answer.status);
         let request = id.clone();
--- a/crates/carawayrill-router/src/entry/mod.rs
+++ b/crates/carawayrill-router/src/entry/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! It checks a request, finds its shard and the shard's home, and passes it there.
 
+pub mod callers;
 pub mod check;
 pub mod http;
 pub mod pass;
--- a/crates/carawayrill-router/src/home/serve/claims.rs
+++ b/crates/carawayrill-router/src/home/serve/claims.rs
@@ -50,28 +50,28 @@
 }
 
 fn own_shard(state: &mut State, cx: &Context, service: &Service, shard: &ShardId, term: Term) {
-    let row = cx.routes().row(shard).cloned();
-    let origin = origin_of(row.as_deref(), &own_run(cx), term);
+    let Some(row) = cx.routes().row(shard).cloned() else {
+        return;
+    };
+    // An assignment that has not come through the watch yet comes soon; until then requests that
+    // need a claim are refused.
+    let Some(origin) = origin_of(&row, &own_run(cx), term) else {
+        return;
+    };
     let window = service.claim_window.0;
     let serving = &mut state.serving;
     serving.claims.own(cx.now(), shard, term, origin, window);
-    name_standby(state, cx, shard, term, row.as_deref());
+    name_standby(state, cx, &row, term);
 }
 
 /// Takes in the standby home of a shard, if the assignment is the one that this router acts under.
 /// While a takeover is not recorded, there is no standby home that could take over in turn.
-fn name_standby(
-    state: &mut State,
-    cx: &Context,
-    shard: &ShardId,
-    term: Term,
-    row: Option<&Assignment>,
-) {
-    let appointed = |row: &&Assignment| row.home == cx.settings.router && row.token.term == term;
-    let row = row.filter(appointed);
-    let standby = row.and_then(|row| row.standby_home.as_ref());
-    let lineage = row.map_or(Lineage::UNKNOWN, Lineage::of);
-    state.serving.mirror.set_standby(shard, standby, lineage);
+fn name_standby(state: &mut State, cx: &Context, row: &Assignment, term: Term) {
+    let appointed = row.home == cx.settings.router && row.token.term == term;
+    let standby = row.standby_home.as_ref().filter(|_| appointed);
+    let lineage = Lineage::of(row);
+    let mirror = &mut state.serving.mirror;
+    mirror.set_standby(&row.shard, standby, lineage);
 }
 
 /// Takes in the present assignments: claims of shards that have another home now are dropped, and
@@ -90,7 +90,7 @@
         };
         let term = permit.token.term;
         if state.serving.claims.owns(&row.shard, term) {
-            name_standby(state, cx, &row.shard, term, Some(&row));
+            name_standby(state, cx, &row, term);
         } else {
             own_shard(state, cx, service, &row.shard, term);
         }
--- a/crates/carawayrill-router/src/home/serve/desk.rs
+++ b/crates/carawayrill-router/src/home/serve/desk.rs
@@ -252,6 +252,12 @@
         queue.map_or((0, 0), |queue| (queue.in_flight(), queue.waiting()))
     }
 
+    /// Returns whether all standby homes have complete copies of the claims.
+    #[must_use]
+    pub fn is_copied(&self) -> bool {
+        self.lock().serving.mirror.behind().is_empty()
+    }
+
     /// Runs the tables' systems for as long as the process runs.
     pub async fn run(self: Arc<Self>, cx: Arc<Context>) {
         let mut ticks = 0_u32;
--- a/crates/carawayrill-router/src/home/serve/exchange.rs
+++ b/crates/carawayrill-router/src/home/serve/exchange.rs
@@ -35,6 +35,11 @@
 /// a claim may still learn the first answer.
 const LATE_ANSWER: Duration = Duration::from_secs(2);
 
+/// The status of a request that its caller has cancelled.
+const CANCELLED: u16 = 499;
+/// A server's time-out this short before the deadline is about the deadline.
+const LAST_MOMENT: Duration = Duration::from_millis(10);
+
 /// Where a request goes, and under which authority.
 #[derive(Debug, Clone)]
 pub struct Target {
@@ -86,7 +91,7 @@
     let started = Instant::now();
     let call = call(client, target, req, left);
     match call.send().await {
-        Ok(response) => read(response, target, req, started).await,
+        Ok(response) => read(response, target, req, (started, left)).await,
         Err(err) => read_failure(&err),
     }
 }
@@ -118,7 +123,7 @@
     response: reqwest::Response,
     target: &Target,
     req: &Request,
-    started: Instant,
+    (started, left): (Instant, Duration),
 ) -> Exchange {
     let status = response.status();
     let headers = response.headers().clone();
@@ -129,6 +134,9 @@
     if let Some(word) = refused(&headers) {
         return Exchange::Refused(word);
     }
+    if was_stopped(status, left.saturating_sub(started.elapsed())) {
+        return Exchange::Lost(RefusalReason::AnswerLate);
+    }
     if !has_end(status, &headers, &req.method) {
         return Exchange::Lost(RefusalReason::AnswerBrokenOff);
     }
@@ -158,6 +166,12 @@
     headers.get(REFUSED_HEADER)?.to_str().ok()?.parse().ok()
 }
 
+/// Returns whether a server says that it stopped a request midway, because of a cancellation or of
+/// the deadline. What the request has done by then is not known.
+fn was_stopped(status: StatusCode, left: Duration) -> bool {
+    status.as_u16() == CANCELLED || (status == StatusCode::GATEWAY_TIMEOUT && left < LAST_MOMENT)
+}
+
 /// Returns whether the end of the body can be told from a broken connection: it has a length, is
 /// sent in chunks, or there is none.
 fn has_end(status: StatusCode, headers: &HeaderMap, method: &Method) -> bool {
--- a/crates/carawayrill-router/src/home/serve/mod.rs
+++ b/crates/carawayrill-router/src/home/serve/mod.rs
@@ -64,12 +64,18 @@
     pub fn new(control: Arc<Control>) -> Result<Self, reqwest::Error> {
         let authority = Arc::clone(&control) as Arc<dyn Authority>;
         let desk = Desk::new(authority, Arc::clone(&control.servers))?;
-        Ok(Self {
+        Ok(Self::with_desk(control, Arc::new(desk)))
+    }
+
+    /// Makes the home role with a desk of its own authority.
+    #[must_use]
+    pub fn with_desk(control: Arc<Control>, desk: Arc<Desk>) -> Self {
+        Self {
             control,
-            desk: Arc::new(desk),
+            desk,
             loads: Loads::default(),
             waiting: Semaphore::new(MAX_WAITING),
-        })
+        }
     }
 
     /// Returns the part that holds authority and grants.
@@ -99,7 +105,7 @@
         if let Some(on_behalf) = req.on_behalf.clone() {
             return Ok(Route::OnBehalf(on_behalf));
         }
-        let denial = match self.control.permit(cx.now(), &req.shard) {
+        let denial = match self.desk.authority.permit(cx.now(), &req.shard) {
             Ok(permit) => return Ok(Route::Home(permit)),
             Err(denial) => denial,
         };
--- a/crates/carawayrill-router/src/run.rs
+++ b/crates/carawayrill-router/src/run.rs
@@ -13,8 +13,6 @@
 use carawayrill_store::http_store::HttpStore;
 use carawayrill_store::url;
 use poem::listener::Acceptor;
-use poem::listener::Listener;
-use poem::listener::TcpListener;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 use tokio::sync::watch;
@@ -132,10 +130,11 @@
     mut closed: watch::Receiver<bool>,
 ) -> Result<Listening, Error> {
     let address = cx.settings.http;
-    let acceptor = TcpListener::bind(address)
-        .into_acceptor()
+    let listen = |err: std::io::Error| Error::listen(address, err.to_string());
+    let listener = tokio::net::TcpListener::bind(address)
         .await
-        .map_err(|err| Error::listen(address, err.to_string()))?;
+        .map_err(listen)?;
+    let acceptor = entry.callers().accept_on(listener).map_err(listen)?;
     let grace = cx.settings.stop_grace.0;
     log::info!("callers are served on {:?}", acceptor.local_addr());
     Ok(tokio::spawn(async move {
--- /dev/null
+++ b/crates/carawayrill-router/tests/answers_entry.rs
@@ -0,0 +1,117 @@
+//! What callers get over HTTP: statuses, headers and bodies, and what a hung-up connection does.
+
+mod answers_support;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use answers_support::Bench;
+use answers_support::home_role;
+use answers_support::wait_until;
+use carawayrill_router::entry::http::Entry;
+use carawayrill_testkit::server::faults::Fault;
+use rstest::rstest;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+
+const QUICK: Duration = Duration::from_millis(2);
+const ENDLESS: Duration = Duration::from_mins(10);
+
+/// Serves the entry role in front of a desk.
+async fn serve(bench: &Bench) -> SocketAddr {
+    let home = Arc::new(home_role(&bench.desk));
+    let entry = Entry::new(Arc::clone(&bench.cx), home);
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let acceptor = entry.callers().accept_on(listener).unwrap();
+    tokio::spawn(poem::Server::new_with_acceptor(acceptor).run(entry));
+    address
+}
+
+/// Sends one request and writes what came back: status, outcome and the body of a refusal.
+async fn send(req: reqwest::RequestBuilder) -> String {
+    let answer = req.send().await.unwrap();
+    let header = |name: &str| {
+        let value = answer.headers().get(name);
+        value
+            .map_or("-", |value| value.to_str().unwrap())
+            .to_owned()
+    };
+    let outcome = header("x-carawayrill-outcome");
+    let after = header("retry-after");
+    let server = header("x-carawayrill-server");
+    let token = header("x-carawayrill-token");
+    let status = answer.status().as_u16();
+    let body = answer.text().await.unwrap();
+    let body = if outcome == "done" { "" } else { &body };
+    format!("{status} {outcome} server {server} token {token} retry-after {after} {body}")
+}
+
+#[rstest]
+#[case::done("POST", "/renewals/a?key=k", &[("idempotency-key", "1")], 5)]
+#[case::done_without_key("GET", "/renewals/a?key=k", &[], 0)]
+#[case::unknown_service("GET", "/nothing/a?key=k", &[], 0)]
+#[case::no_service("GET", "/", &[], 0)]
+#[case::no_key("GET", "/renewals/a", &[], 0)]
+#[case::empty_key("GET", "/renewals/a?key=", &[], 0)]
+#[case::bad_deadline("GET", "/renewals/a?key=k", &[("x-carawayrill-deadline-ms", "soon")], 0)]
+#[case::no_idempotency_key("POST", "/renewals/a?key=k", &[], 5)]
+#[case::bad_idempotency_key("POST", "/renewals/a?key=k", &[("idempotency-key", "a b")], 5)]
+#[case::too_large("POST", "/renewals/a?key=k", &[("idempotency-key", "1")], 1_001)]
+#[tokio::test]
+async fn what_callers_get(
+    #[case] method: &str,
+    #[case] path: &str,
+    #[case] headers: &[(&str, &str)],
+    #[case] body: usize,
+) {
+    let bench = Bench::start(QUICK).await;
+    let address = serve(&bench).await;
+    let method = method.parse().unwrap();
+    let mut req = reqwest::Client::new().request(method, format!("http://{address}{path}"));
+    for (name, value) in headers {
+        req = req.header(*name, *value);
+    }
+    if body > 0 {
+        req = req.body("x".repeat(body));
+    }
+    let told = send(req).await;
+    let runs = bench.server.stats().runs;
+    assert_eq!(runs, u64::from(told.contains(" done ")));
+    let name = std::thread::current().name().unwrap().replace("::", "-");
+    insta::assert_snapshot!(name, told);
+}
+
+#[tokio::test]
+async fn a_refusal_names_the_time_to_come_back() {
+    let bench = Bench::start(QUICK).await;
+    let address = serve(&bench).await;
+    bench.fault(Fault::Shed);
+    let url = format!("http://{address}/renewals/a?key=k");
+    let told = send(reqwest::Client::new().get(url)).await;
+    insta::assert_snapshot!(told);
+}
+
+/// The connection of a caller ends while its request runs: the server hears of it, and the claim
+/// stays, so that the caller's repeat does not run a second time.
+#[tokio::test]
+async fn a_connection_that_ends_cancels_its_request() {
+    let bench = Bench::start(ENDLESS).await;
+    let address = serve(&bench).await;
+    let mut caller = TcpStream::connect(address).await.unwrap();
+    let req = "POST /renewals/a?key=k HTTP/1.1\r\nhost: x\r\nidempotency-key: 1\r\n\
+               content-length: 4\r\n\r\nbody";
+    caller.write_all(req.as_bytes()).await.unwrap();
+    bench.wait_for_runs(1).await;
+    drop(caller);
+    bench.wait_for_free_slots().await;
+    wait_until(|| bench.cx.in_flight.load(Ordering::Relaxed) == 0).await;
+    let url = format!("http://{address}/renewals/a?key=k");
+    let repeat = reqwest::Client::new().post(url).body("body");
+    let told = send(repeat.header("idempotency-key", "1")).await;
+    assert!(told.starts_with("409 unknown"), "{told}");
+    assert_eq!(bench.server.stats().runs, 1);
+}
