--- a/crates/carawayrill-controller/src/lib.rs
+++ b/crates/carawayrill-controller/src/lib.rs
@@ -7,6 +7,7 @@
 //! Decisions are functions over these tables ([`fleet`], [`planner`]); the daemon around them reads,
 //! writes and listens.
 
+pub mod announce;
 pub mod blocks;
 pub mod config;
 pub mod control;
@@ -19,8 +20,10 @@
 pub mod lease;
 pub mod peers;
 pub mod planner;
+mod probe;
 pub mod round;
 pub mod run;
+pub mod servers;
 pub mod service;
 pub mod state;
 pub mod view;
--- a/crates/carawayrill-controller/src/state.rs
+++ b/crates/carawayrill-controller/src/state.rs
@@ -1,13 +1,16 @@
 //! The tables of the daemon behind one lock, and its clock.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Instant;
 
+use carawayrill_core::assignment::BlockId;
 use carawayrill_core::id::ControllerId;
 use carawayrill_core::id::RouterId;
+use carawayrill_core::id::Version;
 use carawayrill_core::ownership::takeover::TakeoverTable;
 use carawayrill_core::placement::BalanceConfig;
 use carawayrill_core::placement::Fleet;
@@ -23,6 +26,7 @@
 use crate::lease::LeaseTable;
 use crate::planner::Plan;
 use crate::planner::Planner;
+use crate::servers::ServerTable;
 use crate::view::View;
 
 /// All tables.
@@ -34,6 +38,8 @@
     pub view: View,
     /// What routers said.
     pub heard: HeardTable,
+    /// What is known of servers.
+    pub servers: ServerTable,
     /// Names of VMs that the platform will stop soon.
     pub leaving: BTreeSet<CompactString>,
     /// When this controller began to lead, if it leads.
@@ -44,6 +50,8 @@
     pub planner: Planner,
     /// Changes under way, while this controller leads.
     pub takeover: Option<TakeoverTable>,
+    /// The last version of each block whose intents were announced to the holders of authority.
+    pub announced: BTreeMap<BlockId, Version>,
     /// The prefixes of the store that were read in full since then.
     pub synced: BTreeSet<&'static str>,
 }
@@ -65,6 +73,8 @@
             lease,
             view: View::default(),
             heard: HeardTable::default(),
+            servers: ServerTable::default(),
+            announced: BTreeMap::new(),
             leaving: BTreeSet::new(),
             leading_since: None,
             demand: DemandTable::default(),
@@ -111,6 +121,7 @@
         self.synced.clear();
         self.view = View::default();
         self.takeover = None;
+        self.servers = ServerTable::default();
         self.planner = Planner::new(BalanceConfig::default());
         self.demand.restart(now);
         true
@@ -120,6 +131,9 @@
     pub fn on_report(&mut self, now: Time, relay: &RouterId, beats: Vec<Beat>) {
         for beat in &beats {
             self.demand.on_loads(&beat.loads);
+            for server in &beat.servers {
+                self.servers.on_view(server);
+            }
         }
         self.heard.on_report(now, relay, beats);
     }
@@ -139,6 +153,7 @@
             deployment,
             view: &self.view,
             heard: &self.heard,
+            servers: &self.servers,
             leaving: &self.leaving,
             leading_since,
             now,
@@ -156,6 +171,7 @@
             deployment: self.view.deployment.as_deref()?,
             view: &self.view,
             heard: &self.heard,
+            servers: &self.servers,
             leaving: &self.leaving,
             leading_since: self.leading_since?,
             now,
--- a/crates/carawayrill-router/src/run.rs
+++ b/crates/carawayrill-router/src/run.rs
@@ -30,7 +30,7 @@
 use crate::peer::service::PeerService;
 use crate::relay;
 use crate::relay::HeartbeatTable;
-use crate::relay::VersionReader;
+use crate::versions::VersionReader;
 
 /// How often a planned stop looks whether all is done.
 const STOP_POLL: Duration = Duration::from_millis(20);
@@ -59,7 +59,7 @@
         Arc::new(store),
         metrics,
     ));
-    let versions = Arc::new(VersionReader::default());
+    let versions = Arc::new(VersionReader::new(Arc::clone(&cx.store), cx.clock));
     let control = Arc::new(Control::new(Arc::new(servers), Arc::clone(&versions)));
     let home = Home::new(control).map_err(|err| Error::serve(err.to_string()))?;
     let home = Arc::new(home);
@@ -196,5 +196,6 @@
 
 fn may_close(cx: &Context, home: &Home, began: Time) -> bool {
     let noticed = cx.now().since(began) >= STOP_NOTICE;
-    noticed && cx.in_flight.load(Ordering::Relaxed) == 0 && home.control().is_idle(cx)
+    let handed_over = home.control().is_idle(cx) || !cx.members.has_successor(&cx.settings.router);
+    noticed && cx.in_flight.load(Ordering::Relaxed) == 0 && handed_over
 }
--- a/crates/carawayrill-router/tests/answers_entry.rs
+++ b/crates/carawayrill-router/tests/answers_entry.rs
@@ -22,7 +22,7 @@
 
 /// Serves the entry role in front of a desk.
 async fn serve(bench: &Bench) -> SocketAddr {
-    let home = Arc::new(home_role(&bench.desk));
+    let home = Arc::new(home_role(bench));
     let entry = Entry::new(Arc::clone(&bench.cx), home);
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
--- a/crates/carawayrill-router/tests/answers_mirror.rs
+++ b/crates/carawayrill-router/tests/answers_mirror.rs
@@ -17,6 +17,7 @@
 use answers_support::shard;
 use answers_support::start_server;
 use answers_support::told;
+use answers_support::versions;
 use answers_support::wait_until;
 use carawayrill_core::assignment::Assignment;
 use carawayrill_core::assignment::Block;
@@ -32,7 +33,6 @@
 use carawayrill_core::token::Token;
 use carawayrill_proto::wire::router_server::RouterServer;
 use carawayrill_router::peer::service::PeerService;
-use carawayrill_router::relay::VersionReader;
 use rstest::rstest;
 use tokio::net::TcpListener;
 use tokio_stream::wrappers::TcpListenerStream;
@@ -92,8 +92,8 @@
     fn serve(&self, listener: TcpListener) {
         let service = PeerService::new(
             Arc::clone(&self.standby.cx),
-            Arc::new(home_role(&self.standby.desk)),
-            Arc::new(VersionReader::default()),
+            Arc::new(home_role(&self.standby)),
+            versions(&self.standby),
             Arc::default(),
         );
         let server = tonic::transport::Server::builder().add_service(RouterServer::new(service));
@@ -191,7 +191,7 @@
     if handed_over {
         write_intent(&pair, next.clone()).await;
         pair.home.owner.set(None);
-        let home = home_role(&pair.home.desk);
+        let home = home_role(&pair.home);
         home.hand_over(&pair.home.cx, &[released()]).await;
     }
     set_assignment(&pair.standby.cx, Version(3), next);
--- a/crates/carawayrill-router/tests/answers_support/mod.rs
+++ b/crates/carawayrill-router/tests/answers_support/mod.rs
@@ -45,7 +45,7 @@
 use carawayrill_router::home::serve::route::Route;
 use carawayrill_router::message::Answer;
 use carawayrill_router::message::Request;
-use carawayrill_router::relay::VersionReader;
+use carawayrill_router::versions::VersionReader;
 use carawayrill_store::http_servers::HttpServers;
 use carawayrill_store::memory::MemoryStore;
 use carawayrill_testkit::server;
@@ -188,6 +188,7 @@
         http: "127.0.0.1:1".parse().unwrap(),
         peer,
         store: "http://127.0.0.1:1".into(),
+        seeds: Vec::new(),
         vm_list: None,
         statsd: None,
         stop_grace: millis(1_000),
@@ -326,10 +327,16 @@
 }
 
 /// Makes the home role around a desk.
-pub fn home_role(desk: &Arc<Desk>) -> Home {
+pub fn home_role(bench: &Bench) -> Home {
     let servers = Arc::new(HttpServers::new().unwrap());
-    let control = Arc::new(Control::new(servers, Arc::new(VersionReader::default())));
-    Home::with_desk(control, Arc::clone(desk))
+    let control = Arc::new(Control::new(servers, versions(bench)));
+    Home::with_desk(control, Arc::clone(&bench.desk))
+}
+
+/// Makes the reader of versions of a router.
+pub fn versions(bench: &Bench) -> Arc<VersionReader> {
+    let store = Arc::clone(&bench.cx.store);
+    Arc::new(VersionReader::new(store, bench.cx.clock))
 }
 
 /// Waits until `done` holds.
--- a/crates/carawayrill-testkit/src/lib.rs
+++ b/crates/carawayrill-testkit/src/lib.rs
@@ -18,6 +18,7 @@
 //! # });
 //! ```
 
+pub mod bench;
 pub mod connections;
 pub mod demo;
 mod error;
