--- a/crates/carawayrill-core/src/answer/claims/mod.rs
+++ b/crates/carawayrill-core/src/answer/claims/mod.rs
@@ -152,7 +152,7 @@
         window: Duration,
     ) {
         let former = self.shards.get(shard).and_then(ShardClaims::term);
-        if former.is_some_and(|former| former == term || former.is_recorded_as(term)) {
+        if former.is_some_and(|former| stayed_home(former, term, origin)) {
             self.rename_term(shard, term);
             return;
         }
@@ -162,7 +162,7 @@
         });
         let complete = match origin {
             Origin::Initial => true,
-            Origin::TakenOver(lineage) => claims.is_complete(lineage),
+            Origin::Appointed(lineage) | Origin::TakenOver(lineage) => claims.is_complete(lineage),
         };
         claims.known = if complete {
             Known::All(term)
@@ -368,6 +368,16 @@
     }
 }
 
+/// Returns whether a router that was the home under `former` was so until `term`.
+///
+/// That holds if its own takeover was recorded, and if it was appointed again by the next stored
+/// assignment, as when only the standby home changes: such a change is stored only with proof that
+/// the standby home has not acted under the reserved term between the two.
+fn stayed_home(former: Term, term: Term, origin: Origin) -> bool {
+    let again = matches!(origin, Origin::Appointed(_)) && former.next_stored() == term;
+    former == term || former.is_recorded_as(term) || (again && former.reserved() != former)
+}
+
 /// Why a request was not claimed.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Repeat {
--- a/crates/carawayrill-core/src/answer/claims/origin.rs
+++ b/crates/carawayrill-core/src/answer/claims/origin.rs
@@ -31,8 +31,11 @@
 pub enum Origin {
     /// The shard has never had a home before.
     Initial,
-    /// Another home may have had it before. Copies that are complete for this lineage have all its
-    /// claims.
+    /// The stored assignment with this lineage appoints it. If it was the home by the assignment
+    /// before, it has been the home all the time. Else the former home may have handed its claims
+    /// over for this lineage.
+    Appointed(Lineage),
+    /// It stands in for a lost home. Copies that are complete for this lineage have all claims.
     TakenOver(Lineage),
 }
 
@@ -53,7 +56,7 @@
         return Some(match row.reason {
             _ if !appointed => Origin::TakenOver(Lineage::UNKNOWN),
             Reason::Initial => Origin::Initial,
-            _ => Origin::TakenOver(Lineage::of(row)),
+            _ => Origin::Appointed(Lineage::of(row)),
         });
     }
     if row.token.term.reserved() == term {
