--- a/crates/carawayrill-controller/tests/planner.rs
+++ b/crates/carawayrill-controller/tests/planner.rs
@@ -37,7 +37,7 @@
 use carawayrill_store::port::Object;
 use rstest::rstest;
 
-/// Three data centres of one region, each with two servers and two routers; 24 shards.
+/// Three data centres of one region, each with two servers and two routers; 48 shards.
 const BASE: &str = "
 name: example
 region_link: 1Gbit/s
@@ -46,7 +46,7 @@
   north-2: {region: north}
   north-3: {region: north}
 services:
-  forms: {key: header x-form, shards: 24, shards_per_block: 8, slots: 4, connections: 20}
+  forms: {key: header x-form, shards: 48, shards_per_block: 8, slots: 4, connections: 20}
 servers:
   forms-1: {service: forms, data_centre: north-1, address: 127.0.0.1:21001}
   forms-2: {service: forms, data_centre: north-2, address: 127.0.0.1:21002}
@@ -73,8 +73,8 @@
 }
 
 impl World {
-    /// Starts with six routers and all shards placed.
-    fn placed() -> Self {
+    /// Starts without routers. All servers answer.
+    fn empty() -> Self {
         let mut view = View::default();
         let deployment = Parts::new(BASE).check().unwrap().deployment;
         view.deployment = Some(Arc::new(deployment));
@@ -87,13 +87,21 @@
             planner: Planner::new(BalanceConfig::default()),
         };
         for index in 1..=6 {
-            world.start_router(index, 1);
             let server = format!("forms-{index}").parse().unwrap();
             world.servers.on_probe(&server, Some(false));
         }
+        world
+    }
+
+    /// Starts with six routers and all shards placed.
+    fn placed() -> Self {
+        let mut world = Self::empty();
+        for index in 1..=6 {
+            world.start_router(index, 1);
+        }
         world.step(400, &[]);
         let plan = world.plan(None);
-        assert_eq!(plan.writes.len(), 3);
+        assert_eq!(plan.writes.len(), 6);
         world.write(plan.writes);
         world
     }
@@ -226,6 +234,24 @@
     }
 }
 
+/// Routers that start together are waited for, but not for ever.
+#[rstest]
+#[case::all_at_once(&[0, 0, 0, 0, 0, 0], 300)]
+#[case::one_after_the_other(&[0, 200, 400, 600, 800, 1_000], 1_300)]
+#[case::never_ending(&[0, 290, 580, 870, 1_160, 1_450, 1_740, 2_030, 2_320, 2_610, 2_900, 3_190], 3_000)]
+fn first_placement_waits(#[case] starts: &[u64], #[case] expected: u64) {
+    let mut world = World::empty();
+    let began = world.now;
+    let placed = (0..400).find_map(|step| {
+        world.now = began + Duration::from_millis(step * 10);
+        let due = starts.iter().zip(1..).filter(|(at, _)| **at == step * 10);
+        due.for_each(|(_, index)| world.start_router(index, 1));
+        let writes = world.plan(None).writes;
+        (!writes.is_empty()).then_some(step * 10)
+    });
+    assert_eq!(placed, Some(expected));
+}
+
 /// The home gets its time to act on its own; then each shard is wanted once, not each tick.
 #[test]
 fn lost_server_after_the_grace() {
@@ -416,7 +442,7 @@
         assert!(before - owned(&world) <= most);
         moves += before - owned(&world);
     }
-    assert_eq!((owned(&world), moves), (0, 4));
+    assert_eq!((owned(&world), moves), (0, 8));
 }
 
 /// A key is split in place, moved later, raised above its old token, and merged.
--- a/crates/carawayrill-core/src/placement/balance.rs
+++ b/crates/carawayrill-core/src/placement/balance.rs
@@ -167,7 +167,7 @@
         let mut standbys = Standbys::new(round.fleet);
         for row in round.current {
             if let Some(standby) = &row.standby {
-                standbys.count(&row.owner, standby);
+                standbys.count(standby);
             }
         }
         // The range of a hot key stays where it is until the key's load no longer counts as its own.
--- a/crates/carawayrill-core/src/placement/homes.rs
+++ b/crates/carawayrill-core/src/placement/homes.rs
@@ -50,11 +50,9 @@
         let fleet = fleet.sorted();
         let mut homes = Self::default();
         let mut open = Vec::new();
-        let found = pairs_of(current, ended);
+        let found = pairs_of(&fleet, current, ended);
         for server in &fleet.servers {
-            let kept = found
-                .get(&server.id)
-                .and_then(|pair| pair.keep(&fleet, server));
+            let kept = found.get(&server.id).and_then(|pair| pair.keep(&fleet));
             match kept {
                 Some(pair) => homes.set(server.id.clone(), pair),
                 None if server.state == NodeState::Lost => {}
@@ -64,7 +62,7 @@
         for server in open {
             let former = found
                 .get(&server.id)
-                .and_then(|pair| pair.standby_home.as_ref());
+                .and_then(|pair| pair.successor(&fleet));
             if let Some(pair) = homes.choose(&fleet, server, former) {
                 homes.set(server.id.clone(), pair);
             }
@@ -73,6 +71,33 @@
         homes
     }
 
+    /// Moves homes out of their servers' data centres, where another router of the region can take
+    /// them: that is what rule 1 asks for. A home in another region would cost more than it mends.
+    pub(crate) fn mended(&self, fleet: &Fleet) -> Self {
+        let mut mended = self.clone();
+        for (id, pair) in &self.pairs {
+            let server = fleet.find_server(id);
+            let home = fleet.find_router(&pair.home);
+            let Some((server, home)) = server.zip(home) else {
+                continue;
+            };
+            let can_mend = |router: &RouterRow| {
+                router.region == server.region && router.data_centre != server.data_centre
+            };
+            if home.data_centre != server.data_centre || !live(fleet).any(can_mend) {
+                continue;
+            }
+            let successor = pair.standby_home.as_ref().map(|router| Successor {
+                router,
+                is_urgent: false,
+            });
+            if let Some(pair) = mended.choose(fleet, server, successor) {
+                mended.set(id.clone(), pair);
+            }
+        }
+        mended
+    }
+
     /// Returns the homes of a server.
     #[must_use]
     pub fn pair(&self, server: &ServerId) -> Option<&HomePair> {
@@ -94,19 +119,23 @@
         self.pairs.insert(server, pair);
     }
 
-    /// Chooses the homes of one server. The former standby home goes first where rule 1 allows
-    /// it: it holds the server's mirrored claims and may serve already.
+    /// Chooses the homes of one server. The former standby home goes before its equals, since it
+    /// holds the server's mirrored claims; and before all others if the home is lost, since it may
+    /// serve already.
     fn choose(
         &self,
         fleet: &Fleet,
         server: &ServerRow,
-        former: Option<&RouterId>,
+        successor: Option<Successor<'_>>,
     ) -> Option<HomePair> {
         let home = live(fleet).min_by_key(|router| {
+            let is_successor = successor.is_some_and(|found| *found.router == router.id);
+            let is_urgent = successor.is_some_and(|found| found.is_urgent);
             let shares = router.data_centre == server.data_centre;
             let outside = router.region != server.region;
-            let other = former != Some(&router.id);
-            (shares, outside, other, self.count(&router.id), &router.id)
+            let waits = is_urgent && !is_successor;
+            let count = self.count(&router.id);
+            (waits, shares, outside, !is_successor, count, &router.id)
         })?;
         Some(HomePair {
             home: home.id.clone(),
@@ -169,6 +198,14 @@
         .filter(|router| router.state == NodeState::Live)
 }
 
+/// A standby home that may become the home.
+#[derive(Debug, Clone, Copy)]
+struct Successor<'a> {
+    router: &'a RouterId,
+    /// Whether the home is lost, and does not leave by plan.
+    is_urgent: bool,
+}
+
 /// The homes of one server as found in placements in force.
 #[derive(Debug, Default)]
 struct Found {
@@ -180,11 +217,18 @@
 
 /// Collects the homes of servers out of placements in force. Where shards of one server disagree
 /// (after a change was recorded for a part of them), the homes of most shards count.
-fn pairs_of(current: &[Placed], ended: &EndedRuns) -> BTreeMap<ServerId, Found> {
+///
+/// A lost home has no say beside others: where a standby home has recorded a part of its takeover,
+/// it is the home of the rest, too.
+fn pairs_of(fleet: &Fleet, current: &[Placed], ended: &EndedRuns) -> BTreeMap<ServerId, Found> {
+    let is_lost = |id: &RouterId| {
+        let row = fleet.find_router(id);
+        row.is_none_or(|router| router.state == NodeState::Lost)
+    };
     let mut homes = BTreeMap::new();
     let mut standbys = BTreeMap::new();
     for row in current {
-        if !ended.homes.contains(&row.shard) {
+        if !ended.homes.contains(&row.shard) && !is_lost(&row.home) {
             *homes.entry((&row.owner, &row.home)).or_default() += 1;
         }
         if let Some(standby) = &row.standby_home
@@ -214,18 +258,25 @@
 }
 
 impl Found {
-    /// Keeps the homes as far as they may take work and break no rule that could be kept.
-    fn keep(&self, fleet: &Fleet, server: &ServerRow) -> Option<HomePair> {
+    /// Returns the standby home, if it may become the home.
+    fn successor(&self, fleet: &Fleet) -> Option<Successor<'_>> {
+        let router = self.standby_home.as_ref()?;
+        let is_live = fleet.find_router(router)?.state == NodeState::Live;
+        is_live.then_some(Successor {
+            router,
+            is_urgent: self.home.is_none(),
+        })
+    }
+
+    /// Keeps the homes as far as they may take work.
+    fn keep(&self, fleet: &Fleet) -> Option<HomePair> {
         let find = |id: &RouterId| {
             fleet
                 .find_router(id)
                 .filter(|router| router.state == NodeState::Live)
         };
-        let home = self.home.as_ref().and_then(find)?;
         let elsewhere = |dc: &DataCentreId| live(fleet).any(|router| router.data_centre != *dc);
-        if home.data_centre == server.data_centre && elsewhere(&server.data_centre) {
-            return None;
-        }
+        let home = self.home.as_ref().and_then(find)?;
         let standby = self.standby_home.as_ref().and_then(find).filter(|standby| {
             let shares = standby.data_centre == home.data_centre;
             standby.id != home.id && !(shares && elsewhere(&home.data_centre))
--- a/crates/carawayrill-core/src/placement/initial.rs
+++ b/crates/carawayrill-core/src/placement/initial.rs
@@ -47,7 +47,7 @@
     let mut standbys = Standbys::new(fleet);
     for row in current {
         if let Some(standby) = &row.standby {
-            standbys.count(&row.owner, standby);
+            standbys.count(standby);
         }
     }
     let mut owners = Owners::new(fleet, &homes, current);
--- a/crates/carawayrill-core/src/placement/replace.rs
+++ b/crates/carawayrill-core/src/placement/replace.rs
@@ -5,7 +5,6 @@
 
 use super::config::BalanceConfig;
 use super::demand::Demand;
-use super::homes::HomePair;
 use super::homes::Homes;
 use super::initial::Owners;
 use super::rows::Fleet;
@@ -33,17 +32,22 @@
 ///
 /// The standby server of a shard becomes its owner, and the standby home of a server its home,
 /// wherever they can: they are agreed on beforehand and may serve already. The list begins with
-/// urgent moves. [`bound`] cuts the others.
+/// urgent moves. [`bound`] cuts the others. A home that stands beside its server, as a standby home
+/// may after it took over, stays until the shard needs nothing else, and is then moved by plan.
 #[must_use]
 pub fn replace(fleet: &Fleet, current: &[Placed], ended: &EndedRuns) -> Vec<Move> {
     let fleet = &fleet.sorted();
     let homes = Homes::assign_without(fleet, current, ended);
+    let mended = homes.mended(fleet);
     let mut owners = Owners::new(fleet, &homes, current);
     let mut standbys = Standbys::new(fleet);
     count_kept(fleet, current, &mut standbys);
     let mut moves: Vec<Move> = current
         .iter()
-        .filter_map(|row| replace_one(fleet, &homes, &mut owners, &mut standbys, ended, row))
+        .filter_map(|row| {
+            let due = replace_one(fleet, &homes, &mut owners, &mut standbys, ended, row);
+            due.or_else(|| replace_one(fleet, &mended, &mut owners, &mut standbys, ended, row))
+        })
         .collect();
     moves.sort_by_key(|step| !step.urgent);
     moves
@@ -100,7 +104,7 @@
 fn count_kept(fleet: &Fleet, current: &[Placed], standbys: &mut Standbys<'_>) {
     for row in current {
         if let Some(standby) = row.standby.as_ref().filter(|id| is_live(fleet, id)) {
-            standbys.count(&row.owner, standby);
+            standbys.count(standby);
         }
     }
 }
@@ -195,18 +199,3 @@
         (false, false) => (Reason::Balance, false),
     }
 }
-
-impl Standbys<'_> {
-    /// Keeps the standby server of a shard if it may stay, else chooses one.
-    pub(crate) fn keep_or_choose(
-        &mut self,
-        owner: &ServerRow,
-        pair: &HomePair,
-        old: Option<&ServerId>,
-    ) -> Option<ServerId> {
-        match old {
-            Some(old) if self.may_stay(owner, pair, old) => Some(old.clone()),
-            _ => self.choose(owner, pair),
-        }
-    }
-}
--- a/crates/carawayrill-core/src/placement/standby.rs
+++ b/crates/carawayrill-core/src/placement/standby.rs
@@ -1,87 +1,100 @@
 //! The choice of standby servers.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use super::homes::HomePair;
 use super::rows::Fleet;
 use super::rows::NodeState;
 use super::rows::ServerRow;
 use crate::id::DataCentreId;
+use crate::id::RegionId;
 use crate::id::ServerId;
 use crate::id::ServiceId;
 
+/// Keeps fractions of a shard when counts are divided by weights.
+pub(crate) const WEIGHT_SCALE: u64 = 1 << 16;
+
+/// The live servers of one service in one data centre, ranked by what they stand by for.
+#[derive(Debug)]
+struct Pool<'a> {
+    region: &'a RegionId,
+    ranked: BTreeSet<(u64, &'a ServerId)>,
+}
+
 /// Chooses standby servers and counts them, so that the shards of one lost server spread over
-/// many others.
+/// many others: each choice puts the chosen server behind its equals.
 #[derive(Debug)]
 pub(crate) struct Standbys<'a> {
     fleet: &'a Fleet,
-    by_service: BTreeMap<&'a ServiceId, Vec<&'a ServerRow>>,
-    /// Shards of an owner that a server stands by for.
-    pairs: BTreeMap<(ServerId, ServerId), u32>,
-    /// Shards that a server stands by for.
-    totals: BTreeMap<ServerId, u32>,
+    pools: BTreeMap<&'a ServiceId, BTreeMap<&'a DataCentreId, Pool<'a>>>,
+    /// Shards that a server stands by for, in relation to its weight.
+    totals: BTreeMap<&'a ServerId, u64>,
 }
 
 impl<'a> Standbys<'a> {
     /// Makes the table for a sorted fleet.
     pub(crate) fn new(fleet: &'a Fleet) -> Self {
-        let mut by_service: BTreeMap<&ServiceId, Vec<&ServerRow>> = BTreeMap::new();
-        for server in &fleet.servers {
-            if server.state == NodeState::Live {
-                by_service.entry(&server.service).or_default().push(server);
-            }
+        let mut pools: BTreeMap<_, BTreeMap<_, Pool<'a>>> = BTreeMap::new();
+        let live = |row: &&ServerRow| row.state == NodeState::Live;
+        for server in fleet.servers.iter().filter(live) {
+            let of_service = pools.entry(&server.service).or_default();
+            let pool = of_service
+                .entry(&server.data_centre)
+                .or_insert_with(|| Pool {
+                    region: &server.region,
+                    ranked: BTreeSet::new(),
+                });
+            pool.ranked.insert((0, &server.id));
         }
         Self {
             fleet,
-            by_service,
-            pairs: BTreeMap::new(),
+            pools,
             totals: BTreeMap::new(),
         }
     }
 
     /// Counts a standby server in force.
-    pub(crate) fn count(&mut self, owner: &ServerId, standby: &ServerId) {
-        let pair = (owner.clone(), standby.clone());
-        *self.pairs.entry(pair).or_default() += 1;
-        *self.totals.entry(standby.clone()).or_default() += 1;
+    pub(crate) fn count(&mut self, standby: &ServerId) {
+        let Some(server) = self.fleet.find_server(standby) else {
+            return;
+        };
+        let total = self.totals.entry(&server.id).or_default();
+        let former = *total;
+        *total += WEIGHT_SCALE / u64::from(server.weight.max(1));
+        let of_service = self.pools.get_mut(&server.service);
+        let pool = of_service.and_then(|pools| pools.get_mut(&server.data_centre));
+        if let Some(pool) = pool
+            && pool.ranked.remove(&(former, &server.id))
+        {
+            pool.ranked.insert((*total, &server.id));
+        }
     }
 
     /// Chooses the standby server for a shard of `owner` and counts it.
     ///
-    /// The home's data centre goes first, for it breaks rule 1; then the owner's, then the
-    /// region. Among equals, the server that stands by for the fewest shards of this owner, then
-    /// for the fewest of all in relation to its weight.
+    /// The home's data centre goes last, for it breaks rule 1; then the owner's, then other
+    /// regions. Among equals, the server goes first that stands by for the fewest shards.
     pub(crate) fn choose(&mut self, owner: &ServerRow, pair: &HomePair) -> Option<ServerId> {
         let home_dc = self.home_data_centre(pair);
-        let chosen = self
-            .by_service
-            .get(&owner.service)?
-            .iter()
-            .filter(|server| server.id != owner.id)
-            .min_by_key(|server| {
-                let beside_home = Some(&server.data_centre) == home_dc;
-                let beside_owner = server.data_centre == owner.data_centre;
-                let outside = server.region != owner.region;
-                let key = (owner.id.clone(), server.id.clone());
-                let of_owner = self.pairs.get(&key).copied().unwrap_or(0);
-                let total = self.totals.get(&server.id).copied().unwrap_or(0);
-                let scaled = u64::from(total) * WEIGHT_SCALE / u64::from(server.weight.max(1));
-                (
-                    beside_home,
-                    beside_owner,
-                    outside,
-                    of_owner,
-                    scaled,
-                    &server.id,
-                )
-            })?
-            .id
-            .clone();
-        self.count(&owner.id, &chosen);
+        let pools = self.pools.get(&owner.service)?.iter();
+        let best = pools
+            .filter_map(|(dc, pool)| {
+                let mut ranked = pool.ranked.iter();
+                let (total, id) = ranked.find(|(_, id)| **id != owner.id)?;
+                let beside_home = Some(*dc) == home_dc;
+                let beside_owner = **dc == owner.data_centre;
+                let outside = *pool.region != owner.region;
+                Some((beside_home, beside_owner, outside, *total, *id))
+            })
+            .min()?;
+        let chosen = best.4.clone();
+        self.count(&chosen);
         Some(chosen)
     }
 
-    /// Tells whether a standby server in force may stay: it is live, and no other would mend rule 1.
+    /// Tells whether a standby server in force may stay: it is live, and no other would mend rule
+    /// 1.
     pub(crate) fn may_stay(&self, owner: &ServerRow, pair: &HomePair, old: &ServerId) -> bool {
         let Some(old) = self.fleet.find_server(old) else {
             return false;
@@ -93,12 +106,25 @@
         if Some(&old.data_centre) != home_dc {
             return true;
         }
-        let others = self.by_service.get(&owner.service);
-        !others.is_some_and(|servers| {
-            servers
-                .iter()
-                .any(|other| other.id != owner.id && Some(&other.data_centre) != home_dc)
-        })
+        let mends = |(dc, pool): (&&DataCentreId, &Pool<'_>)| {
+            let mut ids = pool.ranked.iter().map(|(_, id)| *id);
+            Some(*dc) != home_dc && ids.any(|id| *id != owner.id)
+        };
+        let pools = self.pools.get(&owner.service);
+        !pools.is_some_and(|pools| pools.iter().any(mends))
+    }
+
+    /// Keeps the standby server of a shard if it may stay, else chooses one.
+    pub(crate) fn keep_or_choose(
+        &mut self,
+        owner: &ServerRow,
+        pair: &HomePair,
+        old: Option<&ServerId>,
+    ) -> Option<ServerId> {
+        match old {
+            Some(old) if self.may_stay(owner, pair, old) => Some(old.clone()),
+            _ => self.choose(owner, pair),
+        }
     }
 
     /// Returns the data centre of a server's home.
@@ -108,6 +134,3 @@
             .map(|router| &router.data_centre)
     }
 }
-
-/// Keeps fractions of a shard when counts are divided by weights.
-pub(crate) const WEIGHT_SCALE: u64 = 1 << 16;
--- a/crates/carawayrill-core/tests/placement_replace.rs
+++ b/crates/carawayrill-core/tests/placement_replace.rs
@@ -93,15 +93,73 @@
 /// A lost home's servers go to their standby homes, which may serve already.
 #[test]
 fn standby_home_takes_over() {
-    let (mut fleet, before) = placed(36);
+    let mut fleet = fleet(3, 3, 2, 3);
+    let before = initial(&fleet, &shards(36), &[]).placed;
     set(&mut fleet, "g-010", NodeState::Lost);
     let moves = replace(&fleet, &before, &EndedRuns::default());
+    assert!(moves.iter().any(Move::changes_home));
     let mut taken = moves
         .iter()
         .filter(|step| step.from.home.as_str() == "g-010");
     assert!(taken.all(|step| Some(&step.to.home) == step.from.standby_home.as_ref()));
 }
 
+/// A standby home that took over stays home while no other router of the region can take its place,
+/// though it stands beside the server; it is relieved by plan once one can.
+#[test]
+fn standby_home_that_took_over_stays() {
+    let mut fleet = fleet(2, 2, 1, 1);
+    let before = initial(&fleet, &shards(8), &[]).placed;
+    set(&mut fleet, "g-000", NodeState::Lost);
+    let recorded: Vec<Placed> = before
+        .iter()
+        .map(|row| match &row.standby_home {
+            Some(standby) if row.home.as_str() == "g-000" => Placed {
+                home: standby.clone(),
+                standby_home: None,
+                ..row.clone()
+            },
+            _ => row.clone(),
+        })
+        .collect();
+    let moves = replace(&fleet, &recorded, &EndedRuns::default());
+    assert!(!moves.is_empty(), "a new standby home is filled in");
+    assert!(!moves.iter().any(Move::changes_home));
+    let after = apply(&recorded, &moves);
+    set(&mut fleet, "g-000", NodeState::Live);
+    let moves = replace(&fleet, &after, &EndedRuns::default());
+    assert!(moves.iter().any(Move::changes_home));
+    assert!(moves.iter().all(|step| !step.urgent));
+    let broken = |row: &Placed| {
+        shortfalls(&fleet, row)
+            .iter()
+            .any(|found| found.breaks_rule())
+    };
+    assert!(!apply(&after, &moves).iter().any(broken));
+}
+
+/// Where a part of a takeover is recorded, the rest follows it.
+#[test]
+fn rest_of_a_takeover_follows() {
+    let mut fleet = fleet(3, 3, 2, 3);
+    let mut rows = initial(&fleet, &shards(36), &[]).placed;
+    set(&mut fleet, "g-010", NodeState::Lost);
+    let first = rows
+        .iter()
+        .position(|row| row.home.as_str() == "g-010")
+        .unwrap();
+    let owner = rows[first].owner.clone();
+    let taker = rows[first].standby_home.clone().unwrap();
+    rows[first].home = taker.clone();
+    rows[first].standby_home = None;
+    let moves = replace(&fleet, &rows, &EndedRuns::default());
+    let mut homes = moves
+        .iter()
+        .filter(|step| step.to.owner == owner)
+        .map(|step| &step.to.home);
+    assert!(homes.all(|home| *home == taker));
+}
+
 /// A restarted home is nobody's home: its run has ended, though the router lives.
 #[test]
 fn ended_run_is_replaced() {
@@ -124,6 +182,11 @@
             .iter()
             .all(|step| step.urgent && step.reason == Reason::HomeLost)
     );
+    let to_standby = |step: &Move| Some(&step.to.home) == step.from.standby_home.as_ref();
+    assert!(
+        moves.iter().all(to_standby),
+        "the standby home may serve already"
+    );
 }
 
 #[rstest]
@@ -137,6 +200,13 @@
     let rehomed = moves.iter().filter(|step| step.changes_home());
     let rehomed: BTreeSet<_> = rehomed.map(|step| &step.to.owner).collect();
     assert_eq!(rehomed.len(), servers);
+    let shards = before.iter().filter(|row| rehomed.contains(&row.owner));
+    let moved = moves.iter().filter(|step| step.changes_home());
+    assert_eq!(
+        moved.count(),
+        shards.count(),
+        "no server is left with two homes"
+    );
 }
 
 #[test]
--- /dev/null
+++ b/crates/carawayrill-testkit/src/bin/carawayrill-slopes/line.rs
@@ -0,0 +1,57 @@
+//! The straight line through a few points, by least squares.
+
+use std::fmt;
+
+/// One measured point.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Point {
+    /// The size.
+    pub size: f64,
+    /// What was measured at that size.
+    pub value: f64,
+}
+
+/// A line: `base + slope * size`.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Line {
+    /// The value at size 0.
+    pub base: f64,
+    /// The growth by one unit of size.
+    pub slope: f64,
+}
+
+impl Line {
+    /// Lays a line through points: the one with the least relative squared errors, so that small
+    /// sizes count as much as large ones.
+    pub fn through(points: &[Point]) -> Self {
+        let weight = |point: &Point| 1.0 / (point.value * point.value).max(f64::MIN_POSITIVE);
+        let sum = |of: &dyn Fn(&Point) -> f64| -> f64 {
+            points.iter().map(|point| weight(point) * of(point)).sum()
+        };
+        let total = sum(&|_| 1.0);
+        let mean_size = sum(&|point| point.size) / total;
+        let mean_value = sum(&|point| point.value) / total;
+        let above = sum(&|point| (point.size - mean_size) * (point.value - mean_value));
+        let below = sum(&|point| (point.size - mean_size) * (point.size - mean_size));
+        let slope = above / below;
+        Self {
+            base: mean_value - slope * mean_size,
+            slope,
+        }
+    }
+
+    /// Returns the largest relative distance of a point from the line.
+    pub fn error(&self, points: &[Point]) -> f64 {
+        let distance = |point: &Point| {
+            let line = self.base + self.slope * point.size;
+            ((point.value - line) / point.value).abs()
+        };
+        points.iter().map(distance).fold(0.0, f64::max)
+    }
+}
+
+impl fmt::Display for Line {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:.3} + {:.4} n", self.base, self.slope)
+    }
+}
--- /dev/null
+++ b/crates/carawayrill-testkit/src/bin/carawayrill-slopes/table.rs
@@ -0,0 +1,227 @@
+//! All measurements, each with its sizes.
+
+use crate::control;
+use crate::memory;
+use crate::messages;
+
+/// One measurement.
+#[derive(Debug, Clone, Copy)]
+pub struct Measurement {
+    /// Its name on the command line.
+    pub name: &'static str,
+    /// What `n` counts.
+    pub per: &'static str,
+    /// The unit of the result.
+    pub unit: &'static str,
+    /// The sizes, far apart.
+    pub sizes: &'static [usize],
+    /// Measures at one size.
+    pub run: fn(usize) -> f64,
+}
+
+/// Makes a measurement.
+const fn row(
+    name: &'static str,
+    per: &'static str,
+    unit: &'static str,
+    sizes: &'static [usize],
+    run: fn(usize) -> f64,
+) -> Measurement {
+    Measurement {
+        name,
+        per,
+        unit,
+        sizes,
+        run,
+    }
+}
+
+/// Numbers of shards; the last is the target size.
+const SHARDS: &[usize] = &[5_200, 20_800, 83_200];
+/// Numbers of shards for memory, beyond the target size, so that the process itself counts little.
+const MANY_SHARDS: &[usize] = &[20_800, 83_200, 332_800];
+/// Numbers of routers or servers.
+const NODES: &[usize] = &[2_000, 10_000, 50_000];
+/// Numbers of counters of a sketch.
+const COUNTERS: &[usize] = &[4_096, 32_768, 262_144];
+
+/// All measurements.
+pub const TABLE: &[Measurement] = &[
+    row(
+        "route-table",
+        "shards",
+        "bytes",
+        MANY_SHARDS,
+        memory::route_table,
+    ),
+    row(
+        "block-cache",
+        "shards",
+        "bytes",
+        MANY_SHARDS,
+        memory::block_cache,
+    ),
+    row(
+        "home-table",
+        "shards",
+        "bytes",
+        MANY_SHARDS,
+        memory::home_table,
+    ),
+    row(
+        "controller-view",
+        "shards",
+        "bytes",
+        MANY_SHARDS,
+        memory::view_shards,
+    ),
+    row("members", "routers", "bytes", NODES, memory::router_members),
+    row(
+        "declared-servers",
+        "servers",
+        "bytes",
+        NODES,
+        memory::declared_servers,
+    ),
+    row("sketch", "counters", "bytes", COUNTERS, memory::sketch),
+    row(
+        "heartbeat-bytes",
+        "reported shards",
+        "bytes",
+        &[0, 80, 640],
+        messages::heartbeat_bytes,
+    ),
+    row(
+        "heartbeat-time",
+        "reported shards",
+        "us",
+        &[0, 80, 640],
+        messages::heartbeat_time,
+    ),
+    row(
+        "delta-bytes",
+        "rows",
+        "bytes",
+        &[8, 64, 512],
+        messages::delta_bytes,
+    ),
+    row(
+        "delta-time",
+        "rows",
+        "us",
+        &[8, 64, 512],
+        messages::delta_time,
+    ),
+    row(
+        "check-bytes",
+        "blocks",
+        "bytes",
+        &[1, 16, 256],
+        messages::check_bytes,
+    ),
+    row(
+        "check-time",
+        "blocks",
+        "us",
+        &[1, 16, 256],
+        messages::check_time,
+    ),
+    row(
+        "sketch-time",
+        "counters",
+        "us per 1,000 requests",
+        &[512, 4_096, 32_768],
+        messages::sketch_time,
+    ),
+    row(
+        "first-placement",
+        "shards",
+        "us",
+        SHARDS,
+        control::first_placement,
+    ),
+    row(
+        "balance-round",
+        "shards",
+        "us",
+        SHARDS,
+        control::balance_round,
+    ),
+    row(
+        "replace-router",
+        "shards",
+        "us",
+        SHARDS,
+        control::replace_router,
+    ),
+    row(
+        "replace-data-centre",
+        "shards",
+        "us",
+        SHARDS,
+        control::replace_data_centre,
+    ),
+    row(
+        "takeover-changes",
+        "shards",
+        "changes",
+        SHARDS,
+        control::takeover_changes,
+    ),
+    row(
+        "takeover-time",
+        "shards",
+        "us",
+        SHARDS,
+        control::takeover_time,
+    ),
+    row(
+        "takeover-reads",
+        "shards",
+        "store calls",
+        SHARDS,
+        control::takeover_reads,
+    ),
+    row(
+        "takeover-writes",
+        "shards",
+        "store calls",
+        SHARDS,
+        control::takeover_writes,
+    ),
+    row(
+        "takeover-span",
+        "shards",
+        "virtual ms",
+        SHARDS,
+        control::takeover_span,
+    ),
+    row(
+        "data-centre-changes",
+        "shards",
+        "changes",
+        SHARDS,
+        control::data_centre_changes,
+    ),
+    row(
+        "data-centre-time",
+        "shards",
+        "us",
+        SHARDS,
+        control::data_centre_time,
+    ),
+    row(
+        "data-centre-calls",
+        "shards",
+        "store calls",
+        SHARDS,
+        control::data_centre_calls,
+    ),
+    row(
+        "checked-blocks",
+        "shards",
+        "blocks",
+        SHARDS,
+        control::checked_blocks,
+    ),
+];
