--- a/crates/carawayrill-router/src/peer/service.rs
+++ b/crates/carawayrill-router/src/peer/service.rs
@@ -20,8 +20,8 @@
 use crate::peer::authority;
 use crate::peer::convert;
 use crate::relay::HeartbeatTable;
-use crate::relay::VersionReader;
 use crate::status;
+use crate::versions::VersionReader;
 
 /// The longest wait of a watch.
 const MAX_WATCH_WAIT: Duration = Duration::from_secs(10);
@@ -82,7 +82,7 @@
     ) -> Result<Response<wire::CancelReply>, Status> {
         let wire = request.into_inner();
         convert::observe(wire.stamp);
-        self.home.cancel(&wire.request_id);
+        self.home.cancel(&self.cx, &wire.request_id);
         Ok(Response::new(wire::CancelReply {}))
     }
 
@@ -92,11 +92,7 @@
     ) -> Result<Response<wire::MirrorReply>, Status> {
         let wire = request.into_inner();
         convert::observe(wire.stamp);
-        let kept = self.home.keep_mirror(&self.cx, wire);
-        Ok(Response::new(wire::MirrorReply {
-            kept,
-            incarnation: self.cx.incarnation.0,
-        }))
+        Ok(Response::new(self.home.keep_mirror(&self.cx, wire)))
     }
 
     async fn heartbeat(
@@ -125,28 +121,22 @@
         let wire = request.into_inner();
         convert::observe(wire.stamp);
         let names: Vec<_> = wire.names.into_iter().map(CompactString::from).collect();
-        let reads = self
-            .versions
-            .check(&self.cx, &names)
-            .await
-            .map_err(|err| Status::unavailable(err.to_string()))?;
-        let now = self.cx.now();
-        let oldest = reads
-            .iter()
-            .map(|read| now.since(read.started))
-            .max()
-            .unwrap_or_default();
-        let versions = names
-            .iter()
-            .zip(&reads)
-            .map(|(name, read)| wire::ObjectVersion {
-                name: name.to_string(),
-                version: read.version.0,
-            });
+        let seen = |name: &str| self.cx.caches.assignments.known_version(name);
+        let read = self.versions.check(&names, seen).await;
+        let read = read.map_err(|err| Status::unavailable(err.to_string()))?;
+        let age = self.cx.now().since(read.started);
+        let versions =
+            names
+                .iter()
+                .zip(&read.versions)
+                .map(|(name, version)| wire::ObjectVersion {
+                    name: name.to_string(),
+                    version: version.0,
+                });
         Ok(Response::new(wire::CheckVersionsReply {
             stamp: convert::stamp(),
             versions: versions.collect(),
-            age_ms: carawayrill_core::time::millis(oldest),
+            age_ms: carawayrill_core::time::millis(age),
         }))
     }
 
@@ -175,12 +165,15 @@
         let limit = Duration::from_millis(wire.drain_ms) + ANSWER_SLACK;
         let ask = |ask| Input::Release { ask, rows };
         match self.home.control().ask(&self.cx, limit, ask).await {
-            Some(Reply::Released(rows)) => Ok(Response::new(wire::ReleaseReply {
-                stamp: convert::stamp(),
-                released: authority::released_to_wire(rows),
-                router: self.cx.settings.router.to_string(),
-                incarnation: self.cx.incarnation.0,
-            })),
+            Some(Reply::Released(rows)) => {
+                self.home.hand_over(&self.cx, &rows).await;
+                Ok(Response::new(wire::ReleaseReply {
+                    stamp: convert::stamp(),
+                    released: authority::released_to_wire(rows),
+                    router: self.cx.settings.router.to_string(),
+                    incarnation: self.cx.incarnation.0,
+                }))
+            }
             _ => Err(Status::deadline_exceeded("requests are still in flight")),
         }
     }
