Refuse changes that two neighbouring generations can't bear

Cause: takers wait by their own generation for the authority that a home holds by its own. A shorter on_store_outage in force at the taker first would end the wait while a home, still on the older generation, may go on: two owners of a key. The same holds if an overlay lets a home hold on for longer than the base says. And shards, shards_per_block and fencing lay out what is stored.

Now an overlay may only shorten on_store_outage; the base may be cut to what all overlays have been cut to in the generation before, and apply waits first until that is in force at every router; the fixed fields of a live service can't change.

Excluded: the longest hold ever kept in the head (never falls without another mechanism); takers that ask each home for its generation (a lost home does not answer).

Also the example sizes, which measures check, merge and accept by size.

--- /dev/null
+++ b/crates/carawayrill-config/examples/sizes.rs
@@ -0,0 +1,119 @@
+//! Prints what a configuration costs by its size: object sizes, and the time to check, to merge, to
+//! accept and to take in one changed overlay.
+//!
+//! `cargo run --release -p carawayrill-config --example sizes`
+
+use std::time::Instant;
+
+use async_trait::async_trait;
+use carawayrill_config::Parts;
+use carawayrill_config::accept::ConfigView;
+use carawayrill_config::accept::Edit;
+use carawayrill_config::accept::Pause;
+use carawayrill_config::accept::merge;
+use carawayrill_config::accept::propose;
+use carawayrill_core::id::Generation;
+use carawayrill_core::time::WallTime;
+use carawayrill_store::memory::MemoryStore;
+use carawayrill_store::port::ObjectStore;
+
+/// Servers in all, and sites.
+const SIZES: &[(u32, u32)] = &[(50, 6), (1_000, 14), (10_000, 14), (30_000, 14)];
+/// Measurements of each size; the middle one is printed.
+const RUNS: usize = 5;
+
+/// Gives up after the first attempt.
+#[derive(Debug)]
+struct Once;
+
+#[async_trait]
+impl Pause for Once {
+    async fn pause(&self, _attempt: u32) -> bool {
+        false
+    }
+}
+
+/// Writes a deployment with `servers` over `sites`.
+fn parts(servers: u32, sites: u32) -> Parts {
+    let data_centres: Vec<String> = (0..sites)
+        .map(|i| format!("  dc-{i}: {{region: r-{}}}\n", i / 4))
+        .collect();
+    let base = format!(
+        "name: large\nregion_link: 4Gbit/s\ndata_centres:\n{}services:\n  s: {{key: header k, shards: 4096, slots: 6, connections: 130}}\n",
+        data_centres.concat()
+    );
+    (0..sites).fold(Parts::new(base), |parts, site| {
+        let rows: Vec<String> = (site..servers)
+            .step_by(sites as usize)
+            .map(|i| {
+                let (high, low) = (i >> 8, i & 255);
+                format!("  s-{i:05}: {{service: s, address: 10.1.{high}.{low}:7000}}\n")
+            })
+            .collect();
+        let text = format!("servers:\n{}", rows.concat());
+        parts.with_site(&format!("dc-{site}"), text).expect("site")
+    })
+}
+
+/// Returns the parts with one more comment line and one other port at a site.
+fn edited(parts: &Parts, site: usize, port: &str) -> Parts {
+    let mut parts = parts.clone();
+    let text = parts.sites.values_mut().nth(site).expect("site");
+    *text = text.replacen(":7000}", port, 1);
+    parts
+}
+
+/// Returns the middle time of some runs, in milliseconds.
+fn middle(mut run: impl FnMut()) -> f64 {
+    let mut times: Vec<f64> = (0..RUNS)
+        .map(|_| {
+            let began = Instant::now();
+            run();
+            began.elapsed().as_secs_f64() * 1_000.0
+        })
+        .collect();
+    times.sort_by(f64::total_cmp);
+    times[RUNS / 2]
+}
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() {
+    println!("servers sites base_B overlay_B head_B check_ms merge_ms accept_ms take_in_ms");
+    for (servers, sites) in SIZES {
+        let before = parts(*servers, *sites);
+        let ours = edited(&before, 0, ":7001}");
+        let theirs = edited(&before, 0, ":7000} # moved");
+        let check = middle(|| drop(before.check().expect("right")));
+        let merged = middle(|| drop(merge(&before, &ours, &theirs).expect("merged")));
+        let store = MemoryStore::new();
+        let mut from = Generation(0);
+        let mut view = ConfigView::default();
+        let mut accept = Vec::new();
+        let mut take_in = Vec::new();
+        for next in [&before, &ours, &before, &ours, &before, &ours] {
+            let edit = Edit {
+                from,
+                parts: next.clone(),
+                by: "bench".into(),
+            };
+            let began = Instant::now();
+            let answer = propose(&store, &edit, WallTime(0), &Once).await;
+            accept.push(began.elapsed().as_secs_f64() * 1_000.0);
+            from = answer.expect("accepted").generation();
+            let began = Instant::now();
+            view.refresh(&store).await.expect("taken in");
+            take_in.push(began.elapsed().as_secs_f64() * 1_000.0);
+        }
+        accept.sort_by(f64::total_cmp);
+        take_in.sort_by(f64::total_cmp);
+        let head = store.get("config/head").await.expect("read").expect("head");
+        let overlay = before.sites.values().map(String::len).max().unwrap_or(0);
+        println!(
+            "{servers} {sites} {} {overlay} {} {check:.2} {merged:.2} {:.2} {:.2}",
+            before.base.len(),
+            head.value.len(),
+            accept[accept.len() / 2],
+            take_in[take_in.len() / 2]
+        );
+    }
+}
--- a/crates/carawayrill-config/src/accept/mod.rs
+++ b/crates/carawayrill-config/src/accept/mod.rs
@@ -14,6 +14,7 @@
 mod history;
 mod merge;
 mod propose;
+mod transition;
 mod view;
 mod write;
 
@@ -26,6 +27,7 @@
 pub use crate::accept::merge::Clash;
 pub use crate::accept::merge::merge;
 pub use crate::accept::propose::propose;
+pub use crate::accept::transition::shortens_authority;
 pub use crate::accept::view::Accepted;
 pub use crate::accept::view::ConfigView;
 pub use crate::accept::view::fetch;
--- a/crates/carawayrill-config/src/accept/propose.rs
+++ b/crates/carawayrill-config/src/accept/propose.rs
@@ -19,6 +19,7 @@
 use crate::accept::head::digests_of;
 use crate::accept::history::History;
 use crate::accept::merge::merge;
+use crate::accept::transition;
 use crate::parts::BASE_FILE;
 use crate::parts::site_file;
 
@@ -109,6 +110,7 @@
             let generation = head.generation;
             return Ok(Step::Done(Answer::Unchanged { generation }));
         }
+        may_follow(&in_force, &next)?;
         self.put(version, Some(&head), &next).await
     }
 
@@ -240,6 +242,17 @@
     Ok(())
 }
 
+/// Checks that the processes may pass from the files in force to the next ones one by one.
+fn may_follow(in_force: &Parts, next: &Parts) -> Result<(), Error> {
+    let wrong = |err| Error::wrong(None, err);
+    let before = in_force.check().map_err(wrong)?.deployment;
+    let problems = transition::refused(&before, &next.check().map_err(wrong)?);
+    if problems.is_empty() {
+        return Ok(());
+    }
+    Err(wrong(problems.into()))
+}
+
 /// Checks that a file fits into one object.
 fn fits(file: &str, text: &str) -> Result<(), Error> {
     if text.len() > MAX_VALUE_BYTES {
--- a/crates/carawayrill-config/src/checked.rs
+++ b/crates/carawayrill-config/src/checked.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::str::FromStr;
+use std::time::Duration;
 
 use carawayrill_core::id::DataCentreId;
 use carawayrill_core::id::Generation;
@@ -356,6 +357,7 @@
                     continue;
                 }
                 let row = row_of(&path, &[fields, &files.base], &origin);
+                self.holds_no_longer(&row, &files.base);
                 adjusted.extend(self.service(&row, timing).map(|service| SiteService {
                     data_centre: site.clone(),
                     service,
@@ -365,6 +367,25 @@
         adjusted
     }
 
+    /// Checks that an overlay doesn't let a home hold on for longer than the base file: whoever
+    /// takes over waits as long as that says, wherever the home stands.
+    fn holds_no_longer(&mut self, row: &Row<'_>, base: &Fields) {
+        let whole = row_of(&row.path, &[base], &row.origin);
+        let here = row.get("on_store_outage");
+        let there = whole.get("on_store_outage");
+        let (Ok(here), Ok(there)) = (here, there) else {
+            return;
+        };
+        let hold = |outage: OnStoreOutage| match outage {
+            OnStoreOutage::Hold(span) => span.0,
+            OnStoreOutage::Stop => Duration::ZERO,
+        };
+        if hold(here) > hold(there) {
+            let text = format!("found `{here}`, expected at most `{there}` of the base file");
+            self.problems.push(row.clash("on_store_outage", &text));
+        }
+    }
+
     /// Checks the servers of all files.
     fn servers(&mut self) -> Vec<Server> {
         let files = self.files;
--- a/crates/carawayrill-config/src/loaded.rs
+++ b/crates/carawayrill-config/src/loaded.rs
@@ -10,6 +10,7 @@
 use crate::Origin;
 use crate::Parts;
 use crate::checked::Checker;
+use crate::checked::start_of;
 use crate::deployment::Deployment;
 use crate::fields::Fields;
 use crate::fields::FileReader;
@@ -88,6 +89,12 @@
 }
 
 impl Loaded {
+    /// Returns where the base file has the value at `path`, or its start if it has none.
+    pub(crate) fn origin(&self, path: &str) -> Origin {
+        let written = self.files.base.get(path);
+        written.map_or_else(|| start_of(BASE_FILE), |value| value.origin.clone())
+    }
+
     /// Lists every value in force with its origin: the base's with its defaults, then what each
     /// overlay adjusts.
     #[must_use]
--- a/crates/carawayrill-config/tests/accept.rs
+++ b/crates/carawayrill-config/tests/accept.rs
@@ -198,10 +198,16 @@
     let south = "services: {forms: {queue_limit: 3}}\n";
     let with = five.clone().with_site("south-1", south).expect("site");
     told.insert("wrong when merged", apply(&store, 2, &with).await);
+    let shards = changed(&without, &[("shards: 16", "shards: 32")]);
+    told.insert("shards of a live service", apply(&store, 3, &shards).await);
+    let longer = "timing: {authority: 4s}\nname";
+    let longer = changed(&without, &[("name", longer)]);
+    apply(&store, 3, &longer).await.expect("fourth");
+    told.insert("authority cut at once", apply(&store, 4, &without).await);
     let huge = format!("{BASE}#{}\n", "x".repeat(1 << 20));
-    told.insert("too large", apply(&store, 3, &Parts::new(huge)).await);
+    told.insert("too large", apply(&store, 4, &Parts::new(huge)).await);
     store.set_fault(Fault::Down);
-    told.insert("store down", apply(&store, 3, &six).await);
+    told.insert("store down", apply(&store, 4, &six).await);
     store.set_fault(Fault::None);
     let lines: Vec<String> = told
         .into_iter()
@@ -213,7 +219,34 @@
         .collect();
     assert_snapshot!("refusals", lines.join("\n"));
     let after = fetch(&store).await.expect("read").expect("in force");
-    assert_eq!(after.generation, Generation(3));
+    assert_eq!(after.generation, Generation(4));
+}
+
+#[tokio::test]
+async fn hold_is_shortened_in_two_steps() {
+    let store = MemoryStore::new();
+    let hold = (
+        "queue_limit: 10",
+        "queue_limit: 10\n    on_store_outage: hold 1min",
+    );
+    let long = changed(&start(), &[hold]);
+    apply(&store, 0, &long).await.expect("first");
+    let cut = changed(&long, &[("hold 1min", "hold 10s")]);
+    apply(&store, 1, &cut).await.expect_err("the base alone");
+    let adjust = "services: {forms: {on_store_outage: hold 10s}}\n";
+    let sites = long
+        .with_site("north-1", format!("{NORTH}{adjust}"))
+        .expect("site");
+    let cut_half = changed(&sites, &[("hold 1min", "hold 20s")]);
+    apply(&store, 1, &sites).await.expect("one site");
+    apply(&store, 2, &cut_half)
+        .await
+        .expect_err("the other site still holds on for a minute");
+    let both = sites.with_site("south-1", adjust).expect("site");
+    apply(&store, 2, &both).await.expect("both sites");
+    let cut = changed(&both, &[("hold 1min", "hold 10s")]);
+    let last = apply(&store, 3, &cut).await.expect("the base last");
+    assert_eq!(last.generation(), Generation(4));
 }
 
 #[tokio::test]
--- a/crates/carawayrill-config/tests/bad_settings.rs
+++ b/crates/carawayrill-config/tests/bad_settings.rs
@@ -195,6 +195,12 @@
         "",
         "services: {forms: {shards: 32}}\n",
     ),
+    (
+        "overlay holds longer than the base",
+        "",
+        "",
+        "services: {forms: {on_store_outage: hold 1min}}\n",
+    ),
     (
         "overlay adjusts an unknown service",
         "",
--- a/crates/carawayrill/src/apply.rs
+++ b/crates/carawayrill/src/apply.rs
@@ -5,7 +5,10 @@
 use carawayrill_config::Parts;
 use carawayrill_config::accept::Answer;
 use carawayrill_config::accept::Edit;
+use carawayrill_config::accept::Pause;
+use carawayrill_config::accept::fetch;
 use carawayrill_config::accept::propose;
+use carawayrill_config::accept::shortens_authority;
 use carawayrill_store::http_store::HttpStore;
 use serde_json::json;
 
@@ -30,6 +33,7 @@
         by: args.by.clone(),
     };
     let store = args.store.connect()?;
+    settle_before_shortening(args, &store, &edit.parts).await?;
     let now = carawayrill_telemetry::wall_now();
     let answer = propose(&store, &edit, now, &Patience::new(args.patience.0)).await?;
     keep(args, &answer)?;
@@ -38,6 +42,38 @@
     Ok(ExitCode::SUCCESS)
 }
 
+/// If takers would wait for a shorter time from now on, makes sure that no router still holds on by
+/// an older generation.
+async fn settle_before_shortening(
+    args: &ApplyArgs,
+    store: &HttpStore,
+    parts: &Parts,
+) -> Result<(), Error> {
+    let pause = Patience::new(args.patience.0);
+    let mut attempt = 0;
+    let before = loop {
+        attempt += 1;
+        match fetch(store).await {
+            Ok(found) => break found,
+            Err(err) if err.is_passing() && pause.pause(attempt).await => {}
+            Err(err) => return Err(err.into()),
+        }
+    };
+    let Some(before) = before else {
+        return Ok(());
+    };
+    if !shortens_authority(&before.deployment, &parts.check()?.deployment) {
+        return Ok(());
+    }
+    let waited = wait::for_routers(store, before.generation, args.patience.0).await;
+    waited.map(drop).map_err(|err| {
+        Error::refused(format!(
+            "{err}\nThis edit shortens on_store_outage or timing.authority in the base file, which \
+             is safe only once the generation before is in force everywhere. Nothing was changed."
+        ))
+    })
+}
+
 /// Writes merged files and the generation to the directory, as the start of the next edit.
 fn keep(args: &ApplyArgs, answer: &Answer) -> Result<(), Error> {
     if let Answer::Accepted {
