Let a change of authority pass in two steps, in both directions

Cause: a lengthened hold is as wrong as a shortened one: a home on the new generation may hold on for longer than a taker on the old one waits. One rule covers both: by either of two neighbouring generations no home holds on for longer than the base file says in both. apply waits before such a step until the generation in force has reached every router and leading controller.

--- a/crates/carawayrill-config/src/accept/mod.rs
+++ b/crates/carawayrill-config/src/accept/mod.rs
@@ -27,7 +27,7 @@
 pub use crate::accept::merge::Clash;
 pub use crate::accept::merge::merge;
 pub use crate::accept::propose::propose;
-pub use crate::accept::transition::shortens_authority;
+pub use crate::accept::transition::changes_authority;
 pub use crate::accept::view::Accepted;
 pub use crate::accept::view::ConfigView;
 pub use crate::accept::view::fetch;
--- a/crates/carawayrill-config/src/accept/transition.rs
+++ b/crates/carawayrill-config/src/accept/transition.rs
@@ -12,13 +12,16 @@
 use crate::deployment::OnStoreOutage;
 use crate::deployment::Service;
 
-/// Tells whether takers wait for a shorter time by `after` than by `before`. Such a change may only
-/// follow once every router has the generation of `before` in force; the store alone can't tell.
+/// Tells whether homes may hold on, or takers wait, for another time by `after` than by `before`.
+/// Such a change may only follow once every process has the generation of `before` in force; the
+/// store alone can't tell.
 #[must_use]
-pub fn shortens_authority(before: &Deployment, after: &Deployment) -> bool {
+pub fn changes_authority(before: &Deployment, after: &Deployment) -> bool {
     before.services.iter().any(|old| {
-        let new = after.service(&old.id);
-        new.is_some_and(|new| validity(after, new) < validity(before, old))
+        let Some(new) = after.service(&old.id) else {
+            return false;
+        };
+        validity(before, old) != validity(after, new) || holds(before, old).ne(holds(after, new))
     })
 }
 
@@ -57,7 +60,8 @@
     }
 }
 
-/// Refuses to shorten the time that takers wait while a home may still hold on for longer.
+/// Refuses a change after which a home may hold on, by either generation, for longer than a taker
+/// waits by either.
 fn authority(
     before: &Deployment,
     old: &Service,
@@ -65,22 +69,42 @@
     after: &Loaded,
     problems: &mut Vec<Problem>,
 ) {
-    let is = validity(&after.deployment, new);
-    let sites = before.data_centres.iter();
-    let held = sites.filter_map(|dc| before.service_at(&old.id, &dc.id));
-    let longest = held.map(|service| validity(before, service)).max();
-    if longest.is_some_and(|longest| is < longest) {
+    let wait = validity(before, old).min(validity(&after.deployment, new));
+    let longest = holds(before, old)
+        .chain(holds(&after.deployment, new))
+        .max();
+    if longest.is_some_and(|longest| longest > wait) {
         let path = format!("services.{}.on_store_outage", old.id);
         let text = format!(
-            "found `{}`, shorter than a home may hold on by the generation in force: a key could \
-             get a second owner; first shorten it in the overlay of each data centre, wait until \
-             that is in force everywhere, then here",
-            new.on_store_outage
+            "found `{}`, in force is `{}`: while both are in use, a home could hold on for longer \
+             than whoever takes over waits, and a key get a second owner; pin the shorter one in \
+             the overlay of each data centre, wait until that is in force everywhere, then change \
+             one of both at a time",
+            shown(&after.deployment, new),
+            shown(before, old)
         );
         problems.push(Problem::new(&after.origin(&path), path, text));
     }
 }
 
+/// Returns how long homes may hold on at each data centre.
+fn holds<'a>(
+    deployment: &'a Deployment,
+    service: &'a Service,
+) -> impl Iterator<Item = Duration> + 'a {
+    let sites = deployment.data_centres.iter();
+    let there = sites.filter_map(|dc| deployment.service_at(&service.id, &dc.id));
+    there.map(|service| validity(deployment, service))
+}
+
+/// Writes how long homes hold on by the base file.
+fn shown(deployment: &Deployment, service: &Service) -> String {
+    match service.on_store_outage {
+        OnStoreOutage::Hold(span) => format!("hold {span}"),
+        OnStoreOutage::Stop => format!("stop after {}", deployment.timing.authority),
+    }
+}
+
 /// Returns how long a version check of the store gives authority over a service.
 fn validity(deployment: &Deployment, service: &Service) -> Duration {
     match service.on_store_outage {
--- a/crates/carawayrill-config/src/settings.rs
+++ b/crates/carawayrill-config/src/settings.rs
@@ -155,7 +155,7 @@
         "services.*.on_store_outage",
         Kind::Outage,
         Some("stop"),
-        "What a home does while the store can't be reached: stop after timing.authority, or hold on for the given time. A takeover without evidence waits just as long, so an overlay may only shorten it, and the base file only what all overlays have shortened before.",
+        "What a home does while the store can't be reached: stop after timing.authority, or hold on for the given time. A takeover without evidence waits just as long, so an overlay may only shorten it, and a change of the base file takes two steps.",
     ),
     both(
         "servers.*.service",
--- a/crates/carawayrill-config/tests/accept.rs
+++ b/crates/carawayrill-config/tests/accept.rs
@@ -200,14 +200,17 @@
     told.insert("wrong when merged", apply(&store, 2, &with).await);
     let shards = changed(&without, &[("shards: 16", "shards: 32")]);
     told.insert("shards of a live service", apply(&store, 3, &shards).await);
-    let longer = "timing: {authority: 4s}\nname";
-    let longer = changed(&without, &[("name", longer)]);
-    apply(&store, 3, &longer).await.expect("fourth");
-    told.insert("authority cut at once", apply(&store, 4, &without).await);
+    let longer = changed(&without, &[("name", "timing: {authority: 4s}\nname")]);
+    told.insert(
+        "authority lengthened at once",
+        apply(&store, 3, &longer).await,
+    );
+    let shorter = changed(&without, &[("name", "timing: {authority: 1900ms}\nname")]);
+    told.insert("authority cut at once", apply(&store, 3, &shorter).await);
     let huge = format!("{BASE}#{}\n", "x".repeat(1 << 20));
-    told.insert("too large", apply(&store, 4, &Parts::new(huge)).await);
+    told.insert("too large", apply(&store, 3, &Parts::new(huge)).await);
     store.set_fault(Fault::Down);
-    told.insert("store down", apply(&store, 4, &six).await);
+    told.insert("store down", apply(&store, 3, &six).await);
     store.set_fault(Fault::None);
     let lines: Vec<String> = told
         .into_iter()
@@ -219,7 +222,7 @@
         .collect();
     assert_snapshot!("refusals", lines.join("\n"));
     let after = fetch(&store).await.expect("read").expect("in force");
-    assert_eq!(after.generation, Generation(4));
+    assert_eq!(after.generation, Generation(3));
 }
 
 #[tokio::test]
@@ -249,6 +252,33 @@
     assert_eq!(last.generation(), Generation(4));
 }
 
+#[tokio::test]
+async fn hold_is_lengthened_in_two_steps() {
+    let store = started().await;
+    let hold = (
+        "queue_limit: 10",
+        "queue_limit: 10\n    on_store_outage: hold 1min",
+    );
+    let long = changed(&start(), &[hold]);
+    apply(&store, 1, &long).await.expect_err("at once");
+    let pin = "services: {forms: {on_store_outage: stop}}\n";
+    let pinned = long
+        .with_site("north-1", format!("{NORTH}{pin}"))
+        .expect("site");
+    apply(&store, 1, &pinned)
+        .await
+        .expect_err("one site is not pinned");
+    let pinned = pinned.with_site("south-1", pin).expect("site");
+    apply(&store, 1, &pinned)
+        .await
+        .expect("takers wait for longer first");
+    let long = changed(&start(), &[hold]);
+    let last = apply(&store, 2, &long)
+        .await
+        .expect("homes hold on for longer then");
+    assert_eq!(last.generation(), Generation(3));
+}
+
 #[tokio::test]
 async fn lost_answer_is_settled_by_reading_back() {
     let store = started().await;
--- a/crates/carawayrill/src/apply.rs
+++ b/crates/carawayrill/src/apply.rs
@@ -6,9 +6,9 @@
 use carawayrill_config::accept::Answer;
 use carawayrill_config::accept::Edit;
 use carawayrill_config::accept::Pause;
+use carawayrill_config::accept::changes_authority;
 use carawayrill_config::accept::fetch;
 use carawayrill_config::accept::propose;
-use carawayrill_config::accept::shortens_authority;
 use carawayrill_store::http_store::HttpStore;
 use serde_json::json;
 
@@ -33,7 +33,7 @@
         by: args.by.clone(),
     };
     let store = args.store.connect()?;
-    settle_before_shortening(args, &store, &edit.parts).await?;
+    settle_before_change_of_authority(args, &store, &edit.parts).await?;
     let now = carawayrill_telemetry::wall_now();
     let answer = propose(&store, &edit, now, &Patience::new(args.patience.0)).await?;
     keep(args, &answer)?;
@@ -42,9 +42,9 @@
     Ok(ExitCode::SUCCESS)
 }
 
-/// If takers would wait for a shorter time from now on, makes sure that no router still holds on by
-/// an older generation.
-async fn settle_before_shortening(
+/// If homes hold on or takers wait for another time from now on, makes sure that no process still
+/// goes by an older generation than the one in force.
+async fn settle_before_change_of_authority(
     args: &ApplyArgs,
     store: &HttpStore,
     parts: &Parts,
@@ -62,13 +62,13 @@
     let Some(before) = before else {
         return Ok(());
     };
-    if !shortens_authority(&before.deployment, &parts.check()?.deployment) {
+    if !changes_authority(&before.deployment, &parts.check()?.deployment) {
         return Ok(());
     }
-    let waited = wait::for_routers(store, before.generation, args.patience.0).await;
+    let waited = wait::for_all(store, before.generation, args.patience.0).await;
     waited.map(drop).map_err(|err| {
         Error::refused(format!(
-            "{err}\nThis edit shortens on_store_outage or timing.authority in the base file, which \
+            "{err}\nThis edit changes on_store_outage or timing.authority, which \
              is safe only once the generation before is in force everywhere. Nothing was changed."
         ))
     })
@@ -94,7 +94,7 @@
     answer: &Answer,
 ) -> Result<Option<InForce>, Error> {
     match args.wait {
-        Some(span) => wait::for_routers(store, answer.generation(), span.0)
+        Some(span) => wait::for_all(store, answer.generation(), span.0)
             .await
             .map(Some),
         None => Ok(None),
--- a/crates/carawayrill/src/wait.rs
+++ b/crates/carawayrill/src/wait.rs
@@ -1,11 +1,10 @@
-//! Waits until every router has a generation in force.
+//! Waits until every process has a generation in force.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
 use std::time::Instant;
 
 use carawayrill_core::id::Generation;
-use carawayrill_core::id::RouterId;
 use carawayrill_core::time::millis;
 use carawayrill_store::port::ObjectStore;
 use indicatif::ProgressBar;
@@ -27,10 +26,11 @@
     pub after_ms: u64,
 }
 
-/// Asks all routers until each has `generation` or a higher one.
+/// Asks all routers, and the controllers that hold a lease, until each has `generation` or a higher
+/// one.
 ///
-/// Routers that start meanwhile are asked too. Those that don't answer count as lagging.
-pub async fn for_routers(
+/// Processes that start meanwhile are asked too. Those that don't answer count as lagging.
+pub async fn for_all(
     store: &dyn ObjectStore,
     generation: Generation,
     patience: Duration,
@@ -39,9 +39,10 @@
     let bar = bar(generation);
     loop {
         let seen = members::ask_routers(members::list(store).await?).await;
-        let lagging = lagging(&seen, generation);
+        let mut lagging = lagging(&seen, generation);
         bar.set_length(seen.len() as u64);
         bar.set_position((seen.len() - lagging.len()) as u64);
+        lagging.extend(lagging_controllers(store, generation).await?);
         if lagging.is_empty() {
             bar.finish_and_clear();
             return Ok(InForce {
@@ -68,19 +69,36 @@
 }
 
 /// Lists the routers that have not acknowledged.
-fn lagging(seen: &[RouterSeen], generation: Generation) -> BTreeSet<RouterId> {
+fn lagging(seen: &[RouterSeen], generation: Generation) -> BTreeSet<String> {
     let late = seen.iter().filter(|router| {
         let page = router.page.as_ref();
         page.is_none_or(|page| page.generation < generation)
     });
-    late.map(|router| router.member.router.clone()).collect()
+    late.map(|router| router.member.router.to_string())
+        .collect()
+}
+
+/// Lists the leading controllers that have not acknowledged.
+async fn lagging_controllers(
+    store: &dyn ObjectStore,
+    generation: Generation,
+) -> Result<Vec<String>, Error> {
+    let mut lagging = Vec::new();
+    for lease in members::leases(store).await? {
+        let page = members::controller_page(lease.peer).await;
+        let there = page.ok().and_then(|page| page["generation"].as_u64());
+        if there.is_none_or(|there| there < generation.0) {
+            lagging.push(lease.holder.to_string());
+        }
+    }
+    Ok(lagging)
 }
 
 /// Says who lags.
-fn told(generation: Generation, lagging: &BTreeSet<RouterId>) -> String {
-    let names: Vec<&str> = lagging.iter().map(RouterId::as_str).collect();
+fn told(generation: Generation, lagging: &BTreeSet<String>) -> String {
+    let names: Vec<&str> = lagging.iter().map(String::as_str).collect();
     format!(
-        "Generation {generation} is not yet in force at {} routers: {}.",
+        "Generation {generation} is not yet in force at {} processes: {}.",
         names.len(),
         names.join(", ")
     )
