Let a standby home check versions at once until it could take over

A standby home may take over only if it made a good read after it first saw the run of one of the servers. Its first read precedes its first probe, and the next check came only 500 ms later; a home and the store lost in that time left the shard without an answer until the store returned. Excluded: suspicion and fencing; the recorded inputs show both rounds acknowledged again and again. Test: ownership_standby, which failed before and passes now.

--- a/crates/carawayrill-core/src/ownership/home/blocks.rs
+++ b/crates/carawayrill-core/src/ownership/home/blocks.rs
@@ -266,6 +266,15 @@
         }
     }
 
+    /// Returns whether the present run of one of a row's servers was known before its last good
+    /// read.
+    fn knows_a_server(&self, row: &Row) -> bool {
+        row.servers().any(|id| {
+            let known = self.servers.get(id).filter(|known| known.run.is_some());
+            known.is_some_and(|known| row.basis.is_some_and(|basis| basis > known.run_seen))
+        })
+    }
+
     /// Returns blocks with rows that wait for a read that is newer than a server's run.
     fn blocks_without_trust(&self) -> Vec<BlockId> {
         let untrusted = |row: &Row, id: &ServerId| {
@@ -276,10 +285,14 @@
             let read_missing = first || row.servers().any(|id| untrusted(row, id));
             row.is_live() && !row.blocked && !row.pledged && read_missing
         };
+        // A standby home that has made no good read since it saw the servers could not take over.
+        let is_blind = |row: &&Row| {
+            row.role == Role::Standby && !row.acting && !row.ended && !self.knows_a_server(row)
+        };
         let mut blocks: Vec<BlockId> = self
             .rows
             .values()
-            .filter(waits)
+            .filter(|row| waits(row) || is_blind(row))
             .map(|row| row.block.clone())
             .collect();
         blocks.dedup();
