Count a router's silence from the time its present run was named

Cause: seen in a rolling restart: a home that had just restarted and was appointed again was taken over 153 ms later by its standby home, six times in 1.3 s. The standby home compared the time it last heard the former run with the limit. Excluded: lost heartbeats; the router answered probes of others meanwhile. What: naming a later run starts its silence anew. Test: silence_of_a_new_run_does_not_count_from_the_former_run, which failed before and passes now.

--- a/crates/carawayrill-core/src/ownership/home/blocks.rs
+++ b/crates/carawayrill-core/src/ownership/home/blocks.rs
@@ -192,7 +192,7 @@
             self.watch_server(now, &server.clone());
         }
         if role == Role::Standby {
-            self.watch_peer(now, &stored.home);
+            self.watch_peer(now, &stored.home, stored.home_run);
         }
         self.touched.insert(stored.shard.clone());
         self.rows.insert(stored.shard.clone(), row);
--- a/crates/carawayrill-core/src/ownership/home/failover.rs
+++ b/crates/carawayrill-core/src/ownership/home/failover.rs
@@ -41,20 +41,22 @@
         }
     }
 
-    /// Starts to listen for a router.
-    pub(super) fn watch_peer(&mut self, now: Time, router: &RouterId) {
-        if !self.peers.contains_key(router) {
-            let peer = Peer {
-                run: None,
-                heard: now,
-            };
-            self.peers.insert(router.clone(), peer);
+    /// Starts to listen for a run of a router. Silence counts from the time at which the run was
+    /// first named here: what was heard of a former run says nothing about this one.
+    pub(super) fn watch_peer(&mut self, now: Time, router: &RouterId, run: Incarnation) {
+        let peer = self.peers.entry(router.clone()).or_insert(Peer {
+            run: None,
+            heard: now,
+        });
+        if peer.run.is_none_or(|known| known < run) {
+            peer.run = Some(run);
+            peer.heard = now;
         }
     }
 
     /// Takes in a heartbeat.
     pub(super) fn take_heartbeat(&mut self, now: Time, from: &RouterId, run: Incarnation) {
-        self.watch_peer(now, from);
+        self.watch_peer(now, from, run);
         if let Some(peer) = self.peers.get_mut(from) {
             peer.heard = peer.heard.max(now);
             peer.run = peer.run.max(Some(run));
--- a/crates/carawayrill-core/tests/ownership_standby.rs
+++ b/crates/carawayrill-core/tests/ownership_standby.rs
@@ -11,6 +11,7 @@
 use carawayrill_core::id::ShardId;
 use carawayrill_core::id::Version;
 use carawayrill_core::order::LoadReport;
+use carawayrill_core::order::Order;
 use carawayrill_core::order::OrderReply;
 use carawayrill_core::ownership::evidence::Run;
 use carawayrill_core::ownership::home::Action;
@@ -134,3 +135,47 @@
         "whether versions are checked within 200 ms"
     );
 }
+
+fn fences(actions: &[Action]) -> bool {
+    let is_fence = |order: &Order| matches!(order, Order::Fence { .. });
+    actions.iter().any(|action| match action {
+        Action::Order { orders, .. } => orders.iter().any(is_fence),
+        _ => false,
+    })
+}
+
+/// Tells whether the servers are asked to fence within `span` milliseconds from `from` on.
+fn asks_to_fence(table: &mut HomeTable, from: u64, span: u64) -> bool {
+    (0..=span / 50).any(|step| fences(&table.tick(Time(from + step * 50))))
+}
+
+#[test]
+fn silence_of_a_new_run_does_not_count_from_the_former_run() {
+    let mut table = standby(10);
+    let seen = Input::PeerSeen {
+        router: router("r-1"),
+        incarnation: RUN,
+    };
+    table.input(Time(20), seen);
+    assert!(asks_to_fence(&mut table, 50, 4_900), "a silent home was not held to be lost");
+    // The home restarts after a long time and is appointed again, in its new run.
+    let mut row = block().rows[0].clone();
+    row.home_run = Incarnation(2);
+    row.token = Token::new(4, 1);
+    let mut next = block();
+    next.set(row);
+    let read = Input::Block {
+        started: Time(5_000),
+        version: Version(2),
+        block: next,
+    };
+    table.input(Time(5_001), read);
+    assert!(
+        !asks_to_fence(&mut table, 5_002, 900),
+        "a run just appointed was held to be lost"
+    );
+    assert!(
+        asks_to_fence(&mut table, 5_952, 400),
+        "a silent run was not held to be lost"
+    );
+}
