--- a/crates/carawayrill-controller/src/control.rs
+++ b/crates/carawayrill-controller/src/control.rs
@@ -278,6 +278,7 @@
     Policy {
         validity: millis(validity),
         fencing: service.fencing,
+        ranges: service.shards,
     }
 }
 
--- a/crates/carawayrill-core/src/ownership/home/blocks.rs
+++ b/crates/carawayrill-core/src/ownership/home/blocks.rs
@@ -141,6 +141,7 @@
             }
         }
         for (_, row) in former {
+            self.note_merge(&row);
             self.tell_end(&row, "the assignment names another router");
         }
         if let Some(row) = self.blocks.get_mut(&id) {
@@ -175,10 +176,17 @@
         let mut row = match old {
             Some(mut old) if old.stored.token.term == stored.token.term && old.role == role => {
                 old.stored = stored.clone();
+                if !old.acting {
+                    old.serving = stored.owner.clone();
+                }
                 old
             }
             Some(old) => succeed(old, Row::new(block.id.clone(), stored.clone(), role)),
-            None => Row::new(block.id.clone(), stored.clone(), role),
+            None => {
+                let mut row = Row::new(block.id.clone(), stored.clone(), role);
+                self.note_split(now, &mut row);
+                row
+            }
         };
         let promised = self.promised.get(&stored.shard);
         if role == Role::Standby && promised.is_some_and(|term| *term >= stored.token.term) {
--- a/crates/carawayrill-core/src/ownership/home/mod.rs
+++ b/crates/carawayrill-core/src/ownership/home/mod.rs
@@ -15,6 +15,7 @@
 mod release;
 mod row;
 mod server;
+mod split;
 mod standby;
 mod trust;
 
--- a/crates/carawayrill-core/src/ownership/home/orders.rs
+++ b/crates/carawayrill-core/src/ownership/home/orders.rs
@@ -65,7 +65,8 @@
         if !self.trusts(row, server) {
             return Some(Want::Fence(row.token.term));
         }
-        let others_ended = row.lanes_ended(now, self.fences(row), Some(&id));
+        let others_ended =
+            row.lanes_ended(now, self.fences(row), Some(&id)) && self.range_ended(now, row, &id);
         (others_ended || !self.mechanisms.wait_for_grant_end).then_some(Want::Grant(row.token))
     }
 
@@ -158,6 +159,7 @@
             possible_end: bounds.possible_end,
             certain_end: None,
             revoked: false,
+            merged_end: Time(0),
         });
         if lane.token != token {
             lane.certain_end = None;
--- a/crates/carawayrill-core/src/ownership/home/release.rs
+++ b/crates/carawayrill-core/src/ownership/home/release.rs
@@ -6,6 +6,7 @@
 use super::row::Row;
 use super::row::Stopping;
 use crate::id::ShardId;
+use crate::id::ShardPart;
 use crate::ownership::evidence::Claimed;
 use crate::ownership::evidence::Released;
 use crate::ownership::evidence::Standing;
@@ -102,7 +103,9 @@
         let row = self.rows.get_mut(&claimed.shard);
         let row = row.filter(|row| row.stored.token.term == claimed.token.term);
         let acted = row.as_deref().is_some_and(acts);
-        let promised = promise && !acted;
+        // A router that does not know of a split could serve the key under its range.
+        let unaware = row.is_none() && matches!(claimed.shard.part, ShardPart::Hot(_));
+        let promised = promise && !acted && !unaware;
         if promised {
             // An assignment that is not read yet is covered too.
             let term = claimed.token.term;
--- a/crates/carawayrill-core/src/ownership/home/row.rs
+++ b/crates/carawayrill-core/src/ownership/home/row.rs
@@ -37,6 +37,8 @@
     pub(super) certain_end: Option<Time>,
     /// Whether the server acknowledged the end of the grant and that nothing runs under it.
     pub(super) revoked: bool,
+    /// The end of grants of hot keys' shards that were merged back into this one.
+    pub(super) merged_end: Time,
 }
 
 /// What was last ordered of a server for a shard. A different one is sent at once, the same one
@@ -95,6 +97,8 @@
     pub(super) asked_standby: Option<Time>,
     /// The progress of a takeover as standby home.
     pub(super) rounds: Rounds,
+    /// When the shard was first seen, if it was split out of a range of this router.
+    pub(super) split: Option<Time>,
     /// Whether authority was there at the last look, so that its loss is told once.
     pub(super) had_authority: bool,
 }
@@ -120,6 +124,7 @@
             sent: BTreeMap::new(),
             asked_standby: None,
             rounds: Rounds::default(),
+            split: None,
             had_authority: false,
         }
     }
@@ -176,6 +181,6 @@
     /// Returns whether no grant of this lane can be valid any more. A server that does not check
     /// fencing has to say so itself.
     pub(super) fn has_ended(&self, now: Time, fencing: bool) -> bool {
-        self.revoked || (fencing && now > self.possible_end)
+        now > self.merged_end && (self.revoked || (fencing && now > self.possible_end))
     }
 }
--- a/crates/carawayrill-core/src/ownership/home/standby.rs
+++ b/crates/carawayrill-core/src/ownership/home/standby.rs
@@ -17,6 +17,7 @@
 use crate::id::Incarnation;
 use crate::id::ServerId;
 use crate::id::ShardId;
+use crate::id::ShardPart;
 use crate::ownership::evidence::Run;
 use crate::time::Time;
 use crate::time::millis;
@@ -175,7 +176,7 @@
             return;
         }
         let complete = !both || row.rounds.repeats();
-        if complete && self.knows_a_run(shard) {
+        if complete && self.knows_a_run(shard) && self.follows_range(shard) {
             self.take_over(shard);
         } else if let Some(row) = self.rows.get_mut(shard) {
             row.rounds.open(now, Phase::Fencing);
@@ -195,6 +196,27 @@
         })
     }
 
+    /// Returns whether a hot key's shard may be taken over. The home knew of the split if a server
+    /// holds a grant of it; else it may still serve the key under its range, which this router has
+    /// to have taken over first, and its owner is the range's.
+    fn follows_range(&mut self, shard: &ShardId) -> bool {
+        if !matches!(shard.part, ShardPart::Hot(_)) {
+            return true;
+        }
+        let taken = self.range_row(shard).filter(|range| range.acting);
+        let owner = taken.map(|range| range.serving.clone());
+        let Some(row) = self.rows.get_mut(shard) else {
+            return false;
+        };
+        if row.rounds.acks.values().any(|ack| ack.held.is_some()) {
+            return true;
+        }
+        if let Some(owner) = &owner {
+            row.serving.clone_from(owner);
+        }
+        owner.is_some()
+    }
+
     /// Acts as home under the reserved term from now on.
     fn take_over(&mut self, shard: &ShardId) {
         let Some(row) = self.rows.get_mut(shard) else {
@@ -208,7 +230,7 @@
         let epoch = epochs.max().map_or(Epoch(1), Epoch::next);
         let runs: Vec<_> = acks.iter().map(|(id, ack)| (id.clone(), ack.run)).collect();
         row.acting = true;
-        row.serving = owner.unwrap_or_else(|| row.stored.owner.clone());
+        row.serving = owner.unwrap_or_else(|| row.serving.clone());
         row.token = Token {
             term: reserved,
             epoch,
--- a/crates/carawayrill-core/src/ownership/limits.rs
+++ b/crates/carawayrill-core/src/ownership/limits.rs
@@ -3,6 +3,8 @@
 use std::time::Duration;
 
 use crate::data;
+use crate::id::ShardId;
+use crate::id::ShardPart;
 use crate::small_data;
 use crate::time::Time;
 use crate::time::millis;
@@ -38,6 +40,9 @@
         pub validity: u64,
         /// Whether its servers check fencing tokens.
         pub fencing: bool,
+        /// How many hash ranges its keys are divided into.
+        #[serde(default)]
+        pub ranges: u32,
     }
 }
 
@@ -107,11 +112,24 @@
         Self {
             validity: 2_000,
             fencing: true,
+            ranges: 0,
         }
     }
 }
 
 impl Policy {
+    /// Returns the range that a hot key's shard was split out of; nothing for a range itself.
+    #[must_use]
+    pub fn range_of(&self, shard: &ShardId) -> Option<ShardId> {
+        match shard.part {
+            ShardPart::Range(_) => None,
+            ShardPart::Hot(key) => {
+                let index = key.range_of(self.ranges);
+                Some(ShardId::range(shard.service.clone(), index))
+            }
+        }
+    }
+
     /// Returns the time until which a read that began at `basis` gives authority.
     #[must_use]
     pub fn deadline(&self, basis: Time) -> Time {
--- a/crates/carawayrill-core/src/ownership/takeover/evidence.rs
+++ b/crates/carawayrill-core/src/ownership/takeover/evidence.rs
@@ -10,6 +10,7 @@
 use crate::id::RouterId;
 use crate::id::ServerId;
 use crate::id::ShardId;
+use crate::id::ShardPart;
 use crate::order::Order;
 use crate::order::OrderReply;
 use crate::ownership::evidence::Claimed;
@@ -184,7 +185,10 @@
             || !self.mechanisms.promise;
         let by_routers = home_ended && standby_ended;
         let by_standby = evidence.standby_acted && evidence.standby_stopped;
-        by_routers || by_standby || evidence.fenced || (waited && !keeps)
+        // A router that does not know of a split serves a hot key under its range, which these
+        // fences don't touch.
+        let by_servers = evidence.fenced && !matches!(row.shard.part, ShardPart::Hot(_));
+        by_routers || by_standby || by_servers || (waited && !keeps)
     }
 }
 
--- a/crates/carawayrill-core/tests/ownership_losses.rs
+++ b/crates/carawayrill-core/tests/ownership_losses.rs
@@ -32,6 +32,7 @@
         policy: Policy {
             validity: 20_000,
             fencing: true,
+            ranges: 2,
         },
         mechanisms: Mechanisms::ALL,
     };
--- a/crates/carawayrill-core/tests/ownership_mechanisms.rs
+++ b/crates/carawayrill-core/tests/ownership_mechanisms.rs
@@ -2,26 +2,17 @@
 
 mod world;
 
-use carawayrill_core::ownership::limits::Limits;
 use carawayrill_core::ownership::limits::Mechanisms;
-use carawayrill_core::ownership::limits::Policy;
 use rstest::rstest;
 
 use crate::world::check::Broken;
-use crate::world::clock::MS;
-use crate::world::clock::Micros;
-use crate::world::fault::Fault;
-use crate::world::fault::Planned;
-use crate::world::message::NodeIx;
 use crate::world::node::Setup;
+use crate::world::scenario;
+use crate::world::scenario::Scenario;
 use crate::world::schedule;
-use crate::world::topology::STORE;
-use crate::world::topology::node_ix;
 
 /// Random schedules among which one has to show that a mechanism is missing.
 const SEEDS: u64 = 600;
-/// Seeds of one planned schedule; they vary the delays of messages.
-const VARIANTS: u64 = 20;
 
 const ALL: Mechanisms = Mechanisms::ALL;
 
@@ -49,153 +40,13 @@
     );
 }
 
-/// A planned schedule under one policy.
-struct Scenario {
-    policy: Policy,
-    plan: Vec<Planned>,
-}
-
-impl Scenario {
-    /// Runs the scenario with several seeds and counts the breaks of safety.
-    fn breaks(&self, mechanisms: Mechanisms) -> usize {
-        let setup = Setup {
-            limits: Limits::default(),
-            policy: self.policy,
-            mechanisms,
-        };
-        let runs = (0..VARIANTS).filter_map(|seed| schedule::run(seed, setup, &self.plan));
-        runs.filter(|(_, broken, _)| *broken != Broken::NotServed)
-            .count()
-    }
-}
-
-fn at(ms: Micros, fault: Fault) -> Planned {
-    Planned { at: ms * MS, fault }
-}
-
-fn cut(ms: Micros, from: NodeIx, to: NodeIx, span_ms: Micros) -> Planned {
-    at(
-        ms,
-        Fault::Cut {
-            from,
-            to,
-            both: true,
-            span: span_ms * MS,
-        },
-    )
-}
-
-fn kill(ms: Micros, node: NodeIx, back_ms: Micros) -> Planned {
-    at(
-        ms,
-        Fault::Kill {
-            node,
-            back_after: Some(back_ms * MS),
-        },
-    )
-}
-
-fn pause(ms: Micros, node: NodeIx, span_ms: Micros) -> Planned {
-    at(
-        ms,
-        Fault::Pause {
-            node,
-            span: span_ms * MS,
-        },
-    )
-}
-
-const STOP: Policy = Policy {
-    validity: 2_000,
-    fencing: true,
-};
-const HOLD: Policy = Policy {
-    validity: 20_000,
-    fencing: true,
-};
-const UNFENCED: Policy = Policy {
-    validity: 2_000,
-    fencing: false,
-};
-
-/// The home is cut from the store just before the intent, and its server from all others: nobody
-/// but time says that its authority has ended.
-fn home_and_server_cut_off() -> Scenario {
-    let (s0, r0, r2, c0, c1) = (
-        node_ix("s0"),
-        node_ix("r0"),
-        node_ix("r2"),
-        node_ix("c0"),
-        node_ix("c1"),
-    );
-    let mut plan = vec![cut(3_000, r2, s0, 8_000)];
-    plan.extend(
-        [c0, c1]
-            .into_iter()
-            .flat_map(|c| [cut(3_000, c, r0, 8_000), cut(3_000, c, s0, 8_000)]),
-    );
-    plan.push(cut(6_300, r0, STORE, 5_000));
-    Scenario { policy: STOP, plan }
-}
-
-/// The standby home takes over while the home is paused, and can't record it; the owner restarts
-/// and forgets; the home returns and meets a server that knows of no fence.
-fn owner_forgets_the_takeover() -> Scenario {
-    let (s0, r0, r2) = (node_ix("s0"), node_ix("r0"), node_ix("r2"));
-    let plan = vec![
-        pause(3_000, r0, 2_600),
-        cut(3_500, r2, STORE, 5_500),
-        kill(5_300, s0, 150),
-        cut(5_300, r2, s0, 3_700),
-    ];
-    Scenario { policy: HOLD, plan }
-}
-
-/// The home replaces the owner without the store, and restarts before that is recorded.
-fn home_forgets_the_failover() -> Scenario {
-    let (s0, r0) = (node_ix("s0"), node_ix("r0"));
-    let plan = vec![
-        cut(3_000, r0, STORE, 2_600),
-        cut(3_100, r0, s0, 2_400),
-        kill(5_500, r0, 50),
-    ];
-    Scenario { policy: HOLD, plan }
-}
-
-/// The standby home does not hear the home, takes over and can't record it, while the home
-/// releases the shard for a planned move.
-fn move_races_the_standby() -> Scenario {
-    let (s0, r0, r2) = (node_ix("s0"), node_ix("r0"), node_ix("r2"));
-    let plan = vec![
-        cut(2_900, r2, STORE, 6_000),
-        cut(2_900, r2, r0, 6_000),
-        cut(2_900, r0, s0, 6_000),
-        at(3_200, Fault::Move { shard: 0 }),
-    ];
-    Scenario { policy: HOLD, plan }
-}
-
-/// The home is paused between the permit and the send, and replaced before it goes on. Its servers
-/// don't check fencing.
-fn paused_before_the_send() -> Scenario {
-    let plan = vec![
-        kill(2_000, node_ix("s0"), 20_000),
-        kill(4_200, node_ix("r2"), 6_000),
-        pause(2_600, node_ix("r0"), 5_800),
-    ];
-    Scenario {
-        policy: UNFENCED,
-        plan,
-    }
-}
-
 /// Mechanisms whose absence shows only when several things come together.
 #[rstest]
-#[case::bound_by_authority(Mechanisms { bound_by_authority: false, ..ALL }, home_and_server_cut_off())]
-#[case::server_incarnation(Mechanisms { server_incarnation: false, ..ALL }, owner_forgets_the_takeover())]
-#[case::home_incarnation(Mechanisms { home_incarnation: false, ..ALL }, home_forgets_the_failover())]
-#[case::promise(Mechanisms { promise: false, ..ALL }, move_races_the_standby())]
-#[case::check_before_send(Mechanisms { check_before_send: false, ..ALL }, paused_before_the_send())]
+#[case::bound_by_authority(Mechanisms { bound_by_authority: false, ..ALL }, scenario::home_and_server_cut_off())]
+#[case::server_incarnation(Mechanisms { server_incarnation: false, ..ALL }, scenario::owner_forgets_the_takeover())]
+#[case::home_incarnation(Mechanisms { home_incarnation: false, ..ALL }, scenario::home_forgets_the_failover())]
+#[case::promise(Mechanisms { promise: false, ..ALL }, scenario::move_races_the_standby())]
+#[case::check_before_send(Mechanisms { check_before_send: false, ..ALL }, scenario::paused_before_the_send())]
 fn planned_schedules_notice(#[case] mechanisms: Mechanisms, #[case] scenario: Scenario) {
     assert_eq!(0, scenario.breaks(ALL), "with all mechanisms");
     assert_ne!(
--- a/crates/carawayrill-core/tests/world/mod.rs
+++ b/crates/carawayrill-core/tests/world/mod.rs
@@ -13,6 +13,7 @@
 pub mod planner;
 pub mod record;
 pub mod run;
+pub mod scenario;
 pub mod schedule;
 pub mod store;
 pub mod topology;
@@ -127,15 +128,24 @@
         world
     }
 
+    /// Leaves only shard 0 in the store; the world must not have run yet.
+    pub fn with_one_shard(mut self) -> Self {
+        self.shards.truncate(1);
+        let mut block = self.store.block.clone();
+        block.rows.truncate(1);
+        self.store = Store::new(block);
+        self
+    }
+
     /// Lets the network lose no message but by faults.
     pub fn lossless(mut self) -> Self {
         self.loss = 0.0;
         self
     }
 
-    /// Writes a trace from now on; the world must not have run yet.
-    pub fn recording(mut self) -> Self {
-        self.trace = Some(Recorder::default());
+    /// Writes a trace of these nodes; the world must not have run yet.
+    pub fn recording(mut self, nodes: &[NodeIx]) -> Self {
+        self.trace = Some(Recorder::new(nodes));
         for ix in topology::processes() {
             self.record_start(ix);
         }
--- a/crates/carawayrill-core/tests/world/record.rs
+++ b/crates/carawayrill-core/tests/world/record.rs
@@ -21,10 +21,20 @@
 #[derive(Debug, Default)]
 pub struct Recorder {
     pub lines: Vec<String>,
+    nodes: Vec<NodeIx>,
     sequences: BTreeMap<NodeIx, u64>,
     count: u32,
 }
 
+impl Recorder {
+    pub fn new(nodes: &[NodeIx]) -> Self {
+        Self {
+            nodes: nodes.to_vec(),
+            ..Self::default()
+        }
+    }
+}
+
 /// The recorded input of a tick.
 #[derive(Debug, Serialize)]
 pub struct Tick {
@@ -51,6 +61,9 @@
         let Some(trace) = &mut self.trace else {
             return;
         };
+        if !trace.nodes.contains(&ix) {
+            return;
+        }
         let seq = trace.sequences.entry(ix).or_default();
         trace.count += 1;
         let event = Event {
--- /dev/null
+++ b/crates/carawayrill-core/tests/world/scenario.rs
@@ -0,0 +1,173 @@
+//! Planned schedules in which several faults come together: the interleavings by which the rule was
+//! attacked on paper.
+
+use carawayrill_core::ownership::limits::Limits;
+use carawayrill_core::ownership::limits::Mechanisms;
+use carawayrill_core::ownership::limits::Policy;
+
+use super::check::Broken;
+use super::clock::MS;
+use super::clock::Micros;
+use super::fault::Fault;
+use super::fault::Planned;
+use super::message::NodeIx;
+use super::node::Setup;
+use super::schedule;
+use super::topology::STORE;
+use super::topology::node_ix;
+
+/// Seeds of one planned schedule; they vary the delays of messages.
+const VARIANTS: u64 = 20;
+
+/// A planned schedule under one policy.
+pub struct Scenario {
+    pub policy: Policy,
+    pub plan: Vec<Planned>,
+}
+
+impl Scenario {
+    pub fn setup(&self, mechanisms: Mechanisms) -> Setup {
+        Setup {
+            limits: Limits::default(),
+            policy: self.policy,
+            mechanisms,
+        }
+    }
+
+    /// Runs the scenario with several seeds and counts the breaks of safety.
+    pub fn breaks(&self, mechanisms: Mechanisms) -> usize {
+        let setup = self.setup(mechanisms);
+        let runs = (0..VARIANTS).filter_map(|seed| schedule::run(seed, setup, &self.plan));
+        runs.filter(|(_, broken, _)| *broken != Broken::NotServed)
+            .count()
+    }
+}
+
+fn at(ms: Micros, fault: Fault) -> Planned {
+    Planned { at: ms * MS, fault }
+}
+
+fn cut(ms: Micros, from: NodeIx, to: NodeIx, span_ms: Micros) -> Planned {
+    at(
+        ms,
+        Fault::Cut {
+            from,
+            to,
+            both: true,
+            span: span_ms * MS,
+        },
+    )
+}
+
+fn kill(ms: Micros, node: NodeIx, back_ms: Micros) -> Planned {
+    at(
+        ms,
+        Fault::Kill {
+            node,
+            back_after: Some(back_ms * MS),
+        },
+    )
+}
+
+fn pause(ms: Micros, node: NodeIx, span_ms: Micros) -> Planned {
+    at(
+        ms,
+        Fault::Pause {
+            node,
+            span: span_ms * MS,
+        },
+    )
+}
+
+const STOP: Policy = Policy {
+    validity: 2_000,
+    fencing: true,
+    ranges: 2,
+};
+const HOLD: Policy = Policy {
+    validity: 20_000,
+    fencing: true,
+    ranges: 2,
+};
+const UNFENCED: Policy = Policy {
+    validity: 2_000,
+    fencing: false,
+    ranges: 2,
+};
+
+/// The home is cut from the store just before the intent, and its server from all others: nobody
+/// but time says that its authority has ended.
+pub fn home_and_server_cut_off() -> Scenario {
+    let (s0, r0, r2, c0, c1) = (
+        node_ix("s0"),
+        node_ix("r0"),
+        node_ix("r2"),
+        node_ix("c0"),
+        node_ix("c1"),
+    );
+    let mut plan = vec![cut(3_000, r2, s0, 8_000)];
+    plan.extend(
+        [c0, c1]
+            .into_iter()
+            .flat_map(|c| [cut(3_000, c, r0, 8_000), cut(3_000, c, s0, 8_000)]),
+    );
+    plan.push(cut(6_300, r0, STORE, 5_000));
+    Scenario { policy: STOP, plan }
+}
+
+/// The standby home takes over while the home is paused, and can't record it; the owner restarts
+/// and forgets; the home returns and meets a server that knows of no fence.
+pub fn owner_forgets_the_takeover() -> Scenario {
+    let (s0, r0, r2) = (node_ix("s0"), node_ix("r0"), node_ix("r2"));
+    let plan = vec![
+        pause(3_000, r0, 2_600),
+        cut(3_500, r2, STORE, 5_500),
+        kill(5_300, s0, 150),
+        cut(5_300, r2, s0, 3_700),
+    ];
+    Scenario { policy: HOLD, plan }
+}
+
+/// The home replaces the owner without the store, and restarts before that is recorded.
+pub fn home_forgets_the_failover() -> Scenario {
+    let (s0, r0) = (node_ix("s0"), node_ix("r0"));
+    let plan = vec![
+        cut(3_000, r0, STORE, 2_600),
+        cut(3_100, r0, s0, 2_400),
+        kill(5_500, r0, 50),
+    ];
+    Scenario { policy: HOLD, plan }
+}
+
+/// The standby home does not hear the home, takes over and can't record it, while the home
+/// releases the shard for a planned move.
+pub fn move_races_the_standby() -> Scenario {
+    let (s0, r0, r2) = (node_ix("s0"), node_ix("r0"), node_ix("r2"));
+    let plan = vec![
+        cut(2_900, r2, STORE, 6_000),
+        cut(2_900, r2, r0, 6_000),
+        cut(2_900, r0, s0, 6_000),
+        at(3_200, Fault::Move { shard: 0 }),
+    ];
+    Scenario { policy: HOLD, plan }
+}
+
+/// The home is paused between the permit and the send, and replaced before it goes on. Its servers
+/// don't check fencing.
+pub fn paused_before_the_send() -> Scenario {
+    let plan = vec![
+        kill(2_000, node_ix("s0"), 20_000),
+        kill(4_200, node_ix("r2"), 6_000),
+        pause(2_600, node_ix("r0"), 5_800),
+    ];
+    Scenario {
+        policy: UNFENCED,
+        plan,
+    }
+}
+
+/// The home freezes for longer than its grants last, and returns.
+pub fn home_frozen() -> Scenario {
+    let plan = vec![pause(3_000, node_ix("r0"), 3_000)];
+    Scenario { policy: STOP, plan }
+}
--- a/crates/carawayrill-core/tests/world/schedule.rs
+++ b/crates/carawayrill-core/tests/world/schedule.rs
@@ -41,6 +41,7 @@
         policy: Policy {
             validity,
             fencing: seed % 16 != 15,
+            ranges: 2,
         },
         mechanisms: Mechanisms::ALL,
     }
--- a/crates/carawayrill-router/src/home/control.rs
+++ b/crates/carawayrill-router/src/home/control.rs
@@ -353,5 +353,6 @@
     Policy {
         validity: millis(validity),
         fencing: service.fencing,
+        ranges: service.shards,
     }
 }
