--- a/crates/carawayrill-controller/tests/planner.rs
+++ b/crates/carawayrill-controller/tests/planner.rs
@@ -244,8 +244,12 @@
     let began = world.now;
     let placed = (0..400).find_map(|step| {
         world.now = began + Duration::from_millis(step * 10);
-        let due = starts.iter().zip(1..).filter(|(at, _)| **at == step * 10);
-        due.for_each(|(_, index)| world.start_router(index, 1));
+        for (at, index) in starts.iter().zip(1..) {
+            if *at == step * 10 {
+                world.start_router(index, 1);
+            }
+            world.beat(index, index, &[]);
+        }
         let writes = world.plan(None).writes;
         (!writes.is_empty()).then_some(step * 10)
     });
