--- a/crates/carawayrill-testkit/src/bench/rolling.rs
+++ b/crates/carawayrill-testkit/src/bench/rolling.rs
@@ -70,11 +70,12 @@
     }
     loading.go_on(PAUSE).await;
     let (load, driven) = loading.stop(bench).await?;
-    let failed: Vec<&Finished> = driven
+    let mut failed: Vec<&Finished> = driven
         .finished
         .iter()
         .filter(|one| is_cut_off(one) || one.told() != Told::Done)
         .collect();
+    failed.sort_by_key(|one| !is_cut_off(one));
     Ok(RollingReport {
         restarted,
         cut_off: failed.iter().filter(|one| is_cut_off(one)).count(),
