--- a/crates/carawayrill-testkit/src/bench/shape.rs
+++ b/crates/carawayrill-testkit/src/bench/shape.rs
@@ -114,6 +114,7 @@
             ("claim_window", "1h".to_owned()),
             ("default_deadline", "2s".to_owned()),
             ("max_deadline", "15s".to_owned()),
+            ("warm_up", "0s".to_owned()),
             ("on_store_outage", service.on_store_outage.to_owned()),
         ]
     }
