--- a/crates/carawayrill-testkit/src/bench/mod.rs
+++ b/crates/carawayrill-testkit/src/bench/mod.rs
@@ -14,6 +14,7 @@
 pub mod rolling;
 mod running;
 pub mod shape;
+pub mod skew;
 pub mod state;
 
 pub use crate::bench::running::Bench;
--- /dev/null
+++ b/crates/carawayrill-testkit/src/bench/skew.rs
@@ -0,0 +1,155 @@
+//! Skewed demand and hot keys that change: how evenly servers are loaded, and what moves.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::fmt;
+use std::time::Duration;
+
+use carawayrill_core::event::Event;
+use carawayrill_core::event::EventKind;
+use compact_str::CompactString;
+use compact_str::format_compact;
+use serde::Serialize;
+
+use crate::bench::Bench;
+use crate::bench::loaded;
+use crate::bench::loaded::LoadReport;
+use crate::bench::loaded::Loading;
+use crate::bench::shape::Shape;
+use crate::fleet::Error;
+use crate::load::caller::Finished;
+use crate::load::keys::HotKeys;
+use crate::load::keys::KeyPattern;
+use crate::server::records::Run;
+
+/// Keys of the skewed demand.
+const KEYS: u32 = 5_000;
+/// The exponent of their Zipf distribution.
+const EXPONENT: f64 = 0.9;
+/// Keys that are hot at a time.
+const HOT_KEYS: u32 = 4;
+/// Share of requests for hot keys.
+const HOT_SHARE: f64 = 0.4;
+/// How long the same keys stay hot.
+const CHANGE_EVERY: Duration = Duration::from_secs(10);
+/// How long requests are counted together.
+const WINDOW: Duration = Duration::from_secs(5);
+
+/// The load of servers in one window.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct Window {
+    /// When the window began, in seconds after the start of the load.
+    pub from_s: u64,
+    /// Requests that ran.
+    pub runs: u64,
+    /// The most that ran on one server over the mean of all servers.
+    pub max_over_mean: f64,
+}
+
+/// What skewed demand did.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct SkewReport {
+    /// The load of servers, window by window.
+    pub windows: Vec<Window>,
+    /// Assignments that came into force during the load, by reason.
+    pub assigned: BTreeMap<CompactString, u64>,
+    /// The load.
+    pub load: LoadReport,
+}
+
+/// Loads a bench with skewed demand for `time`; a few keys are hot, other ones every 10 s.
+///
+/// # Errors
+///
+/// Fails if the load can't be made or the event lines can't be read.
+pub async fn run(
+    bench: &Bench,
+    shape: &Shape,
+    rate: f64,
+    time: Duration,
+) -> Result<SkewReport, Error> {
+    let before = assigned(bench)?;
+    let mut settings = loaded::settings(bench, shape)?;
+    settings.rate = rate;
+    settings.time = time;
+    settings.once_share = 0.0;
+    settings.keys = KeyPattern {
+        count: KEYS,
+        exponent: EXPONENT,
+        names: Vec::new(),
+        hot: Some(HotKeys {
+            count: HOT_KEYS,
+            share: HOT_SHARE,
+            change_every: CHANGE_EVERY,
+        }),
+    };
+    let (load, driven) = Loading::start(settings).finish(bench).await?;
+    let mut after = assigned(bench)?;
+    for (reason, count) in before {
+        *after.entry(reason).or_default() -= count;
+    }
+    after.retain(|_reason, count| *count > 0);
+    let servers = bench.deployment.servers.len();
+    Ok(SkewReport {
+        windows: windows(&driven.finished, &bench.runs()?, servers),
+        assigned: after,
+        load,
+    })
+}
+
+/// Counts the runs of each server in each window in which their requests were due.
+fn windows(finished: &[Finished], runs: &[Run], servers: usize) -> Vec<Window> {
+    let due: HashMap<&str, Duration> = finished
+        .iter()
+        .map(|one| (one.planned.path.as_str(), one.planned.due))
+        .collect();
+    let mut counts: BTreeMap<u64, HashMap<&str, u64>> = BTreeMap::new();
+    for run in runs {
+        if let Some(due) = due.get(run.path.as_str()) {
+            let window = due.as_secs() / WINDOW.as_secs() * WINDOW.as_secs();
+            let in_window = counts.entry(window).or_default();
+            *in_window.entry(run.server.as_str()).or_default() += 1;
+        }
+    }
+    let window = |(from_s, by_server): (u64, HashMap<&str, u64>)| {
+        let runs: u64 = by_server.values().sum();
+        let most = by_server.values().copied().max().unwrap_or_default();
+        Window {
+            from_s,
+            runs,
+            max_over_mean: most as f64 * servers as f64 / runs as f64,
+        }
+    };
+    counts.into_iter().map(window).collect()
+}
+
+/// Counts assignments in the event lines of all processes, by reason.
+fn assigned(bench: &Bench) -> Result<BTreeMap<CompactString, u64>, Error> {
+    let mut counts: BTreeMap<CompactString, u64> = BTreeMap::new();
+    for log in bench.fleet.logs() {
+        let text = std::fs::read_to_string(log)?;
+        let events = text
+            .lines()
+            .filter_map(|line| serde_json::from_str::<Event>(line).ok());
+        for event in events {
+            if let EventKind::Assigned { reason, .. } = event.kind {
+                *counts.entry(format_compact!("{reason:?}")).or_default() += 1;
+            }
+        }
+    }
+    Ok(counts)
+}
+
+impl fmt::Display for SkewReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for window in &self.windows {
+            writeln!(
+                f,
+                "{:>3} s      {} runs, max/mean {:.2}",
+                window.from_s, window.runs, window.max_over_mean
+            )?;
+        }
+        writeln!(f, "assigned   {:?}", self.assigned)?;
+        write!(f, "{}", self.load)
+    }
+}
--- a/crates/carawayrill-testkit/src/bin/carawayrill-experiment.rs
+++ b/crates/carawayrill-testkit/src/bin/carawayrill-experiment.rs
@@ -19,6 +19,7 @@
 use carawayrill_testkit::bench::loss::Loss;
 use carawayrill_testkit::bench::rolling;
 use carawayrill_testkit::bench::shape::Shape;
+use carawayrill_testkit::bench::skew;
 use carawayrill_testkit::fleet::Error;
 use carawayrill_testkit::fleet::FleetConfig;
 use serde::Serialize;
@@ -65,8 +66,8 @@
         .optional();
     let json = long("json").help("Print JSON").switch();
     let name = positional("NAME").help(
-        "server, router, controllers, data-centre, frozen-server, rolling, duplicates, goodput \
-         or latency",
+        "server, router, controllers, data-centre, frozen-server, rolling, duplicates, goodput, \
+         latency or skew",
     );
     construct!(Args {
         store_down,
@@ -137,6 +138,10 @@
             let report = latency::run(&bench, &shape, dir, args.rate, time).await?;
             print(args, &report, true)
         }
+        "skew" => {
+            let report = skew::run(&bench, &shape, args.rate, time).await?;
+            print(args, &report, report.load.findings.is_clean())
+        }
         name => {
             let loss: Loss = name.parse()?;
             let report = loss::run(&mut bench, loss, args.store_down, GIVE_UP).await?;
--- a/crates/carawayrill-testkit/src/server/records.rs
+++ b/crates/carawayrill-testkit/src/server/records.rs
@@ -32,6 +32,8 @@
 
     /// One request that started to run.
     pub struct Run {
+        /// The server that ran it.
+        pub server: ServerId,
         /// The request's id.
         pub request: CompactString,
         /// The shard it came with.
--- a/crates/carawayrill-testkit/src/server/run.rs
+++ b/crates/carawayrill-testkit/src/server/run.rs
@@ -168,6 +168,7 @@
         state.stats.runs += 1;
         state.stats.most_running = state.stats.most_running.max(state.load.running);
         let number = state.records.start(Run {
+            server: self.settings.id.clone(),
             request: incoming.request.clone(),
             shard: text(incoming.shard.as_ref()),
             token: text(incoming.token.as_ref()),
