Send the peers' answers without Nagle's delay

Cause: tonic ignores the builder's tcp_nodelay for a listener that is handed in, so the home's answers waited for the entry's delayed acknowledgement: the longest calls through entry and home took 46 to 49 ms in each round, those through the entry alone did not. Excluded: the entry's own connections and the home's to servers, which set it already.

--- a/crates/carawayrill-router/src/run.rs
+++ b/crates/carawayrill-router/src/run.rs
@@ -16,7 +16,7 @@
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 use tokio::sync::watch;
-use tokio_stream::wrappers::TcpListenerStream;
+use tonic::transport::server::TcpIncoming;
 
 use crate::Error;
 use crate::clock;
@@ -109,16 +109,16 @@
     let service = RouterServer::new(service)
         .max_decoding_message_size(MAX_MESSAGE_BYTES)
         .max_encoding_message_size(MAX_MESSAGE_BYTES);
-    let server = tonic::transport::Server::builder()
-        .tcp_nodelay(true)
-        .add_service(service);
+    let server = tonic::transport::Server::builder().add_service(service);
+    // The builder's own setting holds only for listeners that it opens itself.
+    let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
     Ok(tokio::spawn(async move {
         let until = async move {
             // An error means that the sender is gone, which also ends the serving.
             let _closed = closed.wait_for(|closed| *closed).await;
         };
         server
-            .serve_with_incoming_shutdown(TcpListenerStream::new(listener), until)
+            .serve_with_incoming_shutdown(incoming, until)
             .await
             .map_err(|err| Error::serve(err.to_string()))
     }))
