Replay traces from the command line

All traces named are replayed, also after one that differs; exit code 1 if any statement broke, 2 if a file is no whole trace.

--- a/crates/carawayrill/tests/commands.rs
+++ b/crates/carawayrill/tests/commands.rs
@@ -199,6 +199,26 @@
     assert_snapshot!("timeline", bench.told);
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn traces_are_replayed() {
+    let mut bench = Bench::start("replay", None).await;
+    let data = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/data");
+    for file in ["holds.jsonl", "broken.jsonl", "router.log"] {
+        fs::copy(data.join(file), bench.dir.join(file)).expect("trace");
+    }
+    fs::write(
+        bench.dir.join("silent.jsonl"),
+        "{\"carawayrill_trace\":1}\n",
+    )
+    .expect("trace");
+    bench.run("replay holds.jsonl").await;
+    bench.run("replay broken.jsonl holds.jsonl").await;
+    bench.run("replay --json broken.jsonl").await;
+    bench.run("replay router.log").await;
+    bench.run("replay silent.jsonl").await;
+    assert_snapshot!("replay", bench.told);
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn help_teaches() {
     let mut bench = Bench::start("help", None).await;
