--- a/crates/carawayrill-config/src/daemon.rs
+++ b/crates/carawayrill-config/src/daemon.rs
@@ -15,10 +15,10 @@
 
 use crate::Error;
 use crate::Problem;
-use crate::checked::Row;
-use crate::checked::start_of;
 use crate::fields::FileReader;
 use crate::parts::read_text;
+use crate::row::Row;
+use crate::row::start_of;
 use crate::schema::Kind;
 use crate::schema::Scope;
 use crate::schema::Setting;
--- a/crates/carawayrill-config/src/lib.rs
+++ b/crates/carawayrill-config/src/lib.rs
@@ -38,6 +38,7 @@
 mod loaded;
 mod parts;
 mod problem;
+mod row;
 pub mod schema;
 mod settings;
 
--- a/crates/carawayrill-config/src/loaded.rs
+++ b/crates/carawayrill-config/src/loaded.rs
@@ -10,13 +10,13 @@
 use crate::Origin;
 use crate::Parts;
 use crate::checked::Checker;
-use crate::checked::start_of;
 use crate::deployment::Deployment;
 use crate::fields::Fields;
 use crate::fields::FileReader;
 use crate::fields::join;
 use crate::parts::BASE_FILE;
 use crate::parts::site_file;
+use crate::row::start_of;
 use crate::schema::Setting;
 use crate::settings::DEPLOYMENT;
 
--- a/crates/carawayrill/tests/commands.rs
+++ b/crates/carawayrill/tests/commands.rs
@@ -7,8 +7,13 @@
 use std::path::PathBuf;
 use std::process::Command;
 
+use carawayrill_core::id::Incarnation;
+use carawayrill_core::id::Version;
+use carawayrill_core::object::Member;
+use carawayrill_core::object::member_name;
 use carawayrill_store::memory::Fault;
 use carawayrill_store::memory::MemoryStore;
+use carawayrill_store::port::ObjectStore;
 use carawayrill_testkit::store;
 use insta::assert_snapshot;
 use tokio::net::TcpListener;
@@ -164,6 +169,39 @@
     assert_snapshot!("drain", bench.told());
 }
 
+/// Writes the run of a router that nobody can reach.
+async fn add_silent_router(store: &MemoryStore) {
+    let silent = "127.0.0.1:1".parse().expect("address");
+    let member = Member {
+        router: "r-silent".parse().expect("name"),
+        incarnation: Incarnation(1),
+        data_centre: "fukuoka-2".parse().expect("name"),
+        peer: silent,
+        http: silent,
+        draining: false,
+    };
+    let value = serde_json::to_vec(&member).expect("JSON");
+    let name = member_name(&member.router);
+    let put = store.put(&name, value.into(), Version(0)).await;
+    put.expect("written");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn unreachable_router_is_waited_for() {
+    let mut bench = Bench::start("silent", Some("chikushi")).await;
+    bench.run("apply a").await;
+    add_silent_router(&bench.store).await;
+    bench.edit("a/base.yaml", "slots: 3", "slots: 4");
+    bench.run("apply a --wait 150ms").await;
+    // A shorter hold at one site changes what homes do, so that all have to be up to date first.
+    let overlay = "schedules:\n    on_store_outage: hold 1min";
+    bench.edit("a/sites/fukuoka-1.yaml", "schedules:", overlay);
+    bench.run("apply a --patience 150ms").await;
+    bench.edit("a/base.yaml", "hold 5min", "hold 1min");
+    bench.run("apply a --patience 150ms").await;
+    assert_snapshot!("silent", bench.told());
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn lost_answers_and_outages_are_told() {
     let mut bench = Bench::start("faults", Some("chikushi")).await;
