Tell an accepted change that lags apart from one that is held back

A refused change of authority said both that the change is accepted and that nothing was changed. propose also checks the next files once in place of twice.

--- a/crates/carawayrill-config/src/accept/propose.rs
+++ b/crates/carawayrill-config/src/accept/propose.rs
@@ -9,6 +9,7 @@
 use carawayrill_store::port::MAX_VALUE_BYTES;
 use carawayrill_store::port::ObjectStore;
 
+use crate::Loaded;
 use crate::Parts;
 use crate::accept::Answer;
 use crate::accept::Edit;
@@ -37,6 +38,8 @@
 struct Proposer<'a> {
     store: &'a dyn ObjectStore,
     edit: &'a Edit,
+    /// The edit's own files, checked.
+    loaded: Loaded,
     id: Digest,
     at: WallTime,
     history: History,
@@ -60,10 +63,11 @@
     at: WallTime,
     pause: &dyn Pause,
 ) -> Result<Answer, Error> {
-    check(&edit.parts, None)?;
+    let loaded = check(&edit.parts, None)?;
     let mut proposer = Proposer {
         store,
         edit,
+        loaded,
         id: edit.id(),
         at,
         history: History::default(),
@@ -105,12 +109,12 @@
             self.open = None;
         }
         let in_force = self.history.parts_of(self.store, &head).await?;
-        let next = self.next(&heads, &in_force).await?;
+        let (next, loaded) = self.next(&heads, &in_force).await?;
         if next == in_force {
             let generation = head.generation;
             return Ok(Step::Done(Answer::Unchanged { generation }));
         }
-        may_follow(&in_force, &next)?;
+        may_follow(&in_force, &loaded)?;
         self.put(version, Some(&head), &next).await
     }
 
@@ -133,11 +137,11 @@
         }))
     }
 
-    /// Returns the files that the next generation shall have.
-    async fn next(&mut self, heads: &[Head], in_force: &Parts) -> Result<Parts, Error> {
+    /// Returns the files that the next generation shall have, as written and checked.
+    async fn next(&mut self, heads: &[Head], in_force: &Parts) -> Result<(Parts, Loaded), Error> {
         let generation = heads[0].generation;
         if generation == self.edit.from {
-            return Ok(self.edit.parts.clone());
+            return Ok((self.edit.parts.clone(), self.loaded.clone()));
         }
         let origin = heads
             .last()
@@ -146,8 +150,8 @@
         let before = self.history.parts_of(self.store, origin).await?;
         let merged = merge(&before, &self.edit.parts, in_force)
             .map_err(|clashes| Error::clash(generation, clashes))?;
-        check(&merged, Some(generation))?;
-        Ok(merged)
+        let loaded = check(&merged, Some(generation))?;
+        Ok((merged, loaded))
     }
 
     /// Writes the parts, then the head that names them.
@@ -231,22 +235,19 @@
 }
 
 /// Checks that files are a right deployment and fit into the store.
-fn check(parts: &Parts, merged_with: Option<Generation>) -> Result<(), Error> {
+fn check(parts: &Parts, merged_with: Option<Generation>) -> Result<Loaded, Error> {
     fits(BASE_FILE, &parts.base)?;
     for (site, text) in &parts.sites {
         fits(&site_file(site), text)?;
     }
-    parts
-        .check()
-        .map_err(|err| Error::wrong(merged_with, err))?;
-    Ok(())
+    parts.check().map_err(|err| Error::wrong(merged_with, err))
 }
 
 /// Checks that the processes may pass from the files in force to the next ones one by one.
-fn may_follow(in_force: &Parts, next: &Parts) -> Result<(), Error> {
+fn may_follow(in_force: &Parts, next: &Loaded) -> Result<(), Error> {
     let wrong = |err| Error::wrong(None, err);
     let before = in_force.check().map_err(wrong)?.deployment;
-    let problems = transition::refused(&before, &next.check().map_err(wrong)?);
+    let problems = transition::refused(&before, next);
     if problems.is_empty() {
         return Ok(());
     }
--- a/crates/carawayrill/src/apply.rs
+++ b/crates/carawayrill/src/apply.rs
@@ -20,6 +20,7 @@
 use crate::store::Patience;
 use crate::wait;
 use crate::wait::InForce;
+use crate::wait::Waited;
 
 /// Runs the subcommand.
 pub async fn run(args: &ApplyArgs) -> Result<ExitCode, Error> {
@@ -65,13 +66,17 @@
     if !changes_authority(&before.deployment, &parts.check()?.deployment) {
         return Ok(());
     }
-    let waited = wait::for_all(store, before.generation, args.patience.0).await;
-    waited.map(drop).map_err(|err| {
-        Error::refused(format!(
-            "{err}\nThis edit changes on_store_outage or timing.authority, which \
-             is safe only once the generation before is in force everywhere. Nothing was changed."
-        ))
-    })
+    let waited = wait::for_all(store, before.generation, args.patience.0).await?;
+    match waited.late() {
+        None => Ok(()),
+        Some(late) => Err(Error::refused(format!(
+            "Generation {} is not yet in force at {late}. This edit changes on_store_outage or \
+             timing.authority, which is safe only once the generation before is in force \
+             everywhere. Nothing was changed. Bring these processes back, or wait until a \
+             controller has taken them out of `carawayrill status`, then run the command again.",
+            before.generation
+        ))),
+    }
 }
 
 /// Writes merged files and the generation to the directory, as the start of the next edit.
@@ -93,11 +98,17 @@
     store: &HttpStore,
     answer: &Answer,
 ) -> Result<Option<InForce>, Error> {
-    match args.wait {
-        Some(span) => wait::for_all(store, answer.generation(), span.0)
-            .await
-            .map(Some),
-        None => Ok(None),
+    let Some(span) = args.wait else {
+        return Ok(None);
+    };
+    let generation = answer.generation();
+    let waited = wait::for_all(store, generation, span.0).await?;
+    match waited {
+        Waited::Done(in_force) => Ok(Some(in_force)),
+        Waited::Late(_) => Err(Error::waiting(format!(
+            "Generation {generation} is accepted, but not yet in force at {}.",
+            waited.late().unwrap_or_default()
+        ))),
     }
 }
 
--- a/crates/carawayrill/src/error.rs
+++ b/crates/carawayrill/src/error.rs
@@ -52,7 +52,7 @@
         }
         /// Some routers have not acknowledged yet.
         Waiting { text: String } {
-            display("{text}\nThe change is accepted and will not be taken back. `carawayrill status` shows who lags.")
+            display("{text}\nIt will not be taken back. `carawayrill status` shows who lags.")
         }
     }
 }
--- a/crates/carawayrill/src/wait.rs
+++ b/crates/carawayrill/src/wait.rs
@@ -26,6 +26,28 @@
     pub after_ms: u64,
 }
 
+/// What came of a wait.
+#[derive(Debug, Clone)]
+pub enum Waited {
+    /// All have the generation in force.
+    Done(InForce),
+    /// These have not acknowledged it.
+    Late(BTreeSet<String>),
+}
+
+impl Waited {
+    /// Names those that are late; `None` if none is.
+    pub fn late(&self) -> Option<String> {
+        match self {
+            Self::Done(_) => None,
+            Self::Late(names) => {
+                let names: Vec<&str> = names.iter().map(String::as_str).collect();
+                Some(names.join(", "))
+            }
+        }
+    }
+}
+
 /// Asks all routers, and the controllers that hold a lease, until each has `generation` or a higher
 /// one.
 ///
@@ -34,7 +56,7 @@
     store: &dyn ObjectStore,
     generation: Generation,
     patience: Duration,
-) -> Result<InForce, Error> {
+) -> Result<Waited, Error> {
     let began = Instant::now();
     let bar = bar(generation);
     loop {
@@ -45,14 +67,14 @@
         lagging.extend(lagging_controllers(store, generation).await?);
         if lagging.is_empty() {
             bar.finish_and_clear();
-            return Ok(InForce {
+            return Ok(Waited::Done(InForce {
                 routers: seen.len(),
                 after_ms: millis(began.elapsed()),
-            });
+            }));
         }
         if began.elapsed() + ROUND > patience {
             bar.finish_and_clear();
-            return Err(Error::waiting(told(generation, &lagging)));
+            return Ok(Waited::Late(lagging));
         }
         tokio::time::sleep(ROUND).await;
     }
@@ -93,13 +115,3 @@
     }
     Ok(lagging)
 }
-
-/// Says who lags.
-fn told(generation: Generation, lagging: &BTreeSet<String>) -> String {
-    let names: Vec<&str> = lagging.iter().map(String::as_str).collect();
-    format!(
-        "Generation {generation} is not yet in force at {} processes: {}.",
-        names.len(),
-        names.join(", ")
-    )
-}
