--- a/crates/carawayrill-router/tests/answers_support/mod.rs
+++ b/crates/carawayrill-router/tests/answers_support/mod.rs
@@ -27,6 +27,7 @@
 use carawayrill_core::id::ServerId;
 use carawayrill_core::id::ShardId;
 use carawayrill_core::id::Version;
+use carawayrill_core::object::Member;
 use carawayrill_core::ownership::home::Denial;
 use carawayrill_core::ownership::home::Permit;
 use carawayrill_core::time::Time;
@@ -35,6 +36,7 @@
 use carawayrill_core::unit::BitRate;
 use carawayrill_core::unit::ByteSize;
 use carawayrill_core::unit::Span;
+use carawayrill_proto::wire::router_server::RouterServer;
 use carawayrill_router::context::Context;
 use carawayrill_router::home::Home;
 use carawayrill_router::home::control::Control;
@@ -45,6 +47,7 @@
 use carawayrill_router::home::serve::route::Route;
 use carawayrill_router::message::Answer;
 use carawayrill_router::message::Request;
+use carawayrill_router::peer::service::PeerService;
 use carawayrill_router::versions::VersionReader;
 use carawayrill_store::http_servers::HttpServers;
 use carawayrill_store::memory::MemoryStore;
@@ -57,6 +60,7 @@
 use http::Method;
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
+use tokio_stream::wrappers::TcpListenerStream;
 
 /// The token that all requests are sent under.
 pub const TOKEN: Token = Token::new(4, 1);
@@ -333,6 +337,30 @@
     Home::with_desk(control, Arc::clone(&bench.desk))
 }
 
+/// Serves the calls of other processes at a router.
+pub fn serve_peers(bench: &Bench, listener: TcpListener) {
+    let service = PeerService::new(
+        Arc::clone(&bench.cx),
+        Arc::new(home_role(bench)),
+        versions(bench),
+        Arc::default(),
+    );
+    let server = tonic::transport::Server::builder().add_service(RouterServer::new(service));
+    tokio::spawn(server.serve_with_incoming(TcpListenerStream::new(listener)));
+}
+
+/// Has a router know another one.
+pub fn know(cx: &Context, router: &str, peer: SocketAddr) {
+    cx.members.put(Member {
+        router: router.parse().unwrap(),
+        incarnation: Incarnation(1),
+        data_centre: "west-1".parse().unwrap(),
+        peer,
+        http: peer,
+        draining: false,
+    });
+}
+
 /// Makes the reader of versions of a router.
 pub fn versions(bench: &Bench) -> Arc<VersionReader> {
     let store = Arc::clone(&bench.cx.store);
