--- a/crates/carawayrill-core/src/ownership/home/gate.rs
+++ b/crates/carawayrill-core/src/ownership/home/gate.rs
@@ -9,6 +9,19 @@
 use crate::id::ShardId;
 use crate::time::Time;
 
+/// What a router knows of one server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ServerSeen<'a> {
+    /// The server.
+    pub server: &'a ServerId,
+    /// Its latest run, if it has ever answered.
+    pub incarnation: Option<Incarnation>,
+    /// Whether it is held to be lost.
+    pub lost: bool,
+    /// Whether it leaves by plan or asks for no new work.
+    pub draining: bool,
+}
+
 impl HomeTable {
     /// Chooses the server and token for a request that has just arrived.
     ///
@@ -47,11 +60,14 @@
         Ok(())
     }
 
-    /// Returns what is known of the servers of this router's shards: name, latest run and whether
-    /// the server is held to be lost.
-    pub fn servers(&self) -> impl Iterator<Item = (&ServerId, Option<Incarnation>, bool)> {
-        let servers = self.servers.iter();
-        servers.map(|(id, known)| (id, known.run, known.lost))
+    /// Returns what is known of the servers of this router's shards.
+    pub fn servers(&self) -> impl Iterator<Item = ServerSeen<'_>> {
+        self.servers.iter().map(|(server, known)| ServerSeen {
+            server,
+            incarnation: known.run,
+            lost: known.lost,
+            draining: known.draining || known.leaving,
+        })
     }
 
     /// Returns until when requests of a row may be sent.
@@ -73,7 +89,9 @@
         }
         let owner = self.servers.get(&row.serving).ok_or(Denial::NoGrant)?;
         let lane = self.serving_lane(row).and_then(|id| row.lanes.get(&id));
-        let lane = lane.filter(|lane| lane.token == row.token && !owner.lost);
+        // A silent owner that nobody can replace is sent to for as long as its grant lasts.
+        let replaced = owner.lost && self.successor(now, row).is_some();
+        let lane = lane.filter(|lane| lane.token == row.token && !replaced);
         let end = lane.and_then(|lane| lane.certain_end);
         match end {
             Some(end) if now < end => Ok(end.min(deadline)),
@@ -82,9 +100,11 @@
     }
 
     /// Returns the router that has to send for us, because it counts the server's slots. A server
-    /// without fencing is sent to directly: our own check before the send is all there is.
+    /// without fencing is sent to directly: our own check before the send is all there is. So is the
+    /// server of a home that this router took over from: nobody else counts its slots then.
     fn via(&self, row: &Row) -> Option<crate::id::RouterId> {
         let home = self.servers.get(&row.serving)?.home.as_ref()?;
-        (*home != self.me.router && self.fences(row)).then(|| home.clone())
+        let is_other = *home != self.me.router && *home != row.stored.home;
+        (is_other && self.fences(row)).then(|| home.clone())
     }
 }
