Give each router its site's values

Cause: an overlay's service settings (queue limits, deadlines, time to hold) were merged and checked, but routers read the base file's values. What: a router puts its own site's view of a configuration in force.

--- a/crates/carawayrill-router/src/feed.rs
+++ b/crates/carawayrill-router/src/feed.rs
@@ -155,7 +155,7 @@
     match accept::fetch(&cx.caches.config).await {
         Ok(Some(accepted)) if accepted.generation > cx.generation() => {
             let generation = accepted.generation;
-            let whole = Arc::new(accepted.deployment);
+            let whole = Arc::new(accepted.deployment.at_site(&cx.settings.data_centre));
             cx.deployment.store(Some(Arc::clone(&whole)));
             home.control().configure(cx, &whole);
             carawayrill_telemetry::emit(EventKind::ConfigInForce { generation });
