Count a home's silence from when it was first read to be home

Seen by the experiment of a rolling replacement: a router that had just restarted and been appointed home was taken over within 153 ms, and again six times in 1.3 s. Cause: its standby home counted the silence of the former run. Excluded: the grant path (the home had been granted nothing yet). Test first: four of five cases of ownership_standby failed (began after 0 ms), all pass now.

--- a/crates/carawayrill-core/src/ownership/home/blocks.rs
+++ b/crates/carawayrill-core/src/ownership/home/blocks.rs
@@ -181,9 +181,9 @@
                 }
                 old
             }
-            Some(old) => succeed(old, Row::new(block.id.clone(), stored.clone(), role)),
+            Some(old) => succeed(old, Row::new(now, block.id.clone(), stored.clone(), role)),
             None => {
-                let mut row = Row::new(block.id.clone(), stored.clone(), role);
+                let mut row = Row::new(now, block.id.clone(), stored.clone(), role);
                 self.note_split(now, &mut row);
                 row
             }
--- a/crates/carawayrill-core/src/ownership/home/failover.rs
+++ b/crates/carawayrill-core/src/ownership/home/failover.rs
@@ -61,11 +61,12 @@
         }
     }
 
-    /// Returns whether a run of a router seems lost.
-    pub(super) fn seems_lost(&self, now: Time, run: &Run) -> bool {
+    /// Returns whether a run of a router seems lost. Silence counts from `named` at the earliest,
+    /// when the router was first read to be home: before, it may have been down.
+    pub(super) fn seems_lost(&self, now: Time, run: &Run, named: Time) -> bool {
         self.peers.get(&run.router).is_some_and(|peer| {
             let replaced = peer.run.is_some_and(|latest| latest > run.incarnation);
-            replaced || elapsed(now, peer.heard) > self.limits.router_silence
+            replaced || elapsed(now, peer.heard.max(named)) > self.limits.router_silence
         })
     }
 
--- a/crates/carawayrill-core/src/ownership/home/row.rs
+++ b/crates/carawayrill-core/src/ownership/home/row.rs
@@ -70,6 +70,8 @@
     /// The assignment in force, as last read.
     pub(super) stored: Assignment,
     pub(super) role: Role,
+    /// When the assignment was first read.
+    pub(super) named: Time,
     /// Whether this router sends: always as home, as standby home after a takeover.
     pub(super) acting: bool,
     /// The start of the last read that gave authority.
@@ -104,10 +106,11 @@
 }
 
 impl Row {
-    pub(super) fn new(block: BlockId, stored: Assignment, role: Role) -> Self {
+    pub(super) fn new(now: Time, block: BlockId, stored: Assignment, role: Role) -> Self {
         Self {
             block,
             role,
+            named: now,
             acting: role == Role::Home,
             basis: None,
             blocked: false,
--- a/crates/carawayrill-core/src/ownership/home/standby.rs
+++ b/crates/carawayrill-core/src/ownership/home/standby.rs
@@ -126,7 +126,7 @@
             incarnation: row.stored.home_run,
         };
         let may = !row.ended && !row.blocked && self.fences(row) && self.has_authority(now, row);
-        let lost = self.seems_lost(now, &home);
+        let lost = self.seems_lost(now, &home, row.named);
         let Some(row) = self.rows.get_mut(shard) else {
             return;
         };
--- /dev/null
+++ b/crates/carawayrill-core/tests/ownership_standby.rs
@@ -0,0 +1,103 @@
+//! When a standby home begins to take over.
+
+use std::time::Duration;
+
+use carawayrill_core::assignment::Assignment;
+use carawayrill_core::assignment::Block;
+use carawayrill_core::assignment::BlockId;
+use carawayrill_core::assignment::Reason;
+use carawayrill_core::id::Incarnation;
+use carawayrill_core::id::ShardId;
+use carawayrill_core::id::Version;
+use carawayrill_core::order::Order;
+use carawayrill_core::ownership::evidence::Run;
+use carawayrill_core::ownership::home::Action;
+use carawayrill_core::ownership::home::HomeTable;
+use carawayrill_core::ownership::home::Input;
+use carawayrill_core::ownership::limits::Limits;
+use carawayrill_core::time::Time;
+use carawayrill_core::time::WallTime;
+use carawayrill_core::token::Token;
+use rstest::rstest;
+
+/// When the standby home first reads the assignment, in milliseconds.
+const NAMED: u64 = 10_000;
+
+fn block(home_run: u64) -> Block {
+    let service = "f".parse().expect("a service");
+    let id = BlockId { service, index: 0 };
+    let mut block = Block::empty(id.clone());
+    block.set(Assignment {
+        shard: ShardId::range(id.service, 0),
+        owner: "s0".parse().expect("a server"),
+        standby: Some("s1".parse().expect("a server")),
+        home: "r0".parse().expect("a router"),
+        home_run: Incarnation(home_run),
+        standby_home: Some("r1".parse().expect("a router")),
+        standby_home_run: Incarnation(1),
+        token: Token::new(4, 1),
+        reason: Reason::HomeLost,
+        since: WallTime(0),
+    });
+    block
+}
+
+fn asks_servers(actions: &[Action]) -> bool {
+    let fences = |orders: &[Order]| {
+        orders
+            .iter()
+            .any(|order| matches!(order, Order::Fence { .. }))
+    };
+    actions
+        .iter()
+        .any(|action| matches!(action, Action::Order { orders, .. } if fences(orders)))
+}
+
+/// Returns how long after the first read the standby home asks the servers, in milliseconds.
+fn begins_after(heard: &[(u64, u64)], home_run: u64) -> Option<u64> {
+    let me = Run {
+        router: "r1".parse().expect("a router"),
+        incarnation: Incarnation(1),
+    };
+    let mut table = HomeTable::new(me, Limits::default());
+    let mut heard = heard.iter().peekable();
+    for now in (0..NAMED + 1_500).step_by(50) {
+        while let Some((_, run)) = heard.next_if(|(at, _)| *at <= now) {
+            let router = "r0".parse().expect("a router");
+            table.input(
+                Time(now),
+                Input::PeerSeen {
+                    router,
+                    incarnation: Incarnation(*run),
+                },
+            );
+        }
+        let at = Time(now);
+        if now >= NAMED {
+            let input = Input::Block {
+                started: at - Duration::from_millis(1),
+                version: Version(7),
+                block: block(home_run),
+            };
+            table.input(at, input);
+        }
+        if asks_servers(&table.tick(at)) {
+            return Some(now - NAMED);
+        }
+    }
+    None
+}
+
+#[rstest]
+#[case::never_heard(&[], 1, Some(1_050))]
+#[case::last_heard_long_ago(&[(0, 1)], 1, Some(1_050))]
+#[case::restarted_and_appointed_again(&[(0, 1)], 2, Some(1_050))]
+#[case::heard_later(&[(0, 1), (10_400, 1)], 1, Some(1_450))]
+#[case::replaced_by_a_later_run(&[(0, 1), (10_400, 2)], 1, Some(400))]
+fn a_standby_home_waits_for_silence(
+    #[case] heard: &[(u64, u64)],
+    #[case] home_run: u64,
+    #[case] expected: Option<u64>,
+) {
+    assert_eq!(expected, begins_after(heard, home_run));
+}
