--- a/crates/carawayrill-config/src/lib.rs
+++ b/crates/carawayrill-config/src/lib.rs
@@ -36,6 +36,7 @@
 mod fields;
 mod forms;
 mod loaded;
+mod ownership;
 mod parts;
 mod problem;
 mod row;
--- a/crates/carawayrill-core/src/ownership/home/blocks.rs
+++ b/crates/carawayrill-core/src/ownership/home/blocks.rs
@@ -181,9 +181,9 @@
                 }
                 old
             }
-            Some(old) => succeed(old, Row::new(block.id.clone(), stored.clone(), role)),
+            Some(old) => succeed(old, Row::new(now, block.id.clone(), stored.clone(), role)),
             None => {
-                let mut row = Row::new(block.id.clone(), stored.clone(), role);
+                let mut row = Row::new(now, block.id.clone(), stored.clone(), role);
                 self.note_split(now, &mut row);
                 row
             }
@@ -200,7 +200,7 @@
             self.watch_server(now, &server.clone());
         }
         if role == Role::Standby {
-            self.watch_peer(now, &stored.home, stored.home_run);
+            self.watch_peer(now, &stored.home);
         }
         self.touched.insert(stored.shard.clone());
         self.rows.insert(stored.shard.clone(), row);
