--- a/crates/carawayrill-core/src/answer/serving/mod.rs
+++ b/crates/carawayrill-core/src/answer/serving/mod.rs
@@ -96,6 +96,12 @@
         self.queues.get_mut(server)
     }
 
+    /// Returns the number of requests that wait for a slot, of all servers.
+    #[must_use]
+    pub fn waiting(&self) -> u32 {
+        self.queues.values().map(ServerQueue::waiting).sum()
+    }
+
     /// Returns the requests in flight.
     #[must_use]
     pub fn inflight(&self) -> &InFlightTable {
@@ -164,7 +170,7 @@
     /// Lets no server take the room of the others: when all queues together are full, only servers
     /// that have less than an even part of the room take in more.
     fn check_total(&self, queue: &ServerQueue) -> Result<(), Refusal> {
-        let total: u32 = self.queues.values().map(ServerQueue::waiting).sum();
+        let total = self.waiting();
         let servers = u32::try_from(self.queues.len()).unwrap_or(u32::MAX);
         let even = self.cfg.waiting / servers.max(1);
         if total >= self.cfg.waiting && queue.waiting() >= even {
--- a/crates/carawayrill-router/src/entry/http.rs
+++ b/crates/carawayrill-router/src/entry/http.rs
@@ -4,6 +4,8 @@
 use std::sync::atomic::Ordering;
 
 use bytes::Bytes;
+use cadence::Counted;
+use cadence::Histogrammed;
 use carawayrill_config::deployment::Deployment;
 use carawayrill_config::deployment::Service;
 use carawayrill_core::answer::refusal::RefusalReason;
@@ -195,6 +197,7 @@
         let answer = self.answer_or_stop(id.clone(), started, req).await;
         let took_us = u64::try_from(clock.elapsed().as_micros()).unwrap_or(u64::MAX);
         let (outcome, status) = (answer.outcome, answer.status);
+        self.count(&answer, took_us);
         let request = id.clone();
         carawayrill_telemetry::emit_request(|| EventKind::RequestAnswered {
             request,
@@ -207,6 +210,19 @@
 }
 
 impl Entry {
+    /// Counts an answer by its outcome and reason. Metrics that can't be sent are lost.
+    fn count(&self, answer: &Answer, took_us: u64) {
+        let reason = answer.reason.map_or("none", |reason| reason.word());
+        let outcome = answer.outcome.to_string();
+        self.cx
+            .metrics
+            .count_with_tags("entry.answers", 1)
+            .with_tag("outcome", &outcome)
+            .with_tag("reason", reason)
+            .send();
+        let _lost = self.cx.metrics.histogram("entry.took_us", took_us);
+    }
+
     fn ready(&self) -> Response {
         let ready = !self.cx.stopping.load(Ordering::Relaxed) && self.cx.generation().0 > 0;
         let status = if ready {
--- a/crates/carawayrill-router/src/home/serve/desk.rs
+++ b/crates/carawayrill-router/src/home/serve/desk.rs
@@ -34,6 +34,8 @@
 use crate::home::serve::claims;
 use crate::home::serve::convert;
 use crate::home::serve::limits;
+use crate::home::serve::metrics;
+use crate::home::serve::metrics::Reported;
 use crate::home::serve::mirror::Mirrors;
 use crate::home::serve::route::Route;
 use crate::message::Answer;
@@ -261,6 +263,7 @@
     /// Runs the tables' systems for as long as the process runs.
     pub async fn run(self: Arc<Self>, cx: Arc<Context>) {
         let mut ticks = 0_u32;
+        let mut reported = Reported::default();
         loop {
             tokio::time::sleep(TICK).await;
             let actions = self.lock().serving.tick(cx.now());
@@ -268,6 +271,7 @@
             ticks = ticks.wrapping_add(1);
             if ticks.is_multiple_of(REFRESH_TICKS) {
                 self.refresh(&cx);
+                metrics::report(&cx, &self.lock(), &mut reported);
             }
         }
     }
--- a/crates/carawayrill-router/src/home/serve/loads.rs
+++ b/crates/carawayrill-router/src/home/serve/loads.rs
@@ -5,6 +5,7 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 
+use carawayrill_core::answer::traffic::Crossing;
 use carawayrill_core::answer::traffic::TrafficTable;
 use carawayrill_core::hot::Sketch;
 use carawayrill_core::id::KeyHash;
@@ -73,6 +74,11 @@
         self.lock().traffic.count(shard, from, to, bytes)
     }
 
+    /// Returns all bytes that crossed regions since the start, by service.
+    pub(super) fn crossings(&self) -> Vec<Crossing> {
+        self.lock().traffic.crossings()
+    }
+
     /// Takes out what was counted since the last call.
     pub(super) fn take(&self) -> Vec<wire::ShardLoad> {
         let mut counts = self.lock();
--- a/crates/carawayrill-router/src/home/serve/mod.rs
+++ b/crates/carawayrill-router/src/home/serve/mod.rs
@@ -7,6 +7,7 @@
 pub mod exchange;
 mod limits;
 mod loads;
+mod metrics;
 mod mirror;
 pub mod route;
 mod send;
@@ -172,7 +173,8 @@
 
     /// Takes out the loads since the last heartbeat.
     #[must_use]
-    pub fn take_loads(&self) -> Vec<wire::ShardLoad> {
+    pub fn take_loads(&self, cx: &Context) -> Vec<wire::ShardLoad> {
+        metrics::report_crossings(cx, &self.loads.crossings());
         self.loads.take()
     }
 }
--- a/crates/carawayrill-router/src/membership.rs
+++ b/crates/carawayrill-router/src/membership.rs
@@ -96,7 +96,7 @@
         draining: cx.stopping.load(Ordering::Relaxed),
         in_flight: cx.in_flight.load(Ordering::Relaxed),
         servers: home.servers_seen(),
-        loads: home.take_loads(),
+        loads: home.take_loads(cx),
     }
 }
 
