--- a/crates/carawayrill-controller/src/hold.rs
+++ b/crates/carawayrill-controller/src/hold.rs
@@ -72,9 +72,11 @@
         may_act && since.is_some_and(|at| now.since(*at) < GRACE)
     }
 
-    /// Tells whether any hold may end later without any other change.
+    /// Tells whether a hold ended after `from` and by `to`, so that a plan has to be made although
+    /// nothing else has changed.
     #[must_use]
-    pub fn is_running(&self, now: Time) -> bool {
-        self.lost.values().any(|at| now.since(*at) < GRACE * 2)
+    pub fn ends_between(&self, from: Time, to: Time) -> bool {
+        let ends = self.lost.values().map(|at| *at + GRACE);
+        ends.into_iter().any(|end| from < end && end <= to)
     }
 }
--- a/crates/carawayrill-controller/src/planner.rs
+++ b/crates/carawayrill-controller/src/planner.rs
@@ -80,6 +80,8 @@
     wanted: BTreeMap<ShardId, Wanted>,
     /// The fleet and the state of the store that the last plan was made for.
     last: Option<(Fleet, u64)>,
+    /// When that was.
+    planned: Time,
 }
 
 impl Planner {
@@ -92,6 +94,7 @@
             hold: HoldTable::default(),
             wanted: BTreeMap::new(),
             last: None,
+            planned: Time(0),
         }
     }
 
@@ -118,12 +121,17 @@
         self.hold.on_fleet(judge.now, &fleet);
         let state = (fleet, judge.view.changes);
         let is_same = self.last.as_ref() == Some(&state);
-        if is_same && demand.is_none() && !self.hold.is_running(judge.now) && !is_waiting(judge) {
+        if is_same
+            && demand.is_none()
+            && !self.hold.ends_between(self.planned, judge.now)
+            && !is_waiting(judge)
+        {
             return Plan {
                 forget: forgettable(judge),
                 ..Plan::default()
             };
         }
+        self.planned = judge.now;
         let fleet = &self.last.insert(state).0.clone();
         self.drop_done(judge.view);
         let current: Vec<Placed> = judge.view.rows().map(Placed::from).collect();
