Hold a change of authority against all generations since its origin

Cause: two operators start from one generation; one pins a shorter hold in the overlays, the other shortens the base. Merged, the second was accepted right after the first, while routers could still be at the generation before both: a taker would wait 10 s for a home that may hold on for a minute. The test two_operators_do_not_make_both_steps_at_once failed before (accepted as generation 3).

Excluded: to ask the store who has acknowledged what; it doesn't know.

--- a/crates/carawayrill-config/src/accept/propose.rs
+++ b/crates/carawayrill-config/src/accept/propose.rs
@@ -114,7 +114,7 @@
             let generation = head.generation;
             return Ok(Step::Done(Answer::Unchanged { generation }));
         }
-        may_follow(&in_force, &loaded)?;
+        self.may_follow(&heads, &in_force, &loaded).await?;
         self.put(version, Some(&head), &next).await
     }
 
@@ -154,6 +154,33 @@
         Ok((merged, loaded))
     }
 
+    /// Checks that the processes may pass to the next files one by one.
+    ///
+    /// A change of authority is held against every generation since the edit's origin: whoever
+    /// proposes it knows at best that its origin is in force everywhere, not that those of others
+    /// which came between are.
+    async fn may_follow(
+        &mut self,
+        heads: &[Head],
+        in_force: &Parts,
+        next: &Loaded,
+    ) -> Result<(), Error> {
+        let wrong = |err| Error::wrong(None, err);
+        let current = in_force.check().map_err(wrong)?.deployment;
+        let mut problems = transition::refused(&current, next);
+        if transition::changes_authority(&current, &next.deployment) {
+            for head in heads.iter().skip(1) {
+                let parts = self.history.parts_of(self.store, head).await?;
+                let before = parts.check().map_err(wrong)?.deployment;
+                problems.extend(transition::refused(&before, next));
+            }
+        }
+        if problems.is_empty() {
+            return Ok(());
+        }
+        Err(wrong(problems.into()))
+    }
+
     /// Writes the parts, then the head that names them.
     async fn put(
         &mut self,
@@ -243,17 +270,6 @@
     parts.check().map_err(|err| Error::wrong(merged_with, err))
 }
 
-/// Checks that the processes may pass from the files in force to the next ones one by one.
-fn may_follow(in_force: &Parts, next: &Loaded) -> Result<(), Error> {
-    let wrong = |err| Error::wrong(None, err);
-    let before = in_force.check().map_err(wrong)?.deployment;
-    let problems = transition::refused(&before, next);
-    if problems.is_empty() {
-        return Ok(());
-    }
-    Err(wrong(problems.into()))
-}
-
 /// Checks that a file fits into one object.
 fn fits(file: &str, text: &str) -> Result<(), Error> {
     if text.len() > MAX_VALUE_BYTES {
--- a/crates/carawayrill-config/tests/accept.rs
+++ b/crates/carawayrill-config/tests/accept.rs
@@ -279,6 +279,35 @@
     assert_eq!(last.generation(), Generation(3));
 }
 
+#[tokio::test]
+async fn two_operators_do_not_make_both_steps_at_once() {
+    let store = MemoryStore::new();
+    let hold = (
+        "queue_limit: 10",
+        "queue_limit: 10\n    on_store_outage: hold 1min",
+    );
+    let long = changed(&start(), &[hold]);
+    apply(&store, 0, &long).await.expect("first");
+    let adjust = "services: {forms: {on_store_outage: hold 10s}}\n";
+    let sites = long
+        .clone()
+        .with_site("north-1", format!("{NORTH}{adjust}"));
+    let sites = sites
+        .and_then(|parts| parts.with_site("south-1", adjust))
+        .expect("sites");
+    apply(&store, 1, &sites).await.expect("the first step");
+    // Merged with the first step, this is the second one; but nobody has waited between them.
+    let cut = changed(&long, &[("hold 1min", "hold 10s")]);
+    let err = apply(&store, 1, &cut)
+        .await
+        .expect_err("the second step from the same origin");
+    assert!(err.to_string().contains("on_store_outage"), "{err}");
+    let cut = changed(&sites, &[("hold 1min", "hold 10s")]);
+    apply(&store, 2, &cut)
+        .await
+        .expect("the second step from the first one");
+}
+
 #[tokio::test]
 async fn lost_answer_is_settled_by_reading_back() {
     let store = started().await;
