--- a/crates/carawayrill-core/src/ownership/home/blocks.rs
+++ b/crates/carawayrill-core/src/ownership/home/blocks.rs
@@ -141,6 +141,7 @@
             }
         }
         for (_, row) in former {
+            self.note_merge(&row);
             self.tell_end(&row, "the assignment names another router");
         }
         if let Some(row) = self.blocks.get_mut(&id) {
@@ -175,10 +176,17 @@
         let mut row = match old {
             Some(mut old) if old.stored.token.term == stored.token.term && old.role == role => {
                 old.stored = stored.clone();
+                if !old.acting {
+                    old.serving = stored.owner.clone();
+                }
                 old
             }
             Some(old) => succeed(old, Row::new(block.id.clone(), stored.clone(), role)),
-            None => Row::new(block.id.clone(), stored.clone(), role),
+            None => {
+                let mut row = Row::new(block.id.clone(), stored.clone(), role);
+                self.note_split(now, &mut row);
+                row
+            }
         };
         let promised = self.promised.get(&stored.shard);
         if role == Role::Standby && promised.is_some_and(|term| *term >= stored.token.term) {
@@ -192,7 +200,7 @@
             self.watch_server(now, &server.clone());
         }
         if role == Role::Standby {
-            self.watch_peer(now, &stored.home);
+            self.watch_peer(now, &stored.home, stored.home_run);
         }
         self.touched.insert(stored.shard.clone());
         self.rows.insert(stored.shard.clone(), row);
@@ -266,6 +274,15 @@
         }
     }
 
+    /// Returns whether the present run of one of a row's servers was known before its last good
+    /// read.
+    fn knows_a_server(&self, row: &Row) -> bool {
+        row.servers().any(|id| {
+            let known = self.servers.get(id).filter(|known| known.run.is_some());
+            known.is_some_and(|known| row.basis.is_some_and(|basis| basis > known.run_seen))
+        })
+    }
+
     /// Returns blocks with rows that wait for a read that is newer than a server's run.
     fn blocks_without_trust(&self) -> Vec<BlockId> {
         let untrusted = |row: &Row, id: &ServerId| {
@@ -276,10 +293,14 @@
             let read_missing = first || row.servers().any(|id| untrusted(row, id));
             row.is_live() && !row.blocked && !row.pledged && read_missing
         };
+        // A standby home that has made no good read since it saw the servers could not take over.
+        let is_blind = |row: &&Row| {
+            row.role == Role::Standby && !row.acting && !row.ended && !self.knows_a_server(row)
+        };
         let mut blocks: Vec<BlockId> = self
             .rows
             .values()
-            .filter(waits)
+            .filter(|row| waits(row) || is_blind(row))
             .map(|row| row.block.clone())
             .collect();
         blocks.dedup();
--- a/crates/carawayrill-testkit/src/bench/shape.rs
+++ b/crates/carawayrill-testkit/src/bench/shape.rs
@@ -110,10 +110,12 @@
             ("shards", self.shards.to_string()),
             ("slots", service.slots.to_string()),
             ("connections", "130".to_owned()),
+            ("warm_up", "1ms".to_owned()),
             ("repeat", service.repeat.to_owned()),
             ("claim_window", "1h".to_owned()),
             ("default_deadline", "2s".to_owned()),
             ("max_deadline", "15s".to_owned()),
+            ("warm_up", "0s".to_owned()),
             ("on_store_outage", service.on_store_outage.to_owned()),
         ]
     }
