--- a/crates/carawayrill-config/src/loaded.rs
+++ b/crates/carawayrill-config/src/loaded.rs
@@ -16,6 +16,7 @@
 use crate::fields::join;
 use crate::parts::BASE_FILE;
 use crate::parts::site_file;
+use crate::row::start_of;
 use crate::schema::Setting;
 use crate::settings::DEPLOYMENT;
 
@@ -88,6 +89,12 @@
 }
 
 impl Loaded {
+    /// Returns where the base file has the value at `path`, or its start if it has none.
+    pub(crate) fn origin(&self, path: &str) -> Origin {
+        let written = self.files.base.get(path);
+        written.map_or_else(|| start_of(BASE_FILE), |value| value.origin.clone())
+    }
+
     /// Lists every value in force with its origin: the base's with its defaults, then what each
     /// overlay adjusts.
     #[must_use]
--- a/crates/carawayrill-config/tests/accept.rs
+++ b/crates/carawayrill-config/tests/accept.rs
@@ -198,6 +198,15 @@
     let south = "services: {forms: {queue_limit: 3}}\n";
     let with = five.clone().with_site("south-1", south).expect("site");
     told.insert("wrong when merged", apply(&store, 2, &with).await);
+    let shards = changed(&without, &[("shards: 16", "shards: 32")]);
+    told.insert("shards of a live service", apply(&store, 3, &shards).await);
+    let longer = changed(&without, &[("name", "timing: {authority: 4s}\nname")]);
+    told.insert(
+        "authority lengthened at once",
+        apply(&store, 3, &longer).await,
+    );
+    let shorter = changed(&without, &[("name", "timing: {authority: 1900ms}\nname")]);
+    told.insert("authority cut at once", apply(&store, 3, &shorter).await);
     let huge = format!("{BASE}#{}\n", "x".repeat(1 << 20));
     told.insert("too large", apply(&store, 3, &Parts::new(huge)).await);
     store.set_fault(Fault::Down);
@@ -216,6 +225,60 @@
     assert_eq!(after.generation, Generation(3));
 }
 
+#[tokio::test]
+async fn hold_is_shortened_in_two_steps() {
+    let store = MemoryStore::new();
+    let hold = (
+        "queue_limit: 10",
+        "queue_limit: 10\n    on_store_outage: hold 1min",
+    );
+    let long = changed(&start(), &[hold]);
+    apply(&store, 0, &long).await.expect("first");
+    let cut = changed(&long, &[("hold 1min", "hold 10s")]);
+    apply(&store, 1, &cut).await.expect_err("the base alone");
+    let adjust = "services: {forms: {on_store_outage: hold 10s}}\n";
+    let sites = long
+        .with_site("north-1", format!("{NORTH}{adjust}"))
+        .expect("site");
+    let cut_half = changed(&sites, &[("hold 1min", "hold 20s")]);
+    apply(&store, 1, &sites).await.expect("one site");
+    apply(&store, 2, &cut_half)
+        .await
+        .expect_err("the other site still holds on for a minute");
+    let both = sites.with_site("south-1", adjust).expect("site");
+    apply(&store, 2, &both).await.expect("both sites");
+    let cut = changed(&both, &[("hold 1min", "hold 10s")]);
+    let last = apply(&store, 3, &cut).await.expect("the base last");
+    assert_eq!(last.generation(), Generation(4));
+}
+
+#[tokio::test]
+async fn hold_is_lengthened_in_two_steps() {
+    let store = started().await;
+    let hold = (
+        "queue_limit: 10",
+        "queue_limit: 10\n    on_store_outage: hold 1min",
+    );
+    let long = changed(&start(), &[hold]);
+    apply(&store, 1, &long).await.expect_err("at once");
+    let pin = "services: {forms: {on_store_outage: stop}}\n";
+    let pinned = long
+        .with_site("north-1", format!("{NORTH}{pin}"))
+        .expect("site");
+    apply(&store, 1, &pinned)
+        .await
+        .expect_err("one site is not pinned");
+    let pinned = pinned.with_site("south-1", pin).expect("site");
+    apply(&store, 1, &pinned)
+        .await
+        .expect("takers wait for longer first");
+    let long = changed(&start(), &[hold]);
+    let last = apply(&store, 2, &long)
+        .await
+        .expect("homes hold on for longer then");
+    assert_eq!(last.generation(), Generation(3));
+}
+
 #[tokio::test]
 async fn lost_answer_is_settled_by_reading_back() {
     let store = started().await;
--- a/crates/carawayrill-core/src/replay/record.rs
+++ b/crates/carawayrill-core/src/replay/record.rs
@@ -71,6 +71,18 @@
     }
 }
 
+/// The recorded input of a tick.
+#[derive(Debug, Clone, Copy, Serialize)]
+pub struct Tick {
+    input: &'static str,
+}
+
+impl Default for Tick {
+    fn default() -> Self {
+        Self { input: TICK }
+    }
+}
+
 /// Makes the event of one input of the table named `table`: `home`, `takeover` or `server`.
 ///
 /// # Panics
@@ -85,8 +97,7 @@
     }
 }
 
-/// Makes the recorded input of a tick.
-#[must_use]
+/// Returns whether a recorded input is a tick.
 pub(super) fn is_tick(input: &Value) -> bool {
     input["input"] == json!(TICK)
 }
--- a/crates/carawayrill-router/src/home/control.rs
+++ b/crates/carawayrill-router/src/home/control.rs
@@ -33,6 +33,9 @@
 use carawayrill_core::ownership::home::Permit;
 use carawayrill_core::ownership::limits::Limits;
 use carawayrill_core::ownership::limits::Policy;
+use carawayrill_core::replay::Recorded;
+use carawayrill_core::replay::Start;
+use carawayrill_core::replay::Tick;
 use carawayrill_core::time::Time;
 use carawayrill_core::time::millis;
 use carawayrill_store::port::ServerControl;
@@ -162,7 +165,16 @@
 
     /// Takes a new configuration in.
     pub fn configure(self: &Arc<Self>, cx: &Arc<Context>, whole: &Deployment) {
-        let fresh = || HomeTable::new(own_run(cx), limits(&whole.timing));
+        let fresh = || {
+            let limits = limits(&whole.timing);
+            let start = Start {
+                name: cx.settings.router.clone().into(),
+                incarnation: cx.incarnation,
+                limits,
+            };
+            record(cx.now(), &start);
+            HomeTable::new(own_run(cx), limits)
+        };
         lock(&self.table).get_or_insert_with(fresh);
         for service in &whole.services {
             let service_id = service.id.clone();
@@ -223,22 +235,20 @@
         let actions = {
             let mut table = lock(&self.table);
             let Some(table) = table.as_mut() else { return };
-            // Recorded under the lock, so that the lines stand in the order of the inputs.
-            carawayrill_telemetry::emit_input(
-                "home",
-                &Timed {
-                    now: cx.now(),
-                    input: &input,
-                },
-            );
-            table.input(cx.now(), input)
+            let now = cx.now();
+            record(now, &input);
+            table.input(now, input)
         };
         self.start(cx, actions);
     }
 
     fn tick(self: &Arc<Self>, cx: &Arc<Context>) {
         let actions = match lock(&self.table).as_mut() {
-            Some(table) => table.tick(cx.now()),
+            Some(table) => {
+                let now = cx.now();
+                record(now, &Tick::default());
+                table.tick(now)
+            }
             None => Vec::new(),
         };
         self.start(cx, actions);
@@ -318,12 +328,11 @@
     }
 }
 
-/// An input with the time at which it went in, as recorded.
-#[derive(Debug, serde::Serialize)]
-struct Timed<'a> {
-    now: Time,
-    #[serde(flatten)]
-    input: &'a Input,
+/// Records one input of the table. Called under the table's lock, so that the lines stand in the
+/// order of the inputs.
+fn record<T: serde::Serialize>(now: Time, input: &T) {
+    let now = now.0;
+    carawayrill_telemetry::emit_input("home", &Recorded { now, input });
 }
 
 fn own_run(cx: &Context) -> Run {
--- a/crates/carawayrill-router/src/run.rs
+++ b/crates/carawayrill-router/src/run.rs
@@ -13,12 +13,10 @@
 use carawayrill_store::http_store::HttpStore;
 use carawayrill_store::url;
 use poem::listener::Acceptor;
-use poem::listener::Listener;
-use poem::listener::TcpListener;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 use tokio::sync::watch;
-use tokio_stream::wrappers::TcpListenerStream;
+use tonic::transport::server::TcpIncoming;
 
 use crate::Error;
 use crate::clock;
@@ -111,16 +109,16 @@
     let service = RouterServer::new(service)
         .max_decoding_message_size(MAX_MESSAGE_BYTES)
         .max_encoding_message_size(MAX_MESSAGE_BYTES);
-    let server = tonic::transport::Server::builder()
-        .tcp_nodelay(true)
-        .add_service(service);
+    let server = tonic::transport::Server::builder().add_service(service);
+    // The builder's own setting holds only for listeners that it opens itself.
+    let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
     Ok(tokio::spawn(async move {
         let until = async move {
             // An error means that the sender is gone, which also ends the serving.
             let _closed = closed.wait_for(|closed| *closed).await;
         };
         server
-            .serve_with_incoming_shutdown(TcpListenerStream::new(listener), until)
+            .serve_with_incoming_shutdown(incoming, until)
             .await
             .map_err(|err| Error::serve(err.to_string()))
     }))
@@ -132,10 +130,11 @@
     mut closed: watch::Receiver<bool>,
 ) -> Result<Listening, Error> {
     let address = cx.settings.http;
-    let acceptor = TcpListener::bind(address)
-        .into_acceptor()
+    let listen = |err: std::io::Error| Error::listen(address, err.to_string());
+    let listener = tokio::net::TcpListener::bind(address)
         .await
-        .map_err(|err| Error::listen(address, err.to_string()))?;
+        .map_err(listen)?;
+    let acceptor = entry.callers().accept_on(listener).map_err(listen)?;
     let grace = cx.settings.stop_grace.0;
     log::info!("callers are served on {:?}", acceptor.local_addr());
     Ok(tokio::spawn(async move {
