--- a/crates/carawayrill-core/tests/world/record.rs
+++ b/crates/carawayrill-core/tests/world/record.rs
@@ -35,20 +35,6 @@
     }
 }
 
-/// The recorded input of a tick.
-#[derive(Debug, Serialize)]
-pub struct Tick {
-    input: &'static str,
-}
-
-impl Default for Tick {
-    fn default() -> Self {
-        Self {
-            input: replay::TICK,
-        }
-    }
-}
-
 impl World {
     /// Writes one input of a node's table.
     pub fn record<T: Serialize>(&mut self, ix: NodeIx, table: &str, now: u64, input: &T) {
--- a/crates/carawayrill-router/src/entry/http.rs
+++ b/crates/carawayrill-router/src/entry/http.rs
@@ -205,7 +205,13 @@
             status,
             took_us,
         });
-        Ok(to_response(&id, answer))
+        let mut response = to_response(&id, answer);
+        if self.cx.stopping.load(Ordering::Relaxed) {
+            // The caller's next request then goes to another router, and none is on its way here
+            // when the connection closes.
+            put(response.headers_mut(), "connection", &"close");
+        }
+        Ok(response)
     }
 }
 
