Count missing events by run, not from line to line

Cause: threads of one process write their lines in another order than they number them. A trial with six routers warned of up to 65 missing events a process, though none was lost.

--- a/crates/carawayrill/src/timeline.rs
+++ b/crates/carawayrill/src/timeline.rs
@@ -1,6 +1,7 @@
 //! `timeline`: the events of many processes in one order of cause and effect.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::fs;
 use std::io::Read;
 use std::io::stdin;
@@ -95,20 +96,38 @@
     Some(Line { event, json })
 }
 
-/// Counts the events that are missing between two lines of one run of a process.
+/// Counts the events that are missing between others of one run of a process.
+///
+/// Threads of a process may write their lines in another order than they numbered them, so the
+/// numbers of a whole run are looked at together. A run begins with number 0.
 fn note_gaps(lines: &[Line], noted: &mut Noted) {
-    let mut last: BTreeMap<&NodeId, u64> = BTreeMap::new();
+    let mut runs: BTreeMap<&NodeId, Vec<BTreeSet<u64>>> = BTreeMap::new();
     for line in lines {
         let event = &line.event;
-        // A number that does not rise is the first of a new run.
-        if let Some(before) = last.insert(&event.node, event.seq)
-            && event.seq > before + 1
-        {
-            *noted.lost.entry(event.node.clone()).or_default() += event.seq - before - 1;
+        let runs = runs.entry(&event.node).or_default();
+        if event.seq == 0 || runs.is_empty() {
+            runs.push(BTreeSet::new());
+        }
+        if let Some(run) = runs.last_mut() {
+            run.insert(event.seq);
+        }
+    }
+    for (node, runs) in runs {
+        let missing: u64 = runs.iter().map(missing).sum();
+        if missing > 0 {
+            *noted.lost.entry(node.clone()).or_default() += missing;
         }
     }
 }
 
+/// Returns how many numbers are missing between the first and the last.
+fn missing(run: &BTreeSet<u64>) -> u64 {
+    let (Some(first), Some(last)) = (run.first(), run.last()) else {
+        return 0;
+    };
+    last - first + 1 - run.len() as u64
+}
+
 /// Tells on standard error what the time line lacks.
 fn warn(noted: &Noted) {
     if noted.cut > 0 {
