--- a/crates/carawayrill-core/src/ownership/home/failover.rs
+++ b/crates/carawayrill-core/src/ownership/home/failover.rs
@@ -41,33 +41,32 @@
         }
     }
 
-    /// Starts to listen for a run of a router. Silence counts from the time at which the run was
-    /// first named here: what was heard of a former run says nothing about this one.
-    pub(super) fn watch_peer(&mut self, now: Time, router: &RouterId, run: Incarnation) {
-        let peer = self.peers.entry(router.clone()).or_insert(Peer {
-            run: None,
-            heard: now,
-        });
-        if peer.run.is_none_or(|known| known < run) {
-            peer.run = Some(run);
-            peer.heard = now;
+    /// Starts to listen for a router.
+    pub(super) fn watch_peer(&mut self, now: Time, router: &RouterId) {
+        if !self.peers.contains_key(router) {
+            let peer = Peer {
+                run: None,
+                heard: now,
+            };
+            self.peers.insert(router.clone(), peer);
         }
     }
 
     /// Takes in a heartbeat.
     pub(super) fn take_heartbeat(&mut self, now: Time, from: &RouterId, run: Incarnation) {
-        self.watch_peer(now, from, run);
+        self.watch_peer(now, from);
         if let Some(peer) = self.peers.get_mut(from) {
             peer.heard = peer.heard.max(now);
             peer.run = peer.run.max(Some(run));
         }
     }
 
-    /// Returns whether a run of a router seems lost.
-    pub(super) fn seems_lost(&self, now: Time, run: &Run) -> bool {
+    /// Returns whether a run of a router seems lost. Silence counts from `named` at the earliest,
+    /// when the router was first read to be home: before, it may have been down.
+    pub(super) fn seems_lost(&self, now: Time, run: &Run, named: Time) -> bool {
         self.peers.get(&run.router).is_some_and(|peer| {
             let replaced = peer.run.is_some_and(|latest| latest > run.incarnation);
-            replaced || elapsed(now, peer.heard) > self.limits.router_silence
+            replaced || elapsed(now, peer.heard.max(named)) > self.limits.router_silence
         })
     }
 
