--- a/crates/carawayrill-config/src/lib.rs
+++ b/crates/carawayrill-config/src/lib.rs
@@ -36,8 +36,10 @@
 mod fields;
 mod forms;
 mod loaded;
+mod ownership;
 mod parts;
 mod problem;
+mod row;
 pub mod schema;
 mod settings;
 
--- a/crates/carawayrill-controller/src/control.rs
+++ b/crates/carawayrill-controller/src/control.rs
@@ -7,9 +7,6 @@
 use std::time::Duration;
 
 use carawayrill_config::deployment::Deployment;
-use carawayrill_config::deployment::OnStoreOutage;
-use carawayrill_config::deployment::Service;
-use carawayrill_config::deployment::Timing;
 use carawayrill_core::assignment::Block;
 use carawayrill_core::assignment::BlockId;
 use carawayrill_core::id::RouterId;
@@ -19,13 +16,11 @@
 use carawayrill_core::order::Order;
 use carawayrill_core::ownership::evidence::Claimed;
 use carawayrill_core::ownership::limits::Limits;
-use carawayrill_core::ownership::limits::Policy;
 use carawayrill_core::ownership::takeover::Action;
 use carawayrill_core::ownership::takeover::Input;
 use carawayrill_core::ownership::takeover::TakeoverTable;
 use carawayrill_core::placement::BalanceConfig;
 use carawayrill_core::time::Time;
-use carawayrill_core::time::millis;
 use serde::Serialize;
 
 use crate::Error;
@@ -59,14 +54,14 @@
         let Some(deployment) = self.view.deployment.clone() else {
             return Vec::new();
         };
-        let limits = limits(&deployment.timing);
+        let limits = Limits::from(&deployment.timing);
         let me = leader.state.me.clone();
         let table = self
             .takeover
             .get_or_insert_with(|| TakeoverTable::new(me, limits));
         let mut actions = Vec::new();
         for service in &deployment.services {
-            let policy = policy(service, &deployment.timing);
+            let policy = service.policy(&deployment.timing);
             let service = service.id.clone();
             actions.extend(put(table, now, Input::Policy { service, policy }));
         }
@@ -256,31 +251,6 @@
     }
 }
 
-/// Reads the time limits of ownership out of the configuration.
-fn limits(timing: &Timing) -> Limits {
-    Limits {
-        grant_ttl: millis(timing.grant_ttl.0),
-        renew_every: millis(timing.renew_every.0),
-        check_every: millis(timing.check_every.0),
-        server_silence: millis(timing.server_silence.0),
-        router_silence: millis(timing.router_silence.0),
-        drift_ppm: u64::from(timing.drift_ppm),
-        ..Limits::default()
-    }
-}
-
-/// Reads what ownership needs to know of a service.
-fn policy(service: &Service, timing: &Timing) -> Policy {
-    let validity = match service.on_store_outage {
-        OnStoreOutage::Hold(limit) => limit.0,
-        OnStoreOutage::Stop => timing.authority.0,
-    };
-    Policy {
-        validity: millis(validity),
-        fencing: service.fencing,
-    }
-}
-
 /// Returns the balance limits that fit a configuration: a key that was split out may move once all
 /// requests that were sent under its range have ended.
 #[must_use]
--- a/crates/carawayrill-core/src/ownership/home/row.rs
+++ b/crates/carawayrill-core/src/ownership/home/row.rs
@@ -37,6 +37,8 @@
     pub(super) certain_end: Option<Time>,
     /// Whether the server acknowledged the end of the grant and that nothing runs under it.
     pub(super) revoked: bool,
+    /// The end of grants of hot keys' shards that were merged back into this one.
+    pub(super) merged_end: Time,
 }
 
 /// What was last ordered of a server for a shard. A different one is sent at once, the same one
@@ -68,6 +70,8 @@
     /// The assignment in force, as last read.
     pub(super) stored: Assignment,
     pub(super) role: Role,
+    /// When the assignment was first read.
+    pub(super) named: Time,
     /// Whether this router sends: always as home, as standby home after a takeover.
     pub(super) acting: bool,
     /// The start of the last read that gave authority.
@@ -95,15 +99,18 @@
     pub(super) asked_standby: Option<Time>,
     /// The progress of a takeover as standby home.
     pub(super) rounds: Rounds,
+    /// When the shard was first seen, if it was split out of a range of this router.
+    pub(super) split: Option<Time>,
     /// Whether authority was there at the last look, so that its loss is told once.
     pub(super) had_authority: bool,
 }
 
 impl Row {
-    pub(super) fn new(block: BlockId, stored: Assignment, role: Role) -> Self {
+    pub(super) fn new(now: Time, block: BlockId, stored: Assignment, role: Role) -> Self {
         Self {
             block,
             role,
+            named: now,
             acting: role == Role::Home,
             basis: None,
             blocked: false,
@@ -120,6 +127,7 @@
             sent: BTreeMap::new(),
             asked_standby: None,
             rounds: Rounds::default(),
+            split: None,
             had_authority: false,
         }
     }
@@ -176,6 +184,6 @@
     /// Returns whether no grant of this lane can be valid any more. A server that does not check
     /// fencing has to say so itself.
     pub(super) fn has_ended(&self, now: Time, fencing: bool) -> bool {
-        self.revoked || (fencing && now > self.possible_end)
+        now > self.merged_end && (self.revoked || (fencing && now > self.possible_end))
     }
 }
--- a/crates/carawayrill-router/src/home/control.rs
+++ b/crates/carawayrill-router/src/home/control.rs
@@ -14,9 +14,6 @@
 use std::time::Duration;
 
 use carawayrill_config::deployment::Deployment;
-use carawayrill_config::deployment::OnStoreOutage;
-use carawayrill_config::deployment::Service;
-use carawayrill_config::deployment::Timing;
 use carawayrill_core::assignment::Block;
 use carawayrill_core::id::Incarnation;
 use carawayrill_core::id::RouterId;
@@ -32,9 +29,7 @@
 use carawayrill_core::ownership::home::Input;
 use carawayrill_core::ownership::home::Permit;
 use carawayrill_core::ownership::limits::Limits;
-use carawayrill_core::ownership::limits::Policy;
 use carawayrill_core::time::Time;
-use carawayrill_core::time::millis;
 use carawayrill_store::port::ServerControl;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
@@ -162,11 +157,11 @@
 
     /// Takes a new configuration in.
     pub fn configure(self: &Arc<Self>, cx: &Arc<Context>, whole: &Deployment) {
-        let fresh = || HomeTable::new(own_run(cx), limits(&whole.timing));
+        let fresh = || HomeTable::new(own_run(cx), Limits::from(&whole.timing));
         lock(&self.table).get_or_insert_with(fresh);
         for service in &whole.services {
             let service_id = service.id.clone();
-            let policy = policy(service, &whole.timing);
+            let policy = service.policy(&whole.timing);
             self.input(
                 cx,
                 Input::Policy {
@@ -332,26 +327,3 @@
         incarnation: cx.incarnation,
     }
 }
-
-fn limits(timing: &Timing) -> Limits {
-    Limits {
-        grant_ttl: millis(timing.grant_ttl.0),
-        renew_every: millis(timing.renew_every.0),
-        check_every: millis(timing.check_every.0),
-        server_silence: millis(timing.server_silence.0),
-        router_silence: millis(timing.router_silence.0),
-        drift_ppm: u64::from(timing.drift_ppm),
-        ..Limits::default()
-    }
-}
-
-fn policy(service: &Service, timing: &Timing) -> Policy {
-    let validity = match service.on_store_outage {
-        OnStoreOutage::Hold(limit) => limit.0,
-        OnStoreOutage::Stop => timing.authority.0,
-    };
-    Policy {
-        validity: millis(validity),
-        fencing: service.fencing,
-    }
-}
