--- a/crates/carawayrill-testkit/src/bench/shape.rs
+++ b/crates/carawayrill-testkit/src/bench/shape.rs
@@ -110,7 +110,6 @@
             ("shards", self.shards.to_string()),
             ("slots", service.slots.to_string()),
             ("connections", "130".to_owned()),
-            ("warm_up", "1ms".to_owned()),
             ("repeat", service.repeat.to_owned()),
             ("claim_window", "1h".to_owned()),
             ("default_deadline", "2s".to_owned()),
