Send the measures of the users as metrics

Cause: imbalance and unavailable time were computed by one module, but only tests used it; the controller sent no metric at all. What: routers count unavailable time by shard from the answers they give; the leading controller sends imbalance, shards, intents and routers. The reasons that pass by themselves are listed once, in RefusalReason. The address of an outside system is read in one place.

--- a/crates/carawayrill-controller/src/lib.rs
+++ b/crates/carawayrill-controller/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod hold;
 pub mod leader;
 pub mod lease;
+pub mod metrics;
 pub mod peers;
 pub mod planner;
 mod probe;
--- a/crates/carawayrill-controller/src/run.rs
+++ b/crates/carawayrill-controller/src/run.rs
@@ -1,6 +1,5 @@
 //! The life of the process: start, tasks, planned stop.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -14,6 +13,7 @@
 use carawayrill_store::http_vms::HttpVmList;
 use carawayrill_store::port::ObjectStore;
 use carawayrill_store::port::VmList;
+use carawayrill_store::url::address_of;
 use tokio::signal::unix::Signal;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
@@ -24,6 +24,7 @@
 use crate::leader::Leader;
 use crate::leader::PREFIXES;
 use crate::lease::LeaseTable;
+use crate::metrics;
 use crate::peers::GrpcPeers;
 use crate::service::Service;
 use crate::state::State;
@@ -78,7 +79,7 @@
 fn make_leader(settings: &ControllerSettings, incarnation: Incarnation) -> Result<Leader, Error> {
     let me = settings.controller.clone();
     let lease = LeaseTable::new(me.clone(), incarnation, settings.peer, FIRST_LEASE);
-    let store = HttpStore::new(address(&settings.store)?)?.timeout(STORE_TIMEOUT);
+    let store = HttpStore::new(address_of(&settings.store)?)?.timeout(STORE_TIMEOUT);
     let store: Arc<dyn ObjectStore> = Arc::new(store);
     Ok(Leader {
         state: Arc::new(State::new(me, lease)),
@@ -101,7 +102,7 @@
         tasks.push(tokio::spawn(async move { leader.follow(prefix).await }));
     }
     if let Some(url) = &settings.vm_list {
-        let vms: Arc<dyn VmList> = Arc::new(HttpVmList::new(address(url)?)?);
+        let vms: Arc<dyn VmList> = Arc::new(HttpVmList::new(address_of(url)?)?);
         let leader = leader.clone();
         tasks.push(tokio::spawn(async move { leader.follow_vms(vms).await }));
     }
@@ -111,18 +112,11 @@
     tasks.push(tokio::spawn(async move { prober.probe_servers().await }));
     let actor = leader.clone();
     tasks.push(tokio::spawn(async move { actor.act().await }));
+    let metrics = carawayrill_telemetry::metrics(settings.statsd).map_err(Error::start)?;
+    tasks.push(tokio::spawn(metrics::report(leader.clone(), metrics)));
     Ok(tasks)
 }
 
-/// Reads the address out of the root of an outside system. Processes reach each other by IP
-/// numbers, so nothing is looked up.
-fn address(root: &str) -> Result<SocketAddr, Error> {
-    let bare = root.strip_prefix("http://").unwrap_or(root);
-    bare.trim_end_matches('/')
-        .parse()
-        .map_err(|err| Error::start(format_args!("{root}: {err}")))
-}
-
 /// Takes over a signal.
 fn listen_for(kind: SignalKind) -> Result<Signal, Error> {
     signal(kind).map_err(Error::start)
--- a/crates/carawayrill-controller/src/state.rs
+++ b/crates/carawayrill-controller/src/state.rs
@@ -11,6 +11,7 @@
 use carawayrill_core::id::ControllerId;
 use carawayrill_core::id::RouterId;
 use carawayrill_core::id::Version;
+use carawayrill_core::measure::Ratio;
 use carawayrill_core::ownership::takeover::TakeoverTable;
 use carawayrill_core::placement::BalanceConfig;
 use carawayrill_core::placement::Fleet;
@@ -24,6 +25,7 @@
 use crate::heard::Beat;
 use crate::heard::HeardTable;
 use crate::lease::LeaseTable;
+use crate::metrics::imbalance_of;
 use crate::planner::Plan;
 use crate::planner::Planner;
 use crate::servers::ServerTable;
@@ -50,6 +52,8 @@
     pub planner: Planner,
     /// Changes under way, while this controller leads.
     pub takeover: Option<TakeoverTable>,
+    /// The imbalance of the last window of demand.
+    pub imbalance: Ratio,
     /// The last version of each block whose intents were announced to the holders of authority.
     pub announced: BTreeMap<BlockId, Version>,
     /// The prefixes of the store that were read in full since then.
@@ -75,6 +79,7 @@
             heard: HeardTable::default(),
             servers: ServerTable::default(),
             announced: BTreeMap::new(),
+            imbalance: Ratio::ONE,
             leaving: BTreeSet::new(),
             leading_since: None,
             demand: DemandTable::default(),
@@ -144,6 +149,9 @@
             return Plan::default();
         }
         let demand = self.demand.take(now);
+        if let Some(demand) = &demand {
+            self.imbalance = imbalance_of(&self.view, demand);
+        }
         let (Some(deployment), Some(leading_since)) =
             (self.view.deployment.as_deref(), self.leading_since)
         else {
--- a/crates/carawayrill-core/src/answer/refusal.rs
+++ b/crates/carawayrill-core/src/answer/refusal.rs
@@ -162,6 +162,26 @@
         self.row().status
     }
 
+    /// Tells whether the shard is not served at the moment, so that another try may find it served
+    /// again.
+    #[must_use]
+    pub const fn passes_by_itself(self) -> bool {
+        matches!(
+            self,
+            Self::NoHome
+                | Self::HomeUnreachable
+                | Self::NotHome
+                | Self::NoAuthority
+                | Self::ServerLost
+                | Self::ServerUnreachable
+                | Self::Moving
+                | Self::Fenced
+                | Self::NoGrant
+                | Self::Draining
+                | Self::ClaimNotMirrored
+        )
+    }
+
     /// Returns when to come back if nothing better is known.
     #[must_use]
     pub fn retry_after(self) -> Option<Duration> {
--- a/crates/carawayrill-core/src/answer/retry.rs
+++ b/crates/carawayrill-core/src/answer/retry.rs
@@ -189,29 +189,11 @@
 fn may_retry(failed: &FailedTry) -> bool {
     match failed.refusal.outcome() {
         Outcome::Done => false,
-        Outcome::NotRun => passes_by_itself(failed.refusal.reason),
+        Outcome::NotRun => failed.refusal.reason.passes_by_itself(),
         Outcome::Unknown => failed.repeatable && is_loss(failed.refusal.reason),
     }
 }
 
-/// Returns whether another try may find the shard served again.
-fn passes_by_itself(reason: RefusalReason) -> bool {
-    matches!(
-        reason,
-        RefusalReason::NoHome
-            | RefusalReason::HomeUnreachable
-            | RefusalReason::NotHome
-            | RefusalReason::NoAuthority
-            | RefusalReason::ServerLost
-            | RefusalReason::ServerUnreachable
-            | RefusalReason::Moving
-            | RefusalReason::Fenced
-            | RefusalReason::NoGrant
-            | RefusalReason::Draining
-            | RefusalReason::ClaimNotMirrored
-    )
-}
-
 /// Returns whether an answer was lost on its way, with time left for another try.
 fn is_loss(reason: RefusalReason) -> bool {
     matches!(
--- a/crates/carawayrill-core/src/measure/unavailable.rs
+++ b/crates/carawayrill-core/src/measure/unavailable.rs
@@ -68,6 +68,17 @@
         });
     }
 
+    /// Takes out the outages that have ended, so that the table of a long-lived process stays small.
+    pub fn take_ended(&mut self) -> Vec<Outage> {
+        std::mem::take(&mut self.closed)
+    }
+
+    /// Returns how many shards are not served.
+    #[must_use]
+    pub fn open(&self) -> usize {
+        self.open.len()
+    }
+
     /// Lists all outages, those that go on last.
     pub fn outages(&self) -> impl Iterator<Item = Outage> {
         let open = self.open.iter().map(|(shard, began)| Outage {
--- a/crates/carawayrill-router/src/entry/http.rs
+++ b/crates/carawayrill-router/src/entry/http.rs
@@ -26,6 +26,7 @@
 use crate::entry::callers::Callers;
 use crate::entry::check;
 use crate::entry::pass;
+use crate::entry::unavailable::Unavailable;
 use crate::headers;
 use crate::home::Home;
 use crate::message::Answer;
@@ -40,6 +41,7 @@
     cx: Arc<Context>,
     home: Arc<Home>,
     callers: Callers,
+    unavailable: Unavailable,
 }
 
 /// Counts a request as in flight until it is dropped.
@@ -66,6 +68,7 @@
             cx,
             home,
             callers: Callers::default(),
+            unavailable: Unavailable::default(),
         }
     }
 
@@ -75,6 +78,12 @@
         &self.callers
     }
 
+    /// Returns the unavailable time of shards.
+    #[must_use]
+    pub fn unavailable(&self) -> &Unavailable {
+        &self.unavailable
+    }
+
     /// Answers one request, or stops it if the caller hangs up: what follows from it is dropped
     /// and with it cancelled.
     async fn answer_or_stop(&self, id: RequestId, started: Time, req: poem::Request) -> Answer {
@@ -97,13 +106,16 @@
         match checked {
             Ok(req) => {
                 let (request, service) = (req.id.clone(), req.service.clone());
-                let shard = Some(req.shard.clone());
+                let shard = req.shard.clone();
                 carawayrill_telemetry::emit_request(|| EventKind::RequestReceived {
                     request,
                     service,
-                    shard,
+                    shard: Some(shard.clone()),
                 });
-                pass::pass(&self.cx, &self.home, req).await
+                let answer = pass::pass(&self.cx, &self.home, req).await;
+                self.unavailable
+                    .note(&shard, started, self.cx.now(), &answer);
+                answer
             }
             Err(reason) => Answer::from(reason),
         }
--- a/crates/carawayrill-router/src/entry/mod.rs
+++ b/crates/carawayrill-router/src/entry/mod.rs
@@ -7,3 +7,4 @@
 pub mod http;
 pub mod pass;
 pub mod retries;
+pub mod unavailable;
--- a/crates/carawayrill-router/src/run.rs
+++ b/crates/carawayrill-router/src/run.rs
@@ -79,6 +79,7 @@
     let peer = serve_peers(&cx, service, closed.clone()).await?;
     let entry = Entry::new(Arc::clone(&cx), Arc::clone(&home));
     let callers = entry.callers().clone();
+    tokio::spawn(entry.unavailable().clone().report(Arc::clone(&cx)));
     let http = serve_callers(&cx, entry, closed).await?;
     let role = "router".into();
     carawayrill_telemetry::emit(EventKind::Started { role, incarnation });
