Take a pledge back when the owner is lost; don't end a part that is about to serve

Seen by the process test of a lost data centre: owner and standby home were lost together, the home had pledged to keep the owner, and the change waited for a promise that could not come. Cause: a pledge could not be taken back. Now the home writes its failover row in place of the intent; the change that relied on the pledge then fails its condition. A controller drops a change whose row has got another token, and forgets a pledge that is not repeated. Second cause, found by the new test: a home that had just chosen the next owner and waited for its grant ended its part when asked to pledge.

--- a/crates/carawayrill-core/src/ownership/home/failover.rs
+++ b/crates/carawayrill-core/src/ownership/home/failover.rs
@@ -93,7 +93,12 @@
 
     /// Returns the server that may replace a lost owner now.
     pub(super) fn successor(&self, now: Time, row: &Row) -> Option<ServerId> {
-        if !row.is_live() || row.pledged || row.blocked {
+        self.candidate(now, row).filter(|_| !row.pledged)
+    }
+
+    /// Returns the server that could replace a lost owner, but for a pledge.
+    pub(super) fn candidate(&self, now: Time, row: &Row) -> Option<ServerId> {
+        if !row.is_live() || row.blocked {
             return None;
         }
         let owner = self.servers.get(&row.serving)?;
--- a/crates/carawayrill-core/src/ownership/home/record.rs
+++ b/crates/carawayrill-core/src/ownership/home/record.rs
@@ -58,6 +58,10 @@
         }
         let mut block = known.content.clone();
         for change in changes {
+            // Only a row whose pledge is taken back has an intent here; the change goes with it.
+            block
+                .intents
+                .retain(|intent| intent.next.shard != change.shard);
             block.set(change);
         }
         known.writing = Some(PendingWrite {
@@ -72,6 +76,9 @@
 
     /// Returns the assignment to record for a row, if it differs from the stored one.
     fn change(&self, now: Time, row: &Row) -> Option<Assignment> {
+        if let Some(next) = self.withdrawal(now, row) {
+            return Some(next);
+        }
         let block = self.blocks.get(&row.block)?;
         if !row.is_live() || block.content.intent(&row.stored.shard).is_some() {
             return None;
@@ -106,6 +113,20 @@
         })
     }
 
+    /// Returns the assignment by which a home takes its pledge back, because the owner was lost
+    /// since. Once it is written, the change that relied on the pledge fails its condition, and the
+    /// standby server may be activated.
+    fn withdrawal(&self, now: Time, row: &Row) -> Option<Assignment> {
+        let next = self.candidate(now, row).filter(|_| row.pledged)?;
+        Some(Assignment {
+            standby: Some(row.serving.clone()),
+            owner: next,
+            token: row.token.next_epoch(),
+            reason: Reason::ServerLost,
+            ..row.stored.clone()
+        })
+    }
+
     /// Takes in a write that took effect.
     pub(super) fn take_written(&mut self, now: Time, id: &BlockId, version: Version) {
         let Some(known) = self.blocks.get_mut(id) else {
--- a/crates/carawayrill-core/src/ownership/home/release.rs
+++ b/crates/carawayrill-core/src/ownership/home/release.rs
@@ -30,13 +30,14 @@
         let Some(row) = row else {
             return not_released(claimed.clone());
         };
+        let recovers = self.candidate(now, row).is_some();
         let quiesced = row.stopping == Some(Stopping::Quiesced);
         let left = self.grant_left(now, row);
         let lane = self.serving_lane(row).and_then(|id| row.lanes.get(&id));
         let released = Released {
             claimed: claimed.clone(),
             stopped: quiesced && row.lanes_ended(now, self.fences(row), None),
-            pledged: row.pledged && row.is_live(),
+            pledged: row.pledged && row.is_live() && !recovers,
             highest: row.token,
             server: Some(row.serving.clone()),
             revoked: lane.is_some_and(|lane| lane.revoked),
@@ -63,7 +64,8 @@
         let end = lane.and_then(|lane| lane.certain_end);
         let owner = self.servers.get(&row.serving);
         let serves = end.is_some_and(|end| now < end) && owner.is_some_and(|owner| !owner.lost);
-        let recovers = self.successor(now, row).is_some();
+        let starts = self.trusts(row, &row.serving) && owner.is_some_and(|owner| !owner.lost);
+        let recovers = starts || self.candidate(now, row).is_some();
         let asked = row.keeping && row.is_live();
         let Some(row) = self.rows.get_mut(shard) else {
             return;
--- a/crates/carawayrill-core/src/ownership/takeover/evidence.rs
+++ b/crates/carawayrill-core/src/ownership/takeover/evidence.rs
@@ -110,8 +110,10 @@
             if *from == home_of(&row) {
                 task.home_heard = now;
                 task.evidence.take_home(said);
+                self.touched.insert(task.change.block.clone());
             } else if Some(from) == standby_home_of(&row).as_ref() {
                 task.evidence.standby_stopped |= said.stopped;
+                self.touched.insert(task.change.block.clone());
             }
         }
     }
@@ -131,6 +133,7 @@
             if concerns {
                 task.evidence.standby_promised |= said.promised;
                 task.evidence.standby_acted |= said.acted;
+                self.touched.insert(task.change.block.clone());
             }
         }
     }
@@ -163,6 +166,7 @@
             };
             task.evidence.round.insert(reply.server.clone(), ack);
             end_round(now, task, &row);
+            self.touched.insert(task.change.block.clone());
         }
     }
 
--- a/crates/carawayrill-core/src/ownership/takeover/mod.rs
+++ b/crates/carawayrill-core/src/ownership/takeover/mod.rs
@@ -15,6 +15,7 @@
 mod task;
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 pub use self::message::Action;
 pub use self::message::Change;
@@ -48,6 +49,8 @@
     leading: bool,
     blocks: BTreeMap<BlockId, BlockRow>,
     tasks: BTreeMap<ShardId, Task>,
+    /// Blocks that the present input has touched.
+    touched: BTreeSet<BlockId>,
     actions: Vec<Action>,
 }
 
@@ -63,6 +66,7 @@
             leading: false,
             blocks: BTreeMap::new(),
             tasks: BTreeMap::new(),
+            touched: BTreeSet::new(),
             actions: Vec::new(),
         }
     }
@@ -78,8 +82,7 @@
     pub fn input(&mut self, now: Time, input: Input) -> Vec<Action> {
         self.take(now, input);
         if self.leading {
-            self.write_blocks(now);
-            self.gather(now);
+            self.write_touched(now);
         }
         std::mem::take(&mut self.actions)
     }
--- a/crates/carawayrill-core/src/ownership/takeover/store.rs
+++ b/crates/carawayrill-core/src/ownership/takeover/store.rs
@@ -123,6 +123,7 @@
 
     /// Makes a block's content the one that is known, and its tasks follow.
     fn adopt(&mut self, now: Time, version: Version, block: Block) {
+        self.touched.insert(block.id.clone());
         self.settle(&block);
         for intent in &block.intents {
             self.recover(now, &block, intent);
@@ -142,8 +143,7 @@
     fn settle(&mut self, block: &Block) {
         let ended = |shard: &ShardId, task: &Task| {
             let row = block.row(shard);
-            task.change.block == block.id
-                && row.map(|row| row.token.term) != task.change.from.map(|token| token.term)
+            task.change.block == block.id && row.map(|row| row.token) != task.change.from
         };
         let tasks = std::mem::take(&mut self.tasks);
         for (shard, task) in tasks {
@@ -213,6 +213,16 @@
         }
     }
 
+    /// Writes those blocks that an input has touched.
+    pub(super) fn write_touched(&mut self, now: Time) {
+        for id in std::mem::take(&mut self.touched) {
+            let ready = |row: &BlockRow| row.known && !row.read_wanted && row.writing.is_none();
+            if self.blocks.get(&id).is_some_and(ready) {
+                self.write_block(now, &id);
+            }
+        }
+    }
+
     /// Writes blocks with new intents or with changes whose evidence suffices.
     pub(super) fn write_blocks(&mut self, now: Time) {
         let ready: Vec<BlockId> = self
--- a/crates/carawayrill-core/src/ownership/takeover/task.rs
+++ b/crates/carawayrill-core/src/ownership/takeover/task.rs
@@ -137,9 +137,7 @@
     /// Takes in what the home said.
     pub(super) fn take_home(&mut self, said: &Released) {
         self.home_stopped |= said.stopped;
-        if said.pledged {
-            self.pledged.clone_from(&said.server);
-        }
+        self.pledged = said.server.clone().filter(|_| said.pledged);
     }
 
     /// Opens the next round of fences.
--- a/crates/carawayrill-core/tests/ownership_losses.rs
+++ b/crates/carawayrill-core/tests/ownership_losses.rs
@@ -26,7 +26,7 @@
 const SEEDS: u64 = 20;
 
 /// Returns the longest time for which some shard was not served after the loss.
-fn unserved(seed: u64, fault: &Fault, outage: bool) -> Micros {
+fn unserved(seed: u64, faults: &[Fault], outage: bool) -> Micros {
     let setup = Setup {
         limits: Limits::default(),
         policy: Policy {
@@ -36,10 +36,8 @@
         },
         mechanisms: Mechanisms::ALL,
     };
-    let mut plan = vec![Planned {
-        at: LOSS,
-        fault: fault.clone(),
-    }];
+    let lost = faults.iter().cloned();
+    let mut plan: Vec<Planned> = lost.map(|fault| Planned { at: LOSS, fault }).collect();
     if outage {
         let down = Fault::StoreDown { span: 60_000 * MS };
         plan.push(Planned {
@@ -88,7 +86,9 @@
     #[case] fault: Fault,
     #[values(false, true)] outage: bool,
 ) {
-    let worst = (0..SEEDS).map(|seed| unserved(seed, &fault, outage)).max();
+    let worst = (0..SEEDS)
+        .map(|seed| unserved(seed, std::slice::from_ref(&fault), outage))
+        .max();
     let worst = worst.unwrap_or(0);
     println!(
         "loss of {name}, store outage {outage}: not served for at most {} ms",
@@ -100,3 +100,17 @@
         worst / MS
     );
 }
+
+/// The standby home stands in the owner's data centre, as rule 1 allows: the home pledges to keep an
+/// owner that is lost, too, and has to take that back.
+#[rstest]
+fn owner_and_standby_home_are_lost_together(#[values(false, true)] outage: bool) {
+    let faults = [kill("s0"), kill("r2")];
+    let worst = (0..SEEDS).map(|seed| unserved(seed, &faults, outage)).max();
+    let worst = worst.unwrap_or(0);
+    println!(
+        "loss of owner and standby home, store outage {outage}: not served for at most {} ms",
+        worst / MS
+    );
+    assert!(worst <= TARGET, "store outage {outage}: {} ms", worst / MS);
+}
--- a/crates/carawayrill-core/tests/ownership_random.rs
+++ b/crates/carawayrill-core/tests/ownership_random.rs
@@ -25,7 +25,7 @@
     for (_, kind, _) in broken.values() {
         *kinds.entry(kind).or_default() += 1;
     }
-    let shown = broken.iter().take(SHOWN).map(|(&seed, (at, kind, text))| {
+    let shown = broken.iter().take(SHOWN).map(|&(&seed, (at, kind, text))| {
         let least = schedule::shrink(seed, schedule::setup(seed), schedule::plan(seed), kind);
         format!("seed {seed} at {at} us: {kind:?} {text}\n{least:#?}\n")
     });
