--- a/crates/carawayrill-core/tests/ownership_losses.rs
+++ b/crates/carawayrill-core/tests/ownership_losses.rs
@@ -36,8 +36,8 @@
         },
         mechanisms: Mechanisms::ALL,
     };
-    let lost = faults.iter().cloned();
-    let mut plan: Vec<Planned> = lost.map(|fault| Planned { at: LOSS, fault }).collect();
+    let losses = faults.iter().cloned();
+    let mut plan: Vec<Planned> = losses.map(|fault| Planned { at: LOSS, fault }).collect();
     if outage {
         let down = Fault::StoreDown { span: 60_000 * MS };
         plan.push(Planned {
--- a/crates/carawayrill-core/tests/ownership_random.rs
+++ b/crates/carawayrill-core/tests/ownership_random.rs
@@ -25,7 +25,11 @@
     for (_, kind, _) in broken.values() {
         *kinds.entry(kind).or_default() += 1;
     }
-    let shown = broken.iter().take(SHOWN).map(|&(&seed, (at, kind, text))| {
+    let mut worst: Vec<_> = broken.iter().collect();
+    worst.sort_by(|(_, a), (_, b)| a.1.cmp(&b.1));
+    let shown = worst.iter().take(SHOWN).map(|(seed, found)| {
+        let (at, kind, text) = found;
+        let seed = **seed;
         let least = schedule::shrink(seed, schedule::setup(seed), schedule::plan(seed), kind);
         format!("seed {seed} at {at} us: {kind:?} {text}\n{least:#?}\n")
     });
