--- a/crates/carawayrill-core/src/replay/mod.rs
+++ b/crates/carawayrill-core/src/replay/mod.rs
@@ -30,6 +30,7 @@
 pub use self::record::ServerInput;
 pub use self::record::Start;
 pub use self::record::TICK;
+pub use self::record::Tick;
 pub use self::record::recorded;
 pub use self::statement::Statement;
 pub use self::trace::Trace;
--- a/crates/carawayrill-router/src/entry/callers.rs
+++ b/crates/carawayrill-router/src/entry/callers.rs
@@ -27,9 +27,19 @@
 use tokio::sync::watch;
 
 /// The open connections of callers.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct Callers {
     open: Arc<Mutex<HashMap<SocketAddr, watch::Receiver<bool>>>>,
+    accepting: Arc<watch::Sender<bool>>,
+}
+
+impl Default for Callers {
+    fn default() -> Self {
+        Self {
+            open: Arc::default(),
+            accepting: Arc::new(watch::Sender::new(true)),
+        }
+    }
 }
 
 impl Callers {
@@ -45,11 +55,22 @@
     pub fn accept_on(&self, listener: TcpListener) -> io::Result<CallerAcceptor> {
         Ok(CallerAcceptor {
             local: listener.local_addr()?,
-            listener,
+            listener: Some(listener),
             callers: self.clone(),
         })
     }
 
+    /// Closes the listener. Open connections go on.
+    pub fn stop_accepting(&self) {
+        self.accepting.send_replace(false);
+    }
+
+    /// Tells whether no connection is open.
+    #[must_use]
+    pub fn are_gone(&self) -> bool {
+        self.lock().is_empty()
+    }
+
     /// Waits until the caller at `peer` has hung up. Never ends for an unknown one.
     pub async fn hung_up(&self, peer: Option<SocketAddr>) {
         let gone = peer.and_then(|peer| self.lock().get(&peer).cloned());
@@ -117,11 +138,28 @@
 /// Accepts connections of callers.
 #[derive(Debug)]
 pub struct CallerAcceptor {
-    listener: TcpListener,
+    /// None once no more connections are accepted: the port then refuses them at once, where a
+    /// listener that is not served would let them wait.
+    listener: Option<TcpListener>,
     local: SocketAddr,
     callers: Callers,
 }
 
+impl CallerAcceptor {
+    /// Waits for the next connection; for ever, once no more are accepted.
+    async fn next(&mut self) -> io::Result<(TcpStream, SocketAddr)> {
+        let mut accepting = self.callers.accepting.subscribe();
+        if let Some(listener) = &self.listener {
+            tokio::select! {
+                accepted = listener.accept() => return accepted,
+                _ = accepting.wait_for(|accepting| !accepting) => {}
+            }
+        }
+        self.listener = None;
+        std::future::pending().await
+    }
+}
+
 impl Acceptor for CallerAcceptor {
     type Io = CallerStream;
 
@@ -130,7 +168,7 @@
     }
 
     async fn accept(&mut self) -> io::Result<(Self::Io, LocalAddr, RemoteAddr, Scheme)> {
-        let (stream, peer) = self.listener.accept().await?;
+        let (stream, peer) = self.next().await?;
         stream.set_nodelay(true)?;
         let (gone, watched) = watch::channel(false);
         self.callers.lock().insert(peer, watched);
--- a/crates/carawayrill-router/src/run.rs
+++ b/crates/carawayrill-router/src/run.rs
@@ -21,6 +21,7 @@
 use crate::Error;
 use crate::clock;
 use crate::context::Context;
+use crate::entry::callers::Callers;
 use crate::entry::http::Entry;
 use crate::feed::Feed;
 use crate::home::Home;
@@ -38,6 +39,9 @@
 /// learn of it before the listeners close.
 const STOP_NOTICE: Duration = Duration::from_millis(1_500);
 
+/// How long open connections of callers are kept after the listener has closed.
+const LAST_REQUEST: Duration = Duration::from_secs(1);
+
 /// Runs a router until it is told to stop by SIGTERM or SIGINT.
 ///
 /// # Errors
@@ -73,7 +77,9 @@
 
     let (closing, closed) = watch::channel(false);
     let peer = serve_peers(&cx, service, closed.clone()).await?;
-    let http = serve_callers(&cx, Entry::new(Arc::clone(&cx), Arc::clone(&home)), closed).await?;
+    let entry = Entry::new(Arc::clone(&cx), Arc::clone(&home));
+    let callers = entry.callers().clone();
+    let http = serve_callers(&cx, entry, closed).await?;
     let role = "router".into();
     carawayrill_telemetry::emit(EventKind::Started { role, incarnation });
     cx.members.put(membership::own_member(&cx));
@@ -81,6 +87,7 @@
 
     wait_for_signal().await?;
     stop(&cx, &home).await;
+    end_connections(&cx, &callers).await;
     closing.send_replace(true);
     finish(http).await?;
     finish(peer).await?;
@@ -194,6 +201,16 @@
     membership::deregister(cx).await;
 }
 
+/// Closes the listener, and gives each open connection the time for one more request: its answer
+/// closes the connection. A connection that stays idle is closed at the end.
+async fn end_connections(cx: &Context, callers: &Callers) {
+    callers.stop_accepting();
+    let began = cx.now();
+    while cx.now().since(began) < LAST_REQUEST && !callers.are_gone() {
+        tokio::time::sleep(STOP_POLL).await;
+    }
+}
+
 fn may_close(cx: &Context, home: &Home, began: Time) -> bool {
     let noticed = cx.now().since(began) >= STOP_NOTICE;
     let handed_over = home.control().is_idle(cx) || !cx.members.has_successor(&cx.settings.router);
--- a/crates/carawayrill-router/tests/answers_entry.rs
+++ b/crates/carawayrill-router/tests/answers_entry.rs
@@ -4,6 +4,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use answers_support::Bench;
@@ -11,9 +12,11 @@
 use answers_support::home_role;
 use answers_support::know;
 use answers_support::serve_peers;
+use carawayrill_router::entry::callers::Callers;
 use carawayrill_router::entry::http::Entry;
 use carawayrill_testkit::server::faults::Fault;
 use rstest::rstest;
+use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
@@ -23,13 +26,18 @@
 
 /// Serves the entry role in front of a desk.
 async fn serve(bench: &Bench) -> SocketAddr {
+    serve_with_callers(bench).await.0
+}
+
+async fn serve_with_callers(bench: &Bench) -> (SocketAddr, Callers) {
     let home = Arc::new(home_role(bench));
     let entry = Entry::new(Arc::clone(&bench.cx), home);
+    let callers = entry.callers().clone();
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let acceptor = entry.callers().accept_on(listener).unwrap();
     tokio::spawn(poem::Server::new_with_acceptor(acceptor).run(entry));
-    address
+    (address, callers)
 }
 
 /// Sends one request and writes what came back: status, outcome and the body of a refusal.
@@ -141,3 +149,47 @@
     entry.owner.set(None);
     serve(&entry).await
 }
+
+/// Reads one whole answer, whose body has the announced length.
+async fn read_answer(caller: &mut TcpStream) -> String {
+    let mut text = Vec::new();
+    let mut byte = [0];
+    while !text.ends_with(b"\r\n\r\n") {
+        caller.read_exact(&mut byte).await.unwrap();
+        text.push(byte[0]);
+    }
+    let head = String::from_utf8(text).unwrap().to_lowercase();
+    let length = head.split("content-length: ").nth(1).unwrap();
+    let length = length.split("\r\n").next().unwrap().parse().unwrap();
+    let mut body = vec![0; length];
+    caller.read_exact(&mut body).await.unwrap();
+    head
+}
+
+const GET: &[u8] = b"GET /renewals/a?key=k HTTP/1.1\r\nhost: x\r\n\r\n";
+
+#[tokio::test]
+async fn a_stopping_router_answers_what_it_has_and_takes_no_more() {
+    let bench = Bench::start(QUICK).await;
+    let (address, callers) = serve_with_callers(&bench).await;
+    let mut caller = TcpStream::connect(address).await.unwrap();
+    caller.write_all(GET).await.unwrap();
+    let before = read_answer(&mut caller).await;
+    assert!(!before.contains("connection: close"), "{before}");
+
+    bench.cx.stopping.store(true, Ordering::Relaxed);
+    callers.stop_accepting();
+    while TcpStream::connect(address).await.is_ok() {
+        tokio::task::yield_now().await;
+    }
+    assert!(!callers.are_gone(), "an open connection was cut off");
+    caller.write_all(GET).await.unwrap();
+    let last = read_answer(&mut caller).await;
+    assert!(last.contains("x-carawayrill-outcome: done"), "{last}");
+    assert!(last.contains("connection: close"), "{last}");
+    let left = caller.read(&mut [0]).await.unwrap();
+    assert_eq!(0, left, "the connection stayed open");
+    while !callers.are_gone() {
+        tokio::task::yield_now().await;
+    }
+}
