Leave a lost standby home in place for the grace

With a data centre, a shard's owner and standby home go together. The controller replaced the standby home at once; that binds the home by a pledge to the owner, which was lost as well, so the home did not activate the standby server. The test fails without the hold. Whether the process test of the data centre's loss passes with it was not run here.

--- a/crates/carawayrill-controller/src/hold.rs
+++ b/crates/carawayrill-controller/src/hold.rs
@@ -9,6 +9,7 @@
 
 use carawayrill_core::assignment::Reason;
 use carawayrill_core::id::NodeId;
+use carawayrill_core::id::RouterId;
 use carawayrill_core::placement::Fleet;
 use carawayrill_core::placement::Move;
 use carawayrill_core::placement::NodeState;
@@ -60,6 +61,12 @@
                 let standby = from.standby.as_ref().is_some_and(server_lives);
                 (from.owner.as_str(), standby && router_lives(&from.home))
             }
+            // The home goes on and pledges its owner to replace a lost standby home. It may have to
+            // replace a lost owner first, which the same loss can have taken.
+            Reason::HomeLost if router_lives(&from.home) => {
+                let standby_home = from.standby_home.as_ref();
+                (standby_home.map_or("", RouterId::as_str), true)
+            }
             Reason::HomeLost => {
                 let standby = from.standby_home.as_ref().is_some_and(router_lives);
                 (from.home.as_str(), standby && fenced)
--- a/crates/carawayrill-controller/tests/planner.rs
+++ b/crates/carawayrill-controller/tests/planner.rs
@@ -321,6 +321,35 @@
     assert_eq!(world.rows().iter().any(is_home), expected == 0);
 }
 
+/// A lost standby home is replaced after the grace only: its replacement binds the home to its
+/// owner, which the same loss may have taken.
+#[test]
+fn lost_standby_home_waits_for_the_home_to_act() {
+    let mut world = World::placed();
+    world.step(200, &[]);
+    let name = router_name(6);
+    let standby = |row: &Assignment| row.standby_home.as_ref() == Some(&name);
+    assert!(world.rows().iter().any(standby));
+    let mut first = None;
+    for step in 1..=40_u64 {
+        world.step(100, &[6]);
+        let plan = world.plan(None);
+        let replaced = |change: &Change| {
+            world
+                .rows()
+                .iter()
+                .any(|row| row.shard == change.shard && standby(row))
+        };
+        if first.is_none() && plan.changes.iter().any(replaced) {
+            first = Some(step * 100);
+        }
+        world.carry_out(&plan.changes);
+    }
+    let due = millis(SILENCE + GRACE);
+    assert!(first.is_some_and(|at| at >= due), "{first:?}");
+    assert!(!world.rows().iter().any(standby));
+}
+
 /// The loss of a relay silences its data centre: the others there get twice the time.
 #[test]
 fn relay_lost_is_not_its_data_centre_lost() {
