--- a/crates/carawayrill-config/src/accept/error.rs
+++ b/crates/carawayrill-config/src/accept/error.rs
@@ -1,17 +1,15 @@
 //! The error of this layer.
 
-use std::fmt;
-
 use carawayrill_core::id::Generation;
+use carawayrill_core::layer_error;
 use carawayrill_store::Fate;
 use quick_error::quick_error;
 
 use crate::accept::merge::Clash;
 
-/// An edit that was not accepted, or a configuration that can't be read.
-#[derive(Debug)]
-pub struct Error {
-    kind: ErrorKind,
+layer_error! {
+    /// An edit that was not accepted, or a configuration that can't be read.
+    pub Error(ErrorKind)
 }
 
 quick_error! {
@@ -152,22 +150,8 @@
     }
 }
 
-impl From<ErrorKind> for Error {
-    fn from(kind: ErrorKind) -> Self {
-        Self { kind }
-    }
-}
-
 impl From<carawayrill_store::Error> for Error {
     fn from(cause: carawayrill_store::Error) -> Self {
         ErrorKind::Store { cause }.into()
     }
 }
-
-impl fmt::Display for Error {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.kind.fmt(f)
-    }
-}
-
-impl std::error::Error for Error {}
--- a/crates/carawayrill-config/src/error.rs
+++ b/crates/carawayrill-config/src/error.rs
@@ -3,14 +3,14 @@
 use std::fmt;
 use std::path::Path;
 
+use carawayrill_core::layer_error;
 use quick_error::quick_error;
 
 use crate::Problem;
 
-/// Settings that can't be used.
-#[derive(Debug)]
-pub struct Error {
-    kind: ErrorKind,
+layer_error! {
+    /// Settings that can't be used.
+    pub Error(ErrorKind)
 }
 
 quick_error! {
@@ -71,11 +71,3 @@
         Self::problems(problems)
     }
 }
-
-impl fmt::Display for Error {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.kind.fmt(f)
-    }
-}
-
-impl std::error::Error for Error {}
--- a/crates/carawayrill-controller/src/error.rs
+++ b/crates/carawayrill-controller/src/error.rs
@@ -2,12 +2,12 @@
 
 use std::fmt;
 
+use carawayrill_core::layer_error;
 use quick_error::quick_error;
 
-/// An error of the controller daemon.
-#[derive(Debug)]
-pub struct Error {
-    kind: ErrorKind,
+layer_error! {
+    /// An error of the controller daemon.
+    pub Error(ErrorKind)
 }
 
 quick_error! {
@@ -77,18 +77,6 @@
     }
 }
 
-impl fmt::Display for Error {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.kind.fmt(f)
-    }
-}
-
-impl std::error::Error for Error {
-    fn source(&self) -> Option<&(dyn std::error::Error + 'static)> {
-        std::error::Error::source(&self.kind)
-    }
-}
-
 impl From<carawayrill_store::Error> for Error {
     fn from(err: carawayrill_store::Error) -> Self {
         Self {
--- a/crates/carawayrill-core/src/error.rs
+++ b/crates/carawayrill-core/src/error.rs
@@ -1,14 +1,14 @@
 //! The error of this layer.
 
-use std::fmt;
-
 use compact_str::CompactString;
 use quick_error::quick_error;
 
-/// An error of the core layer: a value that can't be read, or a trace that can't be replayed.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Error {
-    kind: ErrorKind,
+use crate::layer_error;
+
+layer_error! {
+    /// An error of the core layer: a value that can't be read, or a trace that can't be replayed.
+    #[derive(Clone, PartialEq, Eq)]
+    pub Error(ErrorKind)
 }
 
 quick_error! {
@@ -50,11 +50,3 @@
         }
     }
 }
-
-impl fmt::Display for Error {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.kind.fmt(f)
-    }
-}
-
-impl std::error::Error for Error {}
--- a/crates/carawayrill-core/src/macros.rs
+++ b/crates/carawayrill-core/src/macros.rs
@@ -148,3 +148,36 @@
         )+
     };
 }
+
+/// Declares the one public error of a layer over its kinds.
+///
+/// The kind is a field of its own and private, so that kinds can be added without breaking callers.
+/// The error's text and cause are those of its kind.
+#[macro_export]
+macro_rules! layer_error {
+    ($(#[$meta:meta])* $vis:vis $name:ident($kind:ident)) => {
+        $(#[$meta])*
+        #[derive(Debug)]
+        $vis struct $name {
+            kind: $kind,
+        }
+
+        impl From<$kind> for $name {
+            fn from(kind: $kind) -> Self {
+                Self { kind }
+            }
+        }
+
+        impl std::fmt::Display for $name {
+            fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                self.kind.fmt(f)
+            }
+        }
+
+        impl std::error::Error for $name {
+            fn source(&self) -> Option<&(dyn std::error::Error + 'static)> {
+                std::error::Error::source(&self.kind)
+            }
+        }
+    };
+}
--- a/crates/carawayrill-router/src/error.rs
+++ b/crates/carawayrill-router/src/error.rs
@@ -1,13 +1,11 @@
 //! The error of this layer.
 
-use std::fmt;
-
+use carawayrill_core::layer_error;
 use quick_error::quick_error;
 
-/// An error that keeps a router from starting or from carrying on.
-#[derive(Debug)]
-pub struct Error {
-    kind: ErrorKind,
+layer_error! {
+    /// An error that keeps a router from starting or from carrying on.
+    pub Error(ErrorKind)
 }
 
 quick_error! {
@@ -64,22 +62,8 @@
     }
 }
 
-impl From<ErrorKind> for Error {
-    fn from(kind: ErrorKind) -> Self {
-        Self { kind }
-    }
-}
-
 impl From<carawayrill_telemetry::Error> for Error {
     fn from(err: carawayrill_telemetry::Error) -> Self {
         ErrorKind::Telemetry(err).into()
     }
 }
-
-impl fmt::Display for Error {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.kind.fmt(f)
-    }
-}
-
-impl std::error::Error for Error {}
--- a/crates/carawayrill-store/src/error.rs
+++ b/crates/carawayrill-store/src/error.rs
@@ -1,14 +1,12 @@
 //! The error of this layer.
 
-use std::fmt;
-
 use carawayrill_core::id::Version;
+use carawayrill_core::layer_error;
 use quick_error::quick_error;
 
-/// An error of a call to an outside system.
-#[derive(Debug)]
-pub struct Error {
-    kind: ErrorKind,
+layer_error! {
+    /// An error of a call to an outside system.
+    pub Error(ErrorKind)
 }
 
 /// What may have become of a call that failed.
@@ -100,11 +98,3 @@
         }
     }
 }
-
-impl fmt::Display for Error {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.kind.fmt(f)
-    }
-}
-
-impl std::error::Error for Error {}
--- a/crates/carawayrill-telemetry/src/error.rs
+++ b/crates/carawayrill-telemetry/src/error.rs
@@ -1,13 +1,11 @@
 //! The error of this layer.
 
-use std::fmt;
-
+use carawayrill_core::layer_error;
 use quick_error::quick_error;
 
-/// An error in setting up events, logs or metrics.
-#[derive(Debug)]
-pub struct Error {
-    kind: ErrorKind,
+layer_error! {
+    /// An error in setting up events, logs or metrics.
+    pub Error(ErrorKind)
 }
 
 quick_error! {
@@ -42,11 +40,3 @@
         }
     }
 }
-
-impl fmt::Display for Error {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.kind.fmt(f)
-    }
-}
-
-impl std::error::Error for Error {}
--- a/crates/carawayrill-testkit/src/error.rs
+++ b/crates/carawayrill-testkit/src/error.rs
@@ -1,13 +1,11 @@
 //! The error of this layer.
 
-use std::fmt;
-
+use carawayrill_core::layer_error;
 use quick_error::quick_error;
 
-/// An error of the load tool or of the process harness.
-#[derive(Debug)]
-pub struct Error {
-    kind: ErrorKind,
+layer_error! {
+    /// An error of the load tool or of the process harness.
+    pub Error(ErrorKind)
 }
 
 quick_error! {
@@ -60,11 +58,3 @@
         }
     }
 }
-
-impl fmt::Display for Error {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.kind.fmt(f)
-    }
-}
-
-impl std::error::Error for Error {}
--- a/crates/carawayrill/src/error.rs
+++ b/crates/carawayrill/src/error.rs
@@ -1,7 +1,6 @@
 //! The error of this layer and the exit codes.
 
-use std::fmt;
-
+use carawayrill_core::layer_error;
 use carawayrill_store::Fate;
 use quick_error::quick_error;
 
@@ -24,10 +23,9 @@
      nothing was changed; 5 not known whether the change took effect, run the same command again; \
      6 accepted, but not yet in force everywhere.";
 
-/// Why a command failed, with what to do next.
-#[derive(Debug)]
-pub struct Error {
-    kind: ErrorKind,
+layer_error! {
+    /// Why a command failed, with what to do next.
+    pub Error(ErrorKind)
 }
 
 quick_error! {
@@ -90,12 +88,6 @@
     }
 }
 
-impl From<ErrorKind> for Error {
-    fn from(kind: ErrorKind) -> Self {
-        Self { kind }
-    }
-}
-
 impl From<carawayrill_config::Error> for Error {
     fn from(err: carawayrill_config::Error) -> Self {
         Self::wrong(err.to_string())
@@ -130,11 +122,3 @@
         }
     }
 }
-
-impl fmt::Display for Error {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.kind.fmt(f)
-    }
-}
-
-impl std::error::Error for Error {}
