--- a/crates/carawayrill-core/src/ownership/home/blocks.rs
+++ b/crates/carawayrill-core/src/ownership/home/blocks.rs
@@ -176,7 +176,12 @@
         let mut row = match old {
             Some(mut old) if old.stored.token.term == stored.token.term && old.role == role => {
                 old.stored = stored.clone();
-                if !old.acting {
+                // A pledge was taken back by a row that names the next owner ahead of the act.
+                let ahead = old.acting && stored.token > old.token;
+                if ahead {
+                    old.token = stored.token;
+                }
+                if ahead || !old.acting {
                     old.serving = stored.owner.clone();
                 }
                 old
