Tell the controller which servers a home holds to be lost

Cause: heartbeats named every server that ever answered as not lost, also long after it was dead, and overrode the controller's own probes; a dead server could be chosen as standby server or for balance. What: heartbeats carry the ownership table's own view of the servers whose home the router is, and no others. A changed timing reaches the table.

--- a/crates/carawayrill-router/src/home/control.rs
+++ b/crates/carawayrill-router/src/home/control.rs
@@ -79,6 +79,19 @@
     pub at: Time,
 }
 
+/// What is known of a server whose home this router is.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct OwnServer {
+    /// The server.
+    pub server: ServerId,
+    /// Its run; 0 if it was never heard.
+    pub incarnation: Incarnation,
+    /// Whether it is held to be lost.
+    pub lost: bool,
+    /// Whether it leaves.
+    pub draining: bool,
+}
+
 /// What follows from the assignments for this router's own probes.
 #[derive(Debug, Default)]
 struct Watched {
@@ -171,6 +184,8 @@
             HomeTable::new(own_run(cx), limits)
         };
         lock(&self.table).get_or_insert_with(fresh);
+        let limits = Limits::from(&whole.timing);
+        self.input(cx, Input::Limits { limits });
         for service in &whole.services {
             let service_id = service.id.clone();
             let policy = service.policy(&whole.timing);
@@ -308,6 +323,25 @@
         lock(&self.runs).values().cloned().collect()
     }
 
+    /// Returns what is known of the servers whose home this router is. A server that the table does
+    /// not probe any more is left out: nothing is known of it then.
+    #[must_use]
+    pub fn own_servers(&self, cx: &Context) -> Vec<OwnServer> {
+        let homes = lock(&self.watched).server_homes.clone();
+        let is_own = |server: &ServerId| homes.get(server) == Some(&cx.settings.router);
+        let table = lock(&self.table);
+        let servers = table.iter().flat_map(HomeTable::servers);
+        servers
+            .filter(|seen| is_own(seen.server))
+            .map(|seen| OwnServer {
+                server: seen.server.clone(),
+                incarnation: seen.incarnation.unwrap_or_default(),
+                lost: seen.lost,
+                draining: seen.draining,
+            })
+            .collect()
+    }
+
     /// Tells whether this router is the home of nothing, by the stored assignments.
     #[must_use]
     pub fn is_idle(&self, cx: &Context) -> bool {
--- a/crates/carawayrill-router/src/home/serve/mod.rs
+++ b/crates/carawayrill-router/src/home/serve/mod.rs
@@ -34,7 +34,7 @@
 
 use crate::context::Context;
 use crate::home::control::Control;
-use crate::home::control::ServerRun;
+use crate::home::control::OwnServer;
 use crate::home::serve::authority::Authority;
 use crate::home::serve::desk::Desk;
 use crate::home::serve::loads::Loads;
@@ -150,19 +150,19 @@
 
     /// Tells the controller what is seen of the servers whose home this is.
     #[must_use]
-    pub fn servers_seen(&self) -> Vec<wire::ServerSeen> {
-        let seen = |run: ServerRun| {
-            let (in_flight, queued) = self.desk.load_of(&run.server);
+    pub fn servers_seen(&self, cx: &Context) -> Vec<wire::ServerSeen> {
+        let seen = |own: OwnServer| {
+            let (in_flight, queued) = self.desk.load_of(&own.server);
             wire::ServerSeen {
-                server: run.server.to_string(),
-                incarnation: run.incarnation.0,
-                lost: false,
-                draining: run.load.draining,
+                server: own.server.to_string(),
+                incarnation: own.incarnation.0,
+                lost: own.lost,
+                draining: own.draining,
                 in_flight,
                 queued,
             }
         };
-        self.control.runs().into_iter().map(seen).collect()
+        self.control.own_servers(cx).into_iter().map(seen).collect()
     }
 
     /// Counts bytes of a request or an answer on their way between two regions. Returns the bytes
--- a/crates/carawayrill-router/src/membership.rs
+++ b/crates/carawayrill-router/src/membership.rs
@@ -95,7 +95,7 @@
         generation: cx.generation().0,
         draining: cx.stopping.load(Ordering::Relaxed),
         in_flight: cx.in_flight.load(Ordering::Relaxed),
-        servers: home.servers_seen(),
+        servers: home.servers_seen(cx),
         loads: home.take_loads(cx),
     }
 }
