Complete a takeover that has begun to fence

The standby home fenced both servers, was cut off before it heard their answers, lost its authority for a moment and began anew; by then it heard the home again and left the takeover where it was. The home had seen the higher term and ended its part: nobody served. Excluded: the controllers (they saw home and standby home alive and had nothing to change) and the withdrawal of pledges (no intent was written). What: a standby home that ever sent a fence under an assignment goes on until it has taken over, or until the assignment changes. Test: a_takeover_that_began_to_fence_is_completed_..., failed before. Also: a stopping router keeps idle connections for 5 s in place of 1 s.

--- a/crates/carawayrill-core/src/ownership/home/standby.rs
+++ b/crates/carawayrill-core/src/ownership/home/standby.rs
@@ -51,6 +51,9 @@
 #[derive(Debug, Default)]
 pub(super) struct Rounds {
     phase: Phase,
+    /// Whether a fence was ever sent under the present assignment. A home that learns of it ends
+    /// its part, so that the takeover has to be completed even if the home is heard again.
+    has_fenced: bool,
     opened: Time,
     acks: BTreeMap<ServerId, RoundAck>,
     before: BTreeMap<ServerId, RoundAck>,
@@ -58,13 +61,17 @@
 
 impl Rounds {
     fn open(&mut self, now: Time, phase: Phase) {
+        self.has_fenced |= phase == Phase::Fencing;
         self.phase = phase;
         self.opened = now;
         self.before = std::mem::take(&mut self.acks);
     }
 
     fn reset(&mut self) {
-        *self = Self::default();
+        *self = Self {
+            has_fenced: self.has_fenced,
+            ..Self::default()
+        };
     }
 
     /// Returns whether a takeover is under way.
@@ -126,7 +133,7 @@
             incarnation: row.stored.home_run,
         };
         let may = !row.ended && !row.blocked && self.fences(row) && self.has_authority(now, row);
-        let lost = self.seems_lost(now, &home, row.named);
+        let lost = self.seems_lost(now, &home, row.named) || row.rounds.has_fenced;
         let Some(row) = self.rows.get_mut(shard) else {
             return;
         };
--- a/crates/carawayrill-core/tests/ownership_standby.rs
+++ b/crates/carawayrill-core/tests/ownership_standby.rs
@@ -4,6 +4,7 @@
 use carawayrill_core::assignment::Block;
 use carawayrill_core::assignment::BlockId;
 use carawayrill_core::assignment::Reason;
+use carawayrill_core::event::EventKind;
 use carawayrill_core::id::Incarnation;
 use carawayrill_core::id::RouterId;
 use carawayrill_core::id::ServerId;
@@ -11,6 +12,8 @@
 use carawayrill_core::id::ShardId;
 use carawayrill_core::id::Version;
 use carawayrill_core::order::LoadReport;
+use carawayrill_core::order::Order;
+use carawayrill_core::order::OrderAck;
 use carawayrill_core::order::OrderReply;
 use carawayrill_core::ownership::evidence::Run;
 use carawayrill_core::ownership::home::Action;
@@ -22,6 +25,7 @@
 use carawayrill_core::time::ServerTime;
 use carawayrill_core::time::Time;
 use carawayrill_core::time::WallTime;
+use carawayrill_core::token::Term;
 use carawayrill_core::token::Token;
 use rstest::rstest;
 
@@ -134,3 +138,107 @@
         "whether versions are checked within 200 ms"
     );
 }
+
+/// Lets the servers obey the orders among `actions`. Returns the highest term they fenced, and
+/// whether the takeover was complete then.
+fn obey(table: &mut HomeTable, now: u64, actions: Vec<Action>) -> (u64, bool) {
+    let mut highest = 0;
+    let mut complete = took_over(&actions);
+    for action in actions {
+        let Action::Order { server, orders } = action else {
+            continue;
+        };
+        let fence_of = |order: &Order| match order {
+            Order::Fence { shard, term } => Some((shard.clone(), *term)),
+            _ => None,
+        };
+        let fences: Vec<_> = orders.iter().filter_map(fence_of).collect();
+        highest = fences
+            .iter()
+            .map(|(_, term)| term.0)
+            .max()
+            .unwrap_or(0)
+            .max(highest);
+        let ack = |(shard, term): (ShardId, Term)| OrderAck {
+            shard,
+            accepted: true,
+            highest: Token::new(term.0, 0),
+            held: None,
+            running: 0,
+        };
+        let reply = OrderReply {
+            server,
+            incarnation: RUN,
+            clock: ServerTime(50 + now),
+            load: LoadReport::default(),
+            acks: fences.into_iter().map(ack).collect(),
+        };
+        let input = Input::OrderReply {
+            sent: Time(now + 1),
+            orders,
+            reply,
+        };
+        complete |= took_over(&table.input(Time(now + 2), input));
+    }
+    (highest, complete)
+}
+
+fn check_versions(table: &mut HomeTable, now: u64) {
+    let versions = vec![BlockVersion {
+        block: block().id,
+        version: Version(1),
+    }];
+    table.input(
+        Time(now),
+        Input::Versions {
+            started: Time(now - 1),
+            versions,
+        },
+    );
+}
+
+fn took_over(actions: &[Action]) -> bool {
+    let is_takeover = |kind: &EventKind| matches!(kind, EventKind::TookOver { .. });
+    actions
+        .iter()
+        .any(|action| matches!(action, Action::Emit { kind } if is_takeover(kind)))
+}
+
+/// The home ends its part when it learns of the fence, so nobody would serve if the standby home
+/// left its takeover where it was.
+#[test]
+fn a_takeover_that_began_to_fence_is_completed_though_the_home_is_heard_again() {
+    let mut table = standby(10);
+    check_versions(&mut table, 20);
+    let mut now = 50;
+    loop {
+        let actions = table.tick(Time(now));
+        if obey(&mut table, now, actions).0 > 2 {
+            break;
+        }
+        check_versions(&mut table, now + 1);
+        now += 50;
+        assert!(now < 3_000, "the silent home's servers were not fenced");
+    }
+    // Nothing reaches the standby home for longer than its authority lasts.
+    for _ in 0..60 {
+        now += 50;
+        table.tick(Time(now));
+    }
+    for _ in 0..40 {
+        now += 50;
+        check_versions(&mut table, now);
+        table.input(
+            Time(now),
+            Input::PeerSeen {
+                router: router("r-1"),
+                incarnation: RUN,
+            },
+        );
+        let actions = table.tick(Time(now));
+        if obey(&mut table, now, actions).1 {
+            return;
+        }
+    }
+    panic!("the takeover was left half done");
+}
--- a/crates/carawayrill-router/src/run.rs
+++ b/crates/carawayrill-router/src/run.rs
@@ -40,7 +40,7 @@
 const STOP_NOTICE: Duration = Duration::from_millis(1_500);
 
 /// How long open connections of callers are kept after the listener has closed.
-const LAST_REQUEST: Duration = Duration::from_secs(1);
+const LAST_REQUEST: Duration = Duration::from_secs(5);
 
 /// Runs a router until it is told to stop by SIGTERM or SIGINT.
 ///
