Read the fleet's state and make settings in one place each

Cause: the demo had its own copy of four functions of the experiments, and two files made settings by the same function. No behaviour changes.

--- a/crates/carawayrill-config/src/daemon.rs
+++ b/crates/carawayrill-config/src/daemon.rs
@@ -20,7 +20,6 @@
 use crate::row::Row;
 use crate::row::start_of;
 use crate::schema::Kind;
-use crate::schema::Scope;
 use crate::schema::Setting;
 
 data! {
@@ -68,48 +67,32 @@
 /// The longest grace of a planned stop, in milliseconds.
 const MAX_GRACE_MS: u64 = 600_000;
 
-/// Makes a setting.
-const fn setting(
-    path: &'static str,
-    kind: Kind,
-    default: Option<&'static str>,
-    effect: &'static str,
-) -> Setting {
-    Setting {
-        path,
-        kind,
-        default,
-        scope: Scope::Base,
-        effect,
-    }
-}
-
-const DATA_CENTRE: Setting = setting(
+const DATA_CENTRE: Setting = Setting::base(
     "data_centre",
     Kind::Name,
     None,
     "Data centre that the process stands in.",
 );
-const PEER: Setting = setting(
+const PEER: Setting = Setting::base(
     "peer",
     Kind::Address,
     None,
     "Where it takes calls of other processes.",
 );
-const STORE: Setting = setting("store", Kind::Url, None, "Root of the object store.");
-const VM_LIST: Setting = setting(
+const STORE: Setting = Setting::base("store", Kind::Url, None, "Root of the object store.");
+const VM_LIST: Setting = Setting::base(
     "vm_list",
     Kind::Url,
     Some(""),
     "Root of the VM list. Without it, leaving VMs are not seen in advance.",
 );
-const STATSD: Setting = setting(
+const STATSD: Setting = Setting::base(
     "statsd",
     Kind::Address,
     Some(""),
     "Where metrics go, by UDP. Without it they go nowhere.",
 );
-const STOP_GRACE: Setting = setting(
+const STOP_GRACE: Setting = Setting::base(
     "stop_grace",
     Kind::Span {
         min_ms: 0,
@@ -121,9 +104,9 @@
 
 /// All settings of a router daemon.
 pub const ROUTER: &[Setting] = &[
-    setting("router", Kind::Name, None, "Name of the router."),
+    Setting::base("router", Kind::Name, None, "Name of the router."),
     DATA_CENTRE,
-    setting(
+    Setting::base(
         "http",
         Kind::Address,
         None,
@@ -134,7 +117,7 @@
     VM_LIST,
     STATSD,
     STOP_GRACE,
-    setting(
+    Setting::base(
         "seeds",
         Kind::Addresses,
         Some(""),
@@ -145,7 +128,7 @@
 
 /// All settings of a controller daemon.
 pub const CONTROLLER: &[Setting] = &[
-    setting("controller", Kind::Name, None, "Name of the controller."),
+    Setting::base("controller", Kind::Name, None, "Name of the controller."),
     DATA_CENTRE,
     PEER,
     STORE,
--- a/crates/carawayrill-config/src/schema.rs
+++ b/crates/carawayrill-config/src/schema.rs
@@ -159,6 +159,35 @@
 }
 
 impl Setting {
+    /// Makes a setting of the base file, or of a daemon's own file.
+    pub(crate) const fn base(
+        path: &'static str,
+        kind: Kind,
+        default: Option<&'static str>,
+        effect: &'static str,
+    ) -> Self {
+        Self {
+            path,
+            kind,
+            default,
+            scope: Scope::Base,
+            effect,
+        }
+    }
+
+    /// Makes a setting that overlays may adjust.
+    pub(crate) const fn both(
+        path: &'static str,
+        kind: Kind,
+        default: Option<&'static str>,
+        effect: &'static str,
+    ) -> Self {
+        Self {
+            scope: Scope::Both,
+            ..Self::base(path, kind, default, effect)
+        }
+    }
+
     /// Tells whether this is the setting at `path`.
     #[must_use]
     pub fn is_at(&self, path: &str) -> bool {
--- a/crates/carawayrill-config/src/settings.rs
+++ b/crates/carawayrill-config/src/settings.rs
@@ -1,7 +1,6 @@
 //! The settings of a deployment.
 
 use crate::schema::Kind;
-use crate::schema::Scope;
 use crate::schema::Setting;
 
 /// One minute in milliseconds.
@@ -13,38 +12,6 @@
 /// The most shards in one block: a row and its intent stay under 1 KiB, and a block under 1 MiB.
 const MAX_BLOCK_SHARDS: u32 = 1_024;
 
-/// Makes a setting of the base file.
-const fn base(
-    path: &'static str,
-    kind: Kind,
-    default: Option<&'static str>,
-    effect: &'static str,
-) -> Setting {
-    Setting {
-        path,
-        kind,
-        default,
-        scope: Scope::Base,
-        effect,
-    }
-}
-
-/// Makes a setting that overlays may adjust.
-const fn both(
-    path: &'static str,
-    kind: Kind,
-    default: Option<&'static str>,
-    effect: &'static str,
-) -> Setting {
-    Setting {
-        path,
-        kind,
-        default,
-        scope: Scope::Both,
-        effect,
-    }
-}
-
 /// Makes the form of a whole number in a range.
 const fn number(min: u32, max: u32) -> Kind {
     Kind::Number { min, max }
@@ -57,80 +24,80 @@
 
 /// All settings of a deployment.
 pub const DEPLOYMENT: &[Setting] = &[
-    base("name", Kind::Name, None, "Names the deployment."),
-    base(
+    Setting::base("name", Kind::Name, None, "Names the deployment."),
+    Setting::base(
         "region_link",
         Kind::BitRate,
         None,
         "Bandwidth between each pair of regions, each way. Placement keeps cross-region traffic below it.",
     ),
-    base(
+    Setting::base(
         "data_centres.*.region",
         Kind::Name,
         None,
         "Region of the data centre. Each data centre is one site.",
     ),
-    base(
+    Setting::base(
         "services.*.key",
         Kind::Key,
         None,
         "Where a request carries its key.",
     ),
-    base(
+    Setting::base(
         "services.*.shards",
         number(1, 65_536),
         None,
         "Hash ranges that the keys are divided into. Fixed for the life of the service: a change would move keys between owners without a handover.",
     ),
-    base(
+    Setting::base(
         "services.*.shards_per_block",
         number(1, MAX_BLOCK_SHARDS),
         Some("64"),
         "Shards in one stored object. Fixed for the life of the service.",
     ),
-    base(
+    Setting::base(
         "services.*.slots",
         number(1, 10_000),
         None,
         "Requests that one server runs at a time.",
     ),
-    base(
+    Setting::base(
         "services.*.connections",
         number(1, 100_000),
         None,
         "Connections that one server takes.",
     ),
-    base(
+    Setting::base(
         "services.*.repeat",
         Kind::Repeat,
         Some("safe_methods"),
         "Which requests may be sent again: all, GET and HEAD only, or none. The others need an idempotency key.",
     ),
-    base(
+    Setting::base(
         "services.*.claim_window",
         span(1_000, 24 * HOUR_MS),
         Some("10min"),
         "How long a caller may repeat a request with the same idempotency key. At least max_deadline.",
     ),
-    base(
+    Setting::base(
         "services.*.fencing",
         Kind::Bool,
         Some("true"),
         "Whether its servers check fencing tokens. Fixed for the life of the service.",
     ),
-    both(
+    Setting::both(
         "services.*.default_deadline",
         span(1, HOUR_MS),
         Some("5s"),
         "Time limit of a request that names none.",
     ),
-    both(
+    Setting::both(
         "services.*.max_deadline",
         span(1, HOUR_MS),
         Some("30s"),
         "Longest time limit that a request may name.",
     ),
-    both(
+    Setting::both(
         "services.*.max_body",
         Kind::Size {
             min: 1,
@@ -139,91 +106,91 @@
         Some("1MiB"),
         "Longest request body.",
     ),
-    both(
+    Setting::both(
         "services.*.queue_limit",
         number(0, 100_000),
         Some("100"),
         "Requests that may wait for one server. Above it, a request is refused as not run.",
     ),
-    both(
+    Setting::both(
         "services.*.warm_up",
         span(0, HOUR_MS),
         Some("10s"),
         "Time in which a new server's share of load rises to its full slots.",
     ),
-    both(
+    Setting::both(
         "services.*.on_store_outage",
         Kind::Outage,
         Some("stop"),
         "What a home does while the store can't be reached: stop after timing.authority, or hold on for the given time. A takeover without evidence waits just as long, so an overlay may only shorten it, and a change of the base file takes two steps.",
     ),
-    both(
+    Setting::both(
         "servers.*.service",
         Kind::Name,
         None,
         "Service of the server. A server is declared in one file only.",
     ),
-    both(
+    Setting::both(
         "servers.*.address",
         Kind::Address,
         None,
         "Where the server takes requests and orders.",
     ),
-    base(
+    Setting::base(
         "servers.*.data_centre",
         Kind::Name,
         None,
         "Data centre of the server. Written in the base file only; in an overlay the server stands at that site.",
     ),
-    base(
+    Setting::base(
         "timing.grant_ttl",
         span(100, MINUTE_MS),
         Some("1500ms"),
         "How long a grant lasts on the server's clock. At most authority.",
     ),
-    base(
+    Setting::base(
         "timing.renew_every",
         span(10, MINUTE_MS),
         Some("300ms"),
         "How often grants are renewed and servers are probed. At most half of grant_ttl and of server_silence.",
     ),
-    base(
+    Setting::base(
         "timing.authority",
         span(100, MINUTE_MS),
         Some("2s"),
         "How long a version check of the store gives authority.",
     ),
-    base(
+    Setting::base(
         "timing.check_every",
         span(10, MINUTE_MS),
         Some("500ms"),
         "How often the version is checked. At most half of authority.",
     ),
-    base(
+    Setting::base(
         "timing.server_silence",
         span(100, MINUTE_MS),
         Some("1s"),
         "Silence after which a server is held to be lost.",
     ),
-    base(
+    Setting::base(
         "timing.router_silence",
         span(100, MINUTE_MS),
         Some("1s"),
         "Silence after which a router is held to be lost.",
     ),
-    base(
+    Setting::base(
         "timing.heartbeat_every",
         span(10, MINUTE_MS),
         Some("300ms"),
         "How often routers send heartbeats. At most half of router_silence.",
     ),
-    base(
+    Setting::base(
         "timing.controller_lease",
         span(500, MINUTE_MS),
         Some("2s"),
         "How long a controller's lease lasts.",
     ),
-    base(
+    Setting::base(
         "timing.drift_ppm",
         number(0, 100_000),
         Some("500"),
--- a/crates/carawayrill-testkit/src/demo/mod.rs
+++ b/crates/carawayrill-testkit/src/demo/mod.rs
@@ -10,15 +10,11 @@
 use carawayrill_config::Parts;
 use carawayrill_config::deployment::Deployment;
 use carawayrill_core::assignment::Assignment;
-use carawayrill_core::assignment::Block;
-use carawayrill_core::id::Revision;
 use carawayrill_core::id::RouterId;
 use carawayrill_core::id::ShardId;
-use carawayrill_core::object::ASSIGNMENTS;
 use carawayrill_core::route::RouteTable;
-use carawayrill_store::http_store::HttpStore;
-use carawayrill_store::port::ObjectStore;
 
+use crate::bench::state;
 use crate::demo::ask::Question;
 use crate::fleet::Error;
 use crate::fleet::Fleet;
@@ -90,19 +86,9 @@
 
 /// Waits until every router says that it is ready.
 async fn wait_ready(fleet: &Fleet) -> Result<(), Error> {
-    let client = reqwest::Client::new();
     let began = Instant::now();
     for router in fleet.routers() {
-        let url = format!("http://{}/carawayrill/ready", router.http);
-        while !client
-            .get(&url)
-            .send()
-            .await
-            .is_ok_and(|answer| answer.status().is_success())
-        {
-            check_limit(began, START_LIMIT, &format!("{} is not ready", router.name))?;
-            tokio::time::sleep(POLL).await;
-        }
+        state::wait_ready(router.http, START_LIMIT).await?;
     }
     println!(
         "all routers are ready after {} ms",
@@ -113,7 +99,6 @@
 
 /// Waits until every shard has an owner, and returns the assignments.
 async fn wait_assigned(fleet: &Fleet, whole: &Deployment) -> Result<RouteTable, Error> {
-    let store = HttpStore::new(fleet.store())?;
     let shards: usize = whole
         .services
         .iter()
@@ -121,7 +106,7 @@
         .sum();
     let began = Instant::now();
     loop {
-        let routes = read_routes(&store).await?;
+        let routes = state::routes(fleet.store()).await?;
         if routes.rows().count() == shards {
             println!(
                 "all {shards} shards have an owner after {} ms",
@@ -134,20 +119,6 @@
     }
 }
 
-async fn read_routes(store: &HttpStore) -> Result<RouteTable, Error> {
-    let changes = store
-        .watch(ASSIGNMENTS, Revision::default(), Duration::ZERO)
-        .await?;
-    let mut routes = RouteTable::default();
-    for object in changes.objects {
-        routes.apply(
-            object.version,
-            serde_json::from_slice::<Block>(&object.value)?,
-        );
-    }
-    Ok(routes)
-}
-
 /// Sends one request to each service, to a router that is not the home of the key.
 async fn ask_each_service(
     fleet: &Fleet,
@@ -177,26 +148,19 @@
 
 /// Prints how many calls the store gets while nothing happens.
 async fn print_idle_calls(fleet: &Fleet) -> Result<(), Error> {
-    let before = read_calls(fleet).await?;
+    let before = state::calls(fleet.store()).await?;
     tokio::time::sleep(IDLE_SPAN).await;
-    let after = read_calls(fleet).await?;
-    let seconds = IDLE_SPAN.as_secs_f64();
-    let rate = |kind: &str| {
-        let count = |calls: &serde_json::Value| calls[kind].as_u64().unwrap_or_default();
-        count(&after).saturating_sub(count(&before)) as f64 / seconds
-    };
-    let (reads, writes, watches) = (rate("reads"), rate("writes"), rate("watches"));
+    let after = state::calls(fleet.store()).await?;
+    let rate = |before: u64, after: u64| (after - before) as f64 / IDLE_SPAN.as_secs_f64();
     println!(
-        "store calls a second while idle: {reads:.1} reads, {writes:.1} writes, {watches:.1} watches"
+        "store calls a second while idle: {:.1} reads, {:.1} writes, {:.1} watches",
+        rate(before.reads, after.reads),
+        rate(before.writes, after.writes),
+        rate(before.watches, after.watches)
     );
     Ok(())
 }
 
-async fn read_calls(fleet: &Fleet) -> Result<serde_json::Value, Error> {
-    let url = format!("http://{}/control/calls", fleet.store());
-    Ok(reqwest::get(url).await?.json().await?)
-}
-
 /// Kills the home router of one key and waits until the key is answered again. Returns the shard.
 async fn lose_home(
     fleet: &mut Fleet,
