Serve a hot key on when its range moves

A recent split waits until the range's grants elsewhere have ended; it counted those that the range got by moving later, which are renewed for ever. Excluded: the split itself (granted within 4 ms) and the move. What: only the grants that the range had at the split count. A home also checks that the shard of a request is that of its key by its own routing table, which is at least as new as the blocks it acts on: else a request sent under the range could run beside the key's own owner.

--- a/crates/carawayrill-core/src/ownership/home/row.rs
+++ b/crates/carawayrill-core/src/ownership/home/row.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use super::split::Split;
 use super::standby::Rounds;
 use crate::assignment::Assignment;
 use crate::assignment::BlockId;
@@ -99,8 +100,8 @@
     pub(super) asked_standby: Option<Time>,
     /// The progress of a takeover as standby home.
     pub(super) rounds: Rounds,
-    /// When the shard was first seen, if it was split out of a range of this router.
-    pub(super) split: Option<Time>,
+    /// The split, if the shard was split out of a range of this router.
+    pub(super) split: Option<Split>,
     /// Whether authority was there at the last look, so that its loss is told once.
     pub(super) had_authority: bool,
 }
--- a/crates/carawayrill-core/src/ownership/home/split.rs
+++ b/crates/carawayrill-core/src/ownership/home/split.rs
@@ -16,6 +16,15 @@
 /// Time after a split by which requests sent under the range have ended, in milliseconds.
 const SPLIT_WINDOW: u64 = 60_000;
 
+/// What is remembered of a split.
+#[derive(Debug)]
+pub(super) struct Split {
+    /// When the shard was first seen.
+    at: Time,
+    /// Where the range had grants then.
+    lanes: Vec<LaneId>,
+}
+
 impl HomeTable {
     /// Returns the range that a hot key's shard was split out of, if this router has it.
     pub(super) fn range_row(&self, shard: &ShardId) -> Option<&Row> {
@@ -29,7 +38,10 @@
             return;
         };
         if row.role == Role::Home && range.role == Role::Home {
-            row.split = Some(now);
+            row.split = Some(Split {
+                at: now,
+                lanes: range.lanes.keys().cloned().collect(),
+            });
             let named = row.servers().any(|server| *server == range.serving);
             if named {
                 row.serving = range.serving.clone();
@@ -37,13 +49,23 @@
         }
     }
 
-    /// Returns whether the range of a shard that was split out lately has no grant elsewhere.
+    /// Returns whether the range of a shard that was split out lately has no grant elsewhere of
+    /// those that it had when it was split. One that it got since then, as it moved, is of no
+    /// concern: no request for the key is sent under it.
     pub(super) fn range_ended(&self, now: Time, row: &Row, except: &LaneId) -> bool {
-        let recent = row
-            .split
-            .is_some_and(|split| elapsed(now, split) < SPLIT_WINDOW);
-        let range = self.range_row(&row.stored.shard).filter(|_| recent);
-        range.is_none_or(|range| range.lanes_ended(now, self.fences(range), Some(except)))
+        let is_recent = |split: &&Split| elapsed(now, split.at) < SPLIT_WINDOW;
+        let Some(split) = row.split.as_ref().filter(is_recent) else {
+            return true;
+        };
+        let Some(range) = self.range_row(&row.stored.shard) else {
+            return true;
+        };
+        let fencing = self.fences(range);
+        let mut others = split.lanes.iter().filter(|id| *id != except);
+        others.all(|id| {
+            let lane = range.lanes.get(id);
+            lane.is_none_or(|lane| lane.has_ended(now, fencing))
+        })
     }
 
     /// Counts the grants of a shard that was merged back as grants of its range.
--- a/crates/carawayrill-router/src/context.rs
+++ b/crates/carawayrill-router/src/context.rs
@@ -5,6 +5,7 @@
 use std::sync::PoisonError;
 use std::sync::RwLock;
 use std::sync::RwLockReadGuard;
+use std::sync::RwLockWriteGuard;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::AtomicU64;
@@ -143,6 +144,11 @@
         self.routes.read().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the routing table for writing.
+    pub fn routes_mut(&self) -> RwLockWriteGuard<'_, RouteTable> {
+        self.routes.write().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns how often heartbeats are sent.
     #[must_use]
     pub fn heartbeat_every(&self) -> Duration {
--- a/crates/carawayrill-router/src/feed.rs
+++ b/crates/carawayrill-router/src/feed.rs
@@ -4,7 +4,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::PoisonError;
 use std::time::Duration;
 
 use carawayrill_config::accept;
@@ -179,12 +178,9 @@
 
 fn take_in_block(cx: &Arc<Context>, home: &Home, object: &Object, block: Block) {
     let id = block.id.clone();
-    let news = {
-        let mut routes = cx.routes.write().unwrap_or_else(PoisonError::into_inner);
-        routes.apply(object.version, block.clone())
-    };
+    let news = cx.routes_mut().apply(object.version, block.clone());
+    home.control().hint(cx, object.version, block);
     if news {
-        home.control().hint(cx, object.version, block);
         carawayrill_telemetry::emit(EventKind::BlockSeen {
             block: id,
             version: object.version,
--- a/crates/carawayrill-router/src/home/perform.rs
+++ b/crates/carawayrill-router/src/home/perform.rs
@@ -204,12 +204,17 @@
             block,
         });
     };
-    match serde_json::from_slice(&object.value) {
-        Ok(block) => Some(Input::Block {
-            started,
-            version: object.version,
-            block,
-        }),
+    match serde_json::from_slice::<Block>(&object.value) {
+        Ok(block) => {
+            // The routing table is at least as new as what this home acts on, so that a key that
+            // was split out is not taken for one of its range.
+            cx.routes_mut().apply(object.version, block.clone());
+            Some(Input::Block {
+                started,
+                version: object.version,
+                block,
+            })
+        }
         Err(err) => {
             log::error!("block {id}: {err}");
             None
--- a/crates/carawayrill-router/src/home/serve/mod.rs
+++ b/crates/carawayrill-router/src/home/serve/mod.rs
@@ -106,6 +106,9 @@
         if let Some(on_behalf) = req.on_behalf.clone() {
             return Ok(Route::OnBehalf(on_behalf));
         }
+        if !is_shard_of_key(cx, req) {
+            return Err(Box::new(Answer::from(RefusalReason::Moving)));
+        }
         let denial = match self.desk.authority.permit(cx.now(), &req.shard) {
             Ok(permit) => return Ok(Route::Home(permit)),
             Err(denial) => denial,
@@ -179,6 +182,17 @@
     }
 }
 
+/// Tells whether the entry and this router agree on the shard of a request's key. While they don't,
+/// a hot key is being split out of its range or merged back; sent under the other shard, its
+/// request could run beside one at another owner.
+fn is_shard_of_key(cx: &Context, req: &Request) -> bool {
+    let whole = cx.deployment.load();
+    let service = whole.as_ref().and_then(|whole| whole.service(&req.service));
+    service.is_some_and(|service| {
+        cx.routes().shard_of(&service.id, req.key, service.shards) == req.shard
+    })
+}
+
 /// Returns the assignments to come of `shards`, as the store has them.
 async fn intents(cx: &Context, shards: &[ShardId]) -> Vec<Assignment> {
     let mut next = BTreeMap::new();
