Pass requests on to the router that took over a lost home

Cause: a data centre lost while the store is down. The home of a lost owner activates the standby server and passes requests to that server's stored home, which stood in the lost data centre too; nothing in the store names the standby home that has taken over from it (503 home-unreachable for 60 s). Excluded: the takeovers themselves; all 12 shards of the lost home were taken over in time. What: a home that can't reach the server's home tries its standby home.

--- a/crates/carawayrill-core/src/route.rs
+++ b/crates/carawayrill-core/src/route.rs
@@ -10,6 +10,8 @@
 use crate::assignment::Block;
 use crate::assignment::BlockId;
 use crate::id::KeyHash;
+use crate::id::RouterId;
+use crate::id::ServerId;
 use crate::id::ServiceId;
 use crate::id::ShardId;
 use crate::id::ShardPart;
@@ -126,6 +128,16 @@
         }
     }
 
+    /// Returns the router that stands by for `home` as the home of `server`, by any shard that the
+    /// server owns. Looks through all rows.
+    #[must_use]
+    pub fn standby_home_of(&self, server: &ServerId, home: &RouterId) -> Option<RouterId> {
+        let mut rows = self
+            .rows()
+            .filter(|row| row.owner == *server && row.home == *home);
+        rows.find_map(|row| row.standby_home.clone())
+    }
+
     /// Returns all assignments, in no particular order.
     pub fn rows(&self) -> impl Iterator<Item = &Arc<Assignment>> {
         self.services
--- a/crates/carawayrill-router/src/home/serve/send.rs
+++ b/crates/carawayrill-router/src/home/serve/send.rs
@@ -107,7 +107,20 @@
             token: target.token,
         });
         let started = Instant::now();
-        let answer = pass::forward(cx, &via, &req).await;
+        let mut answer = pass::forward(cx, &via, &req).await;
+        if answer.reason == Some(RefusalReason::HomeUnreachable) {
+            // The server's home is lost as well. While the store is down, nothing but the stored
+            // assignment names the router that has taken over from it.
+            let standby = cx.routes().standby_home_of(&target.server, &via);
+            match standby {
+                Some(standby) if standby == cx.settings.router => {
+                    let left = job.req.deadline.since(cx.now());
+                    return exchange::send(&self.client, target, &job.req, left).await;
+                }
+                Some(standby) => answer = pass::forward(cx, &standby, &req).await,
+                None => {}
+            }
+        }
         exchange::read_passed_on(answer, target, started.elapsed())
     }
 
--- a/crates/carawayrill-testkit/tests/processes.rs
+++ b/crates/carawayrill-testkit/tests/processes.rs
@@ -57,6 +57,7 @@
 #[case::server_while_the_store_is_down("server-store-down", Loss::Server, true)]
 #[case::controllers("controllers", Loss::Controllers, false)]
 #[case::data_centre("data-centre", Loss::DataCentre, false)]
+#[case::data_centre_while_the_store_is_down("data-centre-store-down", Loss::DataCentre, true)]
 #[tokio::test(flavor = "multi_thread")]
 async fn keys_are_answered_again_after_the_loss_of_a(
     #[case] name: &str,
