Look up a server's home in place, and read the time limits once

Cause: each heartbeat copied the whole table of servers' homes to look at a few of them (5,200 entries each 300 ms at target size), and taking in a configuration worked the time limits out twice. No behaviour changes. Excluded: the locks are taken in one order (homes, then ownership table), and nothing takes them the other way round.

--- a/crates/carawayrill-router/src/home/control.rs
+++ b/crates/carawayrill-router/src/home/control.rs
@@ -173,8 +173,8 @@
 
     /// Takes a new configuration in.
     pub fn configure(self: &Arc<Self>, cx: &Arc<Context>, whole: &Deployment) {
+        let limits = Limits::from(&whole.timing);
         let fresh = || {
-            let limits = Limits::from(&whole.timing);
             let start = Start {
                 name: cx.settings.router.clone().into(),
                 incarnation: cx.incarnation,
@@ -184,7 +184,6 @@
             HomeTable::new(own_run(cx), limits)
         };
         lock(&self.table).get_or_insert_with(fresh);
-        let limits = Limits::from(&whole.timing);
         self.input(cx, Input::Limits { limits });
         for service in &whole.services {
             let service_id = service.id.clone();
@@ -327,8 +326,9 @@
     /// not probe any more is left out: nothing is known of it then.
     #[must_use]
     pub fn own_servers(&self, cx: &Context) -> Vec<OwnServer> {
-        let homes = lock(&self.watched).server_homes.clone();
-        let is_own = |server: &ServerId| homes.get(server) == Some(&cx.settings.router);
+        let watched = lock(&self.watched);
+        let is_own =
+            |server: &ServerId| watched.server_homes.get(server) == Some(&cx.settings.router);
         let table = lock(&self.table);
         let servers = table.iter().flat_map(HomeTable::servers);
         servers
