--- /dev/null
+++ b/crates/carawayrill-core/src/direct/admission.rs
@@ -0,0 +1,147 @@
+//! Which server takes a request, or why none does.
+//!
+//! Load answered: more requests than the servers can answer within their objective. A request that
+//! no server is expected to answer in time is refused at once, and told when there will be room;
+//! queueing it would only make the next one late as well.
+
+use std::time::Duration;
+
+use rand::Rng;
+use rand::RngExt;
+
+use crate::id::ServerId;
+
+/// The share of the objective within which an answer has to be expected.
+const OBJECTIVE_SHARE: f64 = 0.95;
+/// The share of the time limit within which a late answer has to be expected.
+const DEADLINE_SHARE: f64 = 0.7;
+/// The way to another data centre of the region and back, in milliseconds.
+const ZONE_TRIP_MS: f64 = 1.0;
+/// The way to another region and back, in milliseconds.
+const REGION_TRIP_MS: f64 = 17.0;
+/// What each KiB to or from another data centre is worth in waiting time, in milliseconds.
+const ZONE_COST_PER_KIB_MS: f64 = 1.5;
+/// What each KiB to or from another region is worth in waiting time, in milliseconds.
+const REGION_COST_PER_KIB_MS: f64 = 8.0;
+/// The shortest time to come back that a refusal names.
+const MIN_RETRY_AFTER_MS: f64 = 50.0;
+/// The longest time to come back that a refusal names.
+const MAX_RETRY_AFTER_MS: f64 = 2_000.0;
+
+/// How far a server is from the front.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Distance {
+    /// In the same data centre.
+    DataCentre,
+    /// In another data centre of the region.
+    Region,
+    /// In another region.
+    Far,
+}
+
+impl Distance {
+    /// Returns the way there and back, in milliseconds.
+    #[must_use]
+    pub fn trip_ms(self) -> f64 {
+        match self {
+            Self::DataCentre => 0.4,
+            Self::Region => ZONE_TRIP_MS,
+            Self::Far => REGION_TRIP_MS,
+        }
+    }
+
+    /// Returns the price of moving `kib` there or back, as waiting time in milliseconds.
+    fn byte_cost_ms(self, kib: f64) -> f64 {
+        match self {
+            Self::DataCentre => 0.0,
+            Self::Region => ZONE_COST_PER_KIB_MS * kib,
+            Self::Far => REGION_COST_PER_KIB_MS * kib,
+        }
+    }
+}
+
+/// A server that could take the request.
+#[derive(Debug, Clone)]
+pub struct Candidate {
+    /// The server.
+    pub server: ServerId,
+    /// How far it is.
+    pub distance: Distance,
+    /// When it is expected to answer, in milliseconds, without the way there.
+    pub answer_ms: f64,
+    /// What its failures add to its cost, in milliseconds.
+    pub failure_cost_ms: f64,
+    /// Whether it may be used now: below its share of connections and not paused.
+    pub usable: bool,
+}
+
+/// What the choice depends on, of the request.
+#[derive(Debug, Clone, Copy)]
+pub struct Wish {
+    /// The time until its objective; zero once that has passed.
+    pub objective_left: Duration,
+    /// The time until its answer is of no use.
+    pub deadline_left: Duration,
+    /// The expected size of request and answer, in KiB.
+    pub kib: f64,
+}
+
+/// Where a request goes.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Choice {
+    /// To this server.
+    Send(ServerId),
+    /// Nowhere: none is expected to answer in time. There may be room after this time.
+    Full(Duration),
+    /// Nowhere: there is no server at all, or none may be used now.
+    NoServer,
+}
+
+/// Returns the time within which an answer has to be expected, in milliseconds.
+fn limit_ms(wish: &Wish, answer_ms: f64) -> f64 {
+    let objective = as_ms(wish.objective_left) * OBJECTIVE_SHARE;
+    let deadline = as_ms(wish.deadline_left) * DEADLINE_SHARE;
+    // Once the objective can't be met even by an idle server, only the deadline counts.
+    if objective < answer_ms {
+        deadline
+    } else {
+        objective.min(deadline)
+    }
+}
+
+fn as_ms(span: Duration) -> f64 {
+    span.as_secs_f64() * 1_000.0
+}
+
+/// Chooses among `candidates`; `idle_ms` is the time in which an idle server would answer.
+pub fn choose(candidates: &[Candidate], wish: &Wish, idle_ms: f64, rng: &mut impl Rng) -> Choice {
+    let limit = limit_ms(wish, idle_ms);
+    let mut best: Option<(f64, &Candidate)> = None;
+    let mut soonest = f64::INFINITY;
+    for candidate in candidates.iter().filter(|candidate| candidate.usable) {
+        let answer = candidate.answer_ms + candidate.distance.trip_ms();
+        soonest = soonest.min(answer);
+        if answer > limit {
+            continue;
+        }
+        let cost = answer + candidate.failure_cost_ms + candidate.distance.byte_cost_ms(wish.kib);
+        if best.is_none_or(|(least, _)| cost < least) {
+            best = Some((cost, candidate));
+        }
+    }
+    if let Some((_, candidate)) = best {
+        return Choice::Send(candidate.server.clone());
+    }
+    if soonest.is_infinite() {
+        return Choice::NoServer;
+    }
+    Choice::Full(retry_after(soonest - limit, idle_ms, rng))
+}
+
+/// Returns when a refused request should come back: once the backlog above the limit has been
+/// worked off, spread over one service time so that the refused do not come back together.
+fn retry_after(excess_ms: f64, idle_ms: f64, rng: &mut impl Rng) -> Duration {
+    let spread = rng.random_range(0.0..=idle_ms.max(1.0));
+    let wait = (excess_ms + spread).clamp(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS);
+    Duration::from_secs_f64(wait / 1_000.0)
+}
--- /dev/null
+++ b/crates/carawayrill-core/src/direct/demand.rs
@@ -0,0 +1,58 @@
+//! How much each key of a service is asked for.
+
+use std::time::Duration;
+
+use crate::direct::keys::KEY_COUNT;
+use crate::direct::keys::KeyRange;
+
+/// The demand by key, in requests a second, as an exponentially weighted mean.
+#[derive(Debug, Clone)]
+pub struct KeyDemand {
+    rates: Vec<f32>,
+    pending: Vec<f32>,
+    /// The time after which an old rate counts 1/e.
+    memory: Duration,
+}
+
+impl KeyDemand {
+    /// Makes the table of a service without demand.
+    #[must_use]
+    pub fn new(memory: Duration) -> Self {
+        Self {
+            rates: vec![0.0; KEY_COUNT],
+            pending: vec![0.0; KEY_COUNT],
+            memory,
+        }
+    }
+
+    /// Adds requests for a key.
+    pub fn add(&mut self, key: u16, requests: u32) {
+        self.pending[usize::from(key)] += requests as f32;
+    }
+
+    /// Takes the requests added over the last `span` into the mean rates.
+    pub fn advance(&mut self, span: Duration) {
+        let secs = span.as_secs_f32().max(0.001);
+        let keep = (-secs / self.memory.as_secs_f32()).exp();
+        let gain = (1.0 - keep) / secs;
+        for (rate, pending) in self.rates.iter_mut().zip(&mut self.pending) {
+            *rate = *rate * keep + *pending * gain;
+            *pending = 0.0;
+        }
+    }
+
+    /// Returns the rate of one key.
+    #[must_use]
+    pub fn rate(&self, key: usize) -> f64 {
+        f64::from(self.rates[key])
+    }
+
+    /// Returns the summed rate of a range.
+    #[must_use]
+    pub fn range(&self, range: KeyRange) -> f64 {
+        self.rates[range.indices()]
+            .iter()
+            .map(|rate| f64::from(*rate))
+            .sum()
+    }
+}
--- /dev/null
+++ b/crates/carawayrill-core/src/direct/granter/mod.rs
@@ -0,0 +1,359 @@
+//! Decides which server holds which keys of one service, and keeps their grants renewed.
+//!
+//! A [`Granter`] turns time and results into [`Step`]s: a record to write, an order to a server.
+//! No server hears of a fence before the record with it is stored. Load answered: servers that
+//! come, leave, crash or fall silent, and keys whose demand moves.
+//!
+//! A span changes hands in this order: the record is stored, the former holder releases, the new
+//! holder is granted. If the former holder can't be asked, the granter waits until its last grant
+//! has run out on any clock.
+
+mod plan;
+mod row;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use self::row::Row;
+use crate::counter;
+use crate::direct::demand::KeyDemand;
+use crate::direct::keys::Fence;
+use crate::direct::keys::Handover;
+use crate::direct::keys::KeyRange;
+use crate::direct::rebalance::Capacities;
+use crate::direct::servers::Server;
+use crate::direct::servers::Servers;
+use crate::direct::spans::Holder;
+use crate::direct::spans::Span;
+use crate::direct::spans::SpanRecord;
+use crate::id::ServiceId;
+use crate::id::Version;
+use crate::time::Time;
+
+counter! {
+    /// Names one order of a granter.
+    OrderId;
+}
+
+/// Times of the granter.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Config {
+    /// How long a grant holds while the lease can be renewed.
+    pub hold: Duration,
+    /// How long a grant holds while the lease can't be renewed; the longest that servers accept.
+    pub long_hold: Duration,
+    /// The time between two renewals of a grant.
+    pub renewal: Duration,
+    /// The time limit of a grant's call.
+    pub grant_timeout: Duration,
+    /// The time limit of a release's call: running work ends first.
+    pub release_timeout: Duration,
+    /// How much slower a server's clock may run, as a share.
+    pub clock_drift: f64,
+    /// What is added to each computed end of a grant.
+    pub margin: Duration,
+    /// The shortest time between two plans.
+    pub plan_interval: Duration,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            hold: Duration::from_millis(3_200),
+            long_hold: Duration::from_secs(10),
+            renewal: Duration::from_millis(900),
+            grant_timeout: Duration::from_millis(800),
+            release_timeout: Duration::from_millis(2_500),
+            clock_drift: 0.02,
+            margin: Duration::from_millis(100),
+            plan_interval: Duration::from_millis(300),
+        }
+    }
+}
+
+impl Config {
+    /// Returns how long a grant may run on the slowest server clock.
+    #[must_use]
+    pub fn longest(&self, hold: Duration) -> Duration {
+        hold.mul_f64(1.0 + self.clock_drift) + self.margin
+    }
+}
+
+/// What an order tells a server to do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Command {
+    /// Hold the keys for this long.
+    Grant {
+        /// How long, from arrival.
+        hold: Duration,
+        /// What the last holder handed over.
+        handover: Option<Handover>,
+    },
+    /// Let the keys go once running work has ended.
+    Release,
+}
+
+/// One order to a server.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SpanOrder {
+    /// Its number.
+    pub id: OrderId,
+    /// The server.
+    pub to: Holder,
+    /// The keys.
+    pub range: KeyRange,
+    /// The fence.
+    pub fence: Fence,
+    /// What to do.
+    pub command: Command,
+    /// When to give up.
+    pub timeout: Duration,
+}
+
+/// How an order ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum OrderResult {
+    /// The server did it. A release may come with a handover.
+    Done(Option<Handover>),
+    /// The server has seen a higher fence on one of the keys.
+    Fenced,
+    /// The order did not reach the server.
+    NotSent,
+    /// The order may have been carried out, or may still be.
+    Unknown,
+}
+
+/// What the granter wants done.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Step {
+    /// Store this record under the version that the granter last saw.
+    Write {
+        /// The version that must not have changed.
+        expected: Version,
+        /// The new record.
+        record: SpanRecord,
+    },
+    /// Send this order.
+    Order(SpanOrder),
+}
+
+/// What a tick depends on besides the granter's own state.
+#[derive(Debug)]
+pub struct Inputs<'a> {
+    /// The time.
+    pub now: Time,
+    /// The servers as listed.
+    pub servers: &'a Servers,
+    /// The demand by key.
+    pub demand: &'a KeyDemand,
+    /// What each server can serve.
+    pub capacities: &'a Capacities,
+    /// Whether the lease can't be renewed at present.
+    pub store_away: bool,
+    /// Whether the granter is about to stop: only what is under way is brought to its end.
+    pub settling: bool,
+}
+
+/// The granter of one service.
+#[derive(Debug)]
+pub struct Granter {
+    service: ServiceId,
+    cfg: Config,
+    /// The record as stored.
+    record: SpanRecord,
+    version: Version,
+    /// A record that is being written.
+    writing: Option<SpanRecord>,
+    /// Whether the inherited record was rewritten, so that no late write of another granter can
+    /// succeed. Until then nothing is ordered.
+    confirmed: bool,
+    rows: BTreeMap<KeyRange, Row>,
+    next_order: OrderId,
+    next_plan: Time,
+    was_away: bool,
+    /// Counts what fronts have to be told.
+    changes: u64,
+}
+
+impl Granter {
+    /// Takes over the service's spans as stored; `record` is `None` if nothing is stored.
+    ///
+    /// Former orders of another granter may still be on their way, so that nothing is taken for
+    /// settled.
+    #[must_use]
+    pub fn new(
+        service: ServiceId,
+        cfg: Config,
+        stored: Option<(Version, SpanRecord)>,
+        now: Time,
+    ) -> Self {
+        let (version, record) = stored.unwrap_or((
+            Version(0),
+            SpanRecord {
+                edition: 0,
+                next_fence: Fence(1),
+                spans: Vec::new(),
+            },
+        ));
+        let rows = record
+            .spans
+            .iter()
+            .map(|span| (span.range, Row::inherited(span.clone(), now, &cfg)))
+            .collect();
+        Self {
+            service,
+            cfg,
+            record,
+            version,
+            writing: None,
+            confirmed: false,
+            rows,
+            next_order: OrderId(0),
+            next_plan: now,
+            was_away: false,
+            changes: 1,
+        }
+    }
+
+    /// Returns the service.
+    #[must_use]
+    pub fn service(&self) -> &ServiceId {
+        &self.service
+    }
+
+    /// Returns the version of the record as stored.
+    #[must_use]
+    pub fn version(&self) -> Version {
+        self.version
+    }
+
+    /// Returns whether the inherited record was rewritten, so that the spans can be relied on.
+    #[must_use]
+    pub fn is_confirmed(&self) -> bool {
+        self.confirmed
+    }
+
+    /// Returns the record as stored.
+    #[must_use]
+    pub fn record(&self) -> &SpanRecord {
+        &self.record
+    }
+
+    /// Returns a count that rises with each change that fronts have to be told.
+    #[must_use]
+    pub fn changes(&self) -> u64 {
+        self.changes
+    }
+
+    /// Returns the spans as fronts should use them: `former` is set while nobody may be asked.
+    #[must_use]
+    pub fn spans(&self) -> Vec<Span> {
+        self.rows.values().map(Row::shown).collect()
+    }
+
+    /// Returns what is to be done now.
+    pub fn tick(&mut self, inputs: &Inputs<'_>) -> Vec<Step> {
+        if inputs.store_away && !self.was_away {
+            self.renew_all(inputs.now);
+        }
+        self.was_away = inputs.store_away;
+        let mut steps = if self.confirmed {
+            self.orders(inputs)
+        } else {
+            Vec::new()
+        };
+        if self.writing.is_none() && !inputs.store_away && inputs.now >= self.next_plan {
+            self.next_plan = inputs.now + self.cfg.plan_interval;
+            steps.extend(self.plan(inputs));
+        }
+        steps
+    }
+
+    /// Makes all grants due: the next renewal is to hold for longer.
+    fn renew_all(&mut self, now: Time) {
+        for row in self.rows.values_mut() {
+            row.due = row.due.min(now);
+        }
+    }
+
+    fn orders(&mut self, inputs: &Inputs<'_>) -> Vec<Step> {
+        let hold = if inputs.store_away {
+            self.cfg.long_hold
+        } else {
+            self.cfg.hold
+        };
+        let mut steps = Vec::new();
+        for row in self.rows.values_mut() {
+            let before = row.is_moving();
+            let order = row.order(inputs, &self.cfg, hold, self.next_order);
+            if before != row.is_moving() {
+                self.changes += 1;
+            }
+            if let Some(order) = order {
+                self.next_order = self.next_order.next();
+                steps.push(Step::Order(order));
+            }
+        }
+        steps
+    }
+
+    fn plan(&mut self, inputs: &Inputs<'_>) -> Option<Step> {
+        let rewrite = !self.confirmed;
+        let record = plan::next_record(&self.record, &self.rows, inputs, rewrite)?;
+        self.writing = Some(record.clone());
+        Some(Step::Write {
+            expected: self.version,
+            record,
+        })
+    }
+
+    /// Takes in that the record of the last [`Step::Write`] is stored.
+    pub fn written(&mut self, version: Version, now: Time) {
+        let Some(record) = self.writing.take() else {
+            return;
+        };
+        let old = std::mem::take(&mut self.rows);
+        for span in &record.spans {
+            let row = row::carry_over(&old, span, now, &self.cfg);
+            self.rows.insert(span.range, row);
+        }
+        self.record = record;
+        self.version = version;
+        self.confirmed = true;
+        self.changes += 1;
+    }
+
+    /// Takes in that the record could not be stored and never will be.
+    pub fn not_written(&mut self) {
+        self.writing = None;
+    }
+
+    /// Returns whether no span is changing hands and nothing is being written, so that another
+    /// granter could go on without a wait.
+    #[must_use]
+    pub fn is_settled(&self) -> bool {
+        let recorded = self.record.spans.iter().any(|span| span.former.is_some());
+        self.writing.is_none() && !recorded && !self.rows.values().any(Row::is_moving)
+    }
+
+    /// Takes in the end of an order.
+    pub fn ended(&mut self, id: OrderId, result: &OrderResult, now: Time) {
+        for row in self.rows.values_mut() {
+            if row.in_flight.as_ref().is_some_and(|order| order.id == id) {
+                let before = row.is_moving();
+                row.ended(result, now, &self.cfg);
+                if before != row.is_moving() {
+                    self.changes += 1;
+                }
+            }
+        }
+    }
+
+    /// Returns whether a server is needed by any span, as holder or former holder.
+    #[must_use]
+    pub fn uses(&self, server: &Server) -> bool {
+        self.rows
+            .values()
+            .any(|row| row.span.holder.server == server.id && row.span.holder.born == server.born)
+    }
+}
--- /dev/null
+++ b/crates/carawayrill-core/src/direct/granter/plan.rs
@@ -0,0 +1,199 @@
+//! Computes the next record: holders that have to be replaced, then keys that move for balance.
+
+use std::collections::BTreeMap;
+
+use crate::direct::granter::Inputs;
+use crate::direct::granter::row::Row;
+use crate::direct::keys::KeyRange;
+use crate::direct::rebalance;
+use crate::direct::rebalance::Move;
+use crate::direct::rebalance::Piece;
+use crate::direct::servers::Server;
+use crate::direct::spans::Former;
+use crate::direct::spans::Holder;
+use crate::direct::spans::Span;
+use crate::direct::spans::SpanRecord;
+use crate::id::ServerId;
+
+/// Returns the record to write next, or `None` if the stored one still fits.
+///
+/// With `rewrite`, a record is returned even if nothing else changes.
+pub(super) fn next_record(
+    stored: &SpanRecord,
+    rows: &BTreeMap<KeyRange, Row>,
+    inputs: &Inputs<'_>,
+    rewrite: bool,
+) -> Option<SpanRecord> {
+    if stored.spans.is_empty() {
+        return first_record(stored, inputs);
+    }
+    let mut moves = replacements(rows, inputs);
+    if inputs.settling {
+        moves.clear();
+    } else if moves.is_empty() && !rewrite {
+        let pieces = pieces(rows, inputs);
+        moves = rebalance::balance(&pieces, inputs.demand, inputs.capacities);
+    }
+    let settled = stored
+        .spans
+        .iter()
+        .any(|span| span.former.is_some() && is_settled(rows, span.range));
+    if moves.is_empty() && !settled && !rewrite {
+        return None;
+    }
+    let mut record = SpanRecord {
+        edition: stored.edition + 1,
+        next_fence: stored.next_fence,
+        spans: Vec::new(),
+    };
+    for row in rows.values() {
+        apply(&mut record, row, &moves, inputs);
+    }
+    Some(record)
+}
+
+fn is_settled(rows: &BTreeMap<KeyRange, Row>, range: KeyRange) -> bool {
+    rows.get(&range)
+        .is_some_and(|row| row.span.former.is_none() && !row.is_moving())
+}
+
+fn holder(server: &Server) -> Holder {
+    Holder {
+        server: server.id.clone(),
+        born: server.born,
+        address: server.address,
+    }
+}
+
+/// Spreads all keys over the ready servers, by their capacity.
+fn first_record(stored: &SpanRecord, inputs: &Inputs<'_>) -> Option<SpanRecord> {
+    let servers = usable(inputs);
+    if servers.is_empty() {
+        return None;
+    }
+    let mut record = SpanRecord {
+        edition: stored.edition + 1,
+        next_fence: stored.next_fence,
+        spans: Vec::new(),
+    };
+    let weights: Vec<f64> = servers
+        .iter()
+        .map(|server| inputs.capacities.of(&server.id))
+        .collect();
+    for (range, server) in rebalance::spread(&weights).into_iter().zip(&servers) {
+        let fence = record.take_fence();
+        record.spans.push(Span {
+            range,
+            holder: holder(server),
+            fence,
+            handover: None,
+            former: None,
+        });
+    }
+    Some(record)
+}
+
+/// Returns the servers that may be given keys.
+fn usable<'a>(inputs: &Inputs<'a>) -> Vec<&'a Server> {
+    inputs
+        .servers
+        .iter()
+        .filter(|server| !server.draining && inputs.capacities.has(&server.id))
+        .collect()
+}
+
+/// Returns whether the holder of a row has to be replaced.
+fn must_leave(row: &Row, inputs: &Inputs<'_>) -> bool {
+    let holder = &row.span.holder;
+    match inputs.servers.get(&holder.server) {
+        None => true,
+        Some(server) => server.draining || server.born != holder.born || row.is_lost(),
+    }
+}
+
+/// Returns new holders for all rows whose holder has to be replaced.
+fn replacements(rows: &BTreeMap<KeyRange, Row>, inputs: &Inputs<'_>) -> Vec<Move> {
+    let lost: Vec<ServerId> = rows
+        .values()
+        .filter(|row| row.is_lost())
+        .map(|row| row.span.holder.server.clone())
+        .collect();
+    let targets: Vec<ServerId> = usable(inputs)
+        .into_iter()
+        .map(|server| server.id.clone())
+        .filter(|id| !lost.contains(id))
+        .collect();
+    let leaving: Vec<KeyRange> = rows
+        .values()
+        .filter(|row| must_leave(row, inputs) && row.is_replaceable())
+        .map(|row| row.span.range)
+        .collect();
+    if leaving.is_empty() || targets.is_empty() {
+        return Vec::new();
+    }
+    let pieces = pieces(rows, inputs);
+    rebalance::replace(
+        &leaving,
+        &pieces,
+        &targets,
+        inputs.demand,
+        inputs.capacities,
+    )
+}
+
+fn pieces(rows: &BTreeMap<KeyRange, Row>, inputs: &Inputs<'_>) -> Vec<Piece> {
+    rows.values()
+        .map(|row| Piece {
+            range: row.span.range,
+            server: row.span.holder.server.clone(),
+            movable: row.is_calm() && !must_leave(row, inputs),
+        })
+        .collect()
+}
+
+/// Adds the spans that become of one row.
+fn apply(record: &mut SpanRecord, row: &Row, moves: &[Move], inputs: &Inputs<'_>) {
+    let mut own: Vec<&Move> = moves
+        .iter()
+        .filter(|planned| row.span.range.contains(planned.range.first))
+        .collect();
+    own.sort_by_key(|planned| planned.range.first);
+    let mut next = Some(row.span.range.first);
+    for planned in own {
+        let Some(server) = inputs.servers.get(&planned.to) else {
+            continue;
+        };
+        if let Some(first) = next.filter(|first| *first < planned.range.first) {
+            keep(record, row, first, planned.range.first - 1);
+        }
+        record_move(record, row, planned.range, holder(server));
+        next = planned.range.last.checked_add(1);
+    }
+    if let Some(first) = next.filter(|first| *first <= row.span.range.last) {
+        keep(record, row, first, row.span.range.last);
+    }
+}
+
+fn keep(record: &mut SpanRecord, row: &Row, first: u16, last: u16) {
+    record.spans.push(Span {
+        range: KeyRange { first, last },
+        ..row.span.clone()
+    });
+}
+
+fn record_move(record: &mut SpanRecord, row: &Row, range: KeyRange, to: Holder) {
+    // The holder that a recorded move has not reached yet never held the keys.
+    let former = row.span.former.clone().unwrap_or_else(|| Former {
+        holder: row.span.holder.clone(),
+        fence: row.span.fence,
+        settle: record.take_fence(),
+    });
+    let fence = record.take_fence();
+    record.spans.push(Span {
+        range,
+        holder: to,
+        fence,
+        handover: None,
+        former: Some(former),
+    });
+}
--- /dev/null
+++ b/crates/carawayrill-core/src/direct/granter/row.rs
@@ -0,0 +1,379 @@
+//! The state of one span: which order is due, and until when grants may run.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::direct::granter::Command;
+use crate::direct::granter::Config;
+use crate::direct::granter::Inputs;
+use crate::direct::granter::OrderId;
+use crate::direct::granter::OrderResult;
+use crate::direct::granter::SpanOrder;
+use crate::direct::keys::Fence;
+use crate::direct::keys::Handover;
+use crate::direct::keys::KeyRange;
+use crate::direct::servers::Servers;
+use crate::direct::spans::Former;
+use crate::direct::spans::Holder;
+use crate::direct::spans::Span;
+use crate::time::Time;
+
+/// The wait before an order that failed is sent again.
+const RETRY_WAIT: Duration = Duration::from_millis(150);
+/// Renewals that fail in a row before a holder counts as lost.
+const LOST_AFTER_FAILURES: u32 = 3;
+
+/// An order that was sent and has not ended.
+#[derive(Debug, Clone)]
+pub(super) struct InFlight {
+    pub(super) id: OrderId,
+    kind: Kind,
+    hold: Duration,
+    /// Until when grants of the asked server could run before this order.
+    until_before: Time,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Kind {
+    Grant,
+    Settle,
+    Release,
+}
+
+/// One span with what is known of its grants.
+#[derive(Debug, Clone)]
+pub(super) struct Row {
+    pub(super) span: Span,
+    pub(super) in_flight: Option<InFlight>,
+    /// When the next order is due.
+    pub(super) due: Time,
+    /// Until when a grant of the holder may run.
+    hold_until: Time,
+    /// Until when a grant of the former holder may run.
+    former_until: Time,
+    /// Until when an unanswered order to the holder may still take effect.
+    unsettled_until: Time,
+    /// The same for the former holder.
+    former_unsettled_until: Time,
+    /// Whether the former holder has acknowledged the grant that fences out late orders.
+    former_settled: bool,
+    /// Whether another granter recorded the former holder: how far it got is not known.
+    inherited: bool,
+    /// Whether the holder has acknowledged a grant of this span.
+    granted: bool,
+    /// Orders that failed in a row.
+    failures: u32,
+}
+
+impl Row {
+    /// Makes the row of a span that another granter may have granted.
+    pub(super) fn inherited(span: Span, now: Time, cfg: &Config) -> Self {
+        let until = now + cfg.longest(cfg.long_hold);
+        Self {
+            span,
+            in_flight: None,
+            due: now,
+            hold_until: until,
+            former_until: until,
+            unsettled_until: until,
+            former_unsettled_until: until,
+            former_settled: false,
+            inherited: true,
+            granted: true,
+            failures: 0,
+        }
+    }
+
+    /// Makes the row of a span that was never granted.
+    fn fresh(span: Span, now: Time) -> Self {
+        Self {
+            span,
+            in_flight: None,
+            due: now,
+            hold_until: now,
+            former_until: now,
+            unsettled_until: now,
+            former_unsettled_until: now,
+            former_settled: false,
+            inherited: false,
+            granted: false,
+            failures: 0,
+        }
+    }
+
+    /// Returns whether requests for the span have to wait.
+    pub(super) fn is_moving(&self) -> bool {
+        self.span.former.is_some() || !self.granted
+    }
+
+    /// Returns the span as fronts should use it.
+    pub(super) fn shown(&self) -> Span {
+        let mut span = self.span.clone();
+        if span.former.is_none() && !self.granted {
+            // Not granted yet: fronts treat it like a span whose former holder is not settled.
+            span.former = Some(Former {
+                holder: span.holder.clone(),
+                fence: span.fence,
+                settle: span.fence,
+            });
+        }
+        span
+    }
+
+    /// Returns whether the holder does not answer orders.
+    pub(super) fn is_lost(&self) -> bool {
+        self.failures >= LOST_AFTER_FAILURES
+    }
+
+    /// Returns whether the row may be moved by choice: nothing about it is open.
+    pub(super) fn is_calm(&self) -> bool {
+        !self.is_moving() && self.failures == 0
+    }
+
+    /// Returns whether the holder may be replaced by another one.
+    ///
+    /// While a former holder is recorded, the present one may be replaced only if it was never
+    /// asked to take the span, which is not known of an inherited row.
+    pub(super) fn is_replaceable(&self) -> bool {
+        self.span.former.is_none() || !self.inherited
+    }
+
+    /// Returns the order that is due, if any.
+    pub(super) fn order(
+        &mut self,
+        inputs: &Inputs<'_>,
+        cfg: &Config,
+        hold: Duration,
+        id: OrderId,
+    ) -> Option<SpanOrder> {
+        if self.in_flight.is_some() || inputs.now < self.due {
+            return None;
+        }
+        let Some(former) = self.span.former.clone() else {
+            return self.grant_holder(inputs, cfg, hold, id);
+        };
+        if is_over(&former.holder, inputs.servers) || inputs.now >= self.former_until {
+            self.forget_former();
+            return self.grant_holder(inputs, cfg, hold, id);
+        }
+        if self.inherited {
+            // The holder may have been granted the span already, so that the former one must not
+            // be granted anything. Its grants end by themselves.
+            self.due = self.former_until;
+            return None;
+        }
+        Some(self.free_former(&former, inputs.now, cfg, id))
+    }
+
+    fn forget_former(&mut self) {
+        self.span.former = None;
+        if self.inherited {
+            self.inherited = false;
+            self.granted = false;
+        }
+    }
+
+    /// Grants the span to its holder, unless that life of the server is over.
+    ///
+    /// A holder that does not answer is asked again and again: it is the recorded one, so that a
+    /// grant can do no harm.
+    fn grant_holder(
+        &mut self,
+        inputs: &Inputs<'_>,
+        cfg: &Config,
+        hold: Duration,
+        id: OrderId,
+    ) -> Option<SpanOrder> {
+        if is_over(&self.span.holder, inputs.servers) {
+            return None;
+        }
+        let handover = if self.granted {
+            None
+        } else {
+            self.span.handover.clone()
+        };
+        let fence = self.span.fence;
+        let to = self.span.holder.clone();
+        let before = self.hold_until;
+        self.hold_until = before.max(inputs.now + cfg.longest(hold));
+        let order = InFlight {
+            id,
+            kind: Kind::Grant,
+            hold,
+            until_before: before,
+        };
+        Some(self.send(order, to, fence, handover, cfg))
+    }
+
+    /// Asks the former holder to let go, after a grant that makes it refuse late orders.
+    fn free_former(&mut self, former: &Former, now: Time, cfg: &Config, id: OrderId) -> SpanOrder {
+        let to = former.holder.clone();
+        let before = self.former_until;
+        if now >= self.former_unsettled_until {
+            let fence = if self.former_settled {
+                former.settle
+            } else {
+                former.fence
+            };
+            let order = InFlight {
+                id,
+                kind: Kind::Release,
+                hold: Duration::ZERO,
+                until_before: before,
+            };
+            return self.send(order, to, fence, None, cfg);
+        }
+        self.former_until = before.max(now + cfg.longest(cfg.hold));
+        let order = InFlight {
+            id,
+            kind: Kind::Settle,
+            hold: cfg.hold,
+            until_before: before,
+        };
+        self.send(order, to, former.settle, None, cfg)
+    }
+
+    fn send(
+        &mut self,
+        order: InFlight,
+        to: Holder,
+        fence: Fence,
+        handover: Option<Handover>,
+        cfg: &Config,
+    ) -> SpanOrder {
+        let hold = order.hold;
+        let (command, timeout) = match order.kind {
+            Kind::Grant | Kind::Settle => (Command::Grant { hold, handover }, cfg.grant_timeout),
+            Kind::Release => (Command::Release, cfg.release_timeout),
+        };
+        let sent = SpanOrder {
+            id: order.id,
+            to,
+            range: self.span.range,
+            fence,
+            command,
+            timeout,
+        };
+        self.in_flight = Some(order);
+        sent
+    }
+
+    /// Takes in the end of the order in flight.
+    pub(super) fn ended(&mut self, result: &OrderResult, now: Time, cfg: &Config) {
+        let Some(order) = self.in_flight.take() else {
+            return;
+        };
+        let failed = matches!(result, OrderResult::NotSent | OrderResult::Unknown);
+        self.failures = if failed { self.failures + 1 } else { 0 };
+        match result {
+            OrderResult::Unknown => self.note_unsettled(&order, now, cfg),
+            OrderResult::NotSent => self.note_not_sent(&order),
+            OrderResult::Done(_) | OrderResult::Fenced => {}
+        }
+        self.due = if failed { now + RETRY_WAIT } else { now };
+        match (order.kind, result) {
+            (Kind::Grant, OrderResult::Done(_)) => self.granted(now, cfg, order.hold),
+            (Kind::Grant, OrderResult::Fenced) => self.failures = LOST_AFTER_FAILURES,
+            (Kind::Settle, OrderResult::Done(_) | OrderResult::Fenced) => {
+                self.former_unsettled_until = now;
+                self.former_settled = true;
+            }
+            (Kind::Release, OrderResult::Done(handover)) => {
+                self.span.former = None;
+                self.span.handover.clone_from(handover);
+            }
+            (Kind::Release, OrderResult::Fenced)
+            | (_, OrderResult::NotSent | OrderResult::Unknown) => {}
+        }
+    }
+
+    fn granted(&mut self, now: Time, cfg: &Config, hold: Duration) {
+        self.granted = true;
+        self.hold_until = self.hold_until.max(now + cfg.longest(hold));
+        self.due = now + cfg.renewal;
+    }
+
+    /// Takes back the time that was added for a grant that never left.
+    fn note_not_sent(&mut self, order: &InFlight) {
+        match order.kind {
+            Kind::Grant => self.hold_until = order.until_before,
+            Kind::Settle => self.former_until = order.until_before,
+            Kind::Release => {}
+        }
+    }
+
+    /// Notes that the order may take effect at any time until its hold would have run out. Its
+    /// time counts from its arrival, which lies before the end of the call.
+    fn note_unsettled(&mut self, order: &InFlight, now: Time, cfg: &Config) {
+        let until = now + cfg.longest(order.hold);
+        match order.kind {
+            Kind::Grant => {
+                self.unsettled_until = self.unsettled_until.max(until);
+                self.hold_until = self.hold_until.max(until);
+            }
+            Kind::Settle => {
+                self.former_unsettled_until = self.former_unsettled_until.max(until);
+                self.former_until = self.former_until.max(until);
+            }
+            Kind::Release => {}
+        }
+    }
+}
+
+/// Returns whether this life of the server has ended: it is listed with another one.
+fn is_over(holder: &Holder, servers: &Servers) -> bool {
+    servers
+        .get(&holder.server)
+        .is_some_and(|server| server.born != holder.born)
+}
+
+/// Makes the row of a stored span out of the rows before that record.
+pub(super) fn carry_over(
+    old: &BTreeMap<KeyRange, Row>,
+    span: &Span,
+    now: Time,
+    cfg: &Config,
+) -> Row {
+    let parents: Vec<&Row> = old
+        .values()
+        .filter(|row| overlaps(row.span.range, span.range))
+        .collect();
+    let Some(first) = parents.first() else {
+        return Row::fresh(span.clone(), now);
+    };
+    let same = first.span.fence == span.fence && first.span.holder == span.holder;
+    if same {
+        return Row {
+            span: Span {
+                former: first.span.former.clone(),
+                handover: first.span.handover.clone(),
+                ..span.clone()
+            },
+            ..(*first).clone()
+        };
+    }
+    if first.span.former.is_some() && span.former == first.span.former {
+        // Only the holder that was never asked is replaced.
+        return Row {
+            former_until: first.former_until,
+            former_unsettled_until: first.former_unsettled_until,
+            former_settled: first.former_settled,
+            ..Row::fresh(span.clone(), now)
+        };
+    }
+    let latest = |f: fn(&Row) -> Time| parents.iter().map(|row| f(row)).max().unwrap_or(now);
+    let open = if parents.iter().any(|row| row.in_flight.is_some()) {
+        now + cfg.longest(cfg.long_hold)
+    } else {
+        now
+    };
+    Row {
+        former_until: latest(|row| row.hold_until).max(open),
+        former_unsettled_until: latest(|row| row.unsettled_until).max(open),
+        ..Row::fresh(span.clone(), now)
+    }
+}
+
+fn overlaps(one: KeyRange, other: KeyRange) -> bool {
+    one.first <= other.last && other.first <= one.last
+}
--- /dev/null
+++ b/crates/carawayrill-core/src/direct/keys.rs
@@ -0,0 +1,75 @@
+//! Keys and ranges of keys.
+
+use std::fmt;
+
+use crate::counter;
+use crate::data;
+use crate::small_data;
+
+/// The number of keys of a keyed service.
+pub const KEY_COUNT: usize = 1 << 16;
+
+counter! {
+    /// The fencing token of a grant: a server refuses grants below the highest that it has seen.
+    Fence;
+    /// The start of a server's life, in milliseconds of its own wall clock. It tells lives with the
+    /// same id apart and is compared with nothing else.
+    Born;
+}
+
+data! {
+    /// What the last holder of keys hands to the next, so that the next is warm.
+    #[serde(transparent)]
+    pub struct Handover {
+        /// The token, as the server wrote it.
+        pub token: compact_str::CompactString,
+    }
+}
+
+small_data! {
+    /// A range of keys, both ends included.
+    pub struct KeyRange {
+        /// The first key.
+        pub first: u16,
+        /// The last key.
+        pub last: u16,
+    }
+}
+
+impl KeyRange {
+    /// All keys.
+    pub const ALL: Self = Self {
+        first: 0,
+        last: u16::MAX,
+    };
+
+    /// Returns whether `key` lies in the range.
+    #[must_use]
+    pub fn contains(self, key: u16) -> bool {
+        self.first <= key && key <= self.last
+    }
+
+    /// Returns the number of keys.
+    #[must_use]
+    pub fn len(self) -> usize {
+        usize::from(self.last) - usize::from(self.first) + 1
+    }
+
+    /// Returns whether the range has no key; it always has one.
+    #[must_use]
+    pub fn is_empty(self) -> bool {
+        false
+    }
+
+    /// Returns the range as indices.
+    #[must_use]
+    pub fn indices(self) -> std::ops::RangeInclusive<usize> {
+        usize::from(self.first)..=usize::from(self.last)
+    }
+}
+
+impl fmt::Display for KeyRange {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}-{}", self.first, self.last)
+    }
+}
--- /dev/null
+++ b/crates/carawayrill-core/src/direct/load.rs
@@ -0,0 +1,215 @@
+//! What a front believes of one server: how busy it is, how fast, and how often it fails.
+//!
+//! Load answered: servers of different speed that many fronts use at once without seeing each
+//! other. Everything is learned from answers; there are no probes.
+
+use std::time::Duration;
+
+use crate::time::Time;
+use crate::time::millis;
+
+/// The service time that is assumed of a server before any was measured, in milliseconds.
+const DEFAULT_SERVICE_MS: f64 = 100.0;
+/// The weight of a new measurement in the mean service time.
+const SERVICE_GAIN: f64 = 0.15;
+/// The weight of a new answer in the failure rate.
+const FAILURE_GAIN: f64 = 0.1;
+/// The time after which a failure rate has halved without any answer, in milliseconds.
+const FAILURE_HALF_LIFE_MS: f64 = 3_000.0;
+/// The time after which a load report counts half, in milliseconds.
+const REPORT_HALF_LIFE_MS: f64 = 400.0;
+/// The weight of a new report in the mean load by others.
+const OTHERS_GAIN: f64 = 0.2;
+/// How much slower a server is while it is cold.
+const COLD_FACTOR: f64 = 1.7;
+/// What each unit of failure rate adds to the expected answer time, in milliseconds.
+const FAILURE_COST_MS: f64 = 600.0;
+/// The longest pause after failures in a row.
+const MAX_PAUSE: Duration = Duration::from_secs(2);
+/// The shortest pause after a failure to connect or a shed request.
+const MIN_PAUSE: Duration = Duration::from_millis(60);
+
+/// A server's own report of its load.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LoadReport {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Requests that it can run at a time.
+    pub slots: u32,
+}
+
+/// How a request ended at a server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ended {
+    /// Answered with a success.
+    Served,
+    /// Answered with a failure, or the answer was lost or broken.
+    Failed,
+    /// The server said that it did not run the request for lack of room.
+    Shed,
+    /// No connection could be opened.
+    Unreachable,
+    /// It ended without telling anything of the server.
+    Unknown,
+}
+
+/// The load of one server, as seen from one front.
+#[derive(Debug, Clone)]
+pub struct ServerLoad {
+    slots: u32,
+    in_flight: u32,
+    others: f64,
+    others_mean: f64,
+    reported: Option<Time>,
+    service_ms: f64,
+    measured: bool,
+    failure: f64,
+    failure_at: Time,
+    failures_in_row: u32,
+    paused_until: Time,
+    cold_until: Time,
+}
+
+impl ServerLoad {
+    /// Makes the row of a server that was listed at `now`.
+    #[must_use]
+    pub fn new(slots: u32, cold_for: Duration, service_ms: Option<f64>, now: Time) -> Self {
+        Self {
+            slots: slots.max(1),
+            in_flight: 0,
+            others: 0.0,
+            others_mean: 0.0,
+            reported: None,
+            service_ms: service_ms.unwrap_or(DEFAULT_SERVICE_MS),
+            measured: false,
+            failure: 0.0,
+            failure_at: now,
+            failures_in_row: 0,
+            paused_until: Time::default(),
+            cold_until: now + cold_for,
+        }
+    }
+
+    /// Returns the requests of this front that are at the server.
+    #[must_use]
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight
+    }
+
+    /// Returns the mean service time, once it was measured.
+    #[must_use]
+    pub fn service_ms(&self) -> Option<f64> {
+        self.measured.then_some(self.service_ms)
+    }
+
+    /// Returns the requests that the server runs at a time.
+    #[must_use]
+    pub fn slots(&self) -> u32 {
+        self.slots
+    }
+
+    /// Returns until when the server is left alone after failures.
+    #[must_use]
+    pub fn paused_until(&self) -> Time {
+        self.paused_until
+    }
+
+    /// Returns how many requests are expected to be at the server.
+    #[must_use]
+    pub fn expected_total(&self, now: Time) -> f64 {
+        let Some(at) = self.reported else {
+            return f64::from(self.in_flight);
+        };
+        let age_ms = millis(now.since(at)) as f64;
+        let fresh = (-age_ms / REPORT_HALF_LIFE_MS).exp2();
+        let others = self.others * fresh + self.others_mean * (1.0 - fresh);
+        f64::from(self.in_flight) + others
+    }
+
+    /// Returns the time within which a further request is expected to be answered, in
+    /// milliseconds, without the way there.
+    #[must_use]
+    pub fn answer_ms(&self, now: Time) -> f64 {
+        let ahead = self.expected_total(now) + 1.0;
+        let turns = (ahead / f64::from(self.slots)).max(1.0);
+        let cold = if now < self.cold_until {
+            COLD_FACTOR
+        } else {
+            1.0
+        };
+        self.service_ms * cold * turns
+    }
+
+    /// Returns what the server's failures add to its cost, in milliseconds.
+    #[must_use]
+    pub fn failure_cost_ms(&self, now: Time) -> f64 {
+        self.failure_rate(now) * FAILURE_COST_MS
+    }
+
+    /// Returns the share of requests that failed of late.
+    #[must_use]
+    pub fn failure_rate(&self, now: Time) -> f64 {
+        let age_ms = millis(now.since(self.failure_at)) as f64;
+        self.failure * (-age_ms / FAILURE_HALF_LIFE_MS).exp2()
+    }
+
+    /// Notes that a request is about to be sent.
+    pub fn sent(&mut self) {
+        self.in_flight += 1;
+    }
+
+    /// Notes the end of a request that was sent when `total_at_send` requests were expected there.
+    pub fn ended(&mut self, now: Time, how: Ended, took: Duration, total_at_send: f64) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        match how {
+            Ended::Served => {
+                self.measure(took, total_at_send);
+                self.outcome(now, 0.0);
+                self.failures_in_row = 0;
+            }
+            Ended::Failed => self.outcome(now, 1.0),
+            Ended::Shed | Ended::Unreachable => {
+                self.outcome(now, 1.0);
+                self.pause(now);
+            }
+            Ended::Unknown => {}
+        }
+    }
+
+    /// Takes in a server's own report, which came with an answer.
+    pub fn report(&mut self, now: Time, report: LoadReport) {
+        if report.slots > 0 {
+            self.slots = report.slots;
+        }
+        let total = f64::from(report.running + report.waiting);
+        self.others = (total - f64::from(self.in_flight)).max(0.0);
+        self.others_mean += (self.others - self.others_mean) * OTHERS_GAIN;
+        self.reported = Some(now);
+    }
+
+    fn measure(&mut self, took: Duration, total_at_send: f64) {
+        let turns = ((total_at_send + 1.0) / f64::from(self.slots)).max(1.0);
+        let service = millis(took) as f64 / turns;
+        if self.measured {
+            self.service_ms += (service - self.service_ms) * SERVICE_GAIN;
+        } else {
+            self.service_ms = service;
+            self.measured = true;
+        }
+    }
+
+    fn outcome(&mut self, now: Time, failed: f64) {
+        let rate = self.failure_rate(now);
+        self.failure = rate + (failed - rate) * FAILURE_GAIN;
+        self.failure_at = now;
+    }
+
+    fn pause(&mut self, now: Time) {
+        let doublings = self.failures_in_row.min(5);
+        let span = (MIN_PAUSE * 2_u32.pow(doublings)).min(MAX_PAUSE);
+        self.failures_in_row += 1;
+        self.paused_until = now + span;
+    }
+}
--- /dev/null
+++ b/crates/carawayrill-core/src/direct/rebalance.rs
@@ -0,0 +1,302 @@
+//! Which keys move where, so that no server is asked for much more than its share.
+//!
+//! Load answered: few keys with much of the demand, close to one another and changing within
+//! seconds, on servers of different speed. Keys are cut as finely as needed; few are moved at a
+//! time, and only where the gain is clear.
+
+use std::collections::BTreeMap;
+
+use crate::direct::demand::KeyDemand;
+use crate::direct::keys::KEY_COUNT;
+use crate::direct::keys::KeyRange;
+use crate::id::ServerId;
+
+/// How far above the mean a server's utilisation has to be before keys leave it.
+const EXCESS_FACTOR: f64 = 1.25;
+/// The utilisation below which a server is left alone, however uneven the rest is.
+const QUIET_UTILISATION: f64 = 0.25;
+/// The most moves of one plan.
+const MAX_MOVES: usize = 6;
+/// The share of the gap between two servers that one move may close.
+const GAP_SHARE: f64 = 0.9;
+
+/// What each server of a service can serve, in requests a second.
+#[derive(Debug, Clone, Default)]
+pub struct Capacities {
+    rates: BTreeMap<ServerId, f64>,
+}
+
+impl Capacities {
+    /// Sets the rate of a server.
+    pub fn set(&mut self, server: ServerId, rate: f64) {
+        self.rates.insert(server, rate.max(f64::MIN_POSITIVE));
+    }
+
+    /// Returns whether the server is known.
+    #[must_use]
+    pub fn has(&self, server: &ServerId) -> bool {
+        self.rates.contains_key(server)
+    }
+
+    /// Returns the rate of a server; a tiny one if it is not known.
+    #[must_use]
+    pub fn of(&self, server: &ServerId) -> f64 {
+        self.rates.get(server).copied().unwrap_or(f64::MIN_POSITIVE)
+    }
+
+    fn total(&self) -> f64 {
+        self.rates.values().sum()
+    }
+}
+
+/// A span as the balance sees it.
+#[derive(Debug, Clone)]
+pub struct Piece {
+    /// Its keys.
+    pub range: KeyRange,
+    /// Its holder.
+    pub server: ServerId,
+    /// Whether keys of it may be moved now.
+    pub movable: bool,
+}
+
+/// Keys that change hands.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Move {
+    /// The keys; always within one piece.
+    pub range: KeyRange,
+    /// The new holder.
+    pub to: ServerId,
+}
+
+/// Cuts all keys into consecutive ranges with the given weights.
+#[must_use]
+pub fn spread(weights: &[f64]) -> Vec<KeyRange> {
+    let total: f64 = weights.iter().sum();
+    let mut sum = 0.0;
+    let mut first = 0_usize;
+    let mut ranges = Vec::with_capacity(weights.len());
+    for (at, weight) in weights.iter().enumerate() {
+        sum += weight;
+        let end = if at + 1 == weights.len() {
+            KEY_COUNT
+        } else {
+            // Each range has at least one key, and leaves one for each that follows.
+            let share = (KEY_COUNT as f64 * sum / total) as usize;
+            share.clamp(first + 1, KEY_COUNT - (weights.len() - at - 1))
+        };
+        ranges.push(range_of(first, end - 1));
+        first = end;
+    }
+    ranges
+}
+
+fn range_of(first: usize, last: usize) -> KeyRange {
+    KeyRange {
+        first: u16::try_from(first).unwrap_or(u16::MAX),
+        last: u16::try_from(last).unwrap_or(u16::MAX),
+    }
+}
+
+/// The load of each server while moves are planned.
+struct Loads<'a> {
+    rates: BTreeMap<ServerId, f64>,
+    capacities: &'a Capacities,
+}
+
+impl<'a> Loads<'a> {
+    fn new(pieces: &[Piece], demand: &KeyDemand, capacities: &'a Capacities) -> Self {
+        let mut rates: BTreeMap<ServerId, f64> = capacities
+            .rates
+            .keys()
+            .map(|server| (server.clone(), 0.0))
+            .collect();
+        for piece in pieces {
+            if let Some(rate) = rates.get_mut(&piece.server) {
+                *rate += demand.range(piece.range);
+            }
+        }
+        Self { rates, capacities }
+    }
+
+    fn utilisation(&self, server: &ServerId) -> f64 {
+        self.rates.get(server).copied().unwrap_or(0.0) / self.capacities.of(server)
+    }
+
+    fn shift(&mut self, from: &ServerId, to: &ServerId, rate: f64) {
+        if let Some(load) = self.rates.get_mut(from) {
+            *load -= rate;
+        }
+        if let Some(load) = self.rates.get_mut(to) {
+            *load += rate;
+        }
+    }
+
+    fn least_used(&self, among: impl Iterator<Item = ServerId>) -> Option<ServerId> {
+        among
+            .map(|server| (self.utilisation(&server), server))
+            .min_by(|one, other| one.0.total_cmp(&other.0))
+            .map(|(_, server)| server)
+    }
+}
+
+/// Finds new holders for ranges whose holder leaves.
+///
+/// A range with more demand than the least used server can take is cut into parts.
+#[must_use]
+pub fn replace(
+    leaving: &[KeyRange],
+    pieces: &[Piece],
+    targets: &[ServerId],
+    demand: &KeyDemand,
+    capacities: &Capacities,
+) -> Vec<Move> {
+    let mut loads = Loads::new(pieces, demand, capacities);
+    let staying: f64 = targets.iter().map(|server| capacities.of(server)).sum();
+    let offered = demand.range(KeyRange::ALL);
+    let mean = offered / staying.max(f64::MIN_POSITIVE);
+    let mut moves = Vec::new();
+    for range in leaving {
+        let mut first = usize::from(range.first);
+        let last = usize::from(range.last);
+        while first <= last {
+            let Some(to) = loads.least_used(targets.iter().cloned()) else {
+                return moves;
+            };
+            let room = (mean - loads.utilisation(&to)).max(0.1 * mean) * capacities.of(&to);
+            let (end, rate) = take_front(demand, first, last, room);
+            loads.shift(&to, &to, 0.0);
+            if let Some(load) = loads.rates.get_mut(&to) {
+                *load += rate;
+            }
+            moves.push(Move {
+                range: range_of(first, end),
+                to,
+            });
+            first = end + 1;
+        }
+    }
+    moves
+}
+
+/// Takes keys from `first` on until they have `wanted` demand; returns the last and their demand.
+fn take_front(demand: &KeyDemand, first: usize, last: usize, wanted: f64) -> (usize, f64) {
+    let mut rate = 0.0;
+    for key in first..=last {
+        rate += demand.rate(key);
+        if rate > 0.0 && rate >= wanted {
+            return (key, rate);
+        }
+    }
+    (last, rate)
+}
+
+/// Finds keys to move from servers that are asked for too much to those with room.
+#[must_use]
+pub fn balance(pieces: &[Piece], demand: &KeyDemand, capacities: &Capacities) -> Vec<Move> {
+    let mut loads = Loads::new(pieces, demand, capacities);
+    let mean = demand.range(KeyRange::ALL) / capacities.total().max(f64::MIN_POSITIVE);
+    let mut free: Vec<Piece> = pieces
+        .iter()
+        .filter(|piece| piece.movable)
+        .cloned()
+        .collect();
+    let mut moves: Vec<Move> = Vec::new();
+    while moves.len() < MAX_MOVES {
+        let Some(planned) = next_move(&free, &loads, demand, mean) else {
+            break;
+        };
+        let at = free
+            .iter()
+            .position(|piece| piece.range.contains(planned.range.first));
+        let Some(piece) = at.map(|at| free.swap_remove(at)) else {
+            break;
+        };
+        loads.shift(&piece.server, &planned.to, demand.range(planned.range));
+        moves.push(planned);
+    }
+    moves
+}
+
+/// Plans one move from the most used server that can give to the least used one.
+fn next_move(free: &[Piece], loads: &Loads<'_>, demand: &KeyDemand, mean: f64) -> Option<Move> {
+    let to = loads.least_used(loads.rates.keys().cloned())?;
+    let to_use = loads.utilisation(&to);
+    let mut givers: Vec<(f64, &ServerId)> = loads
+        .rates
+        .keys()
+        .map(|server| (loads.utilisation(server), server))
+        .filter(|(used, _)| *used > mean * EXCESS_FACTOR && *used > QUIET_UTILISATION)
+        .collect();
+    givers.sort_by(|one, other| other.0.total_cmp(&one.0));
+    for (used, from) in givers {
+        let excess = (used - mean) * loads.capacities.of(from);
+        let room = (mean - to_use) * loads.capacities.of(&to);
+        let wanted = excess.min(room) * GAP_SHARE;
+        if wanted <= 0.0 {
+            continue;
+        }
+        let parts = free
+            .iter()
+            .filter(|piece| piece.server == *from)
+            .filter_map(|piece| part_of(piece.range, demand, wanted));
+        let better = |rate: f64| {
+            let capacity = loads.capacities.of(&to);
+            to_use + rate / capacity < used - 0.05
+        };
+        let best = parts
+            .filter(|(_, rate)| better(*rate))
+            .min_by(|one, other| {
+                let miss = |rate: f64| (rate - wanted).abs();
+                miss(one.1).total_cmp(&miss(other.1))
+            });
+        if let Some((range, _)) = best {
+            return Some(Move {
+                range,
+                to: to.clone(),
+            });
+        }
+    }
+    None
+}
+
+/// Returns the part of a range with about the wanted demand, at the end that needs fewer keys.
+fn part_of(range: KeyRange, demand: &KeyDemand, wanted: f64) -> Option<(KeyRange, f64)> {
+    let total = demand.range(range);
+    if total <= wanted {
+        return (total >= wanted * 0.3).then_some((range, total));
+    }
+    let first = usize::from(range.first);
+    let last = usize::from(range.last);
+    let front = cut(first..=last, demand, wanted).map(|(end, rate)| (range_of(first, end), rate));
+    let back =
+        cut((first..=last).rev(), demand, wanted).map(|(end, rate)| (range_of(end, last), rate));
+    match (front, back) {
+        (Some(front), Some(back)) => {
+            let nearer = (front.1 - wanted).abs() <= (back.1 - wanted).abs();
+            Some(if nearer { front } else { back })
+        }
+        (front, back) => front.or(back),
+    }
+}
+
+/// Walks over keys until the demand is nearest to `wanted`; returns the last key and the demand.
+fn cut(keys: impl Iterator<Item = usize>, demand: &KeyDemand, wanted: f64) -> Option<(usize, f64)> {
+    let mut rate = 0.0;
+    let mut before = None;
+    for key in keys {
+        let with = rate + demand.rate(key);
+        if with >= wanted {
+            let over = with - wanted;
+            let under = wanted - rate;
+            return if over <= under || before.is_none() {
+                Some((key, with))
+            } else {
+                before
+            };
+        }
+        rate = with;
+        before = Some((key, rate));
+    }
+    before
+}
--- /dev/null
+++ b/crates/carawayrill-core/src/direct/servers.rs
@@ -0,0 +1,154 @@
+//! The servers that the platform lists, and until when each may be used.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use compact_str::CompactString;
+
+use crate::direct::keys::Born;
+use crate::id::DataCentreId;
+use crate::id::ServerId;
+use crate::id::ServiceId;
+use crate::time::Time;
+
+/// How long a server that vanished during an outage of the store is kept after the outage.
+const LAPSE_GRACE: Duration = Duration::from_millis(2_200);
+
+/// One server as listed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Server {
+    /// Its id.
+    pub id: ServerId,
+    /// When this life of it began.
+    pub born: Born,
+    /// The service that it runs.
+    pub service: ServiceId,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Its data centre.
+    pub data_centre: DataCentreId,
+    /// The requests that it runs at a time.
+    pub slots: u32,
+    /// Whether it announced that it will stop.
+    pub draining: bool,
+    /// How long it stays slow after its start, as of its last report.
+    pub cold_for: Duration,
+    /// The version of its software.
+    pub software: CompactString,
+}
+
+/// A change of the table that callers of it have to act on.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Change {
+    /// A server is new, or began a new life.
+    Added(ServerId),
+    /// A server began to leave.
+    Draining(ServerId),
+    /// A server is gone from the list.
+    Removed(ServerId),
+}
+
+/// The servers, by id.
+#[derive(Debug, Default)]
+pub struct Servers {
+    rows: BTreeMap<ServerId, Server>,
+    /// Servers that vanished around an outage of the store, with the time until which they count.
+    lapsed: BTreeMap<ServerId, Time>,
+    /// Whether the store could not be read last time.
+    away: bool,
+    /// Until when a vanished entry may have lapsed because of an outage.
+    suspect_until: Time,
+}
+
+impl Servers {
+    /// Returns one server.
+    #[must_use]
+    pub fn get(&self, id: &ServerId) -> Option<&Server> {
+        self.rows.get(id)
+    }
+
+    /// Iterates over all servers.
+    pub fn iter(&self) -> impl Iterator<Item = &Server> {
+        self.rows.values()
+    }
+
+    /// Iterates over the servers of a service that take requests.
+    pub fn ready_of<'a>(&'a self, service: &'a ServiceId) -> impl Iterator<Item = &'a Server> {
+        self.rows
+            .values()
+            .filter(move |server| server.service == *service && !server.draining)
+    }
+
+    /// Takes in a listed server.
+    pub fn put(&mut self, server: Server) -> Option<Change> {
+        self.lapsed.remove(&server.id);
+        let id = server.id.clone();
+        let draining = server.draining;
+        let born = server.born;
+        match self.rows.insert(id.clone(), server) {
+            None => Some(Change::Added(id)),
+            Some(old) if old.born != born => Some(Change::Added(id)),
+            Some(old) if draining && !old.draining => Some(Change::Draining(id)),
+            Some(_) => None,
+        }
+    }
+
+    /// Takes in that the platform removed a server.
+    ///
+    /// Around an outage of the store the server may be alive: its entry lapsed while it could not
+    /// report. It is then kept for a while.
+    pub fn vanish(&mut self, id: &ServerId, now: Time) -> Option<Change> {
+        if now < self.suspect_until && self.rows.contains_key(id) {
+            self.lapsed.entry(id.clone()).or_insert(self.suspect_until);
+            return None;
+        }
+        self.remove(id)
+    }
+
+    fn remove(&mut self, id: &ServerId) -> Option<Change> {
+        self.lapsed.remove(id);
+        self.rows.remove(id).map(|_| Change::Removed(id.clone()))
+    }
+
+    /// Notes that the store can't be read.
+    pub fn store_away(&mut self) {
+        self.away = true;
+    }
+
+    /// Notes that the store was read.
+    pub fn store_back(&mut self, now: Time) {
+        if self.away {
+            self.away = false;
+            self.suspect_until = now + LAPSE_GRACE;
+        }
+    }
+
+    /// Takes in the whole list, as read at `now`.
+    pub fn replace(&mut self, listed: Vec<Server>, now: Time) -> Vec<Change> {
+        self.store_back(now);
+        let missing: Vec<ServerId> = self
+            .rows
+            .keys()
+            .filter(|id| !listed.iter().any(|server| server.id == **id))
+            .cloned()
+            .collect();
+        let mut changes: Vec<Change> = listed
+            .into_iter()
+            .filter_map(|server| self.put(server))
+            .collect();
+        changes.extend(missing.iter().filter_map(|id| self.vanish(id, now)));
+        changes
+    }
+
+    /// Removes the servers whose time after an outage is over.
+    pub fn expire(&mut self, now: Time) -> Vec<Change> {
+        let over: Vec<ServerId> = self
+            .lapsed
+            .iter()
+            .filter(|(_, until)| **until <= now && !self.away)
+            .map(|(id, _)| id.clone())
+            .collect();
+        over.iter().filter_map(|id| self.remove(id)).collect()
+    }
+}
--- /dev/null
+++ b/crates/carawayrill-core/src/direct/spans.rs
@@ -0,0 +1,86 @@
+//! Spans: which server holds which keys of a service, under which fence.
+
+use std::net::SocketAddr;
+
+use crate::data;
+use crate::direct::keys::Born;
+use crate::direct::keys::Fence;
+use crate::direct::keys::Handover;
+use crate::direct::keys::KeyRange;
+use crate::id::ServerId;
+
+data! {
+    /// One life of a server that holds or held keys.
+    pub struct Holder {
+        /// The server.
+        pub server: ServerId,
+        /// Its life.
+        pub born: Born,
+        /// Its address, kept here because a server that left the list may still hold keys.
+        pub address: SocketAddr,
+    }
+
+    /// Who held a span before, and may still hold it.
+    pub struct Former {
+        /// The holder.
+        pub holder: Holder,
+        /// The fence of its grant.
+        pub fence: Fence,
+        /// A fence between its grant and the new one. A grant under it makes the server refuse
+        /// earlier orders that are still on their way.
+        pub settle: Fence,
+    }
+
+    /// A range of keys with its holder.
+    pub struct Span {
+        /// The keys.
+        pub range: KeyRange,
+        /// The server that holds them, or will once `former` is settled.
+        pub holder: Holder,
+        /// The fence of its grant.
+        pub fence: Fence,
+        /// What the last holder handed over.
+        pub handover: Option<Handover>,
+        /// Who has to let go first.
+        pub former: Option<Former>,
+    }
+
+    /// What the store keeps of one service.
+    pub struct SpanRecord {
+        /// Counts the rewrites of this record, so that each differs from the last.
+        pub edition: u64,
+        /// The lowest fence that was never used.
+        pub next_fence: Fence,
+        /// The spans, in order of keys and without gaps.
+        pub spans: Vec<Span>,
+    }
+}
+
+impl SpanRecord {
+    /// Returns the span of a key.
+    #[must_use]
+    pub fn find(&self, key: u16) -> Option<&Span> {
+        let at = self.spans.partition_point(|span| span.range.last < key);
+        self.spans.get(at).filter(|span| span.range.contains(key))
+    }
+
+    /// Returns whether the spans cover all keys, in order and once each.
+    #[must_use]
+    pub fn is_complete(&self) -> bool {
+        let mut next = 0_u32;
+        for span in &self.spans {
+            if u32::from(span.range.first) != next || span.range.last < span.range.first {
+                return false;
+            }
+            next = u32::from(span.range.last) + 1;
+        }
+        next == u32::from(u16::MAX) + 1
+    }
+
+    /// Takes an unused fence.
+    pub fn take_fence(&mut self) -> Fence {
+        let fence = self.next_fence;
+        self.next_fence = fence.next();
+        fence
+    }
+}
--- a/crates/carawayrill-core/src/event.rs
+++ b/crates/carawayrill-core/src/event.rs
@@ -21,6 +21,56 @@
 use crate::token::Token;
 
 data! {
+    /// The story of one request at a front.
+    pub struct RequestRecord {
+        /// The caller's id of it.
+        pub request: CompactString,
+        /// Its route, if one was found.
+        pub route: CompactString,
+        /// The service that it was for.
+        pub service: CompactString,
+        /// The key, for a keyed service.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        pub key: Option<u16>,
+        /// The version of the manifest that decided.
+        pub manifest: u64,
+        /// The HTTP status of the answer; 0 if the caller left before.
+        pub status: u16,
+        /// Why it ended so: `served`, `full`, `timeout` and others, listed in `OPERATIONS.md`.
+        pub reason: CompactString,
+        /// The time that the caller gave, in milliseconds.
+        pub limit_ms: u64,
+        /// The time from receipt to answer, in milliseconds.
+        pub took_ms: u64,
+        /// The time spent waiting for the owner of the key to be known, in milliseconds.
+        pub waited_ms: u64,
+        /// When the caller was told to come back, in milliseconds.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        pub retry_after_ms: Option<u64>,
+        /// The servers that it was sent to, in order.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        pub tries: Vec<TryRecord>,
+    }
+
+    /// One send of a request to a server.
+    pub struct TryRecord {
+        /// The server.
+        pub server: CompactString,
+        /// The time after receipt at which it was sent, in milliseconds.
+        pub at_ms: u64,
+        /// The time within which an answer was expected, in milliseconds.
+        pub expected_ms: u64,
+        /// Requests that were expected to be at the server, in tenths.
+        pub load_tenths: u64,
+        /// The fence of the key's span, for a keyed service.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        pub fence: Option<u64>,
+        /// How it ended.
+        pub outcome: CompactString,
+        /// How long it took, in milliseconds.
+        pub took_ms: u64,
+    }
+
     /// One event of one process.
     pub struct Event {
         /// When it happened, on the hybrid logical clock.
@@ -165,6 +215,89 @@
             /// Time from receipt to answer, in microseconds.
             took_us: u64,
         },
+        /// A front has answered a request, or has seen its caller leave.
+        Request(RequestRecord),
+        /// A process took in a version of the manifest.
+        ManifestInForce {
+            /// Its version.
+            version: u64,
+            /// Its routes.
+            routes: usize,
+        },
+        /// A process learned of a change of a listed server.
+        ServerChanged {
+            /// The server.
+            server: CompactString,
+            /// What changed: `added`, `draining` or `removed`.
+            change: CompactString,
+            /// The revision of the store at which this was seen.
+            revision: u64,
+        },
+        /// A process can't reach something that it depends on.
+        DependencyLost {
+            /// What: `store` or `granter`.
+            name: CompactString,
+            /// Why.
+            reason: CompactString,
+        },
+        /// A process reaches something again that it depends on.
+        DependencyRegained {
+            /// What: `store` or `granter`.
+            name: CompactString,
+            /// How long it was not reached, in milliseconds.
+            after_ms: u64,
+        },
+        /// A front became the granter or ceased to be it.
+        GranterLease {
+            /// `taken`, `given_up` or `lost`.
+            change: CompactString,
+            /// The version of the lease object.
+            version: Version,
+            /// Why.
+            reason: CompactString,
+        },
+        /// A granter stored which server holds which keys.
+        SpansStored {
+            /// The service.
+            service: ServiceId,
+            /// The version of the record.
+            version: Version,
+            /// Its spans.
+            spans: usize,
+            /// Those whose former holder has to let go first.
+            moving: usize,
+        },
+        /// An order of a granter to a server ended, other than by a renewal that was done.
+        SpanOrderEnded {
+            /// The server.
+            server: ServerId,
+            /// The keys.
+            range: CompactString,
+            /// The fence.
+            fence: u64,
+            /// `grant` or `release`.
+            command: CompactString,
+            /// How it ended.
+            result: CompactString,
+            /// How long it took, in milliseconds.
+            took_ms: u64,
+        },
+        /// A front took in the spans of a service.
+        SpansSeen {
+            /// The service.
+            service: ServiceId,
+            /// The version of the record.
+            version: Version,
+            /// Its spans.
+            spans: usize,
+        },
+        /// A front began or ceased to count as ready.
+        Readiness {
+            /// Whether it is ready.
+            ready: bool,
+            /// Why.
+            reason: CompactString,
+        },
         /// Control input of the decision code, recorded so that it can be replayed.
         Input {
             /// The table that took the input: `home`, `takeover` or `placement`.
--- a/crates/carawayrill-core/src/lib.rs
+++ b/crates/carawayrill-core/src/lib.rs
@@ -21,6 +21,7 @@
 
 pub mod answer;
 pub mod assignment;
+pub mod direct;
 mod error;
 pub mod event;
 pub mod hlc;
--- /dev/null
+++ b/crates/carawayrill-gateway/src/config.rs
@@ -0,0 +1,44 @@
+//! What a gateway is told at its start.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use carawayrill_core::direct::budget::Allowance;
+use carawayrill_core::direct::granter;
+use carawayrill_core::id::DataCentreId;
+use carawayrill_core::id::RegionId;
+use compact_str::CompactString;
+
+/// The settings of one gateway process.
+#[derive(Debug, Clone)]
+pub struct Config {
+    /// The name of this front.
+    pub front: CompactString,
+    /// Tells two runs of the same front apart.
+    pub run: u64,
+    /// Where callers connect.
+    pub listen: SocketAddr,
+    /// Where the platform asks for readiness.
+    pub ready: SocketAddr,
+    /// The path of the readiness question.
+    pub ready_path: CompactString,
+    /// Where metrics are served.
+    pub metrics: SocketAddr,
+    /// Where other fronts join this one while it is the granter.
+    pub peer: SocketAddr,
+    /// The data centre of this machine.
+    pub data_centre: DataCentreId,
+    /// The region of each data centre.
+    pub regions: BTreeMap<DataCentreId, RegionId>,
+    /// The retry budget over all fronts.
+    pub retries: Allowance,
+    /// The longest time from the order to stop until the process has to be gone.
+    pub grace: Duration,
+    /// Times of the granter.
+    pub granter: granter::Config,
+    /// How long the granter's lease holds after a renewal.
+    pub lease: Duration,
+    /// The most bytes of requests and answers that are held at a time.
+    pub max_held_bytes: usize,
+}
--- /dev/null
+++ b/crates/carawayrill-gateway/src/granting.rs
@@ -0,0 +1,521 @@
+//! The granter's work: runs the decisions of [`carawayrill_core::direct::granter`] and tells the
+//! fronts.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use bytes::Bytes;
+use carawayrill_core::direct::demand::KeyDemand;
+use carawayrill_core::direct::granter::Command;
+use carawayrill_core::direct::granter::Config;
+use carawayrill_core::direct::granter::Granter;
+use carawayrill_core::direct::granter::Inputs;
+use carawayrill_core::direct::granter::OrderResult;
+use carawayrill_core::direct::granter::SpanOrder;
+use carawayrill_core::direct::granter::Step;
+use carawayrill_core::direct::rebalance::Capacities;
+use carawayrill_core::direct::spans::Span;
+use carawayrill_core::direct::spans::SpanRecord;
+use carawayrill_core::event::EventKind;
+use carawayrill_core::id::Revision;
+use carawayrill_core::id::ServerId;
+use carawayrill_core::id::ServiceId;
+use carawayrill_core::id::Version;
+use carawayrill_core::time::Time;
+use carawayrill_core::time::millis;
+use carawayrill_store::Error;
+use carawayrill_store::Fate;
+use carawayrill_store::port::ObjectStore;
+use carawayrill_telemetry::emit;
+use compact_str::CompactString;
+use compact_str::format_compact;
+use tokio::sync::watch;
+
+use crate::clock;
+use crate::leasing::Leasing;
+use crate::port::SpanOrders;
+use crate::state::Shared;
+use crate::state::SpanEntry;
+use crate::state::SpanTable;
+use crate::state::Tables;
+
+/// The kind of objects that spans are stored as.
+pub const SPANS_KIND: &str = "carawayrill-spans";
+/// The time between two rounds of decisions.
+const TICK: Duration = Duration::from_millis(40);
+/// The time between two updates to the fronts if nothing changes.
+const HEARTBEAT: Duration = Duration::from_millis(300);
+/// How long the mean demand by key remembers.
+const DEMAND_MEMORY: Duration = Duration::from_millis(1_500);
+/// The time between two rounds that take reports into the mean demand.
+const DEMAND_INTERVAL: Duration = Duration::from_millis(250);
+/// How long the granter waits for servers to be listed before it first spreads keys.
+const FIRST_SPREAD_WAIT: Duration = Duration::from_millis(400);
+/// How long a front counts as alive after its last report.
+const MEMBER_TTL: Duration = Duration::from_secs(2);
+/// The weight of a new report in a server's mean speed.
+const SPEED_GAIN: f64 = 0.2;
+/// The service time that is assumed while none was measured, in milliseconds.
+const DEFAULT_SERVICE_MS: f64 = 100.0;
+/// The share of its capacity that a cold server counts with.
+const COLD_SHARE: f64 = 0.6;
+/// The pause before a write that was not done is tried again.
+const WRITE_RETRY: Duration = Duration::from_millis(120);
+
+/// What one front has seen since its last report.
+#[derive(Debug, Clone, Default)]
+pub struct Report {
+    /// The front.
+    pub front: CompactString,
+    /// Requests by service and key.
+    pub demand: HashMap<ServiceId, BTreeMap<u16, u32>>,
+    /// The mean service time of servers, in milliseconds.
+    pub speeds: Vec<(ServerId, f64)>,
+}
+
+/// What the fronts are told.
+#[derive(Debug, Clone, Default)]
+pub struct Update {
+    /// The version of the lease under which this holds.
+    pub lease: Version,
+    /// The number of fronts that are alive.
+    pub fronts: u32,
+    /// The version of the manifest that the granter has in force.
+    pub manifest: u64,
+    /// The spans of each keyed service, with a count that rises with each change.
+    pub tables: BTreeMap<ServiceId, (u64, Arc<SpanTable>)>,
+}
+
+#[derive(Debug)]
+struct State {
+    stored: BTreeMap<ServiceId, (Version, SpanRecord)>,
+    granters: BTreeMap<ServiceId, Granter>,
+    demand: BTreeMap<ServiceId, KeyDemand>,
+    speeds: HashMap<ServerId, f64>,
+    members: HashMap<CompactString, Time>,
+    demand_at: Time,
+    told_at: Time,
+    told: BTreeMap<ServiceId, u64>,
+    store_away: bool,
+    settling: bool,
+}
+
+/// The work of the front that is the granter.
+#[derive(Debug)]
+pub struct Granting {
+    leasing: Arc<Leasing>,
+    shared: Arc<Shared>,
+    store: Arc<dyn ObjectStore>,
+    orders: Arc<dyn SpanOrders>,
+    began: Time,
+    state: Mutex<State>,
+    updates: watch::Sender<Arc<Update>>,
+}
+
+impl Granting {
+    /// Reads the stored spans and prepares the work.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the spans can't be read.
+    pub async fn begin(
+        leasing: Arc<Leasing>,
+        store: Arc<dyn ObjectStore>,
+        orders: Arc<dyn SpanOrders>,
+    ) -> Result<Arc<Self>, Error> {
+        let listed = store.watch(SPANS_KIND, Revision(0), Duration::ZERO).await?;
+        let mut stored = BTreeMap::new();
+        for object in listed.objects {
+            if let Some((service, record)) = read_record(&object.name, &object.value) {
+                stored.insert(service, (object.version, record));
+            }
+        }
+        let now = clock::now();
+        let shared = Arc::clone(leasing.shared());
+        Ok(Arc::new(Self {
+            leasing,
+            shared,
+            store,
+            orders,
+            began: now,
+            state: Mutex::new(State {
+                stored,
+                granters: BTreeMap::new(),
+                demand: BTreeMap::new(),
+                speeds: HashMap::new(),
+                members: HashMap::new(),
+                demand_at: now,
+                told_at: now,
+                told: BTreeMap::new(),
+                store_away: false,
+                settling: false,
+            }),
+            updates: watch::Sender::new(Arc::default()),
+        }))
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns a receiver of what the fronts are told.
+    #[must_use]
+    pub fn updates(&self) -> watch::Receiver<Arc<Update>> {
+        self.updates.subscribe()
+    }
+
+    /// Notes whether the lease can be renewed at present.
+    pub fn set_store_away(&self, away: bool) {
+        self.state().store_away = away;
+    }
+
+    /// Takes in a front's report.
+    pub fn report(&self, report: Report) {
+        let mut state = self.state();
+        state.members.insert(report.front, clock::now());
+        for (service, keys) in report.demand {
+            let demand = state
+                .demand
+                .entry(service)
+                .or_insert_with(|| KeyDemand::new(DEMAND_MEMORY));
+            for (key, requests) in keys {
+                demand.add(key, requests);
+            }
+        }
+        for (server, service_ms) in report.speeds {
+            let mean = state.speeds.entry(server).or_insert(service_ms);
+            *mean += (service_ms - *mean) * SPEED_GAIN;
+        }
+    }
+
+    /// Runs the granter until this front is not the granter any more.
+    pub async fn run(self: Arc<Self>) {
+        while self.is_current() {
+            self.tick();
+            tokio::time::sleep(TICK).await;
+        }
+    }
+
+    fn is_current(self: &Arc<Self>) -> bool {
+        self.leasing.holds()
+            && self
+                .leasing
+                .granting()
+                .is_some_and(|current| Arc::ptr_eq(&current, self))
+    }
+
+    /// Starts no more moves, and waits until those under way have ended.
+    pub async fn settle(&self, most: Duration) {
+        self.state().settling = true;
+        let until = clock::now() + most;
+        while clock::now() < until && !self.state().granters.values().all(Granter::is_settled) {
+            tokio::time::sleep(TICK).await;
+        }
+    }
+
+    fn tick(self: &Arc<Self>) {
+        let now = clock::now();
+        let steps = {
+            let mut state = self.state();
+            let tables = self.shared.tables();
+            state.add_services(&tables, self.shared.cfg.granter, now, self.began);
+            state.advance_demand(now);
+            state.decide(&tables, now)
+        };
+        for (service, step) in steps {
+            match step {
+                Step::Write { expected, record } => {
+                    tokio::spawn(Arc::clone(self).write(service, expected, record));
+                }
+                Step::Order(order) => {
+                    tokio::spawn(Arc::clone(self).order(service, order));
+                }
+            }
+        }
+        self.tell(now);
+    }
+
+    /// Tells the fronts if something changed or the time has come.
+    fn tell(&self, now: Time) {
+        let update = {
+            let mut state = self.state();
+            let changes: BTreeMap<ServiceId, u64> = state
+                .granters
+                .iter()
+                .map(|(service, granter)| (service.clone(), granter.changes()))
+                .collect();
+            if changes == state.told && now.since(state.told_at) < HEARTBEAT {
+                return;
+            }
+            state.told = changes;
+            state.told_at = now;
+            state
+                .members
+                .retain(|_, heard| now.since(*heard) < MEMBER_TTL);
+            let manifest = self
+                .shared
+                .tables()
+                .manifest
+                .as_ref()
+                .map_or(0, |one| one.version.0);
+            let members = u32::try_from(state.members.len()).unwrap_or(u32::MAX);
+            Update {
+                lease: self.leasing.version(),
+                fronts: members.max(1),
+                manifest,
+                tables: state.tables(),
+            }
+        };
+        self.updates.send_replace(Arc::new(update));
+    }
+
+    /// Stores a record. A write without an answer is settled: it either is the stored one, or a
+    /// later write has made it fail.
+    async fn write(self: Arc<Self>, service: ServiceId, expected: Version, record: SpanRecord) {
+        let name = format_compact!("{SPANS_KIND}/{service}");
+        let value = match serde_json::to_vec(&record) {
+            Ok(value) => Bytes::from(value),
+            Err(err) => {
+                log::error!("the spans of {service} can't be written: {err}");
+                return;
+            }
+        };
+        let mut expected = expected;
+        while self.is_current() {
+            let error = match self.store.put(&name, value.clone(), expected).await {
+                Ok(version) => return self.stored(&service, version, &record),
+                Err(err) => err,
+            };
+            log::info!("the spans of {service} were not stored: {error}");
+            if error.fate() == Fate::NotDone && error.conflicting_version().is_none() {
+                tokio::time::sleep(WRITE_RETRY).await;
+                continue;
+            }
+            match self.store.get(&name).await {
+                Ok(Some(found)) if found.value == value => {
+                    return self.stored(&service, found.version, &record);
+                }
+                Ok(found) => {
+                    let version = found.map_or(Version(0), |object| object.version);
+                    if version != expected {
+                        log::error!("another granter wrote the spans of {service}");
+                        return;
+                    }
+                    expected = version;
+                }
+                Err(err) => {
+                    log::info!("the spans of {service} can't be read back: {err}");
+                    tokio::time::sleep(WRITE_RETRY).await;
+                }
+            }
+        }
+    }
+
+    fn stored(&self, service: &ServiceId, version: Version, record: &SpanRecord) {
+        let moving = record.spans.iter().filter(|span| span.former.is_some());
+        emit(EventKind::SpansStored {
+            service: service.clone(),
+            version,
+            spans: record.spans.len(),
+            moving: moving.count(),
+        });
+        let now = clock::now();
+        if let Some(granter) = self.state().granters.get_mut(service) {
+            granter.written(version, now);
+        }
+        self.tell(now);
+    }
+
+    /// Sends an order, if this front is still the granter.
+    async fn order(self: Arc<Self>, service: ServiceId, order: SpanOrder) {
+        let sent = clock::now();
+        let result = if self.is_current() {
+            self.orders.send(&order).await
+        } else {
+            OrderResult::NotSent
+        };
+        let now = clock::now();
+        self.note_order(&order, &result, now.since(sent));
+        if let Some(granter) = self.state().granters.get_mut(&service) {
+            granter.ended(order.id, &result, now);
+        }
+        self.tell(now);
+    }
+
+    fn note_order(&self, order: &SpanOrder, result: &OrderResult, took: Duration) {
+        let label = match result {
+            OrderResult::Done(_) => "done",
+            OrderResult::Fenced => "fenced",
+            OrderResult::NotSent => "not-sent",
+            OrderResult::Unknown => "unknown",
+        };
+        self.shared.metrics.orders.with_label_values(&[label]).inc();
+        let is_grant = matches!(order.command, Command::Grant { .. });
+        if is_grant && label == "done" {
+            return;
+        }
+        emit(EventKind::SpanOrderEnded {
+            server: order.to.server.clone(),
+            range: format_compact!("{}", order.range),
+            fence: order.fence.0,
+            command: if is_grant { "grant" } else { "release" }.into(),
+            result: label.into(),
+            took_ms: millis(took),
+        });
+    }
+}
+
+/// Reads a stored record; one that can't be read counts as none, and is logged.
+fn read_record(name: &str, value: &[u8]) -> Option<(ServiceId, SpanRecord)> {
+    let service = name.rsplit('/').next().unwrap_or(name);
+    let service = match ServiceId::try_from(service) {
+        Ok(service) => service,
+        Err(err) => {
+            log::error!("spans of a service that can't be named: {err}");
+            return None;
+        }
+    };
+    match serde_json::from_slice::<SpanRecord>(value) {
+        Ok(record) if record.is_complete() => Some((service, record)),
+        Ok(_) => {
+            log::error!("the stored spans of {service} have gaps");
+            None
+        }
+        Err(err) => {
+            log::error!("the stored spans of {service} can't be read: {err}");
+            None
+        }
+    }
+}
+
+/// Turns the stored form of spans into the form that fronts use.
+#[must_use]
+pub fn table_of(version: Version, spans: &[Span]) -> SpanTable {
+    SpanTable {
+        version,
+        spans: spans
+            .iter()
+            .map(|span| SpanEntry {
+                range: span.range,
+                server: span.holder.server.clone(),
+                fence: span.fence,
+                moving: span.former.is_some(),
+            })
+            .collect(),
+    }
+}
+
+/// Reads all stored spans, for a front that can't join the granter.
+///
+/// # Errors
+///
+/// Fails if the store can't be read.
+pub async fn read_tables(store: &dyn ObjectStore) -> Result<BTreeMap<ServiceId, SpanTable>, Error> {
+    let listed = store.watch(SPANS_KIND, Revision(0), Duration::ZERO).await?;
+    let read = listed.objects.iter().filter_map(|object| {
+        let (service, record) = read_record(&object.name, &object.value)?;
+        Some((service, table_of(object.version, &record.spans)))
+    });
+    Ok(read.collect())
+}
+
+impl State {
+    /// Starts the granters of keyed services that have none, and drops those that are not needed.
+    fn add_services(&mut self, tables: &Tables, cfg: Config, now: Time, began: Time) {
+        let Some(manifest) = tables.manifest.as_ref().filter(|_| tables.servers_read) else {
+            return;
+        };
+        let keyed = |service: &ServiceId| manifest.service(service).is_some_and(|one| one.keyed);
+        self.granters.retain(|service, _| keyed(service));
+        for service in manifest.services.iter().filter(|service| service.keyed) {
+            let name = &service.name;
+            if self.granters.contains_key(name) {
+                continue;
+            }
+            let stored = self.stored.remove(name);
+            let is_new = stored.is_none();
+            if is_new && now.since(began) < FIRST_SPREAD_WAIT {
+                continue;
+            }
+            let granter = Granter::new(name.clone(), cfg, stored, now);
+            self.granters.insert(name.clone(), granter);
+            self.demand
+                .entry(name.clone())
+                .or_insert_with(|| KeyDemand::new(DEMAND_MEMORY));
+        }
+    }
+
+    fn advance_demand(&mut self, now: Time) {
+        let span = now.since(self.demand_at);
+        if span < DEMAND_INTERVAL {
+            return;
+        }
+        self.demand_at = now;
+        for demand in self.demand.values_mut() {
+            demand.advance(span);
+        }
+    }
+
+    fn decide(&mut self, tables: &Tables, now: Time) -> Vec<(ServiceId, Step)> {
+        let mut steps = Vec::new();
+        for (service, granter) in &mut self.granters {
+            let Some(demand) = self.demand.get(service) else {
+                continue;
+            };
+            let capacities = capacities(service, tables, &self.speeds);
+            let inputs = Inputs {
+                now,
+                servers: &tables.servers,
+                demand,
+                capacities: &capacities,
+                store_away: self.store_away,
+                settling: self.settling,
+            };
+            let decided = granter.tick(&inputs);
+            steps.extend(decided.into_iter().map(|step| (service.clone(), step)));
+        }
+        steps
+    }
+
+    fn tables(&self) -> BTreeMap<ServiceId, (u64, Arc<SpanTable>)> {
+        self.granters
+            .iter()
+            .filter(|(_, granter)| granter.is_confirmed())
+            .map(|(service, granter)| {
+                let table = table_of(granter.version(), &granter.spans());
+                (service.clone(), (granter.changes(), Arc::new(table)))
+            })
+            .collect()
+    }
+}
+
+/// Works out what each ready server of a service can serve.
+fn capacities(service: &ServiceId, tables: &Tables, speeds: &HashMap<ServerId, f64>) -> Capacities {
+    let known: Vec<f64> = tables
+        .servers
+        .ready_of(service)
+        .filter_map(|server| speeds.get(&server.id).copied())
+        .collect();
+    let mean = if known.is_empty() {
+        DEFAULT_SERVICE_MS
+    } else {
+        known.iter().sum::<f64>() / known.len() as f64
+    };
+    let mut capacities = Capacities::default();
+    for server in tables.servers.ready_of(service) {
+        let service_ms = speeds.get(&server.id).copied().unwrap_or(mean).max(1.0);
+        let cold = if server.cold_for.is_zero() {
+            1.0
+        } else {
+            COLD_SHARE
+        };
+        let rate = f64::from(server.slots) * 1_000.0 / service_ms * cold;
+        capacities.set(server.id.clone(), rate);
+    }
+    capacities
+}
--- /dev/null
+++ b/crates/carawayrill-gateway/src/link/mod.rs
@@ -0,0 +1,216 @@
+//! The stream between a front and the granter.
+
+mod convert;
+mod service;
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use carawayrill_core::event::EventKind;
+use carawayrill_core::id::ServiceId;
+use carawayrill_proto::granter::granter_client::GranterClient;
+use carawayrill_store::port::ObjectStore;
+use carawayrill_telemetry::emit;
+use tokio::sync::mpsc;
+use tokio_stream::wrappers::ReceiverStream;
+use tonic::transport::Channel;
+use tonic::transport::Endpoint;
+
+pub use self::service::serve;
+use crate::clock;
+use crate::feed::Dependency;
+use crate::granting;
+use crate::granting::Report;
+use crate::granting::Update;
+use crate::leasing::Leasing;
+use crate::leasing::SILENCE;
+use crate::state::Shared;
+use crate::state::SpanTable;
+
+/// The time between two reports.
+const REPORT_INTERVAL: Duration = Duration::from_millis(300);
+/// The time within which a connection to the granter has to be open.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Reports that may wait to be sent.
+const QUEUED_REPORTS: usize = 4;
+/// The pause before the granter is joined again.
+const REJOIN_WAIT: Duration = Duration::from_millis(100);
+/// How long a front does without the granter before it reads the spans from the store.
+const ALONE_AFTER: Duration = Duration::from_millis(700);
+/// The time between two such reads.
+const ALONE_READ_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Keeps a front joined to the granter, whoever that is, for ever.
+pub async fn run(leasing: Arc<Leasing>) {
+    let mut dependency = Dependency::new("granter");
+    loop {
+        if let Some(granting) = leasing.granting() {
+            dependency.reached();
+            let report = take_report(leasing.shared());
+            granting.report(report);
+            take_in(leasing.shared(), &granting.updates().borrow());
+            wait_for_update(&granting).await;
+            continue;
+        }
+        let lease = leasing.current().filter(|lease| !lease.released);
+        let Some(lease) = lease.filter(|lease| lease.address != leasing.shared().cfg.peer) else {
+            tokio::time::sleep(REJOIN_WAIT).await;
+            continue;
+        };
+        if let Err(err) = join(&leasing, lease.address, &mut dependency).await {
+            leasing.unheard();
+            let _wait = dependency.failed(leasing.shared(), &err);
+        }
+        tokio::time::sleep(REJOIN_WAIT).await;
+    }
+}
+
+/// Waits for the next update of this process's own granter, at most for one report interval.
+async fn wait_for_update(granting: &granting::Granting) {
+    let mut updates = granting.updates();
+    let _changed = tokio::time::timeout(REPORT_INTERVAL, updates.changed()).await;
+}
+
+async fn connect(address: SocketAddr) -> Result<Channel, tonic::transport::Error> {
+    Endpoint::from_shared(format!("http://{address}"))?
+        .connect_timeout(CONNECT_TIMEOUT)
+        .tcp_nodelay(true)
+        .connect()
+        .await
+}
+
+/// Joins the granter at `address` and stays until the stream ends or falls silent.
+async fn join(
+    leasing: &Leasing,
+    address: SocketAddr,
+    dependency: &mut Dependency,
+) -> Result<(), tonic::Status> {
+    let channel = connect(address)
+        .await
+        .map_err(|err| tonic::Status::unavailable(err.to_string()))?;
+    let (tx, rx) = mpsc::channel(QUEUED_REPORTS);
+    let shared = leasing.shared();
+    // The first report names the front; it has to wait in the channel before the call begins.
+    let _sent = tx.try_send(convert::report(take_report(shared)));
+    let mut client = GranterClient::new(channel);
+    let call = client.join(ReceiverStream::new(rx));
+    let mut updates = tokio::time::timeout(SILENCE, call)
+        .await
+        .map_err(|_elapsed| tonic::Status::deadline_exceeded("no answer to joining"))??
+        .into_inner();
+    let mut reports = tokio::time::interval(REPORT_INTERVAL);
+    let mut heard = clock::now();
+    loop {
+        tokio::select! {
+            update = updates.message() => {
+                let update = update?.ok_or_else(|| tonic::Status::unavailable("stream ended"))?;
+                heard = clock::now();
+                dependency.reached();
+                let update = convert::update(update);
+                leasing.heard(update.lease);
+                take_in(shared, &update);
+            }
+            _ = reports.tick() => {
+                if clock::now().since(heard) > SILENCE {
+                    return Err(tonic::Status::deadline_exceeded("silent"));
+                }
+                if tx.capacity() > 0 {
+                    let _sent = tx.try_send(convert::report(take_report(shared)));
+                }
+            }
+        }
+    }
+}
+
+/// Takes what was seen since the last report.
+fn take_report(shared: &Shared) -> Report {
+    let mut tables = shared.tables();
+    let demand: HashMap<ServiceId, BTreeMap<u16, u32>> = std::mem::take(&mut tables.demand);
+    let keyed = |service: &ServiceId| tables.spans.contains_key(service);
+    let speeds = tables
+        .servers
+        .iter()
+        .filter(|server| keyed(&server.service))
+        .filter_map(|server| {
+            let service_ms = tables.loads.get(&server.id)?.service_ms()?;
+            Some((server.id.clone(), service_ms))
+        })
+        .collect();
+    Report {
+        front: shared.cfg.front.clone(),
+        demand,
+        speeds,
+    }
+}
+
+/// Takes in what the granter tells.
+fn take_in(shared: &Shared, update: &Update) {
+    let mut changed = false;
+    {
+        let mut tables = shared.tables();
+        tables.fronts = update.fronts.max(1);
+        for (service, (_, table)) in &update.tables {
+            let known = tables.spans.get(service);
+            if known.is_some_and(|known| same(known, table)) {
+                continue;
+            }
+            let is_new_version = known.is_none_or(|known| known.version != table.version);
+            if is_new_version {
+                emit(EventKind::SpansSeen {
+                    service: service.clone(),
+                    version: table.version,
+                    spans: table.spans.len(),
+                });
+            }
+            tables
+                .spans
+                .insert(service.clone(), SpanTable::clone(table));
+            changed = true;
+        }
+    }
+    if changed {
+        shared.announce();
+    }
+}
+
+fn same(known: &SpanTable, table: &SpanTable) -> bool {
+    known.version == table.version && known.spans == table.spans
+}
+
+/// Reads the spans from the store while the granter can't be joined, for ever.
+pub async fn read_alone(leasing: Arc<Leasing>, store: Arc<dyn ObjectStore>) {
+    let shared = Arc::clone(leasing.shared());
+    loop {
+        tokio::time::sleep(ALONE_AFTER).await;
+        let joined = leasing.granting().is_some()
+            || leasing
+                .silence()
+                .is_some_and(|silence| silence < ALONE_AFTER);
+        if joined {
+            continue;
+        }
+        match granting::read_tables(&*store).await {
+            Ok(read) => put_newer(&shared, read),
+            Err(err) => log::info!("the spans can't be read from the store: {err}"),
+        }
+        tokio::time::sleep(ALONE_READ_INTERVAL.saturating_sub(ALONE_AFTER)).await;
+    }
+}
+
+fn put_newer(shared: &Shared, read: BTreeMap<ServiceId, SpanTable>) {
+    let mut tables = shared.tables();
+    for (service, table) in read {
+        let newer = tables
+            .spans
+            .get(&service)
+            .is_none_or(|known| known.version < table.version);
+        if newer {
+            tables.spans.insert(service, table);
+        }
+    }
+    drop(tables);
+    shared.announce();
+}
--- /dev/null
+++ b/crates/carawayrill-gateway/src/metrics.rs
@@ -0,0 +1,131 @@
+//! Counters and histograms of a gateway, served as text.
+
+use std::time::Duration;
+
+use prometheus::Encoder;
+use prometheus::Histogram;
+use prometheus::HistogramOpts;
+use prometheus::IntCounter;
+use prometheus::IntCounterVec;
+use prometheus::IntGauge;
+use prometheus::Opts;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+
+use crate::Error;
+
+/// The upper bounds of the latency histograms, in seconds.
+const LATENCY_BUCKETS: [f64; 12] = [
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 1.0, 1.5, 2.5, 5.0,
+];
+
+/// The metrics of one process.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    /// Requests by how they ended.
+    pub requests: IntCounterVec,
+    /// Time from receipt to answer.
+    pub request_seconds: Histogram,
+    /// Time of one send to a server.
+    pub try_seconds: Histogram,
+    /// Sends to servers by how they ended.
+    pub tries: IntCounterVec,
+    /// Connections opened to servers.
+    pub connections: IntCounter,
+    /// Calls to the store by how they ended.
+    pub store_calls: IntCounterVec,
+    /// Entries of the store that can't be read.
+    pub bad_entries: IntCounter,
+    /// Orders to servers by how they ended.
+    pub orders: IntCounterVec,
+    /// Request lines that were left out of the log.
+    pub lines_left_out: IntCounter,
+    /// Requests in flight.
+    pub in_flight: IntGauge,
+    /// Whether this front is the granter.
+    pub granter: IntGauge,
+}
+
+fn counters(registry: &Registry, name: &str, help: &str) -> Result<IntCounterVec, Error> {
+    let counters =
+        IntCounterVec::new(Opts::new(name, help), &["outcome"]).map_err(Error::metrics)?;
+    registry
+        .register(Box::new(counters.clone()))
+        .map_err(Error::metrics)?;
+    Ok(counters)
+}
+
+fn counter(registry: &Registry, name: &str, help: &str) -> Result<IntCounter, Error> {
+    let counter = IntCounter::new(name, help).map_err(Error::metrics)?;
+    registry
+        .register(Box::new(counter.clone()))
+        .map_err(Error::metrics)?;
+    Ok(counter)
+}
+
+fn gauge(registry: &Registry, name: &str, help: &str) -> Result<IntGauge, Error> {
+    let gauge = IntGauge::new(name, help).map_err(Error::metrics)?;
+    registry
+        .register(Box::new(gauge.clone()))
+        .map_err(Error::metrics)?;
+    Ok(gauge)
+}
+
+fn histogram(registry: &Registry, name: &str, help: &str) -> Result<Histogram, Error> {
+    let opts = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS.to_vec());
+    let histogram = Histogram::with_opts(opts).map_err(Error::metrics)?;
+    registry
+        .register(Box::new(histogram.clone()))
+        .map_err(Error::metrics)?;
+    Ok(histogram)
+}
+
+impl Metrics {
+    /// Registers all metrics.
+    ///
+    /// # Errors
+    ///
+    /// Fails if two metrics have one name.
+    pub fn new() -> Result<Self, Error> {
+        let registry =
+            Registry::new_custom(Some("carawayrill".to_owned()), None).map_err(Error::metrics)?;
+        let r = &registry;
+        Ok(Self {
+            requests: counters(r, "requests_total", "Requests by how they ended")?,
+            request_seconds: histogram(r, "request_seconds", "Time from receipt to answer")?,
+            try_seconds: histogram(r, "try_seconds", "Time of one send to a server")?,
+            tries: counters(r, "tries_total", "Sends to servers by how they ended")?,
+            connections: counter(r, "connections_total", "Connections opened to servers")?,
+            store_calls: counters(r, "store_calls_total", "Store calls by how they ended")?,
+            bad_entries: counter(r, "bad_entries_total", "Unreadable entries of the store")?,
+            orders: counters(r, "orders_total", "Orders to servers by how they ended")?,
+            lines_left_out: counter(r, "log_lines_left_out_total", "Request lines left out")?,
+            in_flight: gauge(r, "in_flight", "Requests in flight")?,
+            granter: gauge(r, "granter", "1 while this front is the granter")?,
+            registry,
+        })
+    }
+
+    /// Notes how a request ended.
+    pub fn request(&self, reason: &str, took: Duration) {
+        self.requests.with_label_values(&[reason]).inc();
+        self.request_seconds.observe(took.as_secs_f64());
+    }
+
+    /// Notes how a send ended.
+    pub fn attempt(&self, outcome: &str, took: Duration) {
+        self.tries.with_label_values(&[outcome]).inc();
+        self.try_seconds.observe(took.as_secs_f64());
+    }
+
+    /// Returns all metrics as text.
+    #[must_use]
+    pub fn text(&self) -> Vec<u8> {
+        let mut buf = Vec::new();
+        if let Err(err) = TextEncoder::new().encode(&self.registry.gather(), &mut buf) {
+            log::error!("metrics can't be written: {err}");
+        }
+        buf
+    }
+}
--- /dev/null
+++ b/crates/carawayrill-gateway/src/ready.rs
@@ -0,0 +1,139 @@
+//! Tells the platform whether this front takes requests, and serves metrics.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use carawayrill_core::event::EventKind;
+use carawayrill_telemetry::emit;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+use crate::front::Phase;
+use crate::state::Shared;
+
+/// Decides and remembers whether this front is ready.
+#[derive(Debug)]
+pub struct Readiness {
+    shared: Arc<Shared>,
+    phase: watch::Receiver<Phase>,
+    last: std::sync::Mutex<Option<bool>>,
+}
+
+impl Readiness {
+    /// Makes the readiness of a front.
+    #[must_use]
+    pub fn new(shared: Arc<Shared>, phase: watch::Receiver<Phase>) -> Self {
+        Self {
+            shared,
+            phase,
+            last: std::sync::Mutex::new(None),
+        }
+    }
+
+    /// Returns whether requests can be served, and why not.
+    fn check(&self) -> Result<(), &'static str> {
+        if *self.phase.borrow() != Phase::Running {
+            return Err("stopping");
+        }
+        let tables = self.shared.tables();
+        let manifest = tables.manifest.as_ref().ok_or("no-manifest")?;
+        if !tables.servers_read {
+            return Err("no-servers");
+        }
+        let unowned = manifest
+            .services
+            .iter()
+            .any(|service| service.keyed && !tables.spans.contains_key(&service.name));
+        if unowned {
+            return Err("no-spans");
+        }
+        Ok(())
+    }
+
+    /// Returns whether this front is ready, and logs a change.
+    pub fn is_ready(&self) -> bool {
+        let checked = self.check();
+        let ready = checked.is_ok();
+        let mut last = self
+            .last
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner);
+        if last.replace(ready) != Some(ready) {
+            emit(EventKind::Readiness {
+                ready,
+                reason: checked.err().unwrap_or("all-read").into(),
+            });
+        }
+        ready
+    }
+
+    fn answer(&self) -> Response<Full<Bytes>> {
+        let mut resp = Response::new(Full::default());
+        if !self.is_ready() {
+            *resp.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+        }
+        resp
+    }
+
+    /// Answers the platform's questions.
+    pub async fn serve(self: Arc<Self>, listener: TcpListener) {
+        serve(listener, move |req: &Request<Incoming>| {
+            if req.uri().path() == self.shared.cfg.ready_path.as_str() {
+                return self.answer();
+            }
+            not_found()
+        })
+        .await;
+    }
+}
+
+fn not_found() -> Response<Full<Bytes>> {
+    let mut resp = Response::new(Full::default());
+    *resp.status_mut() = StatusCode::NOT_FOUND;
+    resp
+}
+
+/// Serves the metrics of this process.
+pub async fn serve_metrics(shared: Arc<Shared>, listener: TcpListener) {
+    serve(listener, move |_req| {
+        Response::new(Full::new(Bytes::from(shared.metrics.text())))
+    })
+    .await;
+}
+
+/// Serves answers that need no wait.
+async fn serve<F>(listener: TcpListener, answer: F)
+where
+    F: Fn(&Request<Incoming>) -> Response<Full<Bytes>> + Send + Sync + 'static,
+{
+    let answer = Arc::new(answer);
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _peer)) => stream,
+            Err(err) => {
+                log::warn!("no connection accepted: {err}");
+                continue;
+            }
+        };
+        let answer = Arc::clone(&answer);
+        tokio::spawn(async move {
+            let service = service_fn(|req| {
+                let resp = answer(&req);
+                async move { Ok::<_, Infallible>(resp) }
+            });
+            let served = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            if let Err(err) = served.await {
+                log::debug!("a connection for readiness or metrics ended: {err}");
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/carawayrill-gateway/src/run.rs
@@ -0,0 +1,183 @@
+//! Runs a gateway from its start to its planned stop.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use carawayrill_core::event::EventKind;
+use carawayrill_core::id::Incarnation;
+use carawayrill_store::port::ObjectStore;
+use carawayrill_telemetry::emit;
+use tokio::net::TcpListener;
+use tokio::signal::unix::Signal;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+use tokio::sync::watch;
+
+use crate::Error;
+use crate::clock;
+use crate::config::Config;
+use crate::feed;
+use crate::front;
+use crate::front::Front;
+use crate::front::Phase;
+use crate::leasing::Leasing;
+use crate::link;
+use crate::metrics::Metrics;
+use crate::port::Dialect;
+use crate::port::Directory;
+use crate::port::SpanOrders;
+use crate::ready;
+use crate::ready::Readiness;
+use crate::state::Shared;
+use crate::upstream::Upstream;
+
+/// The share of the grace within which a planned stop ends.
+const STOP_SHARE: f64 = 0.8;
+/// How long connections are served on after the order to stop, as a share of the grace.
+const LEAVING_SHARE: f64 = 0.45;
+/// How often a planned stop looks whether all connections have ended.
+const STOP_INTERVAL: Duration = Duration::from_millis(25);
+
+/// The outside systems of a gateway.
+#[derive(Debug, Clone)]
+pub struct Ports {
+    /// The platform's object store.
+    pub store: Arc<dyn ObjectStore>,
+    /// How to read its objects.
+    pub directory: Arc<dyn Directory>,
+    /// How callers and servers write headers.
+    pub dialect: Arc<dyn Dialect>,
+    /// How to give orders to servers.
+    pub orders: Arc<dyn SpanOrders>,
+}
+
+/// Serves until the process is told to stop, then ends what is in flight.
+///
+/// # Errors
+///
+/// Fails if an address can't be listened on or signals can't be waited for.
+pub async fn run(cfg: Config, ports: Ports) -> Result<(), Error> {
+    let mut signals = Signals::new()?;
+    let listeners = Listeners::open(&cfg)?;
+    let shared = Arc::new(Shared::new(cfg, Metrics::new()?));
+    emit(EventKind::Started {
+        role: "gateway".into(),
+        incarnation: Incarnation(shared.cfg.run),
+    });
+    let (phase, phases) = watch::channel(Phase::Running);
+    let upstream = Arc::new(Upstream::default());
+    let front = Arc::new(Front::new(
+        Arc::clone(&shared),
+        Arc::clone(&upstream),
+        Arc::clone(&ports.dialect),
+        phases.clone(),
+    ));
+    let leasing = Arc::new(Leasing::new(
+        Arc::clone(&shared),
+        Arc::clone(&ports.store),
+        Arc::clone(&ports.orders),
+    ));
+    let readiness = Arc::new(Readiness::new(Arc::clone(&shared), phases));
+    spawn_feeds(&shared, &ports, &upstream);
+    spawn_granting(&leasing, &ports, listeners.peer);
+    tokio::spawn(readiness.serve(listeners.ready));
+    tokio::spawn(ready::serve_metrics(Arc::clone(&shared), listeners.metrics));
+    tokio::spawn(Arc::clone(&front).accept(listeners.front));
+    signals.stop().await;
+    stop(&shared, &front, &leasing, &phase).await;
+    Ok(())
+}
+
+struct Listeners {
+    front: TcpListener,
+    ready: TcpListener,
+    metrics: TcpListener,
+    peer: TcpListener,
+}
+
+impl Listeners {
+    fn open(cfg: &Config) -> Result<Self, Error> {
+        Ok(Self {
+            front: front::listen(cfg.listen)?,
+            ready: front::listen(cfg.ready)?,
+            metrics: front::listen(cfg.metrics)?,
+            peer: front::listen(cfg.peer)?,
+        })
+    }
+}
+
+fn spawn_feeds(shared: &Arc<Shared>, ports: &Ports, upstream: &Arc<Upstream>) {
+    tokio::spawn(feed::follow_manifest(
+        Arc::clone(shared),
+        Arc::clone(&ports.store),
+        Arc::clone(&ports.directory),
+    ));
+    tokio::spawn(feed::follow_servers(
+        Arc::clone(shared),
+        Arc::clone(&ports.store),
+        Arc::clone(&ports.directory),
+        Arc::clone(upstream),
+    ));
+    tokio::spawn(feed::tidy(Arc::clone(shared), Arc::clone(upstream)));
+}
+
+fn spawn_granting(leasing: &Arc<Leasing>, ports: &Ports, peer: TcpListener) {
+    tokio::spawn(Arc::clone(leasing).run());
+    tokio::spawn(link::run(Arc::clone(leasing)));
+    tokio::spawn(link::read_alone(
+        Arc::clone(leasing),
+        Arc::clone(&ports.store),
+    ));
+    tokio::spawn(link::serve(Arc::clone(leasing), peer));
+}
+
+/// The signals that this process acts on.
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    hang_up: Signal,
+}
+
+impl Signals {
+    fn new() -> Result<Self, Error> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate()).map_err(Error::signal)?,
+            interrupt: signal(SignalKind::interrupt()).map_err(Error::signal)?,
+            hang_up: signal(SignalKind::hangup()).map_err(Error::signal)?,
+        })
+    }
+
+    /// Waits for the order to stop. A hang-up cuts nothing: no setting that may change while the
+    /// process runs is in use.
+    async fn stop(&mut self) {
+        loop {
+            tokio::select! {
+                _ = self.terminate.recv() => return,
+                _ = self.interrupt.recv() => return,
+                _ = self.hang_up.recv() => log::info!("reload: settings are read at the start"),
+            }
+        }
+    }
+}
+
+/// Ends a gateway without cutting a request off.
+async fn stop(shared: &Shared, front: &Front, leasing: &Leasing, phase: &watch::Sender<Phase>) {
+    let began = clock::now();
+    let in_flight = || u32::try_from(shared.metrics.in_flight.get()).unwrap_or(0);
+    emit(EventKind::Stopping {
+        in_flight: in_flight(),
+    });
+    phase.send_replace(Phase::Leaving);
+    let grace = shared.cfg.grace;
+    let leaving_until = began + grace.mul_f64(LEAVING_SHARE);
+    leasing.stop().await;
+    tokio::time::sleep(leaving_until.since(clock::now())).await;
+    phase.send_replace(Phase::Closing);
+    let until = began + grace.mul_f64(STOP_SHARE);
+    while front.connections() > 0 && clock::now() < until {
+        tokio::time::sleep(STOP_INTERVAL).await;
+    }
+    emit(EventKind::Stopped {
+        cut_off: in_flight(),
+    });
+}
--- /dev/null
+++ b/crates/carawayrill-gateway/src/state.rs
@@ -0,0 +1,342 @@
+//! What all tasks of a gateway share: the tables, and who is told of their changes.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use carawayrill_core::direct::admission::Candidate;
+use carawayrill_core::direct::admission::Distance;
+use carawayrill_core::direct::budget::RetryWindow;
+use carawayrill_core::direct::keys::Fence;
+use carawayrill_core::direct::keys::KeyRange;
+use carawayrill_core::direct::load::Ended;
+use carawayrill_core::direct::load::LoadReport;
+use carawayrill_core::direct::load::ServerLoad;
+use carawayrill_core::direct::manifest::Manifest;
+use carawayrill_core::direct::routes::Matched;
+use carawayrill_core::direct::routes::Routes;
+use carawayrill_core::direct::servers::Server;
+use carawayrill_core::direct::servers::Servers;
+use carawayrill_core::id::DataCentreId;
+use carawayrill_core::id::ServerId;
+use carawayrill_core::id::ServiceId;
+use carawayrill_core::id::Version;
+use carawayrill_core::time::Time;
+use carawayrill_core::time::millis;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use tokio::sync::watch;
+
+use crate::clock;
+use crate::config::Config;
+use crate::metrics::Metrics;
+
+/// The weight of a new request in the mean size of a route's requests.
+const SIZE_GAIN: f64 = 0.05;
+/// The size that is assumed of a route's requests before any was seen, in KiB.
+const DEFAULT_KIB: f64 = 4.0;
+/// The fronts that are assumed before the granter has told their number.
+const ASSUMED_FRONTS: u32 = 12;
+/// The longest time that a server stays slow after its start; a longer report is not believed.
+const MAX_COLD: Duration = Duration::from_secs(60);
+
+/// A span as a front uses it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SpanEntry {
+    /// The keys.
+    pub range: KeyRange,
+    /// Their holder.
+    pub server: ServerId,
+    /// The fence of its grant.
+    pub fence: Fence,
+    /// Whether no server may be asked for these keys at present.
+    pub moving: bool,
+}
+
+/// The spans of one service.
+#[derive(Debug, Clone, Default)]
+pub struct SpanTable {
+    /// The version of the stored record that they come from.
+    pub version: Version,
+    /// The spans, in order of keys.
+    pub spans: Vec<SpanEntry>,
+}
+
+impl SpanTable {
+    /// Returns the span of a key.
+    #[must_use]
+    pub fn find(&self, key: u16) -> Option<&SpanEntry> {
+        let at = self.spans.partition_point(|span| span.range.last < key);
+        self.spans.get(at).filter(|span| span.range.contains(key))
+    }
+}
+
+/// The tables of a gateway.
+#[derive(Debug)]
+pub struct Tables {
+    /// The manifest in force.
+    pub manifest: Option<Arc<Manifest>>,
+    /// Its routes.
+    pub routes: Routes,
+    /// The listed servers.
+    pub servers: Servers,
+    /// Whether the list of servers was read.
+    pub servers_read: bool,
+    /// What is known of each server's load.
+    pub loads: HashMap<ServerId, ServerLoad>,
+    /// The spans of keyed services.
+    pub spans: HashMap<ServiceId, SpanTable>,
+    /// The retry budget of each service.
+    pub retries: HashMap<ServiceId, RetryWindow>,
+    /// The mean size of a route's requests and answers, in KiB.
+    pub sizes: HashMap<compact_str::CompactString, f64>,
+    /// Requests by key since the last report to the granter.
+    pub demand: HashMap<ServiceId, BTreeMap<u16, u32>>,
+    /// The number of fronts that are alive.
+    pub fronts: u32,
+    /// Randomness of decisions.
+    pub rng: ChaCha8Rng,
+}
+
+/// What all tasks share.
+#[derive(Debug)]
+pub struct Shared {
+    /// The settings.
+    pub cfg: Config,
+    /// The metrics.
+    pub metrics: Metrics,
+    tables: Mutex<Tables>,
+    changed: watch::Sender<u64>,
+}
+
+impl Shared {
+    /// Makes empty tables.
+    #[must_use]
+    pub fn new(cfg: Config, metrics: Metrics) -> Self {
+        let seed = cfg.run;
+        Self {
+            cfg,
+            metrics,
+            tables: Mutex::new(Tables {
+                manifest: None,
+                routes: Routes::default(),
+                servers: Servers::default(),
+                servers_read: false,
+                loads: HashMap::new(),
+                spans: HashMap::new(),
+                retries: HashMap::new(),
+                sizes: HashMap::new(),
+                demand: HashMap::new(),
+                fronts: ASSUMED_FRONTS,
+                rng: ChaCha8Rng::seed_from_u64(seed),
+            }),
+            changed: watch::Sender::new(0),
+        }
+    }
+
+    /// Gives access to the tables. Never held across a wait.
+    pub fn tables(&self) -> MutexGuard<'_, Tables> {
+        self.tables.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Tells waiting requests that a table has changed.
+    pub fn announce(&self) {
+        self.changed.send_modify(|count| *count += 1);
+    }
+
+    /// Returns a receiver of changes.
+    #[must_use]
+    pub fn changes(&self) -> watch::Receiver<u64> {
+        self.changed.subscribe()
+    }
+
+    /// Returns how far a data centre is from this front.
+    #[must_use]
+    pub fn distance(&self, to: &DataCentreId) -> Distance {
+        let here = &self.cfg.data_centre;
+        if here == to {
+            return Distance::DataCentre;
+        }
+        let region = |of: &DataCentreId| self.cfg.regions.get(of);
+        if region(here).is_some() && region(here) == region(to) {
+            return Distance::Region;
+        }
+        Distance::Far
+    }
+}
+
+impl Tables {
+    /// Puts a manifest into force unless it is older than the present one.
+    pub fn put_manifest(&mut self, manifest: Manifest) -> bool {
+        let newer = self
+            .manifest
+            .as_ref()
+            .is_none_or(|present| present.version < manifest.version);
+        if newer {
+            self.routes = Routes::new(&manifest);
+            self.manifest = Some(Arc::new(manifest));
+        }
+        newer
+    }
+
+    /// Finds the route of a request.
+    pub fn find(&mut self, host: &str, path: &str) -> Option<Matched> {
+        self.routes.find(host, path)
+    }
+
+    /// Returns the mean service time of a service's servers, in milliseconds.
+    #[must_use]
+    pub fn service_ms(&self, service: &ServiceId) -> Option<f64> {
+        let known: Vec<f64> = self
+            .servers
+            .ready_of(service)
+            .filter_map(|server| self.loads.get(&server.id)?.service_ms())
+            .collect();
+        (!known.is_empty()).then(|| known.iter().sum::<f64>() / known.len() as f64)
+    }
+
+    /// Returns the row of a server's load, made anew if there is none.
+    pub fn load(&mut self, server: &Server, now: Time) -> &mut ServerLoad {
+        if !self.loads.contains_key(&server.id) {
+            let service_ms = self.service_ms(&server.service);
+            let cold = server.cold_for.min(MAX_COLD);
+            let row = ServerLoad::new(server.slots, cold, service_ms, now);
+            self.loads.insert(server.id.clone(), row);
+        }
+        self.loads
+            .get_mut(&server.id)
+            .unwrap_or_else(|| unreachable!("the row was just made"))
+    }
+
+    /// Drops the rows of servers that are not listed any more.
+    pub fn drop_old_loads(&mut self) {
+        let servers = &self.servers;
+        self.loads
+            .retain(|id, load| servers.get(id).is_some() || load.in_flight() > 0);
+    }
+
+    /// Returns one server as a candidate for a request.
+    pub fn candidate(
+        &mut self,
+        server: &Server,
+        distance: Distance,
+        connections: u32,
+        now: Time,
+    ) -> Candidate {
+        let load = self.load(server, now);
+        Candidate {
+            server: server.id.clone(),
+            distance,
+            answer_ms: load.answer_ms(now),
+            failure_cost_ms: load.failure_cost_ms(now),
+            usable: load.in_flight() < connections && load.paused_until() <= now,
+        }
+    }
+
+    /// Returns the connections that this front may have to each server of a service.
+    #[must_use]
+    pub fn connection_share(&self, service: &ServiceId) -> u32 {
+        let max = self
+            .manifest
+            .as_ref()
+            .and_then(|manifest| manifest.service(service))
+            .map_or(u32::MAX, |service| service.max_connections);
+        (max / self.fronts.max(1)).max(2)
+    }
+
+    /// Returns the expected size of a route's requests and answers, in KiB.
+    #[must_use]
+    pub fn size_kib(&self, route: &str) -> f64 {
+        self.sizes.get(route).copied().unwrap_or(DEFAULT_KIB)
+    }
+
+    /// Takes in the size of a request with its answer.
+    pub fn note_size(&mut self, route: &compact_str::CompactString, bytes: usize) {
+        let kib = bytes as f64 / 1_024.0;
+        let mean = self.sizes.entry(route.clone()).or_insert(kib);
+        *mean += (kib - *mean) * SIZE_GAIN;
+    }
+
+    /// Notes a request for a key.
+    pub fn note_key(&mut self, service: &ServiceId, key: u16) {
+        *self
+            .demand
+            .entry(service.clone())
+            .or_default()
+            .entry(key)
+            .or_insert(0) += 1;
+    }
+
+    /// Returns the retry budget of a service.
+    pub fn budget(&mut self, service: &ServiceId, cfg: &Config) -> &mut RetryWindow {
+        self.retries
+            .entry(service.clone())
+            .or_insert_with(|| RetryWindow::new(cfg.retries))
+    }
+}
+
+/// A request that counts as being at a server until this is ended or dropped.
+#[derive(Debug)]
+pub struct InFlight {
+    shared: Arc<Shared>,
+    server: ServerId,
+    sent: Time,
+    total_at_send: f64,
+    ended: bool,
+}
+
+impl InFlight {
+    /// Notes that a request is about to be sent to a server.
+    #[must_use]
+    pub fn begin(shared: &Arc<Shared>, server: &Server) -> Self {
+        let now = clock::now();
+        let mut tables = shared.tables();
+        let load = tables.load(server, now);
+        let total_at_send = load.expected_total(now);
+        load.sent();
+        drop(tables);
+        Self {
+            shared: Arc::clone(shared),
+            server: server.id.clone(),
+            sent: now,
+            total_at_send,
+            ended: false,
+        }
+    }
+
+    /// Returns the number of requests that were expected at the server before this one.
+    #[must_use]
+    pub fn total_at_send(&self) -> f64 {
+        self.total_at_send
+    }
+
+    /// Notes the end of the request.
+    pub fn end(mut self, how: Ended, report: Option<LoadReport>) {
+        self.finish(how, report);
+    }
+
+    fn finish(&mut self, how: Ended, report: Option<LoadReport>) {
+        self.ended = true;
+        let now = clock::now();
+        let took = Duration::from_millis(millis(now.since(self.sent)));
+        let mut tables = self.shared.tables();
+        if let Some(load) = tables.loads.get_mut(&self.server) {
+            load.ended(now, how, took, self.total_at_send);
+            if let Some(report) = report {
+                load.report(now, report);
+            }
+        }
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.finish(Ended::Unknown, None);
+        }
+    }
+}
--- a/crates/carawayrill-proto/src/lib.rs
+++ b/crates/carawayrill-proto/src/lib.rs
@@ -14,3 +14,15 @@
 )]
 #[path = "generated/carawayrill.peer.v1.rs"]
 pub mod wire;
+
+/// The protocol between fronts and the granter, generated from `proto/granter.proto`.
+#[allow(
+    clippy::all,
+    clippy::pedantic,
+    clippy::restriction,
+    missing_docs,
+    clippy::allow_attributes_without_reason,
+    reason = "generated code"
+)]
+#[path = "generated/carawayrill.granter.v1.rs"]
+pub mod granter;
--- a/crates/carawayrill-protogen/src/main.rs
+++ b/crates/carawayrill-protogen/src/main.rs
@@ -1,6 +1,6 @@
 //! Generates the Rust code of the protocol between the system's own processes.
 //!
-//! Run it from the root of the workspace after a change to `peer.proto`:
+//! Run it from the root of the workspace after a change to a proto file:
 //!
 //! ```text
 //! cargo run -p carawayrill-protogen
@@ -16,7 +16,7 @@
 const OUT_DIR: &str = "crates/carawayrill-proto/src/generated";
 
 fn main() -> Result<(), Box<dyn Error>> {
-    let files = protox::compile(["peer.proto"], [PROTO_DIR])?;
+    let files = protox::compile(["peer.proto", "granter.proto"], [PROTO_DIR])?;
     tonic_prost_build::configure()
         .out_dir(OUT_DIR)
         .bytes(".")
--- a/crates/carawayrill-store/src/error.rs
+++ b/crates/carawayrill-store/src/error.rs
@@ -34,6 +34,10 @@
         NoAnswer { reason: String } {
             display("no answer: {reason}")
         }
+        /// The changes after the given revision are not kept any more.
+        HistoryLost {
+            display("the history after this revision is gone")
+        }
         /// The answer does not have the agreed form.
         Malformed { reason: String } {
             display("malformed answer: {reason}")
@@ -70,6 +74,20 @@
         }
     }
 
+    /// Makes the error of a watch whose history is gone: it has to start from revision 0 again.
+    #[must_use]
+    pub fn history_lost() -> Self {
+        Self {
+            kind: ErrorKind::HistoryLost,
+        }
+    }
+
+    /// Returns whether a watch has to start from revision 0 again.
+    #[must_use]
+    pub fn is_history_lost(&self) -> bool {
+        matches!(self.kind, ErrorKind::HistoryLost)
+    }
+
     /// Makes the error of an answer that can't be read.
     #[must_use]
     pub fn malformed(reason: impl Into<String>) -> Self {
@@ -84,7 +102,9 @@
     #[must_use]
     pub fn fate(&self) -> Fate {
         match self.kind {
-            ErrorKind::Conflict { .. } | ErrorKind::Unavailable { .. } => Fate::NotDone,
+            ErrorKind::Conflict { .. } | ErrorKind::Unavailable { .. } | ErrorKind::HistoryLost => {
+                Fate::NotDone
+            }
             ErrorKind::NoAnswer { .. } | ErrorKind::Malformed { .. } => Fate::Unknown,
         }
     }
--- a/crates/carawayrill-store/src/lib.rs
+++ b/crates/carawayrill-store/src/lib.rs
@@ -4,7 +4,7 @@
 //! Decision code and daemons see only the traits in [`port`], so that tests put small fakes in
 //! their place.
 
-mod client;
+pub mod client;
 mod error;
 pub mod http_servers;
 pub mod http_store;
--- a/crates/carawayrill-telemetry/src/error.rs
+++ b/crates/carawayrill-telemetry/src/error.rs
@@ -16,6 +16,10 @@
         Twice {
             display("events and logs are set up already")
         }
+        /// No thread that writes the logs.
+        Output { reason: String } {
+            display("no thread for logs: {reason}")
+        }
         /// No socket for metrics.
         Metrics { reason: String } {
             display("no socket for metrics: {reason}")
@@ -31,6 +35,15 @@
         }
     }
 
+    /// Makes the error of logs that can't be written.
+    pub(crate) fn output(reason: &str) -> Self {
+        Self {
+            kind: ErrorKind::Output {
+                reason: reason.to_owned(),
+            },
+        }
+    }
+
     /// Makes the error of metrics that can't be sent.
     pub(crate) fn metrics(reason: &str) -> Self {
         Self {
--- a/crates/carawayrill-telemetry/src/lib.rs
+++ b/crates/carawayrill-telemetry/src/lib.rs
@@ -29,10 +29,12 @@
 use compact_str::format_compact;
 use env_logger::Builder;
 use env_logger::Env;
+use env_logger::Target;
 use env_logger::WriteStyle;
 use log::LevelFilter;
 
 mod error;
+mod pipe;
 
 pub use crate::error::Error;
 
@@ -61,12 +63,26 @@
 
 static SOURCE: OnceLock<Source> = OnceLock::new();
 
-/// Sets up events and logs for the process named `node`.
+/// Sets up events and logs for the process named `node`, on standard error.
 ///
 /// # Errors
 ///
 /// Fails if it was called before, or if another logger is set.
 pub fn init(node: NodeId) -> Result<(), Error> {
+    init_to(node, Target::Stderr)
+}
+
+/// Sets up events and logs on standard output, through a bounded buffer that never blocks.
+///
+/// # Errors
+///
+/// Fails if it was called before, if another logger is set, or if no thread can be started.
+pub fn init_stdout(node: NodeId) -> Result<(), Error> {
+    let out = pipe::BoundedStdout::start().map_err(|err| Error::output(&err.to_string()))?;
+    init_to(node, Target::Pipe(Box::new(out)))
+}
+
+fn init_to(node: NodeId, target: Target) -> Result<(), Error> {
     let source = Source {
         node,
         state: Mutex::new(State::default()),
@@ -75,6 +91,7 @@
     Builder::from_env(Env::default().default_filter_or("info"))
         .filter_module(EVENT_TARGET, LevelFilter::Info)
         .write_style(WriteStyle::Never)
+        .target(target)
         .format(|out, record| {
             if [EVENT_TARGET, REQUEST_TARGET, INPUT_TARGET].contains(&record.target()) {
                 return writeln!(out, "{}", record.args());
