--- a/crates/carawayrill-core/src/direct/granter/plan.rs
+++ b/crates/carawayrill-core/src/direct/granter/plan.rs
@@ -11,6 +11,7 @@
 use crate::direct::servers::Server;
 use crate::direct::spans::Former;
 use crate::direct::spans::Holder;
+use crate::direct::spans::SETTLE_FENCES;
 use crate::direct::spans::Span;
 use crate::direct::spans::SpanRecord;
 use crate::id::ServerId;
@@ -186,7 +187,7 @@
     let former = row.span.former.clone().unwrap_or_else(|| Former {
         holder: row.span.holder.clone(),
         fence: row.span.fence,
-        settle: record.take_fence(),
+        settle: record.take_fences(SETTLE_FENCES),
     });
     let fence = record.take_fence();
     record.spans.push(Span {
--- a/crates/carawayrill-core/src/direct/granter/row.rs
+++ b/crates/carawayrill-core/src/direct/granter/row.rs
@@ -15,6 +15,7 @@
 use crate::direct::servers::Servers;
 use crate::direct::spans::Former;
 use crate::direct::spans::Holder;
+use crate::direct::spans::SETTLE_FENCES;
 use crate::direct::spans::Span;
 use crate::time::Time;
 
@@ -55,8 +56,8 @@
     unsettled_until: Time,
     /// The same for the former holder.
     former_unsettled_until: Time,
-    /// Whether the former holder has acknowledged the grant that fences out late orders.
-    former_settled: bool,
+    /// The orders that were sent to settle the former holder; each has a fence of its own.
+    settles: u64,
     /// Whether another granter recorded the former holder: how far it got is not known.
     inherited: bool,
     /// Whether the holder has acknowledged a grant of this span.
@@ -77,7 +78,7 @@
             former_until: until,
             unsettled_until: until,
             former_unsettled_until: until,
-            former_settled: false,
+            settles: 0,
             inherited: true,
             granted: true,
             failures: 0,
@@ -94,7 +95,7 @@
             former_until: now,
             unsettled_until: now,
             former_unsettled_until: now,
-            former_settled: false,
+            settles: 0,
             inherited: false,
             granted: false,
             failures: 0,
@@ -162,7 +163,7 @@
             self.due = self.former_until;
             return None;
         }
-        Some(self.free_former(&former, inputs.now, cfg, id))
+        self.free_former(&former, inputs.now, cfg, id)
     }
 
     fn forget_former(&mut self) {
@@ -206,23 +207,31 @@
     }
 
     /// Asks the former holder to let go, after a grant that makes it refuse late orders.
-    fn free_former(&mut self, former: &Former, now: Time, cfg: &Config, id: OrderId) -> SpanOrder {
+    fn free_former(
+        &mut self,
+        former: &Former,
+        now: Time,
+        cfg: &Config,
+        id: OrderId,
+    ) -> Option<SpanOrder> {
         let to = former.holder.clone();
         let before = self.former_until;
         if now >= self.former_unsettled_until {
-            let fence = if self.former_settled {
-                former.settle
-            } else {
-                former.fence
-            };
             let order = InFlight {
                 id,
                 kind: Kind::Release,
                 hold: Duration::ZERO,
                 until_before: before,
             };
-            return self.send(order, to, fence, None, cfg);
+            return Some(self.send(order, to, self.former_fence(former), None, cfg));
         }
+        if self.settles >= SETTLE_FENCES {
+            // No fence is left: only time settles the former holder.
+            self.due = self.former_unsettled_until;
+            return None;
+        }
+        let fence = Fence(former.settle.0 + self.settles);
+        self.settles += 1;
         self.former_until = before.max(now + cfg.longest(cfg.hold));
         let order = InFlight {
             id,
@@ -230,7 +239,15 @@
             hold: cfg.hold,
             until_before: before,
         };
-        self.send(order, to, former.settle, None, cfg)
+        Some(self.send(order, to, fence, None, cfg))
+    }
+
+    /// Returns the highest fence under which the former holder may have been granted the span.
+    fn former_fence(&self, former: &Former) -> Fence {
+        match self.settles {
+            0 => former.fence,
+            sent => Fence(former.settle.0 + sent - 1),
+        }
     }
 
     fn send(
@@ -276,7 +293,6 @@
             (Kind::Grant, OrderResult::Fenced) => self.failures = LOST_AFTER_FAILURES,
             (Kind::Settle, OrderResult::Done(_) | OrderResult::Fenced) => {
                 self.former_unsettled_until = now;
-                self.former_settled = true;
             }
             (Kind::Release, OrderResult::Done(handover)) => {
                 self.span.former = None;
@@ -357,7 +373,7 @@
         return Row {
             former_until: first.former_until,
             former_unsettled_until: first.former_unsettled_until,
-            former_settled: first.former_settled,
+            settles: first.settles,
             ..Row::fresh(span.clone(), now)
         };
     }
--- a/crates/carawayrill-core/src/direct/rebalance.rs
+++ b/crates/carawayrill-core/src/direct/rebalance.rs
@@ -16,7 +16,7 @@
 /// The utilisation below which a server is left alone, however uneven the rest is.
 const QUIET_UTILISATION: f64 = 0.25;
 /// The most moves of one plan.
-const MAX_MOVES: usize = 6;
+const MAX_MOVES: usize = 24;
 /// The share of the gap between two servers that one move may close.
 const GAP_SHARE: f64 = 0.9;
 
@@ -206,18 +206,40 @@
         let Some(planned) = next_move(&free, &loads, demand, mean) else {
             break;
         };
-        let at = free
-            .iter()
-            .position(|piece| piece.range.contains(planned.range.first));
-        let Some(piece) = at.map(|at| free.swap_remove(at)) else {
+        let Some(from) = cut_out(&mut free, planned.range) else {
             break;
         };
-        loads.shift(&piece.server, &planned.to, demand.range(planned.range));
+        loads.shift(&from, &planned.to, demand.range(planned.range));
         moves.push(planned);
     }
     moves
 }
 
+/// Takes a range out of the piece that holds it, and returns that piece's server.
+fn cut_out(free: &mut Vec<Piece>, range: KeyRange) -> Option<ServerId> {
+    let at = free.iter().position(|piece| piece.range.contains(range.first))?;
+    let piece = free.swap_remove(at);
+    if piece.range.first < range.first {
+        free.push(Piece {
+            range: KeyRange {
+                first: piece.range.first,
+                last: range.first - 1,
+            },
+            ..piece.clone()
+        });
+    }
+    if range.last < piece.range.last {
+        free.push(Piece {
+            range: KeyRange {
+                first: range.last + 1,
+                last: piece.range.last,
+            },
+            ..piece.clone()
+        });
+    }
+    Some(piece.server)
+}
+
 /// Plans one move from the most used server that can give to the least used one.
 fn next_move(free: &[Piece], loads: &Loads<'_>, demand: &KeyDemand, mean: f64) -> Option<Move> {
     let to = loads.least_used(loads.rates.keys().cloned())?;
--- a/crates/carawayrill-core/src/direct/servers.rs
+++ b/crates/carawayrill-core/src/direct/servers.rs
@@ -53,6 +53,8 @@
 #[derive(Debug, Default)]
 pub struct Servers {
     rows: BTreeMap<ServerId, Server>,
+    /// When each leaving server was first seen to leave.
+    leaving: BTreeMap<ServerId, Time>,
     /// Servers that vanished around an outage of the store, with the time until which they count.
     lapsed: BTreeMap<ServerId, Time>,
     /// Whether the store could not be read last time.
@@ -80,9 +82,20 @@
             .filter(move |server| server.service == *service && !server.draining)
     }
 
-    /// Takes in a listed server.
-    pub fn put(&mut self, server: Server) -> Option<Change> {
+    /// Returns since when a server has been leaving.
+    #[must_use]
+    pub fn leaving_since(&self, id: &ServerId) -> Option<Time> {
+        self.leaving.get(id).copied()
+    }
+
+    /// Takes in a listed server, as read at `now`.
+    pub fn put(&mut self, server: Server, now: Time) -> Option<Change> {
         self.lapsed.remove(&server.id);
+        if server.draining {
+            self.leaving.entry(server.id.clone()).or_insert(now);
+        } else {
+            self.leaving.remove(&server.id);
+        }
         let id = server.id.clone();
         let draining = server.draining;
         let born = server.born;
@@ -108,6 +121,7 @@
 
     fn remove(&mut self, id: &ServerId) -> Option<Change> {
         self.lapsed.remove(id);
+        self.leaving.remove(id);
         self.rows.remove(id).map(|_| Change::Removed(id.clone()))
     }
 
@@ -135,7 +149,7 @@
             .collect();
         let mut changes: Vec<Change> = listed
             .into_iter()
-            .filter_map(|server| self.put(server))
+            .filter_map(|server| self.put(server, now))
             .collect();
         changes.extend(missing.iter().filter_map(|id| self.vanish(id, now)));
         changes
--- a/crates/carawayrill-core/src/direct/spans.rs
+++ b/crates/carawayrill-core/src/direct/spans.rs
@@ -9,6 +9,10 @@
 use crate::direct::keys::KeyRange;
 use crate::id::ServerId;
 
+/// The fences that are reserved for settling a former holder. Each serves for one order: an order
+/// that was not answered may be carried out later, also after the same one was sent again.
+pub const SETTLE_FENCES: u64 = 8;
+
 data! {
     /// One life of a server that holds or held keys.
     pub struct Holder {
@@ -26,8 +30,8 @@
         pub holder: Holder,
         /// The fence of its grant.
         pub fence: Fence,
-        /// A fence between its grant and the new one. A grant under it makes the server refuse
-        /// earlier orders that are still on their way.
+        /// The first of [`SETTLE_FENCES`] fences between its grant and the new one. A grant under
+        /// one of them makes the server refuse earlier orders that are still on their way.
         pub settle: Fence,
     }
 
@@ -79,8 +83,13 @@
 
     /// Takes an unused fence.
     pub fn take_fence(&mut self) -> Fence {
-        let fence = self.next_fence;
-        self.next_fence = fence.next();
-        fence
+        self.take_fences(1)
+    }
+
+    /// Takes `count` unused fences in a row and returns the first.
+    pub fn take_fences(&mut self, count: u64) -> Fence {
+        let first = self.next_fence;
+        self.next_fence = Fence(first.0 + count);
+        first
     }
 }
--- a/crates/carawayrill-gateway/src/config.rs
+++ b/crates/carawayrill-gateway/src/config.rs
@@ -35,6 +35,8 @@
     pub retries: Allowance,
     /// The longest time from the order to stop until the process has to be gone.
     pub grace: Duration,
+    /// How long a server may be sent requests after it was seen to leave.
+    pub drain: Duration,
     /// Times of the granter.
     pub granter: granter::Config,
     /// How long the granter's lease holds after a renewal.
--- a/crates/carawayrill-gateway/src/feed.rs
+++ b/crates/carawayrill-gateway/src/feed.rs
@@ -302,7 +302,7 @@
             };
             let mut tables = self.shared.tables();
             match read {
-                Some(server) => seen.extend(tables.servers.put(server)),
+                Some(server) => seen.extend(tables.servers.put(server, now)),
                 // An entry that can't be read any more names no server to use.
                 None => {
                     if let Ok(id) = ServerId::try_from(last_part(&object.name)) {
--- a/crates/carawayrill-gateway/src/forward.rs
+++ b/crates/carawayrill-gateway/src/forward.rs
@@ -296,6 +296,10 @@
         let Some(server) = tables.servers.get(&span.server).cloned() else {
             return Next::WaitForOwner;
         };
+        let leaving = tables.servers.leaving_since(&server.id);
+        if leaving.is_some_and(|since| now.since(since) > self.shared.cfg.drain) {
+            return Next::WaitForOwner;
+        }
         let share = tables.connection_share(service);
         let distance = self.shared.distance(&server.data_centre);
         let candidate = tables.candidate(&server, distance, share, now);
