Place keys sooner and move hot ones less: first spread, hot keys, rest after a move

Change: keys are first spread once no server was added for 0.9 s, keys without demand count a little, the hottest key goes to a server 1.5 times as fast or stays, moved keys rest 2.5 s, load beliefs decay, spans are told by difference, server changes are gathered for 0.4 s.

--- a/crates/carawayrill-core/src/direct/demand.rs
+++ b/crates/carawayrill-core/src/direct/demand.rs
@@ -5,6 +5,10 @@
 use crate::direct::keys::KEY_COUNT;
 use crate::direct::keys::KeyRange;
 
+/// What each key counts with beside its own demand, in requests a second, so that keys nobody
+/// asks for are spread as well.
+const BASE_RATE: f64 = 2.0 / KEY_COUNT as f64;
+
 /// The demand by key, in requests a second, as an exponentially weighted mean.
 #[derive(Debug, Clone)]
 pub struct KeyDemand {
@@ -44,15 +48,25 @@
     /// Returns the rate of one key.
     #[must_use]
     pub fn rate(&self, key: usize) -> f64 {
-        f64::from(self.rates[key])
+        f64::from(self.rates[key]) + BASE_RATE
+    }
+
+    /// Returns the key with the highest rate, if any key was asked for.
+    #[must_use]
+    pub fn hottest(&self) -> Option<(u16, f64)> {
+        let rates = self.rates.iter().enumerate();
+        let (key, rate) = rates.max_by(|one, other| one.1.total_cmp(other.1))?;
+        let key = u16::try_from(key).ok()?;
+        (*rate > 0.0).then_some((key, f64::from(*rate)))
     }
 
     /// Returns the summed rate of a range.
     #[must_use]
     pub fn range(&self, range: KeyRange) -> f64 {
-        self.rates[range.indices()]
+        let asked: f64 = self.rates[range.indices()]
             .iter()
             .map(|rate| f64::from(*rate))
-            .sum()
+            .sum();
+        asked + BASE_RATE * range.len() as f64
     }
 }
--- a/crates/carawayrill-core/src/direct/granter/mod.rs
+++ b/crates/carawayrill-core/src/direct/granter/mod.rs
@@ -54,6 +54,9 @@
     pub margin: Duration,
     /// The shortest time between two plans.
     pub plan_interval: Duration,
+    /// How long keys that have moved are not moved again by choice: each move costs their
+    /// requests the time in which the former holder ends its work.
+    pub rest: Duration,
 }
 
 impl Default for Config {
@@ -67,6 +70,7 @@
             clock_drift: 0.02,
             margin: Duration::from_millis(100),
             plan_interval: Duration::from_millis(300),
+            rest: Duration::from_millis(2_500),
         }
     }
 }
--- a/crates/carawayrill-core/src/direct/granter/plan.rs
+++ b/crates/carawayrill-core/src/direct/granter/plan.rs
@@ -147,7 +147,7 @@
         .map(|row| Piece {
             range: row.span.range,
             server: row.span.holder.server.clone(),
-            movable: row.is_calm() && !must_leave(row, inputs),
+            movable: row.is_calm(inputs.now) && !must_leave(row, inputs),
         })
         .collect()
 }
--- a/crates/carawayrill-core/src/direct/granter/row.rs
+++ b/crates/carawayrill-core/src/direct/granter/row.rs
@@ -64,6 +64,8 @@
     granted: bool,
     /// Orders that failed in a row.
     failures: u32,
+    /// Until when the row is not moved by choice again.
+    rests_until: Time,
 }
 
 impl Row {
@@ -82,11 +84,12 @@
             inherited: true,
             granted: true,
             failures: 0,
+            rests_until: now,
         }
     }
 
     /// Makes the row of a span that was never granted.
-    fn fresh(span: Span, now: Time) -> Self {
+    fn fresh(span: Span, now: Time, cfg: &Config) -> Self {
         Self {
             span,
             in_flight: None,
@@ -99,6 +102,7 @@
             inherited: false,
             granted: false,
             failures: 0,
+            rests_until: now + cfg.rest,
         }
     }
 
@@ -127,8 +131,8 @@
     }
 
     /// Returns whether the row may be moved by choice: nothing about it is open.
-    pub(super) fn is_calm(&self) -> bool {
-        !self.is_moving() && self.failures == 0
+    pub(super) fn is_calm(&self, now: Time) -> bool {
+        !self.is_moving() && self.failures == 0 && now >= self.rests_until
     }
 
     /// Returns whether the holder may be replaced by another one.
@@ -355,7 +359,7 @@
         .filter(|row| overlaps(row.span.range, span.range))
         .collect();
     let Some(first) = parents.first() else {
-        return Row::fresh(span.clone(), now);
+        return Row::fresh(span.clone(), now, cfg);
     };
     let same = first.span.fence == span.fence && first.span.holder == span.holder;
     if same {
@@ -374,7 +378,7 @@
             former_until: first.former_until,
             former_unsettled_until: first.former_unsettled_until,
             settles: first.settles,
-            ..Row::fresh(span.clone(), now)
+            ..Row::fresh(span.clone(), now, cfg)
         };
     }
     let latest = |f: fn(&Row) -> Time| parents.iter().map(|row| f(row)).max().unwrap_or(now);
@@ -386,7 +390,7 @@
     Row {
         former_until: latest(|row| row.hold_until).max(open),
         former_unsettled_until: latest(|row| row.unsettled_until).max(open),
-        ..Row::fresh(span.clone(), now)
+        ..Row::fresh(span.clone(), now, cfg)
     }
 }
 
--- a/crates/carawayrill-core/src/direct/load.rs
+++ b/crates/carawayrill-core/src/direct/load.rs
@@ -17,7 +17,10 @@
 /// The time after which a failure rate has halved without any answer, in milliseconds.
 const FAILURE_HALF_LIFE_MS: f64 = 3_000.0;
 /// The time after which a load report counts half, in milliseconds.
-const REPORT_HALF_LIFE_MS: f64 = 400.0;
+const REPORT_HALF_LIFE_MS: f64 = 250.0;
+/// The time after which the mean load by others counts half without a report, in milliseconds.
+/// Without it, a server that was found full would never be tried again.
+const MEAN_HALF_LIFE_MS: f64 = 800.0;
 /// The weight of a new report in the mean load by others.
 const OTHERS_GAIN: f64 = 0.2;
 /// How much slower a server is while it is cold.
@@ -124,7 +127,8 @@
         };
         let age_ms = millis(now.since(at)) as f64;
         let fresh = (-age_ms / REPORT_HALF_LIFE_MS).exp2();
-        let others = self.others * fresh + self.others_mean * (1.0 - fresh);
+        let mean = self.others_mean * (-age_ms / MEAN_HALF_LIFE_MS).exp2();
+        let others = self.others * fresh + mean * (1.0 - fresh);
         f64::from(self.in_flight) + others
     }
 
--- a/crates/carawayrill-core/src/direct/rebalance.rs
+++ b/crates/carawayrill-core/src/direct/rebalance.rs
@@ -19,6 +19,14 @@
 const MAX_MOVES: usize = 24;
 /// The share of the gap between two servers that one move may close.
 const GAP_SHARE: f64 = 0.9;
+/// The least demand that is worth a move, as a share of what the giving server can serve.
+const MIN_PART: f64 = 0.04;
+/// The utilisation by a single key above which the key goes to a faster server.
+const HOT_KEY_UTILISATION: f64 = 0.8;
+/// How much faster that server has to be.
+const FASTER_FACTOR: f64 = 1.5;
+/// The share of the giving server's utilisation that the taking one may reach by a move.
+const GAIN_FACTOR: f64 = 0.8;
 
 /// What each server of a service can serve, in requests a second.
 #[derive(Debug, Clone, Default)]
@@ -202,6 +210,12 @@
         .cloned()
         .collect();
     let mut moves: Vec<Move> = Vec::new();
+    if let Some(planned) = hot_key_move(&free, &loads, demand) {
+        moves.extend(cut_out(&mut free, planned.range).map(|from| {
+            loads.shift(&from, &planned.to, demand.range(planned.range));
+            planned
+        }));
+    }
     while moves.len() < MAX_MOVES {
         let Some(planned) = next_move(&free, &loads, demand, mean) else {
             break;
@@ -217,7 +231,9 @@
 
 /// Takes a range out of the piece that holds it, and returns that piece's server.
 fn cut_out(free: &mut Vec<Piece>, range: KeyRange) -> Option<ServerId> {
-    let at = free.iter().position(|piece| piece.range.contains(range.first))?;
+    let at = free
+        .iter()
+        .position(|piece| piece.range.contains(range.first))?;
     let piece = free.swap_remove(at);
     if piece.range.first < range.first {
         free.push(Piece {
@@ -240,6 +256,31 @@
     Some(piece.server)
 }
 
+/// Moves the hottest key to a faster server if its own can't serve it.
+///
+/// No server may be able to serve that key whole; the fastest one refuses the fewest requests.
+/// What else the fastest server holds leaves it in later moves.
+fn hot_key_move(free: &[Piece], loads: &Loads<'_>, demand: &KeyDemand) -> Option<Move> {
+    let (key, rate) = demand.hottest()?;
+    let piece = free.iter().find(|piece| piece.range.contains(key))?;
+    let own = loads.capacities.of(&piece.server);
+    if rate < own * HOT_KEY_UTILISATION {
+        return None;
+    }
+    let (capacity, to) = loads
+        .rates
+        .keys()
+        .map(|server| (loads.capacities.of(server), server))
+        .max_by(|one, other| one.0.total_cmp(&other.0))?;
+    (capacity > own * FASTER_FACTOR).then(|| Move {
+        range: KeyRange {
+            first: key,
+            last: key,
+        },
+        to: to.clone(),
+    })
+}
+
 /// Plans one move from the most used server that can give to the least used one.
 fn next_move(free: &[Piece], loads: &Loads<'_>, demand: &KeyDemand, mean: f64) -> Option<Move> {
     let to = loads.least_used(loads.rates.keys().cloned())?;
@@ -248,7 +289,8 @@
         .rates
         .keys()
         .map(|server| (loads.utilisation(server), server))
-        .filter(|(used, _)| *used > mean * EXCESS_FACTOR && *used > QUIET_UTILISATION)
+        .filter(|(used, _)| *used > mean * EXCESS_FACTOR)
+        .filter(|(used, _)| *used > QUIET_UTILISATION || to_use == 0.0)
         .collect();
     givers.sort_by(|one, other| other.0.total_cmp(&one.0));
     for (used, from) in givers {
@@ -258,13 +300,15 @@
         if wanted <= 0.0 {
             continue;
         }
+        let least = loads.capacities.of(from) * MIN_PART;
         let parts = free
             .iter()
             .filter(|piece| piece.server == *from)
-            .filter_map(|piece| part_of(piece.range, demand, wanted));
+            .filter_map(|piece| part_of(piece.range, demand, wanted))
+            .filter(|(_, rate)| *rate >= least);
         let better = |rate: f64| {
             let capacity = loads.capacities.of(&to);
-            to_use + rate / capacity < used - 0.05
+            to_use + rate / capacity < used * GAIN_FACTOR
         };
         let best = parts
             .filter(|(_, rate)| better(*rate))
@@ -286,7 +330,7 @@
 fn part_of(range: KeyRange, demand: &KeyDemand, wanted: f64) -> Option<(KeyRange, f64)> {
     let total = demand.range(range);
     if total <= wanted {
-        return (total >= wanted * 0.3).then_some((range, total));
+        return Some((range, total));
     }
     let first = usize::from(range.first);
     let last = usize::from(range.last);
--- a/crates/carawayrill-gateway/src/feed.rs
+++ b/crates/carawayrill-gateway/src/feed.rs
@@ -27,8 +27,11 @@
 
 /// How long one watch waits.
 const WATCH_WAIT: Duration = Duration::from_secs(25);
-/// The pause after a watch that brought changes, so that changes in a row are read together.
-const GATHER: Duration = Duration::from_millis(150);
+/// The pause after a watch that brought changes of the manifest, so that changes in a row are read
+/// together.
+const MANIFEST_GATHER: Duration = Duration::from_millis(150);
+/// The same for changes of servers, which come in longer rows.
+const SERVER_GATHER: Duration = Duration::from_millis(400);
 /// The shortest pause after a failed call.
 const MIN_BACKOFF: Duration = Duration::from_millis(150);
 /// The longest pause after failed calls in a row.
@@ -88,6 +91,8 @@
     fn some(&mut self, changes: Changes);
     /// Takes in that the store can't be read.
     fn away(&mut self);
+    /// Returns how long to wait after changes for those that come in a row with them.
+    fn gather(&self) -> Duration;
 }
 
 /// Follows one kind of objects for ever.
@@ -113,7 +118,7 @@
                     reader.some(changes);
                 }
                 if any && !whole {
-                    tokio::time::sleep(GATHER).await;
+                    tokio::time::sleep(reader.gather()).await;
                 }
             }
             Err(err) if err.is_history_lost() => {
@@ -186,6 +191,10 @@
     }
 
     fn away(&mut self) {}
+
+    fn gather(&self) -> Duration {
+        MANIFEST_GATHER
+    }
 }
 
 /// Returns the last part of an object's name.
@@ -317,6 +326,10 @@
     fn away(&mut self) {
         self.shared.tables().servers.store_away();
     }
+
+    fn gather(&self) -> Duration {
+        SERVER_GATHER
+    }
 }
 
 /// Drops servers whose time after an outage is over, and connections that are too old.
--- a/crates/carawayrill-gateway/src/granting.rs
+++ b/crates/carawayrill-gateway/src/granting.rs
@@ -19,6 +19,7 @@
 use carawayrill_core::direct::granter::SpanOrder;
 use carawayrill_core::direct::granter::Step;
 use carawayrill_core::direct::rebalance::Capacities;
+use carawayrill_core::direct::servers::Server;
 use carawayrill_core::direct::spans::Span;
 use carawayrill_core::direct::spans::SpanRecord;
 use carawayrill_core::event::EventKind;
@@ -51,15 +52,15 @@
 /// The time between two updates to the fronts if nothing changes.
 const HEARTBEAT: Duration = Duration::from_millis(300);
 /// How long the mean demand by key remembers.
-const DEMAND_MEMORY: Duration = Duration::from_millis(1_500);
+const DEMAND_MEMORY: Duration = Duration::from_millis(1_200);
 /// The time between two rounds that take reports into the mean demand.
-const DEMAND_INTERVAL: Duration = Duration::from_millis(250);
-/// How long the granter waits for servers to be listed before it first spreads keys.
-const FIRST_SPREAD_WAIT: Duration = Duration::from_millis(400);
+const DEMAND_INTERVAL: Duration = Duration::from_millis(150);
+/// How long no further server may have been listed before keys are first spread over them.
+const FIRST_SPREAD_QUIET: Duration = Duration::from_millis(900);
+/// The longest wait before keys are first spread.
+const FIRST_SPREAD_WAIT: Duration = Duration::from_secs(3);
 /// How long a front counts as alive after its last report.
 const MEMBER_TTL: Duration = Duration::from_secs(2);
-/// The weight of a new report in a server's mean speed.
-const SPEED_GAIN: f64 = 0.2;
 /// The service time that is assumed while none was measured, in milliseconds.
 const DEFAULT_SERVICE_MS: f64 = 100.0;
 /// The share of its capacity that a cold server counts with.
@@ -95,8 +96,11 @@
 struct State {
     stored: BTreeMap<ServiceId, (Version, SpanRecord)>,
     granters: BTreeMap<ServiceId, Granter>,
+    /// The number of listed servers of services without spans, and since when it is that.
+    listed: BTreeMap<ServiceId, (usize, Time)>,
     demand: BTreeMap<ServiceId, KeyDemand>,
-    speeds: HashMap<ServerId, f64>,
+    /// The service time of each server in milliseconds, as told by each front.
+    speeds: HashMap<ServerId, HashMap<CompactString, f64>>,
     members: HashMap<CompactString, Time>,
     demand_at: Time,
     told_at: Time,
@@ -146,6 +150,7 @@
             state: Mutex::new(State {
                 stored,
                 granters: BTreeMap::new(),
+                listed: BTreeMap::new(),
                 demand: BTreeMap::new(),
                 speeds: HashMap::new(),
                 members: HashMap::new(),
@@ -177,7 +182,7 @@
     /// Takes in a front's report.
     pub fn report(&self, report: Report) {
         let mut state = self.state();
-        state.members.insert(report.front, clock::now());
+        state.members.insert(report.front.clone(), clock::now());
         for (service, keys) in report.demand {
             let demand = state
                 .demand
@@ -188,8 +193,8 @@
             }
         }
         for (server, service_ms) in report.speeds {
-            let mean = state.speeds.entry(server).or_insert(service_ms);
-            *mean += (service_ms - *mean) * SPEED_GAIN;
+            let told = state.speeds.entry(server).or_default();
+            told.insert(report.front.clone(), service_ms);
         }
     }
 
@@ -439,7 +444,7 @@
             }
             let stored = self.stored.remove(name);
             let is_new = stored.is_none();
-            if is_new && now.since(began) < FIRST_SPREAD_WAIT {
+            if is_new && !self.may_spread(tables, name, now, began) {
                 continue;
             }
             let granter = Granter::new(name.clone(), cfg, stored, now);
@@ -450,6 +455,18 @@
         }
     }
 
+    /// Returns whether the servers of a service seem to be listed in full.
+    fn may_spread(&mut self, tables: &Tables, name: &ServiceId, now: Time, began: Time) -> bool {
+        let count = tables.servers.ready_of(name).count();
+        let (seen, since) = *self.listed.get(name).unwrap_or(&(0, now));
+        if count != seen {
+            self.listed.insert(name.clone(), (count, now));
+            return false;
+        }
+        let quiet = now.since(since) >= FIRST_SPREAD_QUIET;
+        count > 0 && (quiet || now.since(began) >= FIRST_SPREAD_WAIT)
+    }
+
     fn advance_demand(&mut self, now: Time) {
         let span = now.since(self.demand_at);
         if span < DEMAND_INTERVAL {
@@ -495,20 +512,17 @@
 }
 
 /// Works out what each ready server of a service can serve.
-fn capacities(service: &ServiceId, tables: &Tables, speeds: &HashMap<ServerId, f64>) -> Capacities {
-    let known: Vec<f64> = tables
-        .servers
-        .ready_of(service)
-        .filter_map(|server| speeds.get(&server.id).copied())
-        .collect();
-    let mean = if known.is_empty() {
-        DEFAULT_SERVICE_MS
-    } else {
-        known.iter().sum::<f64>() / known.len() as f64
-    };
+fn capacities(
+    service: &ServiceId,
+    tables: &Tables,
+    speeds: &HashMap<ServerId, HashMap<CompactString, f64>>,
+) -> Capacities {
+    let measured = |server: &Server| mean(speeds.get(&server.id)?.values().copied());
+    let known = tables.servers.ready_of(service).filter_map(measured);
+    let assumed = mean(known).unwrap_or(DEFAULT_SERVICE_MS);
     let mut capacities = Capacities::default();
     for server in tables.servers.ready_of(service) {
-        let service_ms = speeds.get(&server.id).copied().unwrap_or(mean).max(1.0);
+        let service_ms = measured(server).unwrap_or(assumed).max(1.0);
         let cold = if server.cold_for.is_zero() {
             1.0
         } else {
@@ -519,3 +533,8 @@
     }
     capacities
 }
+
+fn mean(values: impl Iterator<Item = f64>) -> Option<f64> {
+    let (sum, count) = values.fold((0.0, 0_u32), |(sum, count), value| (sum + value, count + 1));
+    (count > 0).then(|| sum / f64::from(count))
+}
--- a/crates/carawayrill-gateway/src/link/convert.rs
+++ b/crates/carawayrill-gateway/src/link/convert.rs
@@ -71,15 +71,22 @@
         .ok()
 }
 
-/// Writes an update with the tables that changed since `sent`, and notes them there.
-pub(super) fn write_update(
-    update: &Update,
-    sent: &mut BTreeMap<ServiceId, u64>,
-) -> wire::GranterUpdate {
+/// What was sent on one stream.
+#[derive(Debug, Default)]
+pub(super) struct Sent {
+    tables: BTreeMap<ServiceId, (u64, Arc<SpanTable>)>,
+}
+
+/// Writes an update with the spans that differ from what was sent, and notes them there.
+pub(super) fn write_update(update: &Update, sent: &mut Sent) -> wire::GranterUpdate {
     let mut tables = Vec::new();
     for (service, (change, table)) in &update.tables {
-        if sent.insert(service.clone(), *change) != Some(*change) {
-            tables.push(write_table(service, table));
+        let before = sent
+            .tables
+            .insert(service.clone(), (*change, Arc::clone(table)));
+        match before {
+            Some((last, _)) if last == *change => {}
+            before => tables.push(write_table(service, table, before.as_ref())),
         }
     }
     wire::GranterUpdate {
@@ -90,12 +97,20 @@
     }
 }
 
-fn write_table(service: &ServiceId, table: &SpanTable) -> wire::SpanTable {
-    let spans = table.spans.iter().map(|span| wire::SpanRow {
+fn write_table(
+    service: &ServiceId,
+    table: &SpanTable,
+    before: Option<&(u64, Arc<SpanTable>)>,
+) -> wire::SpanTable {
+    let known = before.map_or(&[][..], |(_, table)| &table.spans);
+    let changed = table.spans.iter().filter(|span| {
+        let at = known.partition_point(|known| known.range.first < span.range.first);
+        known.get(at) != Some(*span)
+    });
+    let spans = changed.map(|span| wire::SpanRow {
         first: u32::from(span.range.first),
         last: u32::from(span.range.last),
         server: span.server.as_str().to_owned(),
-        born: 0,
         fence: span.fence.0,
         moving: span.moving,
     });
--- a/crates/carawayrill-gateway/src/link/mod.rs
+++ b/crates/carawayrill-gateway/src/link/mod.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use carawayrill_core::event::EventKind;
+use carawayrill_core::id::ServerId;
 use carawayrill_core::id::ServiceId;
 use carawayrill_proto::granter::granter_client::GranterClient;
 use carawayrill_store::port::ObjectStore;
@@ -29,9 +30,12 @@
 use crate::leasing::SILENCE;
 use crate::state::Shared;
 use crate::state::SpanTable;
+use crate::state::Tables;
 
 /// The time between two reports.
-const REPORT_INTERVAL: Duration = Duration::from_millis(300);
+const REPORT_INTERVAL: Duration = Duration::from_millis(250);
+/// The change of a server's speed, as a share, from which on it is told again.
+const SPEED_CHANGE: f64 = 0.05;
 /// The time within which a connection to the granter has to be open.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Reports that may wait to be sent.
@@ -91,8 +95,10 @@
     let channel = connect(address)
         .await
         .map_err(|err| tonic::Status::unavailable(err.to_string()))?;
-    let (tx, rx) = mpsc::channel(QUEUED_REPORTS);
     let shared = leasing.shared();
+    let (tx, rx) = mpsc::channel(QUEUED_REPORTS);
+    // A new granter knows no speeds.
+    shared.tables().told_speeds.clear();
     // The first report names the front; it has to wait in the channel before the call begins.
     let _sent = tx.try_send(convert::report(take_report(shared)));
     let mut client = GranterClient::new(channel);
@@ -128,22 +134,32 @@
 /// Takes what was seen since the last report.
 fn take_report(shared: &Shared) -> Report {
     let mut tables = shared.tables();
+
     let demand: HashMap<ServiceId, BTreeMap<u16, u32>> = std::mem::take(&mut tables.demand);
+    let speeds = new_speeds(&mut tables);
+    Report {
+        front: shared.cfg.front.clone(),
+        demand,
+        speeds,
+    }
+}
+
+/// Returns the speeds of keyed servers that have changed since they were told.
+fn new_speeds(tables: &mut Tables) -> Vec<(ServerId, f64)> {
     let keyed = |service: &ServiceId| tables.spans.contains_key(service);
-    let speeds = tables
+    let changed: Vec<(ServerId, f64)> = tables
         .servers
         .iter()
         .filter(|server| keyed(&server.service))
         .filter_map(|server| {
             let service_ms = tables.loads.get(&server.id)?.service_ms()?;
-            Some((server.id.clone(), service_ms))
+            let told = tables.told_speeds.get(&server.id).copied();
+            let same = told.is_some_and(|told| (service_ms / told - 1.0).abs() < SPEED_CHANGE);
+            (!same).then(|| (server.id.clone(), service_ms))
         })
         .collect();
-    Report {
-        front: shared.cfg.front.clone(),
-        demand,
-        speeds,
-    }
+    tables.told_speeds.extend(changed.iter().cloned());
+    changed
 }
 
 /// Takes in what the granter tells.
@@ -153,22 +169,7 @@
         let mut tables = shared.tables();
         tables.fronts = update.fronts.max(1);
         for (service, (_, table)) in &update.tables {
-            let known = tables.spans.get(service);
-            if known.is_some_and(|known| same(known, table)) {
-                continue;
-            }
-            let is_new_version = known.is_none_or(|known| known.version != table.version);
-            if is_new_version {
-                emit(EventKind::SpansSeen {
-                    service: service.clone(),
-                    version: table.version,
-                    spans: table.spans.len(),
-                });
-            }
-            tables
-                .spans
-                .insert(service.clone(), SpanTable::clone(table));
-            changed = true;
+            changed |= take_in_table(&mut tables, service, table);
         }
     }
     if changed {
@@ -176,8 +177,21 @@
     }
 }
 
-fn same(known: &SpanTable, table: &SpanTable) -> bool {
-    known.version == table.version && known.spans == table.spans
+fn take_in_table(tables: &mut Tables, service: &ServiceId, table: &SpanTable) -> bool {
+    let known = tables.spans.entry(service.clone()).or_default();
+    let new_version = known.version != table.version;
+    if !new_version && table.spans.is_empty() {
+        return false;
+    }
+    known.put(table.version, &table.spans);
+    if new_version {
+        emit(EventKind::SpansSeen {
+            service: service.clone(),
+            version: table.version,
+            spans: known.spans.len(),
+        });
+    }
+    true
 }
 
 /// Reads the spans from the store while the granter can't be joined, for ever.
--- a/crates/carawayrill-gateway/src/link/service.rs
+++ b/crates/carawayrill-gateway/src/link/service.rs
@@ -1,6 +1,5 @@
 //! The granter's side of the stream.
 
-use std::collections::BTreeMap;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
@@ -80,7 +79,7 @@
 ) {
     let mut updates = granting.updates();
     updates.mark_changed();
-    let mut sent = BTreeMap::new();
+    let mut sent = convert::Sent::default();
     loop {
         let is_current = leasing
             .granting()
--- a/crates/carawayrill-gateway/src/state.rs
+++ b/crates/carawayrill-gateway/src/state.rs
@@ -57,6 +57,30 @@
     pub moving: bool,
 }
 
+impl SpanEntry {
+    /// Returns what of the span lies before a range.
+    fn before(&self, range: KeyRange) -> Option<Self> {
+        (self.range.first < range.first).then(|| Self {
+            range: KeyRange {
+                last: range.first - 1,
+                ..self.range
+            },
+            ..self.clone()
+        })
+    }
+
+    /// Returns what of the span lies behind a range.
+    fn behind(&self, range: KeyRange) -> Option<Self> {
+        (range.last < self.range.last).then(|| Self {
+            range: KeyRange {
+                first: range.last + 1,
+                ..self.range
+            },
+            ..self.clone()
+        })
+    }
+}
+
 /// The spans of one service.
 #[derive(Debug, Clone, Default)]
 pub struct SpanTable {
@@ -67,6 +91,38 @@
 }
 
 impl SpanTable {
+    /// Puts spans into the table; each replaces whatever was known of its keys.
+    ///
+    /// What is left of a span that is replaced in part keeps its holder: the rest of the change
+    /// replaces it too, or it was cut by its granter.
+    pub fn put(&mut self, version: Version, spans: &[SpanEntry]) {
+        self.version = version;
+        for span in spans {
+            self.cut_out(span.range);
+            let at = self
+                .spans
+                .partition_point(|known| known.range.first < span.range.first);
+            self.spans.insert(at, span.clone());
+        }
+    }
+
+    /// Removes the keys of a range from all spans.
+    fn cut_out(&mut self, range: KeyRange) {
+        let first = self
+            .spans
+            .partition_point(|known| known.range.last < range.first);
+        let end = self
+            .spans
+            .partition_point(|known| known.range.first <= range.last);
+        let cut: Vec<SpanEntry> = self.spans.drain(first..end.max(first)).collect();
+        let mut rest = Vec::new();
+        for known in cut {
+            rest.extend(known.before(range));
+            rest.extend(known.behind(range));
+        }
+        self.spans.splice(first..first, rest);
+    }
+
     /// Returns the span of a key.
     #[must_use]
     pub fn find(&self, key: u16) -> Option<&SpanEntry> {
@@ -96,6 +152,8 @@
     pub sizes: HashMap<compact_str::CompactString, f64>,
     /// Requests by key since the last report to the granter.
     pub demand: HashMap<ServiceId, BTreeMap<u16, u32>>,
+    /// The speeds of servers as last told to the granter.
+    pub told_speeds: HashMap<ServerId, f64>,
     /// The number of fronts that are alive.
     pub fronts: u32,
     /// Randomness of decisions.
@@ -131,6 +189,7 @@
                 retries: HashMap::new(),
                 sizes: HashMap::new(),
                 demand: HashMap::new(),
+                told_speeds: HashMap::new(),
                 fronts: ASSUMED_FRONTS,
                 rng: ChaCha8Rng::seed_from_u64(seed),
             }),
