--- a/crates/carawayrill-core/src/direct/admission.rs
+++ b/crates/carawayrill-core/src/direct/admission.rs
@@ -15,6 +15,10 @@
 const OBJECTIVE_SHARE: f64 = 0.95;
 /// The share of the time limit within which a late answer has to be expected.
 const DEADLINE_SHARE: f64 = 0.7;
+/// How often all slots of a server may have to be used before a request is answered. A longer
+/// queue serves nobody sooner, and the server's own is bounded: what does not fit there may never
+/// be answered.
+const MAX_TURNS: f64 = 3.0;
 /// The way to another data centre of the region and back, in milliseconds.
 const ZONE_TRIP_MS: f64 = 1.0;
 /// The way to another region and back, in milliseconds.
@@ -69,6 +73,8 @@
     pub distance: Distance,
     /// When it is expected to answer, in milliseconds, without the way there.
     pub answer_ms: f64,
+    /// How often all its slots have to be used before the answer.
+    pub turns: f64,
     /// What its failures add to its cost, in milliseconds.
     pub failure_cost_ms: f64,
     /// Whether it may be used now: below its share of connections and not paused.
@@ -121,7 +127,7 @@
     for candidate in candidates.iter().filter(|candidate| candidate.usable) {
         let answer = candidate.answer_ms + candidate.distance.trip_ms();
         soonest = soonest.min(answer);
-        if answer > limit {
+        if answer > limit || candidate.turns > MAX_TURNS {
             continue;
         }
         let cost = answer + candidate.failure_cost_ms + candidate.distance.byte_cost_ms(wish.kib);
--- a/crates/carawayrill-core/src/direct/load.rs
+++ b/crates/carawayrill-core/src/direct/load.rs
@@ -132,12 +132,18 @@
         f64::from(self.in_flight) + others
     }
 
+    /// Returns how often all slots have to be used before a further request is answered.
+    #[must_use]
+    pub fn turns(&self, now: Time) -> f64 {
+        let ahead = self.expected_total(now) + 1.0;
+        (ahead / f64::from(self.slots)).max(1.0)
+    }
+
     /// Returns the time within which a further request is expected to be answered, in
     /// milliseconds, without the way there.
     #[must_use]
     pub fn answer_ms(&self, now: Time) -> f64 {
-        let ahead = self.expected_total(now) + 1.0;
-        let turns = (ahead / f64::from(self.slots)).max(1.0);
+        let turns = self.turns(now);
         let cold = if now < self.cold_until {
             COLD_FACTOR
         } else {
--- a/crates/carawayrill-gateway/src/forward.rs
+++ b/crates/carawayrill-gateway/src/forward.rs
@@ -41,6 +41,11 @@
 const MIN_LEFT: Duration = Duration::from_millis(10);
 /// The longest wait for the owner of a key to be known, as a share of the objective.
 const OWNER_WAIT_SHARE: f64 = 0.8;
+/// The share of its time limit after which an idempotent request without an answer is sent again.
+const PATIENCE_SHARE: f64 = 0.5;
+/// The shortest time limit with which a request is sent again for want of an answer. Within less,
+/// slow work can't be told from none.
+const MIN_PATIENT_LIMIT: Duration = Duration::from_millis(2_000);
 /// How long to wait for newer spans after a server said that it does not hold the key.
 const MISDIRECTED_WAIT: Duration = Duration::from_millis(60);
 /// Sends that did not leave this process before a request is given up.
@@ -427,10 +432,12 @@
         let metrics = &self.shared.metrics;
         // Until the end of the call is known, the request counts as possibly run.
         let was_open = std::mem::replace(&mut self.open, true);
-        let result = self
+        let call = self
             .upstream
-            .send(server, req, reuse, || metrics.connections.inc())
-            .await;
+            .send(server, req, reuse, || metrics.connections.inc());
+        let result = tokio::time::timeout(self.patience(limit), call)
+            .await
+            .unwrap_or_else(|_elapsed| Err(SendError::Lost("no answer".into())));
         self.open = was_open;
         let took = clock::now().since(sent);
         let (outcome, label) = self.judge(server, result, in_flight);
@@ -442,6 +449,17 @@
         outcome
     }
 
+    /// Returns how long to wait for a server's answer. Some servers never answer a request that
+    /// they have no room for.
+    fn patience(&self, limit: Duration) -> Duration {
+        let may_repeat = self.taken.matched.route.repeat == Repeat::Idempotent;
+        if may_repeat && limit >= MIN_PATIENT_LIMIT {
+            limit.mul_f64(PATIENCE_SHARE)
+        } else {
+            limit
+        }
+    }
+
     fn record_try(
         &mut self,
         server: &Server,
--- a/crates/carawayrill-gateway/src/state.rs
+++ b/crates/carawayrill-gateway/src/state.rs
@@ -291,6 +291,7 @@
             server: server.id.clone(),
             distance,
             answer_ms: load.answer_ms(now),
+            turns: load.turns(now),
             failure_cost_ms: load.failure_cost_ms(now),
             usable: load.in_flight() < connections && load.paused_until() <= now,
         }
