--- a/crates/carawayrill-core/src/direct/demand.rs
+++ b/crates/carawayrill-core/src/direct/demand.rs
@@ -14,6 +14,9 @@
 pub struct KeyDemand {
     rates: Vec<f32>,
     pending: Vec<f32>,
+    /// The summed rate of all keys before each key.
+    sums: Vec<f64>,
+    hottest: Option<(u16, f64)>,
     /// The time after which an old rate counts 1/e.
     memory: Duration,
 }
@@ -22,11 +25,15 @@
     /// Makes the table of a service without demand.
     #[must_use]
     pub fn new(memory: Duration) -> Self {
-        Self {
+        let mut demand = Self {
             rates: vec![0.0; KEY_COUNT],
             pending: vec![0.0; KEY_COUNT],
+            sums: vec![0.0; KEY_COUNT + 1],
+            hottest: None,
             memory,
-        }
+        };
+        demand.sum_up();
+        demand
     }
 
     /// Adds requests for a key.
@@ -43,6 +50,20 @@
             *rate = *rate * keep + *pending * gain;
             *pending = 0.0;
         }
+        self.sum_up();
+    }
+
+    fn sum_up(&mut self) {
+        let mut sum = 0.0;
+        self.hottest = None;
+        for (key, rate) in self.rates.iter().enumerate() {
+            let rate = f64::from(*rate);
+            if rate > self.hottest.map_or(0.0, |(_, most)| most) {
+                self.hottest = u16::try_from(key).ok().map(|key| (key, rate));
+            }
+            sum += rate + BASE_RATE;
+            self.sums[key + 1] = sum;
+        }
     }
 
     /// Returns the rate of one key.
@@ -54,19 +75,12 @@
     /// Returns the key with the highest rate, if any key was asked for.
     #[must_use]
     pub fn hottest(&self) -> Option<(u16, f64)> {
-        let rates = self.rates.iter().enumerate();
-        let (key, rate) = rates.max_by(|one, other| one.1.total_cmp(other.1))?;
-        let key = u16::try_from(key).ok()?;
-        (*rate > 0.0).then_some((key, f64::from(*rate)))
+        self.hottest
     }
 
     /// Returns the summed rate of a range.
     #[must_use]
     pub fn range(&self, range: KeyRange) -> f64 {
-        let asked: f64 = self.rates[range.indices()]
-            .iter()
-            .map(|rate| f64::from(*rate))
-            .sum();
-        asked + BASE_RATE * range.len() as f64
+        self.sums[usize::from(range.last) + 1] - self.sums[usize::from(range.first)]
     }
 }
--- a/crates/carawayrill-core/src/direct/granter/mod.rs
+++ b/crates/carawayrill-core/src/direct/granter/mod.rs
@@ -66,7 +66,7 @@
             long_hold: Duration::from_secs(10),
             renewal: Duration::from_millis(900),
             grant_timeout: Duration::from_millis(800),
-            release_timeout: Duration::from_millis(2_500),
+            release_timeout: Duration::from_millis(1_500),
             clock_drift: 0.02,
             margin: Duration::from_millis(100),
             plan_interval: Duration::from_millis(300),
@@ -191,32 +191,36 @@
         stored: Option<(Version, SpanRecord)>,
         now: Time,
     ) -> Self {
-        let (version, record) = stored.unwrap_or((
-            Version(0),
-            SpanRecord {
-                edition: 0,
-                next_fence: Fence(1),
-                spans: Vec::new(),
-            },
-        ));
-        let rows = record
-            .spans
-            .iter()
-            .map(|span| (span.range, Row::inherited(span.clone(), now, &cfg)))
-            .collect();
-        Self {
+        let mut granter = Self {
             service,
             cfg,
-            record,
-            version,
+            record: SpanRecord::default(),
+            version: Version(0),
             writing: None,
             confirmed: false,
-            rows,
+            rows: BTreeMap::new(),
             next_order: OrderId(0),
             next_plan: now,
             was_away: false,
-            changes: 1,
-        }
+            changes: 0,
+        };
+        granter.inherit(stored, now);
+        granter
+    }
+
+    /// Starts anew from what is stored: another granter's write came after this one began.
+    pub fn inherit(&mut self, stored: Option<(Version, SpanRecord)>, now: Time) {
+        let (version, record) = stored.unwrap_or_default();
+        self.rows = record
+            .spans
+            .iter()
+            .map(|span| (span.range, Row::inherited(span.clone(), now, &self.cfg)))
+            .collect();
+        self.record = record;
+        self.version = version;
+        self.writing = None;
+        self.confirmed = false;
+        self.changes += 1;
     }
 
     /// Returns the service.
@@ -289,6 +293,10 @@
         let mut steps = Vec::new();
         for row in self.rows.values_mut() {
             let before = row.is_moving();
+            row.changing = self
+                .writing
+                .as_ref()
+                .is_some_and(|record| !record.keeps(&row.span));
             let order = row.order(inputs, &self.cfg, hold, self.next_order);
             if before != row.is_moving() {
                 self.changes += 1;
@@ -303,7 +311,7 @@
 
     fn plan(&mut self, inputs: &Inputs<'_>) -> Option<Step> {
         let rewrite = !self.confirmed;
-        let record = plan::next_record(&self.record, &self.rows, inputs, rewrite)?;
+        let record = plan::next_record(&self.record, &self.rows, inputs, &self.cfg, rewrite)?;
         self.writing = Some(record.clone());
         Some(Step::Write {
             expected: self.version,
--- a/crates/carawayrill-core/src/direct/granter/plan.rs
+++ b/crates/carawayrill-core/src/direct/granter/plan.rs
@@ -1,7 +1,9 @@
 //! Computes the next record: holders that have to be replaced, then keys that move for balance.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
+use crate::direct::granter::Config;
 use crate::direct::granter::Inputs;
 use crate::direct::granter::row::Row;
 use crate::direct::keys::KeyRange;
@@ -15,6 +17,7 @@
 use crate::direct::spans::Span;
 use crate::direct::spans::SpanRecord;
 use crate::id::ServerId;
+use crate::time::millis;
 
 /// Returns the record to write next, or `None` if the stored one still fits.
 ///
@@ -23,6 +26,7 @@
     stored: &SpanRecord,
     rows: &BTreeMap<KeyRange, Row>,
     inputs: &Inputs<'_>,
+    cfg: &Config,
     rewrite: bool,
 ) -> Option<SpanRecord> {
     if stored.spans.is_empty() {
@@ -48,7 +52,7 @@
         spans: Vec::new(),
     };
     for row in rows.values() {
-        apply(&mut record, row, &moves, inputs);
+        apply(&mut record, row, &moves, inputs, cfg);
     }
     Some(record)
 }
@@ -153,7 +157,7 @@
 }
 
 /// Adds the spans that become of one row.
-fn apply(record: &mut SpanRecord, row: &Row, moves: &[Move], inputs: &Inputs<'_>) {
+fn apply(record: &mut SpanRecord, row: &Row, moves: &[Move], inputs: &Inputs<'_>, cfg: &Config) {
     let mut own: Vec<&Move> = moves
         .iter()
         .filter(|planned| row.span.range.contains(planned.range.first))
@@ -167,7 +171,8 @@
         if let Some(first) = next.filter(|first| *first < planned.range.first) {
             keep(record, row, first, planned.range.first - 1);
         }
-        record_move(record, row, planned.range, holder(server));
+        let left = row.grant_left(inputs.now, cfg);
+        record_move(record, row, planned.range, holder(server), left);
         next = planned.range.last.checked_add(1);
     }
     if let Some(first) = next.filter(|first| *first <= row.span.range.last) {
@@ -182,12 +187,13 @@
     });
 }
 
-fn record_move(record: &mut SpanRecord, row: &Row, range: KeyRange, to: Holder) {
+fn record_move(record: &mut SpanRecord, row: &Row, range: KeyRange, to: Holder, left: Duration) {
     // The holder that a recorded move has not reached yet never held the keys.
     let former = row.span.former.clone().unwrap_or_else(|| Former {
         holder: row.span.holder.clone(),
         fence: row.span.fence,
         settle: record.take_fences(SETTLE_FENCES),
+        left_ms: millis(left),
     });
     let fence = record.take_fence();
     record.spans.push(Span {
--- a/crates/carawayrill-core/src/direct/granter/row.rs
+++ b/crates/carawayrill-core/src/direct/granter/row.rs
@@ -66,25 +66,34 @@
     failures: u32,
     /// Until when the row is not moved by choice again.
     rests_until: Time,
+    /// Whether a record that is being written gives keys of the span to another holder.
+    pub(super) changing: bool,
 }
 
 impl Row {
     /// Makes the row of a span that another granter may have granted.
     pub(super) fn inherited(span: Span, now: Time, cfg: &Config) -> Self {
         let until = now + cfg.longest(cfg.long_hold);
+        // Since the move was recorded, the former holder was granted the span at most for a usual
+        // hold, in order to settle it.
+        let settled = cfg.longest(cfg.hold) + cfg.grant_timeout;
+        let former_left = span.former.as_ref().map_or(settled, |former| {
+            Duration::from_millis(former.left_ms).max(settled)
+        });
         Self {
             span,
             in_flight: None,
             due: now,
             hold_until: until,
-            former_until: until,
+            former_until: now + former_left,
             unsettled_until: until,
-            former_unsettled_until: until,
+            former_unsettled_until: now + former_left,
             settles: 0,
             inherited: true,
             granted: true,
             failures: 0,
             rests_until: now,
+            changing: false,
         }
     }
 
@@ -103,6 +112,7 @@
             granted: false,
             failures: 0,
             rests_until: now + cfg.rest,
+            changing: false,
         }
     }
 
@@ -120,6 +130,7 @@
                 holder: span.holder.clone(),
                 fence: span.fence,
                 settle: span.fence,
+                left_ms: 0,
             });
         }
         span
@@ -135,6 +146,14 @@
         !self.is_moving() && self.failures == 0 && now >= self.rests_until
     }
 
+    /// Returns how long a grant of the holder may still run.
+    pub(super) fn grant_left(&self, now: Time, cfg: &Config) -> Duration {
+        let in_flight = self.in_flight.as_ref().map_or(Duration::ZERO, |order| {
+            cfg.longest(order.hold) + cfg.grant_timeout
+        });
+        self.hold_until.since(now).max(in_flight)
+    }
+
     /// Returns whether the holder may be replaced by another one.
     ///
     /// While a former holder is recorded, the present one may be replaced only if it was never
@@ -157,7 +176,7 @@
         let Some(former) = self.span.former.clone() else {
             return self.grant_holder(inputs, cfg, hold, id);
         };
-        if is_over(&former.holder, inputs.servers) || inputs.now >= self.former_until {
+        if is_gone(&former.holder, inputs.servers) || inputs.now >= self.former_until {
             self.forget_former();
             return self.grant_holder(inputs, cfg, hold, id);
         }
@@ -192,6 +211,12 @@
         if is_over(&self.span.holder, inputs.servers) {
             return None;
         }
+        if self.changing && !self.granted {
+            // The record that is being written rests on the holder never having been asked.
+            return None;
+        }
+        // That record also says how long the holder's grants may run.
+        let hold = if self.changing { cfg.hold } else { hold };
         let handover = if self.granted {
             None
         } else {
@@ -317,7 +342,10 @@
     fn note_not_sent(&mut self, order: &InFlight) {
         match order.kind {
             Kind::Grant => self.hold_until = order.until_before,
-            Kind::Settle => self.former_until = order.until_before,
+            Kind::Settle => {
+                self.former_until = order.until_before;
+                self.settles -= 1;
+            }
             Kind::Release => {}
         }
     }
@@ -340,6 +368,15 @@
     }
 }
 
+/// Returns whether no order to this life of the server can have any effect: the server began
+/// another life elsewhere. A new life at the same address may have taken orders meant for the old
+/// one, and has to be asked like it.
+fn is_gone(holder: &Holder, servers: &Servers) -> bool {
+    servers
+        .get(&holder.server)
+        .is_some_and(|server| server.born != holder.born && server.address != holder.address)
+}
+
 /// Returns whether this life of the server has ended: it is listed with another one.
 fn is_over(holder: &Holder, servers: &Servers) -> bool {
     servers
@@ -382,14 +419,19 @@
         };
     }
     let latest = |f: fn(&Row) -> Time| parents.iter().map(|row| f(row)).max().unwrap_or(now);
-    let open = if parents.iter().any(|row| row.in_flight.is_some()) {
-        now + cfg.longest(cfg.long_hold)
+    let open = parents
+        .iter()
+        .map(|row| now + row.grant_left(now, cfg))
+        .max()
+        .unwrap_or(now);
+    let unsettled = if parents.iter().any(|row| row.in_flight.is_some()) {
+        open
     } else {
         now
     };
     Row {
-        former_until: latest(|row| row.hold_until).max(open),
-        former_unsettled_until: latest(|row| row.unsettled_until).max(open),
+        former_until: open,
+        former_unsettled_until: latest(|row| row.unsettled_until).max(unsettled),
         ..Row::fresh(span.clone(), now, cfg)
     }
 }
--- a/crates/carawayrill-core/src/direct/servers.rs
+++ b/crates/carawayrill-core/src/direct/servers.rs
@@ -12,8 +12,12 @@
 use crate::id::ServiceId;
 use crate::time::Time;
 
-/// How long a server that vanished during an outage of the store is kept after the outage.
-const LAPSE_GRACE: Duration = Duration::from_millis(2_200);
+/// How long a server that vanished during an outage of the store is kept after the store was read
+/// again: within this time the entries of living servers come back.
+const LAPSE_GRACE: Duration = Duration::from_millis(1_950);
+/// How long it is kept at most after the start of the last call that failed. The outage may have
+/// ended right after that, and a server that left meanwhile must not be used for long.
+const MAX_LAPSE: Duration = Duration::from_millis(2_800);
 
 /// One server as listed.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -57,8 +61,8 @@
     leaving: BTreeMap<ServerId, Time>,
     /// Servers that vanished around an outage of the store, with the time until which they count.
     lapsed: BTreeMap<ServerId, Time>,
-    /// Whether the store could not be read last time.
-    away: bool,
+    /// When the last call to the store was sent, if it failed.
+    away: Option<Time>,
     /// Until when a vanished entry may have lapsed because of an outage.
     suspect_until: Time,
 }
@@ -125,16 +129,15 @@
         self.rows.remove(id).map(|_| Change::Removed(id.clone()))
     }
 
-    /// Notes that the store can't be read.
-    pub fn store_away(&mut self) {
-        self.away = true;
+    /// Notes that a call to the store that was sent at `sent` has failed.
+    pub fn store_away(&mut self, sent: Time) {
+        self.away = Some(sent);
     }
 
     /// Notes that the store was read.
     pub fn store_back(&mut self, now: Time) {
-        if self.away {
-            self.away = false;
-            self.suspect_until = now + LAPSE_GRACE;
+        if let Some(sent) = self.away.take() {
+            self.suspect_until = (now + LAPSE_GRACE).min(sent + MAX_LAPSE);
         }
     }
 
@@ -160,7 +163,7 @@
         let over: Vec<ServerId> = self
             .lapsed
             .iter()
-            .filter(|(_, until)| **until <= now && !self.away)
+            .filter(|(_, until)| **until <= now && self.away.is_none())
             .map(|(id, _)| id.clone())
             .collect();
         over.iter().filter_map(|id| self.remove(id)).collect()
--- a/crates/carawayrill-core/src/direct/spans.rs
+++ b/crates/carawayrill-core/src/direct/spans.rs
@@ -9,6 +9,9 @@
 use crate::direct::keys::KeyRange;
 use crate::id::ServerId;
 
+/// The lowest fence.
+const FIRST_FENCE: Fence = Fence(1);
+
 /// The fences that are reserved for settling a former holder. Each serves for one order: an order
 /// that was not answered may be carried out later, also after the same one was sent again.
 pub const SETTLE_FENCES: u64 = 8;
@@ -33,6 +36,9 @@
         /// The first of [`SETTLE_FENCES`] fences between its grant and the new one. A grant under
         /// one of them makes the server refuse earlier orders that are still on their way.
         pub settle: Fence,
+        /// How long a grant of it could still run when this was recorded, in milliseconds. A
+        /// successor of the granter needs it, for it does not know when the last grant was sent.
+        pub left_ms: u64,
     }
 
     /// A range of keys with its holder.
@@ -60,6 +66,16 @@
     }
 }
 
+impl Default for SpanRecord {
+    fn default() -> Self {
+        Self {
+            edition: 0,
+            next_fence: FIRST_FENCE,
+            spans: Vec::new(),
+        }
+    }
+}
+
 impl SpanRecord {
     /// Returns the span of a key.
     #[must_use]
@@ -68,6 +84,18 @@
         self.spans.get(at).filter(|span| span.range.contains(key))
     }
 
+    /// Returns whether all keys of a span stay with its holder, under its fence.
+    #[must_use]
+    pub fn keeps(&self, span: &Span) -> bool {
+        let first = self
+            .spans
+            .partition_point(|own| own.range.last < span.range.first);
+        self.spans[first..]
+            .iter()
+            .take_while(|own| own.range.first <= span.range.last)
+            .all(|own| own.fence == span.fence && own.holder == span.holder)
+    }
+
     /// Returns whether the spans cover all keys, in order and once each.
     #[must_use]
     pub fn is_complete(&self) -> bool {
--- /dev/null
+++ b/crates/carawayrill-core/tests/direct_world/front.rs
@@ -0,0 +1,258 @@
+//! A front that may be the granter: what a gateway does with the decisions, without I/O.
+
+use std::time::Duration;
+
+use carawayrill_core::direct::demand::KeyDemand;
+use carawayrill_core::direct::granter::Config;
+use carawayrill_core::direct::granter::Granter;
+use carawayrill_core::direct::granter::Inputs;
+use carawayrill_core::direct::granter::OrderId;
+use carawayrill_core::direct::granter::OrderResult;
+use carawayrill_core::direct::granter::SpanOrder;
+use carawayrill_core::direct::granter::Step;
+use carawayrill_core::direct::lease::Claim;
+use carawayrill_core::direct::lease::Lease;
+use carawayrill_core::direct::lease::LeaseView;
+use carawayrill_core::direct::rebalance::Capacities;
+use carawayrill_core::direct::servers::Servers;
+use carawayrill_core::direct::spans::SpanRecord;
+use carawayrill_core::id::ServiceId;
+use carawayrill_core::id::Version;
+use carawayrill_core::time::Time;
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+
+use super::store::Store;
+use super::store::Written;
+
+const LEASE: &str = "lease";
+const SPANS: &str = "spans";
+const RENEWAL: Duration = Duration::from_millis(500);
+const RETRY: Duration = Duration::from_millis(120);
+
+#[derive(Debug)]
+pub struct Front {
+    at: usize,
+    pub run: u64,
+    pub frozen_until: Time,
+    view: LeaseView,
+    granter: Option<Granter>,
+    demand: KeyDemand,
+    /// A record whose write has not been settled.
+    writing: Option<(Version, SpanRecord)>,
+    next_lease_call: Time,
+    next_write: Time,
+    store_away: bool,
+}
+
+fn view(at: usize, run: u64) -> LeaseView {
+    LeaseView::new(Lease {
+        front: format!("front-{at}").into(),
+        run,
+        address: format!("127.0.0.1:{}", 1_000 + at)
+            .parse()
+            .expect("an address"),
+        length_ms: 2_000,
+        renewals: 0,
+        released: false,
+    })
+}
+
+fn read_record((version, value): (Version, String)) -> (Version, SpanRecord) {
+    (version, serde_json::from_str(&value).expect("a record"))
+}
+
+fn service() -> ServiceId {
+    "forms".parse().expect("a name")
+}
+
+impl Front {
+    pub fn new(at: usize) -> Self {
+        Self {
+            at,
+            run: 1,
+            frozen_until: Time(0),
+            view: view(at, 1),
+            granter: None,
+            demand: KeyDemand::new(Duration::from_secs(1)),
+            writing: None,
+            next_lease_call: Time(0),
+            next_write: Time(0),
+            store_away: false,
+        }
+    }
+
+    pub fn is_frozen(&self, now: Time) -> bool {
+        now < self.frozen_until
+    }
+
+    /// Loses all that the process knew.
+    pub fn restart(&mut self, now: Time) {
+        *self = Self {
+            run: self.run + 1,
+            view: view(self.at, self.run + 1),
+            frozen_until: now + Duration::from_millis(600),
+            ..Self::new(self.at)
+        };
+    }
+
+    pub fn ended(&mut self, id: OrderId, result: &OrderResult, now: Time) {
+        if let Some(granter) = &mut self.granter {
+            granter.ended(id, result, now);
+        }
+    }
+
+    pub fn tick(
+        &mut self,
+        now: Time,
+        servers: &Servers,
+        store: &mut Store,
+        rng: &mut ChaCha8Rng,
+    ) -> Vec<SpanOrder> {
+        if !self.view.holds(now) {
+            self.granter = None;
+            self.writing = None;
+        }
+        if now >= self.next_lease_call {
+            self.call_lease(now, store, rng);
+        }
+        if self.granter.is_some() && !self.view.holds(now) {
+            self.granter = None;
+        }
+        self.settle_write(now, store, rng);
+        self.decide(now, servers, store, rng)
+    }
+
+    fn call_lease(&mut self, now: Time, store: &mut Store, rng: &mut ChaCha8Rng) {
+        self.next_lease_call = now + RETRY;
+        if self.granter.is_none() {
+            let Some(found) = store.get(self.at, LEASE, now) else {
+                return;
+            };
+            self.observe(found, now);
+        }
+        let Some(claim) = self.view.claim(now) else {
+            return;
+        };
+        let value = serde_json::to_string(&claim.lease).expect("a lease");
+        match store.put(self.at, LEASE, value, claim.expected, now, rng) {
+            Written::Done(version) => self.claimed(claim, version, now, store),
+            Written::NotDone => self.store_away = true,
+            Written::Conflict | Written::Unknown => {
+                self.store_away = true;
+                if let Some(found) = store.get(self.at, LEASE, now) {
+                    let own = found.as_ref().is_some_and(|(_, value)| {
+                        serde_json::from_str::<Lease>(value).ok().as_ref() == Some(&claim.lease)
+                    });
+                    match found {
+                        Some((version, _)) if own => self.claimed(claim, version, now, store),
+                        found => self.observe(found, now),
+                    }
+                }
+            }
+        }
+    }
+
+    fn observe(&mut self, found: Option<(Version, String)>, now: Time) {
+        let (version, lease) = match found {
+            Some((version, value)) => (version, serde_json::from_str(&value).ok()),
+            None => (Version(0), None),
+        };
+        self.view.observe(version, lease, now);
+        if !self.view.is_own() {
+            self.view.lost();
+            self.granter = None;
+        }
+    }
+
+    fn claimed(&mut self, claim: Claim, version: Version, now: Time, store: &Store) {
+        self.view.written(claim, version, now);
+        self.store_away = false;
+        self.next_lease_call = now + RENEWAL;
+        if self.granter.is_some() {
+            return;
+        }
+        let Some(found) = store.get(self.at, SPANS, now) else {
+            return;
+        };
+        let stored = found.map(read_record);
+        self.writing = None;
+        self.granter = Some(Granter::new(service(), Config::default(), stored, now));
+    }
+
+    /// Writes the record that is being written, until it is known to be stored.
+    fn settle_write(&mut self, now: Time, store: &mut Store, rng: &mut ChaCha8Rng) {
+        let Some((expected, record)) = self.writing.take() else {
+            return;
+        };
+        if now < self.next_write || self.granter.is_none() {
+            self.writing = Some((expected, record));
+            return;
+        }
+        self.next_write = now + RETRY;
+        let value = serde_json::to_string(&record).expect("a record");
+        match store.put(self.at, SPANS, value.clone(), expected, now, rng) {
+            Written::Done(version) => self.written(version, now),
+            Written::NotDone => self.writing = Some((expected, record)),
+            Written::Conflict | Written::Unknown => match store.get(self.at, SPANS, now) {
+                Some(Some((version, found))) if found == value => self.written(version, now),
+                Some(found) if found.as_ref().map_or(Version(0), |(at, _)| *at) == expected => {
+                    self.writing = Some((expected, record));
+                }
+                Some(found) => {
+                    // Another granter wrote it: this one's record will never be stored.
+                    if let Some(granter) = &mut self.granter {
+                        granter.inherit(found.map(read_record), now);
+                    }
+                }
+                None => self.writing = Some((expected, record)),
+            },
+        }
+    }
+
+    fn written(&mut self, version: Version, now: Time) {
+        if let Some(granter) = &mut self.granter {
+            granter.written(version, now);
+        }
+    }
+
+    fn decide(
+        &mut self,
+        now: Time,
+        servers: &Servers,
+        store: &mut Store,
+        rng: &mut ChaCha8Rng,
+    ) -> Vec<SpanOrder> {
+        if rng.random_bool(0.02) {
+            self.demand.add(rng.random_range(0..=u16::MAX), 40);
+            self.demand.advance(Duration::from_millis(150));
+        }
+        let mut capacities = Capacities::default();
+        for server in servers.iter().filter(|server| !server.draining) {
+            capacities.set(server.id.clone(), 60.0);
+        }
+        let Some(granter) = &mut self.granter else {
+            return Vec::new();
+        };
+        let steps = granter.tick(&Inputs {
+            now,
+            servers,
+            demand: &self.demand,
+            capacities: &capacities,
+            store_away: self.store_away,
+            settling: false,
+        });
+        let mut orders = Vec::new();
+        for step in steps {
+            match step {
+                Step::Write { expected, record } => {
+                    self.writing = Some((expected, record));
+                    self.next_write = now;
+                    self.settle_write(now, store, rng);
+                }
+                Step::Order(order) => orders.push(order),
+            }
+        }
+        orders
+    }
+}
--- /dev/null
+++ b/crates/carawayrill-core/tests/direct_world/server.rs
@@ -0,0 +1,136 @@
+//! A server that holds keys under fences.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use carawayrill_core::direct::keys::Born;
+use carawayrill_core::direct::keys::Fence;
+use carawayrill_core::direct::keys::KeyRange;
+use carawayrill_core::direct::servers::Server;
+use carawayrill_core::id::ServerId;
+use carawayrill_core::time::Time;
+
+use super::checked_keys;
+
+#[derive(Debug, Clone, Copy, Default)]
+struct Held {
+    fence: Fence,
+    until: Time,
+    /// Whether the keys were let go under this fence.
+    released: bool,
+}
+
+/// What became of a grant.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Taken {
+    Held,
+    Over,
+    Fenced,
+}
+
+#[derive(Debug, Clone)]
+pub struct Node {
+    pub id: ServerId,
+    pub address: SocketAddr,
+    pub up: bool,
+    pub is_listed: bool,
+    pub draining: bool,
+    /// How much longer a time is on this server's clock.
+    pub slowness: f64,
+    pub born: Born,
+    /// By checked key.
+    held: Vec<Held>,
+    /// The highest fence ever, also of earlier lives.
+    ever: Vec<Fence>,
+}
+
+impl Node {
+    pub fn new(id: &ServerId, number: u32) -> Self {
+        let count = checked_keys().count();
+        Self {
+            id: id.clone(),
+            address: format!("127.0.0.1:{}", 2_000 + number)
+                .parse()
+                .expect("an address"),
+            up: true,
+            is_listed: true,
+            draining: false,
+            slowness: if number.is_multiple_of(2) { 1.02 } else { 1.0 },
+            born: Born(1),
+            held: vec![Held::default(); count],
+            ever: vec![Fence(0); count],
+        }
+    }
+
+    pub fn listed(&self) -> Option<Server> {
+        (self.up && self.is_listed).then(|| Server {
+            id: self.id.clone(),
+            born: self.born,
+            service: "forms".parse().expect("a name"),
+            address: self.address,
+            data_centre: "a".parse().expect("a name"),
+            slots: 6,
+            draining: self.draining,
+            cold_for: Duration::ZERO,
+            software: "v1".into(),
+        })
+    }
+
+    fn indices(range: KeyRange) -> impl Iterator<Item = usize> {
+        checked_keys()
+            .enumerate()
+            .filter(move |(_, key)| range.contains(*key))
+            .map(|(at, _)| at)
+    }
+
+    /// Takes keys unless a higher fence was seen on one of them, or the time is over.
+    pub fn grant(&mut self, range: KeyRange, fence: Fence, until: Time, now: Time) -> Taken {
+        if Self::indices(range).any(|at| self.held[at].fence > fence) {
+            return Taken::Fenced;
+        }
+        if until <= now {
+            return Taken::Over;
+        }
+        for at in Self::indices(range) {
+            let held = &mut self.held[at];
+            let same = held.fence == fence && !held.released;
+            let until = if same { held.until.max(until) } else { until };
+            self.held[at] = Held {
+                fence,
+                until,
+                released: false,
+            };
+            self.ever[at] = self.ever[at].max(fence);
+        }
+        Taken::Held
+    }
+
+    pub fn release(&mut self, range: KeyRange, fence: Fence) {
+        for at in Self::indices(range) {
+            if self.held[at].fence <= fence {
+                self.held[at].until = Time(0);
+                self.held[at].released = true;
+            }
+        }
+    }
+
+    /// Returns whether the checked key with this index is held.
+    pub fn holds(&self, at: usize, now: Time) -> bool {
+        self.held[at].until > now
+    }
+
+    pub fn highest(&self, range: KeyRange) -> Fence {
+        Self::indices(range)
+            .map(|at| self.ever[at])
+            .max()
+            .unwrap_or_default()
+    }
+
+    /// Ends this life; another may begin at once.
+    pub fn crash(&mut self, reborn: bool) {
+        self.up = reborn;
+        self.is_listed = reborn;
+        self.born = self.born.next();
+        self.held.fill(Held::default());
+    }
+}
--- a/crates/carawayrill-gateway/src/feed.rs
+++ b/crates/carawayrill-gateway/src/feed.rs
@@ -35,7 +35,12 @@
 /// The shortest pause after a failed call.
 const MIN_BACKOFF: Duration = Duration::from_millis(150);
 /// The longest pause after failed calls in a row.
-const MAX_BACKOFF: Duration = Duration::from_millis(1_000);
+const MAX_BACKOFF: Duration = Duration::from_millis(600);
+
+/// How long a broken connection takes to be noticed while a call waits.
+const BROKEN_FOR: Duration = Duration::from_millis(1_000);
+/// How often servers and connections are looked through for those whose time is over.
+const TIDY_INTERVAL: Duration = Duration::from_millis(150);
 
 /// Tells when something that the process depends on is lost and regained.
 #[derive(Debug)]
@@ -89,8 +94,8 @@
     fn all(&mut self, changes: Changes);
     /// Takes in changes.
     fn some(&mut self, changes: Changes);
-    /// Takes in that the store can't be read.
-    fn away(&mut self);
+    /// Takes in that a call to the store has failed that was sent at this time.
+    fn away(&mut self, sent: Time);
     /// Returns how long to wait after changes for those that come in a row with them.
     fn gather(&self) -> Duration;
 }
@@ -106,6 +111,7 @@
     let mut revision = Revision(0);
     let mut dependency = Dependency::new(name);
     loop {
+        let sent = clock::now();
         match store.watch(kind, revision, WATCH_WAIT).await {
             Ok(changes) => {
                 dependency.reached();
@@ -126,7 +132,8 @@
                 revision = Revision(0);
             }
             Err(err) => {
-                reader.away();
+                // A watch may have waited long before its connection broke.
+                reader.away(sent.max(clock::now() - BROKEN_FOR));
                 let wait = dependency.failed(shared, &err);
                 tokio::time::sleep(wait).await;
             }
@@ -190,7 +197,7 @@
         self.put(&changes.objects);
     }
 
-    fn away(&mut self) {}
+    fn away(&mut self, _sent: Time) {}
 
     fn gather(&self) -> Duration {
         MANIFEST_GATHER
@@ -323,8 +330,8 @@
         self.tell(&seen, changes.revision);
     }
 
-    fn away(&mut self) {
-        self.shared.tables().servers.store_away();
+    fn away(&mut self, sent: Time) {
+        self.shared.tables().servers.store_away(sent);
     }
 
     fn gather(&self) -> Duration {
@@ -335,7 +342,7 @@
 /// Drops servers whose time after an outage is over, and connections that are too old.
 pub async fn tidy(shared: Arc<Shared>, upstream: Arc<Upstream>) {
     loop {
-        tokio::time::sleep(Duration::from_millis(500)).await;
+        tokio::time::sleep(TIDY_INTERVAL).await;
         let now = clock::now();
         let gone = shared.tables().servers.expire(now);
         for change in &gone {
--- a/crates/carawayrill-gateway/src/granting.rs
+++ b/crates/carawayrill-gateway/src/granting.rs
@@ -31,6 +31,7 @@
 use carawayrill_core::time::millis;
 use carawayrill_store::Error;
 use carawayrill_store::Fate;
+use carawayrill_store::port::Object;
 use carawayrill_store::port::ObjectStore;
 use carawayrill_telemetry::emit;
 use compact_str::CompactString;
@@ -290,7 +291,6 @@
                 return;
             }
         };
-        let mut expected = expected;
         while self.is_current() {
             let error = match self.store.put(&name, value.clone(), expected).await {
                 Ok(version) => return self.stored(&service, version, &record),
@@ -305,14 +305,8 @@
                 Ok(Some(found)) if found.value == value => {
                     return self.stored(&service, found.version, &record);
                 }
-                Ok(found) => {
-                    let version = found.map_or(Version(0), |object| object.version);
-                    if version != expected {
-                        log::error!("another granter wrote the spans of {service}");
-                        return;
-                    }
-                    expected = version;
-                }
+                Ok(found) if found.as_ref().map_or(Version(0), |one| one.version) == expected => {}
+                Ok(found) => return self.inherit(&service, found),
                 Err(err) => {
                     log::info!("the spans of {service} can't be read back: {err}");
                     tokio::time::sleep(WRITE_RETRY).await;
@@ -321,6 +315,20 @@
         }
     }
 
+    /// Starts a service anew: a late write of an earlier granter came between.
+    fn inherit(&self, service: &ServiceId, found: Option<Object>) {
+        log::warn!("another granter wrote the spans of {service}");
+        let now = clock::now();
+        let stored = found.and_then(|found| {
+            let (_, record) = read_record(&found.name, &found.value)?;
+            Some((found.version, record))
+        });
+        if let Some(granter) = self.state().granters.get_mut(service) {
+            granter.inherit(stored, now);
+        }
+        self.tell(now);
+    }
+
     fn stored(&self, service: &ServiceId, version: Version, record: &SpanRecord) {
         let moving = record.spans.iter().filter(|span| span.former.is_some());
         emit(EventKind::SpansStored {
--- a/crates/carawayrill-store/src/client.rs
+++ b/crates/carawayrill-store/src/client.rs
@@ -12,7 +12,7 @@
 use crate::Error;
 
 /// The time within which a connection has to be open.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// How long sent bytes may stay unacknowledged before a connection counts as dead.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(1);
 /// The time between two probes of a connection on which nothing happens.
