Draw servers by speed at each distance; believe in fewer fronts only after a while

Change: a lower number of fronts counts after 12 s; of the servers at each distance two are drawn by speed; kept connections count towards the share.

--- a/crates/carawayrill-core/src/direct/admission.rs
+++ b/crates/carawayrill-core/src/direct/admission.rs
@@ -119,24 +119,40 @@
     span.as_secs_f64() * 1_000.0
 }
 
+/// A candidate that is expected to answer in time, with what it costs.
+#[derive(Debug, Clone, Copy)]
+struct Offer<'a> {
+    candidate: &'a Candidate,
+    cost: f64,
+}
+
 /// Chooses among `candidates`; `idle_ms` is the time in which an idle server would answer.
+///
+/// Of the servers at each distance, two are drawn by their speed, and the cheaper one is compared
+/// with those of the other distances. Many fronts that know little of each other's requests would
+/// otherwise all choose the one server that looks best.
 pub fn choose(candidates: &[Candidate], wish: &Wish, idle_ms: f64, rng: &mut impl Rng) -> Choice {
     let limit = limit_ms(wish, idle_ms);
-    let mut best: Option<(f64, &Candidate)> = None;
     let mut soonest = f64::INFINITY;
+    let mut offers: Vec<Offer<'_>> = Vec::with_capacity(candidates.len());
     for candidate in candidates.iter().filter(|candidate| candidate.usable) {
         let answer = candidate.answer_ms + candidate.distance.trip_ms();
         soonest = soonest.min(answer);
-        if answer > limit || candidate.turns > MAX_TURNS {
-            continue;
-        }
-        let cost = answer + candidate.failure_cost_ms + candidate.distance.byte_cost_ms(wish.kib);
-        if best.is_none_or(|(least, _)| cost < least) {
-            best = Some((cost, candidate));
+        if answer <= limit && candidate.turns <= MAX_TURNS {
+            let bytes = candidate.distance.byte_cost_ms(wish.kib);
+            offers.push(Offer {
+                candidate,
+                cost: answer + candidate.failure_cost_ms + bytes,
+            });
         }
     }
-    if let Some((_, candidate)) = best {
-        return Choice::Send(candidate.server.clone());
+    let distances = [Distance::DataCentre, Distance::Region, Distance::Far];
+    let best = distances
+        .into_iter()
+        .filter_map(|distance| better_of_two(&offers, distance, rng))
+        .min_by(|one, other| one.cost.total_cmp(&other.cost));
+    if let Some(offer) = best {
+        return Choice::Send(offer.candidate.server.clone());
     }
     if soonest.is_infinite() {
         return Choice::NoServer;
@@ -144,6 +160,42 @@
     Choice::Full(retry_after(soonest - limit, idle_ms, rng))
 }
 
+/// Draws two servers at a distance, the faster the likelier, and returns the cheaper one.
+fn better_of_two<'a>(
+    offers: &[Offer<'a>],
+    distance: Distance,
+    rng: &mut impl Rng,
+) -> Option<Offer<'a>> {
+    let near = || {
+        offers
+            .iter()
+            .filter(|offer| offer.candidate.distance == distance)
+    };
+    let first = draw(near(), rng)?;
+    let others = near().filter(|offer| offer.candidate.server != first.candidate.server);
+    match draw(others, rng) {
+        Some(second) if second.cost < first.cost => Some(second),
+        _ => Some(first),
+    }
+}
+
+/// Draws one offer with a chance that is proportional to the speed of its server.
+fn draw<'a, 'b: 'a>(
+    offers: impl Iterator<Item = &'a Offer<'b>>,
+    rng: &mut impl Rng,
+) -> Option<Offer<'b>> {
+    // Of exponential variates with these rates, each is the least with a chance proportional to
+    // its rate.
+    let drawn = offers.map(|offer| {
+        let service_ms = offer.candidate.answer_ms / offer.candidate.turns;
+        let uniform: f64 = rng.random_range(f64::MIN_POSITIVE..1.0);
+        (-uniform.ln() * service_ms, offer)
+    });
+    drawn
+        .min_by(|one, other| one.0.total_cmp(&other.0))
+        .map(|(_, offer)| *offer)
+}
+
 /// Returns when a refused request should come back: once the backlog above the limit has been
 /// worked off, spread over one service time so that the refused do not come back together.
 fn retry_after(excess_ms: f64, idle_ms: f64, rng: &mut impl Rng) -> Duration {
--- /dev/null
+++ b/crates/carawayrill-core/tests/direct_fronts.rs
@@ -0,0 +1,20 @@
+//! The number of fronts that the shared limits are divided by.
+
+use carawayrill_core::direct::fronts::FrontCount;
+use carawayrill_core::time::Time;
+
+#[test]
+fn a_granter_that_has_just_begun_is_not_believed_to_know_all_fronts() {
+    let mut fronts = FrontCount::assume(12, Time(0));
+    fronts.tell(10, Time(1_000));
+    assert_eq!(fronts.get(), 12);
+    fronts.tell(10, Time(13_000));
+    assert_eq!(fronts.get(), 10);
+    // Another front has become the granter; nobody has joined it yet.
+    for ms in (14_000..20_000).step_by(300) {
+        fronts.tell(1, Time(ms));
+    }
+    assert_eq!(fronts.get(), 10);
+    fronts.tell(11, Time(20_000));
+    assert_eq!(fronts.get(), 11);
+}
--- a/crates/carawayrill-gateway/src/forward.rs
+++ b/crates/carawayrill-gateway/src/forward.rs
@@ -395,7 +395,7 @@
         }
         let now = clock::now();
         let mut tables = self.shared.tables();
-        let fronts = tables.fronts;
+        let fronts = tables.fronts.get();
         (sent as u64) < u64::from(self.taken.matched.route.max_tries)
             && tables
                 .budget(&self.taken.matched.service, &self.shared.cfg)
@@ -577,13 +577,13 @@
     }
 
     fn keep(&self, server: &Server, received: Received, facts: &AnswerFacts) {
-        let share = {
+        let kept = {
             let mut tables = self.shared.tables();
             let bytes = self.taken.body.len() + received.body.len();
             tables.note_size(&self.taken.matched.route.name, bytes);
-            tables.connection_share(&self.taken.matched.service)
+            tables.kept_connections(&self.taken.matched.service)
         };
         self.upstream
-            .keep(&server.id, received, facts.keep_alive, share as usize / 2);
+            .keep(&server.id, received, facts.keep_alive, kept as usize);
     }
 }
--- a/crates/carawayrill-gateway/src/link/mod.rs
+++ b/crates/carawayrill-gateway/src/link/mod.rs
@@ -167,7 +167,7 @@
     let mut changed = false;
     {
         let mut tables = shared.tables();
-        tables.fronts = update.fronts.max(1);
+        tables.fronts.tell(update.fronts, clock::now());
         for (service, (_, table)) in &update.tables {
             changed |= take_in_table(&mut tables, service, table);
         }
--- a/crates/carawayrill-gateway/src/state.rs
+++ b/crates/carawayrill-gateway/src/state.rs
@@ -11,6 +11,7 @@
 use carawayrill_core::direct::admission::Candidate;
 use carawayrill_core::direct::admission::Distance;
 use carawayrill_core::direct::budget::RetryWindow;
+use carawayrill_core::direct::fronts::FrontCount;
 use carawayrill_core::direct::keys::Fence;
 use carawayrill_core::direct::keys::KeyRange;
 use carawayrill_core::direct::load::Ended;
@@ -41,6 +42,10 @@
 const DEFAULT_KIB: f64 = 4.0;
 /// The fronts that are assumed before the granter has told their number.
 const ASSUMED_FRONTS: u32 = 12;
+/// The part of a front's connections to a server that may be kept idle is one in this many.
+const KEPT_PART: u32 = 3;
+/// The fewest connections that a front may have to a server.
+const MIN_CONNECTIONS: u32 = 2;
 /// The longest time that a server stays slow after its start; a longer report is not believed.
 const MAX_COLD: Duration = Duration::from_mins(1);
 
@@ -155,7 +160,7 @@
     /// The speeds of servers as last told to the granter.
     pub told_speeds: HashMap<ServerId, f64>,
     /// The number of fronts that are alive.
-    pub fronts: u32,
+    pub fronts: FrontCount,
     /// Randomness of decisions.
     pub rng: ChaCha8Rng,
 }
@@ -190,7 +195,7 @@
                 sizes: HashMap::new(),
                 demand: HashMap::new(),
                 told_speeds: HashMap::new(),
-                fronts: ASSUMED_FRONTS,
+                fronts: FrontCount::assume(ASSUMED_FRONTS, clock::now()),
                 rng: ChaCha8Rng::seed_from_u64(seed),
             }),
             changed: watch::Sender::new(0),
@@ -297,15 +302,26 @@
         }
     }
 
-    /// Returns the connections that this front may have to each server of a service.
+    /// Returns the connections that this front may use at a time to each server of a service.
     #[must_use]
     pub fn connection_share(&self, service: &ServiceId) -> u32 {
+        self.connections(service) - self.kept_connections(service)
+    }
+
+    /// Returns the idle connections that this front may keep to each server of a service.
+    #[must_use]
+    pub fn kept_connections(&self, service: &ServiceId) -> u32 {
+        self.connections(service) / KEPT_PART
+    }
+
+    /// Returns this front's part of the connections that each server of a service accepts.
+    fn connections(&self, service: &ServiceId) -> u32 {
         let max = self
             .manifest
             .as_ref()
             .and_then(|manifest| manifest.service(service))
             .map_or(u32::MAX, |service| service.max_connections);
-        (max / self.fronts.max(1)).max(2)
+        (max / self.fronts.get()).max(MIN_CONNECTIONS)
     }
 
     /// Returns the expected size of a route's requests and answers, in KiB.
