--- a/crates/carawayrill-core/src/direct/admission.rs
+++ b/crates/carawayrill-core/src/direct/admission.rs
@@ -27,6 +27,10 @@
 const ZONE_COST_PER_KIB_MS: f64 = 1.5;
 /// What each KiB to or from another region is worth in waiting time, in milliseconds.
 const REGION_COST_PER_KIB_MS: f64 = 8.0;
+/// The servers that all fronts together draw at each distance.
+const DRAWS: u32 = 66;
+/// The fewest servers that one front draws at each distance.
+const MIN_DRAWS: usize = 2;
 /// The shortest time to come back that a refusal names.
 const MIN_RETRY_AFTER_MS: f64 = 50.0;
 /// The longest time to come back that a refusal names.
@@ -128,10 +132,19 @@
 
 /// Chooses among `candidates`; `idle_ms` is the time in which an idle server would answer.
 ///
-/// Of the servers at each distance, two are drawn by their speed, and the cheaper one is compared
-/// with those of the other distances. Many fronts that know little of each other's requests would
-/// otherwise all choose the one server that looks best.
-pub fn choose(candidates: &[Candidate], wish: &Wish, idle_ms: f64, rng: &mut impl Rng) -> Choice {
+/// Of the servers at each distance, some are drawn by their speed, and the cheapest of them is
+/// compared with those of the other distances. The more fronts there are, the less each knows of
+/// the others' requests, and the fewer are drawn: all would otherwise choose the one server that
+/// looks best.
+pub fn choose(
+    candidates: &[Candidate],
+    wish: &Wish,
+    idle_ms: f64,
+    fronts: u32,
+    rng: &mut impl Rng,
+) -> Choice {
+    let draws = usize::try_from(DRAWS / fronts.max(1)).unwrap_or(usize::MAX);
+    let draws = draws.max(MIN_DRAWS);
     let limit = limit_ms(wish, idle_ms);
     let mut soonest = f64::INFINITY;
     let mut offers: Vec<Offer<'_>> = Vec::with_capacity(candidates.len());
@@ -149,7 +162,7 @@
     let distances = [Distance::DataCentre, Distance::Region, Distance::Far];
     let best = distances
         .into_iter()
-        .filter_map(|distance| better_of_two(&offers, distance, rng))
+        .filter_map(|distance| best_drawn(&offers, distance, draws, rng))
         .min_by(|one, other| one.cost.total_cmp(&other.cost));
     if let Some(offer) = best {
         return Choice::Send(offer.candidate.server.clone());
@@ -160,40 +173,28 @@
     Choice::Full(retry_after(soonest - limit, idle_ms, rng))
 }
 
-/// Draws two servers at a distance, the faster the likelier, and returns the cheaper one.
-fn better_of_two<'a>(
+/// Draws servers at a distance, the faster the likelier, and returns the cheapest of them.
+fn best_drawn<'a>(
     offers: &[Offer<'a>],
     distance: Distance,
+    draws: usize,
     rng: &mut impl Rng,
 ) -> Option<Offer<'a>> {
-    let near = || {
-        offers
-            .iter()
-            .filter(|offer| offer.candidate.distance == distance)
-    };
-    let first = draw(near(), rng)?;
-    let others = near().filter(|offer| offer.candidate.server != first.candidate.server);
-    match draw(others, rng) {
-        Some(second) if second.cost < first.cost => Some(second),
-        _ => Some(first),
-    }
-}
-
-/// Draws one offer with a chance that is proportional to the speed of its server.
-fn draw<'a, 'b: 'a>(
-    offers: impl Iterator<Item = &'a Offer<'b>>,
-    rng: &mut impl Rng,
-) -> Option<Offer<'b>> {
+    let near = offers
+        .iter()
+        .filter(|offer| offer.candidate.distance == distance);
     // Of exponential variates with these rates, each is the least with a chance proportional to
     // its rate.
-    let drawn = offers.map(|offer| {
-        let service_ms = offer.candidate.answer_ms / offer.candidate.turns;
-        let uniform: f64 = rng.random_range(f64::MIN_POSITIVE..1.0);
-        (-uniform.ln() * service_ms, offer)
-    });
-    drawn
-        .min_by(|one, other| one.0.total_cmp(&other.0))
-        .map(|(_, offer)| *offer)
+    let mut drawn: Vec<(f64, &Offer<'a>)> = near
+        .map(|offer| {
+            let service_ms = offer.candidate.answer_ms / offer.candidate.turns;
+            let uniform: f64 = rng.random_range(f64::MIN_POSITIVE..1.0);
+            (-uniform.ln() * service_ms, offer)
+        })
+        .collect();
+    drawn.sort_by(|one, other| one.0.total_cmp(&other.0));
+    let drawn = drawn.into_iter().take(draws).map(|(_, offer)| *offer);
+    drawn.min_by(|one, other| one.cost.total_cmp(&other.cost))
 }
 
 /// Returns when a refused request should come back: once the backlog above the limit has been
--- a/crates/carawayrill-core/src/direct/load.rs
+++ b/crates/carawayrill-core/src/direct/load.rs
@@ -18,9 +18,12 @@
 const FAILURE_HALF_LIFE_MS: f64 = 3_000.0;
 /// The time after which a load report counts half, in milliseconds.
 const REPORT_HALF_LIFE_MS: f64 = 250.0;
-/// The time after which the mean load by others counts half without a report, in milliseconds.
-/// Without it, a server that was found full would never be tried again.
-const MEAN_HALF_LIFE_MS: f64 = 800.0;
+/// The time after which the mean load by others counts half without a report, in milliseconds a
+/// front. Without it, a server that was found full would never be tried again; with many fronts,
+/// all of them would try it at once.
+const MEAN_HALF_LIFE_PER_FRONT_MS: f64 = 75.0;
+/// The fronts that are assumed before their number is known.
+const ASSUMED_FRONTS: u32 = 11;
 /// The weight of a new report in the mean load by others.
 const OTHERS_GAIN: f64 = 0.2;
 /// How much slower a server is while it is cold.
@@ -73,6 +76,7 @@
     failures_in_row: u32,
     paused_until: Time,
     cold_until: Time,
+    mean_half_life_ms: f64,
 }
 
 impl ServerLoad {
@@ -92,9 +96,15 @@
             failures_in_row: 0,
             paused_until: Time::default(),
             cold_until: now + cold_for,
+            mean_half_life_ms: f64::from(ASSUMED_FRONTS) * MEAN_HALF_LIFE_PER_FRONT_MS,
         }
     }
 
+    /// Sets the number of fronts that use the server.
+    pub fn set_fronts(&mut self, fronts: u32) {
+        self.mean_half_life_ms = f64::from(fronts.max(1)) * MEAN_HALF_LIFE_PER_FRONT_MS;
+    }
+
     /// Returns the requests of this front that are at the server.
     #[must_use]
     pub fn in_flight(&self) -> u32 {
@@ -127,7 +137,7 @@
         };
         let age_ms = millis(now.since(at)) as f64;
         let fresh = (-age_ms / REPORT_HALF_LIFE_MS).exp2();
-        let mean = self.others_mean * (-age_ms / MEAN_HALF_LIFE_MS).exp2();
+        let mean = self.others_mean * (-age_ms / self.mean_half_life_ms).exp2();
         let others = self.others * fresh + mean * (1.0 - fresh);
         f64::from(self.in_flight) + others
     }
--- a/crates/carawayrill-core/tests/direct_decisions.rs
+++ b/crates/carawayrill-core/tests/direct_decisions.rs
@@ -113,7 +113,13 @@
 }
 
 fn chosen(candidates: &[Candidate], wish: &Wish) -> Choice {
-    choose(candidates, wish, 100.0, &mut ChaCha8Rng::seed_from_u64(1))
+    choose(
+        candidates,
+        wish,
+        100.0,
+        11,
+        &mut ChaCha8Rng::seed_from_u64(1),
+    )
 }
 
 #[rstest]
--- a/crates/carawayrill-gateway/src/config.rs
+++ b/crates/carawayrill-gateway/src/config.rs
@@ -35,6 +35,10 @@
     pub retries: Allowance,
     /// The longest time from the order to stop until the process has to be gone.
     pub grace: Duration,
+    /// Whether the whole system starts for the first time, so that servers are still being listed.
+    pub first_start: bool,
+    /// How long changes of servers are gathered before the next watch.
+    pub gather: Duration,
     /// How long a server may be sent requests after it was seen to leave.
     pub drain: Duration,
     /// Times of the granter.
--- a/crates/carawayrill-gateway/src/feed.rs
+++ b/crates/carawayrill-gateway/src/feed.rs
@@ -30,8 +30,10 @@
 /// The pause after a watch that brought changes of the manifest, so that changes in a row are read
 /// together.
 const MANIFEST_GATHER: Duration = Duration::from_millis(150);
-/// The same for changes of servers, which come in longer rows.
-const SERVER_GATHER: Duration = Duration::from_millis(400);
+/// The same for changes of servers while the whole system starts.
+const FIRST_GATHER: Duration = Duration::from_millis(1_500);
+/// How long the start of the whole system takes.
+const FIRST_START: Duration = Duration::from_secs(5);
 /// The shortest pause after a failed call.
 const MIN_BACKOFF: Duration = Duration::from_millis(150);
 /// The longest pause after failed calls in a row.
@@ -222,6 +224,7 @@
         directory,
         upstream,
         bad: std::collections::BTreeSet::new(),
+        started: clock::now(),
     };
     follow(&shared, &*store, kind, "store-servers", &mut reader).await;
 }
@@ -232,6 +235,7 @@
     upstream: Arc<Upstream>,
     /// Entries that can't be read and were logged.
     bad: std::collections::BTreeSet<CompactString>,
+    started: Time,
 }
 
 impl ServerReader {
@@ -335,7 +339,9 @@
     }
 
     fn gather(&self) -> Duration {
-        SERVER_GATHER
+        let cfg = &self.shared.cfg;
+        let starting = cfg.first_start && clock::now().since(self.started) < FIRST_START;
+        if starting { FIRST_GATHER } else { cfg.gather }
     }
 }
 
--- a/crates/carawayrill-gateway/src/forward.rs
+++ b/crates/carawayrill-gateway/src/forward.rs
@@ -275,7 +275,8 @@
             .collect();
         let wish = self.wish(tables, now);
         let idle_ms = tables.service_ms(service).unwrap_or(50.0);
-        match admission::choose(&candidates, &wish, idle_ms, &mut tables.rng) {
+        let fronts = tables.fronts.get();
+        match admission::choose(&candidates, &wish, idle_ms, fronts, &mut tables.rng) {
             Choice::Send(id) => match servers.into_iter().find(|server| server.id == id) {
                 Some(server) => Next::Send(Box::new(server), None),
                 None => Next::Refuse("no-server", DEFAULT_RETRY_AFTER),
@@ -313,7 +314,8 @@
         let idle_ms = candidate
             .answer_ms
             .min(tables.service_ms(service).unwrap_or(50.0));
-        match admission::choose(&[candidate], &wish, idle_ms, &mut tables.rng) {
+        let fronts = tables.fronts.get();
+        match admission::choose(&[candidate], &wish, idle_ms, fronts, &mut tables.rng) {
             Choice::Send(_) => Next::Send(Box::new(server), Some(span.fence)),
             Choice::Full(after) => Next::Refuse("full", after),
             Choice::NoServer => Next::Refuse("owner-busy", DEFAULT_RETRY_AFTER),
--- a/crates/carawayrill-gateway/src/granting.rs
+++ b/crates/carawayrill-gateway/src/granting.rs
@@ -57,9 +57,9 @@
 /// The time between two rounds that take reports into the mean demand.
 const DEMAND_INTERVAL: Duration = Duration::from_millis(150);
 /// How long no further server may have been listed before keys are first spread over them.
-const FIRST_SPREAD_QUIET: Duration = Duration::from_millis(900);
+const FIRST_SPREAD_QUIET: Duration = Duration::from_millis(1_800);
 /// The longest wait before keys are first spread.
-const FIRST_SPREAD_WAIT: Duration = Duration::from_secs(3);
+const FIRST_SPREAD_WAIT: Duration = Duration::from_millis(4_500);
 /// How long a front counts as alive after its last report.
 const MEMBER_TTL: Duration = Duration::from_secs(2);
 /// The service time that is assumed while none was measured, in milliseconds.
--- a/crates/carawayrill-gateway/src/state.rs
+++ b/crates/carawayrill-gateway/src/state.rs
@@ -271,9 +271,13 @@
             let row = ServerLoad::new(server.slots, cold, service_ms, now);
             self.loads.insert(server.id.clone(), row);
         }
-        self.loads
+        let fronts = self.fronts.get();
+        let row = self
+            .loads
             .get_mut(&server.id)
-            .unwrap_or_else(|| unreachable!("the row was just made"))
+            .unwrap_or_else(|| unreachable!("the row was just made"));
+        row.set_fronts(fronts);
+        row
     }
 
     /// Drops the rows of servers that are not listed any more.
@@ -302,20 +306,9 @@
         }
     }
 
-    /// Returns the connections that this front may use at a time to each server of a service.
+    /// Returns this front's part of the connections that each server of a service accepts.
     #[must_use]
     pub fn connection_share(&self, service: &ServiceId) -> u32 {
-        self.connections(service) - self.kept_connections(service)
-    }
-
-    /// Returns the idle connections that this front may keep to each server of a service.
-    #[must_use]
-    pub fn kept_connections(&self, service: &ServiceId) -> u32 {
-        self.connections(service) / KEPT_PART
-    }
-
-    /// Returns this front's part of the connections that each server of a service accepts.
-    fn connections(&self, service: &ServiceId) -> u32 {
         let max = self
             .manifest
             .as_ref()
@@ -324,6 +317,12 @@
         (max / self.fronts.get()).max(MIN_CONNECTIONS)
     }
 
+    /// Returns the idle connections that this front may keep to each server of a service.
+    #[must_use]
+    pub fn kept_connections(&self, service: &ServiceId) -> u32 {
+        self.connection_share(service) / KEPT_PART
+    }
+
     /// Returns the expected size of a route's requests and answers, in KiB.
     #[must_use]
     pub fn size_kib(&self, route: &str) -> f64 {
