Pace the granter by the number of spans and fronts; assume the mean of servers never measured

Change: fronts with less processor time let others claim first; at most 12 orders a tick, spans that callers wait for first; renewals are spread over 8 ms a span; updates wait 1.5 ms a front; unmeasured servers count with the mean of the service.

--- a/crates/carawayrill-core/src/direct/admission.rs
+++ b/crates/carawayrill-core/src/direct/admission.rs
@@ -177,7 +177,7 @@
 fn best_drawn<'a>(
     offers: &[Offer<'a>],
     distance: Distance,
-    draws: usize,
+    most: usize,
     rng: &mut impl Rng,
 ) -> Option<Offer<'a>> {
     let near = offers
@@ -185,15 +185,15 @@
         .filter(|offer| offer.candidate.distance == distance);
     // Of exponential variates with these rates, each is the least with a chance proportional to
     // its rate.
-    let mut drawn: Vec<(f64, &Offer<'a>)> = near
+    let mut ranked: Vec<(f64, &Offer<'a>)> = near
         .map(|offer| {
             let service_ms = offer.candidate.answer_ms / offer.candidate.turns;
             let uniform: f64 = rng.random_range(f64::MIN_POSITIVE..1.0);
             (-uniform.ln() * service_ms, offer)
         })
         .collect();
-    drawn.sort_by(|one, other| one.0.total_cmp(&other.0));
-    let drawn = drawn.into_iter().take(draws).map(|(_, offer)| *offer);
+    ranked.sort_by(|one, other| one.0.total_cmp(&other.0));
+    let drawn = ranked.into_iter().take(most).map(|(_, offer)| *offer);
     drawn.min_by(|one, other| one.cost.total_cmp(&other.cost))
 }
 
--- a/crates/carawayrill-core/src/direct/granter/mod.rs
+++ b/crates/carawayrill-core/src/direct/granter/mod.rs
@@ -44,6 +44,10 @@
     pub long_hold: Duration,
     /// The time between two renewals of a grant.
     pub renewal: Duration,
+    /// The least time between two renewals for each span that is held.
+    pub renewal_per_span: Duration,
+    /// The most orders that are sent in one tick.
+    pub orders_per_tick: usize,
     /// The time limit of a grant's call.
     pub grant_timeout: Duration,
     /// The time limit of a release's call: running work ends first.
@@ -65,6 +69,8 @@
             hold: Duration::from_millis(3_200),
             long_hold: Duration::from_secs(10),
             renewal: Duration::from_millis(900),
+            renewal_per_span: Duration::from_millis(8),
+            orders_per_tick: 12,
             grant_timeout: Duration::from_millis(800),
             release_timeout: Duration::from_millis(1_500),
             clock_drift: 0.02,
@@ -75,7 +81,29 @@
     }
 }
 
+/// How long grants hold and how often they are renewed, for the present number of spans.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Pace {
+    hold: Duration,
+    renewal: Duration,
+}
+
 impl Config {
+    /// Fits hold and renewal to the number of spans: one front renews them all.
+    fn pace(&self, spans: usize) -> Pace {
+        let spans = u32::try_from(spans).unwrap_or(u32::MAX);
+        let renewal = self
+            .renewal_per_span
+            .saturating_mul(spans)
+            .min(self.long_hold / 4)
+            .max(self.renewal);
+        let hold = self.hold + renewal.saturating_sub(self.renewal) * 2;
+        Pace {
+            hold: hold.min(self.long_hold),
+            renewal,
+        }
+    }
+
     /// Returns how long a grant may run on the slowest server clock.
     #[must_use]
     pub fn longest(&self, hold: Duration) -> Duration {
@@ -285,19 +313,33 @@
     }
 
     fn orders(&mut self, inputs: &Inputs<'_>) -> Vec<Step> {
-        let hold = if inputs.store_away {
-            self.cfg.long_hold
+        let usual = self.cfg.pace(self.rows.len());
+        let pace = if inputs.store_away {
+            Pace {
+                hold: self.cfg.long_hold,
+                ..usual
+            }
         } else {
-            self.cfg.hold
+            usual
         };
         let mut steps = Vec::new();
-        for row in self.rows.values_mut() {
+        let mut due: Vec<&mut Row> = self
+            .rows
+            .values_mut()
+            .filter(|row| row.in_flight.is_none() && row.due <= inputs.now)
+            .collect();
+        // What has waited longest goes first, and spans that callers wait for before all others.
+        due.sort_by_key(|row| (!row.is_moving(), row.due));
+        for row in due {
+            if steps.len() >= self.cfg.orders_per_tick {
+                break;
+            }
             let before = row.is_moving();
             row.changing = self
                 .writing
                 .as_ref()
                 .is_some_and(|record| !record.keeps(&row.span));
-            let order = row.order(inputs, &self.cfg, hold, self.next_order);
+            let order = row.order(inputs, &self.cfg, pace, self.next_order);
             if before != row.is_moving() {
                 self.changes += 1;
             }
--- a/crates/carawayrill-core/src/direct/granter/row.rs
+++ b/crates/carawayrill-core/src/direct/granter/row.rs
@@ -8,6 +8,7 @@
 use crate::direct::granter::Inputs;
 use crate::direct::granter::OrderId;
 use crate::direct::granter::OrderResult;
+use crate::direct::granter::Pace;
 use crate::direct::granter::SpanOrder;
 use crate::direct::keys::Fence;
 use crate::direct::keys::Handover;
@@ -64,6 +65,8 @@
     granted: bool,
     /// Orders that failed in a row.
     failures: u32,
+    /// The time between two renewals.
+    renewal: Duration,
     /// Until when the row is not moved by choice again.
     rests_until: Time,
     /// Whether a record that is being written gives keys of the span to another holder.
@@ -92,6 +95,7 @@
             inherited: true,
             granted: true,
             failures: 0,
+            renewal: cfg.renewal,
             rests_until: now,
             changing: false,
         }
@@ -111,6 +115,7 @@
             inherited: false,
             granted: false,
             failures: 0,
+            renewal: cfg.renewal,
             rests_until: now + cfg.rest,
             changing: false,
         }
@@ -167,18 +172,18 @@
         &mut self,
         inputs: &Inputs<'_>,
         cfg: &Config,
-        hold: Duration,
+        pace: Pace,
         id: OrderId,
     ) -> Option<SpanOrder> {
         if self.in_flight.is_some() || inputs.now < self.due {
             return None;
         }
         let Some(former) = self.span.former.clone() else {
-            return self.grant_holder(inputs, cfg, hold, id);
+            return self.grant_holder(inputs, cfg, pace, id);
         };
         if is_gone(&former.holder, inputs.servers) || inputs.now >= self.former_until {
             self.forget_former();
-            return self.grant_holder(inputs, cfg, hold, id);
+            return self.grant_holder(inputs, cfg, pace, id);
         }
         if self.inherited {
             // The holder may have been granted the span already, so that the former one must not
@@ -205,7 +210,7 @@
         &mut self,
         inputs: &Inputs<'_>,
         cfg: &Config,
-        hold: Duration,
+        pace: Pace,
         id: OrderId,
     ) -> Option<SpanOrder> {
         if is_over(&self.span.holder, inputs.servers) {
@@ -216,7 +221,8 @@
             return None;
         }
         // That record also says how long the holder's grants may run.
-        let hold = if self.changing { cfg.hold } else { hold };
+        let hold = if self.changing { cfg.hold } else { pace.hold };
+        self.renewal = pace.renewal;
         let handover = if self.granted {
             None
         } else {
@@ -335,7 +341,7 @@
     fn granted(&mut self, now: Time, cfg: &Config, hold: Duration) {
         self.granted = true;
         self.hold_until = self.hold_until.max(now + cfg.longest(hold));
-        self.due = now + cfg.renewal;
+        self.due = now + self.renewal;
     }
 
     /// Takes back the time that was added for a grant that never left.
--- a/crates/carawayrill-core/src/direct/load.rs
+++ b/crates/carawayrill-core/src/direct/load.rs
@@ -100,6 +100,14 @@
         }
     }
 
+    /// Sets the service time that is assumed until one was measured. A server that is thought to
+    /// be slower than the measured ones would never be asked.
+    pub fn assume(&mut self, service_ms: f64) {
+        if !self.measured {
+            self.service_ms = service_ms;
+        }
+    }
+
     /// Sets the number of fronts that use the server.
     pub fn set_fronts(&mut self, fronts: u32) {
         self.mean_half_life_ms = f64::from(fronts.max(1)) * MEAN_HALF_LIFE_PER_FRONT_MS;
--- a/crates/carawayrill-gateway/src/config.rs
+++ b/crates/carawayrill-gateway/src/config.rs
@@ -17,6 +17,8 @@
     pub front: CompactString,
     /// Tells two runs of the same front apart.
     pub run: u64,
+    /// The processor time that this front has, in cores.
+    pub cores: f64,
     /// Where callers connect.
     pub listen: SocketAddr,
     /// Where the platform asks for readiness.
--- a/crates/carawayrill-gateway/src/forward.rs
+++ b/crates/carawayrill-gateway/src/forward.rs
@@ -42,6 +42,8 @@
 const MIN_LEFT: Duration = Duration::from_millis(10);
 /// The longest wait for the owner of a key to be known, as a share of the objective.
 const OWNER_WAIT_SHARE: f64 = 0.8;
+/// The time in which an idle server is assumed to answer before any was measured, in milliseconds.
+const ASSUMED_IDLE_MS: f64 = 50.0;
 /// The share of its time limit after which an idempotent request without an answer is sent again.
 const PATIENCE_SHARE: f64 = 0.5;
 /// The shortest time limit with which a request is sent again for want of an answer. Within less,
@@ -265,16 +267,17 @@
         let service = &self.taken.matched.service;
         let servers: Vec<Server> = tables.servers.ready_of(service).cloned().collect();
         let share = tables.connection_share(service);
+        let mean_ms = tables.service_ms(service);
         let candidates: Vec<_> = servers
             .iter()
             .filter(|server| !self.avoid.contains(&server.id))
             .map(|server| {
                 let distance = self.shared.distance(&server.data_centre);
-                tables.candidate(server, distance, share, now)
+                tables.candidate(server, distance, share, mean_ms, now)
             })
             .collect();
         let wish = self.wish(tables, now);
-        let idle_ms = tables.service_ms(service).unwrap_or(50.0);
+        let idle_ms = mean_ms.unwrap_or(ASSUMED_IDLE_MS);
         let fronts = tables.fronts.get();
         match admission::choose(&candidates, &wish, idle_ms, fronts, &mut tables.rng) {
             Choice::Send(id) => match servers.into_iter().find(|server| server.id == id) {
@@ -309,11 +312,10 @@
         }
         let share = tables.connection_share(service);
         let distance = self.shared.distance(&server.data_centre);
-        let candidate = tables.candidate(&server, distance, share, now);
+        let mean_ms = tables.service_ms(service);
+        let candidate = tables.candidate(&server, distance, share, mean_ms, now);
         let wish = self.wish(tables, now);
-        let idle_ms = candidate
-            .answer_ms
-            .min(tables.service_ms(service).unwrap_or(50.0));
+        let idle_ms = candidate.answer_ms.min(mean_ms.unwrap_or(ASSUMED_IDLE_MS));
         let fronts = tables.fronts.get();
         match admission::choose(&[candidate], &wish, idle_ms, fronts, &mut tables.rng) {
             Choice::Send(_) => Next::Send(Box::new(server), Some(span.fence)),
--- a/crates/carawayrill-gateway/src/granting.rs
+++ b/crates/carawayrill-gateway/src/granting.rs
@@ -52,6 +52,8 @@
 const TICK: Duration = Duration::from_millis(40);
 /// The time between two updates to the fronts if nothing changes.
 const HEARTBEAT: Duration = Duration::from_millis(300);
+/// The least time between two updates for each front that is told.
+const TELL_PER_FRONT: Duration = Duration::from_micros(1_500);
 /// How long the mean demand by key remembers.
 const DEMAND_MEMORY: Duration = Duration::from_millis(1_200);
 /// The time between two rounds that take reports into the mean demand.
@@ -255,7 +257,13 @@
                 .iter()
                 .map(|(service, granter)| (service.clone(), granter.changes()))
                 .collect();
-            if changes == state.told && now.since(state.told_at) < HEARTBEAT {
+            let since = now.since(state.told_at);
+            let members = u32::try_from(state.members.len()).unwrap_or(u32::MAX);
+            // The next tick tells what changes until then.
+            if since < TELL_PER_FRONT.saturating_mul(members) {
+                return;
+            }
+            if changes == state.told && since < HEARTBEAT {
                 return;
             }
             state.told = changes;
--- a/crates/carawayrill-gateway/src/leasing.rs
+++ b/crates/carawayrill-gateway/src/leasing.rs
@@ -39,6 +39,11 @@
 const READ_INTERVAL: Duration = Duration::from_millis(400);
 /// How long a follower may hear nothing of the granter before it reads the lease.
 pub const SILENCE: Duration = Duration::from_millis(900);
+/// The processor time with which a front claims a free lease at once, in cores.
+const AMPLE_CORES: f64 = 0.5;
+/// How much longer a front with hardly any processor time waits: the granter needs some, and
+/// another front may have more.
+const WEAK_DELAY: Duration = Duration::from_millis(400);
 /// The longest wait for moves to end before the lease is given up.
 const HAND_OVER_WAIT: Duration = Duration::from_millis(1_500);
 
@@ -250,8 +255,16 @@
             }
             Err(err) => return dependency.failed(&self.shared, &err),
         }
-        let now = clock::now();
-        let claim = self.view().claim(now);
+        let delay = self.claim_delay();
+        if !delay.is_zero() && self.view().claim(clock::now()).is_some() {
+            tokio::time::sleep(delay).await;
+            let asked = clock::now();
+            if let Ok(found) = self.store.get(LEASE_OBJECT).await {
+                let (version, lease) = read_lease(found);
+                self.view().observe(version, lease, asked);
+            }
+        }
+        let claim = self.view().claim(clock::now());
         let Some(claim) = claim.filter(|_| !*self.stopping.borrow()) else {
             return FOLLOW_INTERVAL;
         };
@@ -267,6 +280,12 @@
         }
     }
 
+    /// Returns how long this front lets others claim a free lease first.
+    fn claim_delay(&self) -> Duration {
+        let share = (self.shared.cfg.cores / AMPLE_CORES).clamp(0.0, 1.0);
+        WEAK_DELAY.mul_f64(1.0 - share)
+    }
+
     async fn begin_granting(self: &Arc<Self>) {
         emit(EventKind::GranterLease {
             change: "taken".into(),
--- a/crates/carawayrill-gateway/src/state.rs
+++ b/crates/carawayrill-gateway/src/state.rs
@@ -287,15 +287,20 @@
             .retain(|id, load| servers.get(id).is_some() || load.in_flight() > 0);
     }
 
-    /// Returns one server as a candidate for a request.
+    /// Returns one server as a candidate for a request; `mean_ms` is the mean service time of the
+    /// service's servers, if one was measured.
     pub fn candidate(
         &mut self,
         server: &Server,
         distance: Distance,
         connections: u32,
+        mean_ms: Option<f64>,
         now: Time,
     ) -> Candidate {
         let load = self.load(server, now);
+        if let Some(mean_ms) = mean_ms {
+            load.assume(mean_ms);
+        }
         Candidate {
             server: server.id.clone(),
             distance,
