--- a/crates/carawayrill-gateway/src/forward.rs
+++ b/crates/carawayrill-gateway/src/forward.rs
@@ -157,7 +157,6 @@
     pub waited: Duration,
     avoid: Vec<ServerId>,
     unsent: u32,
-    misdirected: bool,
     /// Whether it may have been run.
     open: bool,
     /// A server's failure, to be passed on if nothing better comes.
@@ -182,7 +181,6 @@
             waited: Duration::ZERO,
             avoid: Vec::new(),
             unsent: 0,
-            misdirected: false,
             open: false,
             failure: None,
         }
@@ -358,7 +356,6 @@
                 self.after_run(server)
             }
             Outcome::NotRun { misdirected } => {
-                self.misdirected = misdirected;
                 if misdirected && self.taken.keyed {
                     self.wait_for_newer_spans().await;
                 } else {
--- a/crates/carawayrill-gateway/src/front.rs
+++ b/crates/carawayrill-gateway/src/front.rs
@@ -3,7 +3,6 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -92,7 +91,6 @@
 struct Lines {
     second: std::sync::atomic::AtomicU64,
     written: std::sync::atomic::AtomicU64,
-    warned: AtomicBool,
 }
 
 impl Lines {
@@ -101,7 +99,6 @@
         let second = now.0 / 1_000;
         if self.second.swap(second, Ordering::Relaxed) != second {
             self.written.store(0, Ordering::Relaxed);
-            self.warned.store(false, Ordering::Relaxed);
         }
         self.written.fetch_add(1, Ordering::Relaxed) < MAX_LINES_PER_SECOND
     }
--- a/crates/carawayrill-gateway/src/leasing.rs
+++ b/crates/carawayrill-gateway/src/leasing.rs
@@ -44,6 +44,8 @@
 /// How much longer a front with hardly any processor time waits: the granter needs some, and
 /// another front may have more.
 const WEAK_DELAY: Duration = Duration::from_millis(400);
+/// How often a stopping granter tries to give the lease up.
+const MAX_RELEASES: u32 = 4;
 /// The longest wait for moves to end before the lease is given up.
 const HAND_OVER_WAIT: Duration = Duration::from_millis(1_500);
 
@@ -314,13 +316,16 @@
             return;
         };
         granting.settle(HAND_OVER_WAIT).await;
-        let release = self.view().release();
         self.end_granting("given_up", "this front stops");
-        let Some(claim) = release else {
-            return;
-        };
-        if let Err(err) = self.write(claim).await {
-            log::warn!("the granter's lease was not given up: {err}");
+        for _attempt in 0..MAX_RELEASES {
+            let Some(claim) = self.view().release() else {
+                return;
+            };
+            match self.write(claim).await {
+                Ok(()) => return,
+                // A renewal that was under way has come first; its version is known now.
+                Err(err) => log::info!("the granter's lease was not given up: {err}"),
+            }
         }
     }
 }
