Take out functions that nothing calls

Ruled out: any use in tests, crates or platform/ (search and clippy). Change: 47 lines less; no decision changes.

--- a/crates/carawayrill-core/src/direct/granter/mod.rs
+++ b/crates/carawayrill-core/src/direct/granter/mod.rs
@@ -21,7 +21,6 @@
 use crate::direct::keys::Handover;
 use crate::direct::keys::KeyRange;
 use crate::direct::rebalance::Capacities;
-use crate::direct::servers::Server;
 use crate::direct::servers::Servers;
 use crate::direct::spans::Holder;
 use crate::direct::spans::Span;
@@ -269,12 +268,6 @@
         self.confirmed
     }
 
-    /// Returns the record as stored.
-    #[must_use]
-    pub fn record(&self) -> &SpanRecord {
-        &self.record
-    }
-
     /// Returns a count that rises with each change that fronts have to be told.
     #[must_use]
     pub fn changes(&self) -> u64 {
@@ -377,11 +370,6 @@
         self.changes += 1;
     }
 
-    /// Takes in that the record could not be stored and never will be.
-    pub fn not_written(&mut self) {
-        self.writing = None;
-    }
-
     /// Returns whether no span is changing hands and nothing is being written, so that another
     /// granter could go on without a wait.
     #[must_use]
@@ -402,12 +390,4 @@
             }
         }
     }
-
-    /// Returns whether a server is needed by any span, as holder or former holder.
-    #[must_use]
-    pub fn uses(&self, server: &Server) -> bool {
-        self.rows
-            .values()
-            .any(|row| row.span.holder.server == server.id && row.span.holder.born == server.born)
-    }
 }
--- a/crates/carawayrill-core/src/direct/lease.rs
+++ b/crates/carawayrill-core/src/direct/lease.rs
@@ -104,12 +104,6 @@
         now < self.held_until
     }
 
-    /// Returns until when this front may act as the granter.
-    #[must_use]
-    pub fn held_until(&self) -> Time {
-        self.held_until
-    }
-
     /// Returns what to write to become or remain the granter, if that is allowed.
     ///
     /// Another's lease may be taken once it has stood unchanged for its length, once it was given
--- a/crates/carawayrill-core/src/direct/load.rs
+++ b/crates/carawayrill-core/src/direct/load.rs
@@ -125,12 +125,6 @@
         self.measured.then_some(self.service_ms)
     }
 
-    /// Returns the requests that the server runs at a time.
-    #[must_use]
-    pub fn slots(&self) -> u32 {
-        self.slots
-    }
-
     /// Returns until when the server is left alone after failures.
     #[must_use]
     pub fn paused_until(&self) -> Time {
--- a/crates/carawayrill-core/src/direct/rebalance.rs
+++ b/crates/carawayrill-core/src/direct/rebalance.rs
@@ -182,7 +182,6 @@
             };
             let room = (mean - loads.utilisation(&to)).max(0.1 * mean) * capacities.of(&to);
             let (end, rate) = take_front(demand, first, last, room);
-            loads.shift(&to, &to, 0.0);
             if let Some(load) = loads.rates.get_mut(&to) {
                 *load += rate;
             }
--- a/crates/carawayrill-core/src/direct/spans.rs
+++ b/crates/carawayrill-core/src/direct/spans.rs
@@ -77,13 +77,6 @@
 }
 
 impl SpanRecord {
-    /// Returns the span of a key.
-    #[must_use]
-    pub fn find(&self, key: u16) -> Option<&Span> {
-        let at = self.spans.partition_point(|span| span.range.last < key);
-        self.spans.get(at).filter(|span| span.range.contains(key))
-    }
-
     /// Returns whether all keys of a span stay with its holder, under its fence.
     #[must_use]
     pub fn keeps(&self, span: &Span) -> bool {
--- a/crates/carawayrill-gateway/src/feed.rs
+++ b/crates/carawayrill-gateway/src/feed.rs
@@ -10,7 +10,6 @@
 use carawayrill_core::id::ServerId;
 use carawayrill_core::time::Time;
 use carawayrill_core::time::millis;
-use carawayrill_store::Error;
 use carawayrill_store::port::Changes;
 use carawayrill_store::port::Object;
 use carawayrill_store::port::ObjectStore;
@@ -363,9 +362,3 @@
         });
     }
 }
-
-/// The error of a read that is not whole.
-#[must_use]
-pub fn malformed(what: &str, err: &dyn std::fmt::Display) -> Error {
-    Error::malformed(format!("{what}: {err}"))
-}
