Don't count what a former holder doesn't answer against the new holder

Besides, a successor granted the span anew to a holder that was no longer listed and whose grants had run out, and then had to wait for that grant.

Ruled out: the wait of 10.2 s after long holds (needed: another granter may have given them); the pace of renewals.

Change: only grants count as failures of the holder; an order to the former holder is carried over to the new row; an unlisted holder that holds nothing is not granted anything.

--- a/crates/carawayrill-core/src/direct/granter/row.rs
+++ b/crates/carawayrill-core/src/direct/granter/row.rs
@@ -63,7 +63,7 @@
     inherited: bool,
     /// Whether the holder has acknowledged a grant of this span.
     granted: bool,
-    /// Orders that failed in a row.
+    /// Grants to the holder that failed in a row.
     failures: u32,
     /// The time between two renewals.
     renewal: Duration,
@@ -205,7 +205,8 @@
     /// Grants the span to its holder, unless that life of the server is over.
     ///
     /// A holder that does not answer is asked again and again: it is the recorded one, so that a
-    /// grant can do no harm.
+    /// grant can do no harm. One that is not listed any more is not given the span anew: the next
+    /// holder would have to wait until that grant has run out.
     fn grant_holder(
         &mut self,
         inputs: &Inputs<'_>,
@@ -216,6 +217,10 @@
         if is_over(&self.span.holder, inputs.servers) {
             return None;
         }
+        let listed = inputs.servers.get(&self.span.holder.server).is_some();
+        if !listed && inputs.now >= self.hold_until {
+            return None;
+        }
         if self.changing && !self.granted {
             // The record that is being written rests on the holder never having been asked.
             return None;
@@ -316,7 +321,10 @@
             return;
         };
         let failed = matches!(result, OrderResult::NotSent | OrderResult::Unknown);
-        self.failures = if failed { self.failures + 1 } else { 0 };
+        if order.kind == Kind::Grant {
+            // The holder is not to blame for a former holder that does not answer.
+            self.failures = if failed { self.failures + 1 } else { 0 };
+        }
         match result {
             OrderResult::Unknown => self.note_unsettled(&order, now, cfg),
             OrderResult::NotSent => self.note_not_sent(&order),
@@ -416,8 +424,11 @@
         };
     }
     if first.span.former.is_some() && span.former == first.span.former {
-        // Only the holder that was never asked is replaced.
+        // Only the holder that was never asked is replaced. An order to the former holder that is
+        // on its way goes on for the new row.
         return Row {
+            in_flight: first.in_flight.clone(),
+            due: first.due,
             former_until: first.former_until,
             former_unsettled_until: first.former_unsettled_until,
             settles: first.settles,
