Give requests that outlast a planned stop a last answer

The front got SIGTERM before, and ended at 0.8 of its grace by closing the connection, without an answer.

Ruled out: a server at work (it had shed the request); the close of kept connections (a request was in flight on this one).

Change: a stop has a last phase from 0.85 of the grace on, past the five sixths in which servers may still end their work; what is in flight then is told 504, or 503 if it was not sent.

Before: `a_planned_stop_answers_in_place_of_a_server_that_never_does` fails (no answer in the grace). After: it passes.

--- a/crates/carawayrill-gateway/src/forward/mod.rs
+++ b/crates/carawayrill-gateway/src/forward/mod.rs
@@ -149,20 +149,30 @@
         }
     }
 
-    fn timed_out(&mut self) -> Reply {
+    /// Returns the last answer to a request that has to end now.
+    pub fn cut_short(&mut self, reason: &'static str) -> Reply {
         if let Some(failure) = self.failure.take() {
             return failure;
         }
         if self.open {
-            return Reply::own(StatusCode::GATEWAY_TIMEOUT, "timeout", None);
+            return Reply::own(StatusCode::GATEWAY_TIMEOUT, reason, None);
         }
         Reply::own(
             StatusCode::SERVICE_UNAVAILABLE,
-            "timeout-before-send",
+            reason,
             Some(DEFAULT_RETRY_AFTER),
         )
     }
 
+    fn timed_out(&mut self) -> Reply {
+        let reason = if self.open {
+            "timeout"
+        } else {
+            "timeout-before-send"
+        };
+        self.cut_short(reason)
+    }
+
     async fn attempts(&mut self) -> Reply {
         loop {
             let now = clock::now();
--- a/crates/carawayrill-gateway/src/front.rs
+++ b/crates/carawayrill-gateway/src/front.rs
@@ -67,11 +67,16 @@
     Leaving,
     /// Ending what is in flight, and closing idle connections.
     Closing,
+    /// Giving a last answer to what is still in flight.
+    Ending,
 }
 
-/// Waits until the stop reaches [`Phase::Closing`], or until nobody is left to stop it.
-async fn closing(phase: &mut watch::Receiver<Phase>) {
-    let _reached = phase.wait_for(|phase| *phase == Phase::Closing).await;
+/// Waits until a stop reaches a phase.
+async fn reached(phase: &mut watch::Receiver<Phase>, awaited: Phase) {
+    if phase.wait_for(|phase| *phase >= awaited).await.is_err() {
+        // Nobody is left to stop this process.
+        std::future::pending::<()>().await;
+    }
 }
 
 /// The serving side of a gateway.
@@ -151,7 +156,7 @@
         loop {
             let accepted = tokio::select! {
                 accepted = listener.accept() => accepted,
-                () = closing(&mut phase) => return,
+                () = reached(&mut phase, Phase::Closing) => return,
             };
             match accepted {
                 Ok((stream, _peer)) => {
@@ -194,7 +199,7 @@
         tokio::pin!(served);
         let ended = tokio::select! {
             ended = served.as_mut() => ended,
-            () = closing(&mut phase) => {
+            () = reached(&mut phase, Phase::Closing) => {
                 served.as_mut().graceful_shutdown();
                 served.await
             }
@@ -250,7 +255,12 @@
             }
         }
         let mut journey = Journey::new(&self.shared, &self.upstream, &*self.dialect, &taken);
-        let reply = journey.run().await;
+        let mut phase = self.phase.clone();
+        let ended = tokio::select! {
+            reply = journey.run() => Some(reply),
+            () = reached(&mut phase, Phase::Ending) => None,
+        };
+        let reply = ended.unwrap_or_else(|| journey.cut_short("stopping"));
         story.record.waited_ms = millis(journey.waited);
         story.record.tries = std::mem::take(&mut journey.tries);
         reply
--- a/crates/carawayrill-gateway/src/run.rs
+++ b/crates/carawayrill-gateway/src/run.rs
@@ -5,6 +5,7 @@
 
 use carawayrill_core::event::EventKind;
 use carawayrill_core::id::Incarnation;
+use carawayrill_core::time::Time;
 use carawayrill_store::port::ObjectStore;
 use carawayrill_telemetry::emit;
 use tokio::net::TcpListener;
@@ -32,8 +33,10 @@
 use crate::state::Shared;
 use crate::upstream::Upstream;
 
+/// The share of the grace after which what is still in flight gets its last answer.
+const ENDING_SHARE: f64 = 0.85;
 /// The share of the grace within which a planned stop ends.
-const STOP_SHARE: f64 = 0.8;
+const STOP_SHARE: f64 = 0.93;
 /// How long connections are served on after the order to stop, as a share of the grace.
 const LEAVING_SHARE: f64 = 0.45;
 /// How often a planned stop looks whether all connections have ended.
@@ -191,11 +194,17 @@
     leasing.stop().await;
     tokio::time::sleep(leaving_until.since(clock::now())).await;
     phase.send_replace(Phase::Closing);
-    let until = began + grace.mul_f64(STOP_SHARE);
-    while front.connections() > 0 && clock::now() < until {
-        tokio::time::sleep(STOP_INTERVAL).await;
-    }
+    all_closed(front, began + grace.mul_f64(ENDING_SHARE)).await;
+    phase.send_replace(Phase::Ending);
+    all_closed(front, began + grace.mul_f64(STOP_SHARE)).await;
     emit(EventKind::Stopped {
         cut_off: in_flight(),
     });
 }
+
+/// Waits until callers have no connection left, or until a point in time.
+async fn all_closed(front: &Front, until: Time) {
+    while front.connections() > 0 && clock::now() < until {
+        tokio::time::sleep(STOP_INTERVAL).await;
+    }
+}
