Try an owner that was slow again, instead of refusing its keys for ever

Ruled out: spans and grants (fence and holder were right at all fronts), the retry budget (no try).

Change: what a measured service time lies above the assumed one counts half after 2 s without a new measurement.

--- a/crates/carawayrill-core/src/direct/load.rs
+++ b/crates/carawayrill-core/src/direct/load.rs
@@ -12,6 +12,10 @@
 const DEFAULT_SERVICE_MS: f64 = 100.0;
 /// The weight of a new measurement in the mean service time.
 const SERVICE_GAIN: f64 = 0.15;
+/// The time after which what a measured service time lies above the assumed one counts half,
+/// without a new measurement. A server that was found slow would otherwise never be tried again
+/// where it alone owns a key.
+const SLOWNESS_HALF_LIFE_MS: f64 = 2_000.0;
 /// The weight of a new answer in the failure rate.
 const FAILURE_GAIN: f64 = 0.1;
 /// The time after which a failure rate has halved without any answer, in milliseconds.
@@ -69,8 +73,12 @@
     others: f64,
     others_mean: f64,
     reported: Option<Time>,
+    /// The mean of the measured service times.
     service_ms: f64,
-    measured: bool,
+    /// When the last one was measured.
+    measured: Option<Time>,
+    /// The service time that is assumed of a server that was not measured of late.
+    assumed_ms: f64,
     failure: f64,
     failure_at: Time,
     failures_in_row: u32,
@@ -89,8 +97,9 @@
             others: 0.0,
             others_mean: 0.0,
             reported: None,
-            service_ms: service_ms.unwrap_or(DEFAULT_SERVICE_MS),
-            measured: false,
+            service_ms: 0.0,
+            measured: None,
+            assumed_ms: service_ms.unwrap_or(DEFAULT_SERVICE_MS),
             failure: 0.0,
             failure_at: now,
             failures_in_row: 0,
@@ -100,12 +109,10 @@
         }
     }
 
-    /// Sets the service time that is assumed until one was measured. A server that is thought to
-    /// be slower than the measured ones would never be asked.
+    /// Sets the service time that is assumed until one was measured, and to which a slow one
+    /// returns. A server that is thought to be slower than the measured ones would never be asked.
     pub fn assume(&mut self, service_ms: f64) {
-        if !self.measured {
-            self.service_ms = service_ms;
-        }
+        self.assumed_ms = service_ms;
     }
 
     /// Sets the number of fronts that use the server.
@@ -121,8 +128,20 @@
 
     /// Returns the mean service time, once it was measured.
     #[must_use]
-    pub fn service_ms(&self) -> Option<f64> {
-        self.measured.then_some(self.service_ms)
+    pub fn service_ms(&self, now: Time) -> Option<f64> {
+        self.measured.map(|_| self.expected_service_ms(now))
+    }
+
+    fn expected_service_ms(&self, now: Time) -> f64 {
+        let Some(measured) = self.measured else {
+            return self.assumed_ms;
+        };
+        let excess = self.service_ms - self.assumed_ms;
+        if excess <= 0.0 {
+            return self.service_ms;
+        }
+        let age_ms = millis(now.since(measured)) as f64;
+        self.assumed_ms + excess * (-age_ms / SLOWNESS_HALF_LIFE_MS).exp2()
     }
 
     /// Returns until when the server is left alone after failures.
@@ -161,7 +180,7 @@
         } else {
             1.0
         };
-        self.service_ms * cold * turns
+        self.expected_service_ms(now) * cold * turns
     }
 
     /// Returns what the server's failures add to its cost, in milliseconds.
@@ -187,7 +206,7 @@
         self.in_flight = self.in_flight.saturating_sub(1);
         match how {
             Ended::Served => {
-                self.measure(took, total_at_send);
+                self.measure(now, took, total_at_send);
                 self.outcome(now, 0.0);
                 self.failures_in_row = 0;
             }
@@ -211,15 +230,16 @@
         self.reported = Some(now);
     }
 
-    fn measure(&mut self, took: Duration, total_at_send: f64) {
+    fn measure(&mut self, now: Time, took: Duration, total_at_send: f64) {
         let turns = ((total_at_send + 1.0) / f64::from(self.slots)).max(1.0);
         let service = millis(took) as f64 / turns;
-        if self.measured {
-            self.service_ms += (service - self.service_ms) * SERVICE_GAIN;
+        let gain = if self.measured.is_some() {
+            SERVICE_GAIN
         } else {
-            self.service_ms = service;
-            self.measured = true;
-        }
+            1.0
+        };
+        self.service_ms += (service - self.service_ms) * gain;
+        self.measured = Some(now);
     }
 
     fn outcome(&mut self, now: Time, failed: f64) {
--- a/crates/carawayrill-core/tests/direct_decisions.rs
+++ b/crates/carawayrill-core/tests/direct_decisions.rs
@@ -214,6 +214,25 @@
     assert!(load.failure_rate(Time(15_000)) < 0.03);
 }
 
+#[test]
+fn the_only_owner_of_a_key_is_tried_again_after_it_was_slow() {
+    let mut load = load();
+    for _answer in 0..20 {
+        load.sent();
+        load.ended(Time(0), Ended::Served, Duration::from_secs(2), 0.0);
+    }
+    load.assume(100.0);
+    let choice = |now: Time| {
+        let owner = Candidate {
+            answer_ms: load.answer_ms(now),
+            ..candidate("s-1", Distance::DataCentre, 0.0)
+        };
+        chosen(&[owner], &wish(400, 1.0))
+    };
+    assert!(matches!(choice(Time(100)), Choice::Full(_)));
+    assert!(matches!(choice(Time(9_000)), Choice::Send(_)));
+}
+
 #[test]
 fn waiting_in_the_servers_queue_is_not_taken_for_slow_work() {
     let mut load = load();
@@ -222,7 +241,7 @@
         // Twelve requests ahead on six slots: the third turn ends after three service times.
         load.ended(Time(0), Ended::Served, Duration::from_millis(300), 17.0);
     }
-    let service = load.service_ms().expect("measured");
+    let service = load.service_ms(Time(0)).expect("measured");
     assert!((service - 100.0).abs() < 5.0, "{service}");
 }
 
--- a/crates/carawayrill-gateway/src/forward/choose.rs
+++ b/crates/carawayrill-gateway/src/forward/choose.rs
@@ -47,7 +47,7 @@
     /// Chooses among all servers of the service.
     fn next_server(&self, tables: &mut Tables, now: Time) -> Next {
         let service = &self.taken.matched.service;
-        let mean_ms = tables.service_ms(service);
+        let mean_ms = tables.service_ms(service, now);
         let distance = |to: &_| self.shared.distance(to);
         let mut candidates = tables.candidates(service, distance, mean_ms, now);
         candidates.retain(|candidate| !self.avoid.contains(&candidate.server));
@@ -86,7 +86,7 @@
             return Next::WaitForOwner;
         }
         let distance = self.shared.distance(&server.data_centre);
-        let mean_ms = tables.service_ms(service);
+        let mean_ms = tables.service_ms(service, now);
         let candidate = tables.candidate(&server, distance, mean_ms, now);
         let wish = self.wish(tables, now);
         let idle_ms = candidate.answer_ms.min(mean_ms.unwrap_or(ASSUMED_IDLE_MS));
--- a/crates/carawayrill-gateway/src/link/mod.rs
+++ b/crates/carawayrill-gateway/src/link/mod.rs
@@ -146,13 +146,14 @@
 
 /// Returns the speeds of keyed servers that have changed since they were told.
 fn new_speeds(tables: &mut Tables) -> Vec<(ServerId, f64)> {
+    let now = clock::now();
     let keyed = |service: &ServiceId| tables.spans.contains_key(service);
     let changed: Vec<(ServerId, f64)> = tables
         .servers
         .iter()
         .filter(|server| keyed(&server.service))
         .filter_map(|server| {
-            let service_ms = tables.loads.get(&server.id)?.service_ms()?;
+            let service_ms = tables.loads.get(&server.id)?.service_ms(now)?;
             let told = tables.told_speeds.get(&server.id).copied();
             let same = told.is_some_and(|told| (service_ms / told - 1.0).abs() < SPEED_CHANGE);
             (!same).then(|| (server.id.clone(), service_ms))
--- a/crates/carawayrill-gateway/src/state.rs
+++ b/crates/carawayrill-gateway/src/state.rs
@@ -254,11 +254,11 @@
 
     /// Returns the mean service time of a service's servers, in milliseconds.
     #[must_use]
-    pub fn service_ms(&self, service: &ServiceId) -> Option<f64> {
+    pub fn service_ms(&self, service: &ServiceId, now: Time) -> Option<f64> {
         let known: Vec<f64> = self
             .servers
             .ready_of(service)
-            .filter_map(|server| self.loads.get(&server.id)?.service_ms())
+            .filter_map(|server| self.loads.get(&server.id)?.service_ms(now))
             .collect();
         (!known.is_empty()).then(|| known.iter().sum::<f64>() / known.len() as f64)
     }
@@ -266,7 +266,7 @@
     /// Returns the row of a server's load, made anew if there is none.
     pub fn load(&mut self, server: &Server, now: Time) -> &mut ServerLoad {
         if !self.loads.contains_key(&server.id) {
-            let service_ms = self.service_ms(&server.service);
+            let service_ms = self.service_ms(&server.service, now);
             let row = new_load(server, service_ms, now);
             self.loads.insert(server.id.clone(), row);
         }
