Write the last lines of a process before it ends

Cause: lines are gathered for 100 ms by a thread; a process ended without waiting for it.

Change: the process waits at most 300 ms for its lines.

--- a/crates/carawayrill-telemetry/src/lib.rs
+++ b/crates/carawayrill-telemetry/src/lib.rs
@@ -12,6 +12,7 @@
 use std::sync::Mutex;
 use std::sync::OnceLock;
 use std::sync::PoisonError;
+use std::time::Duration;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
@@ -61,6 +62,11 @@
     seq: u64,
 }
 
+/// The longest wait for the last lines of a process to be written.
+const FINISH_WAIT: Duration = Duration::from_millis(300);
+
+static STDOUT: OnceLock<pipe::BoundedStdout> = OnceLock::new();
+
 static SOURCE: OnceLock<Source> = OnceLock::new();
 
 /// Sets up events and logs for the process named `node`, on standard error.
@@ -79,9 +85,17 @@
 /// Fails if it was called before, if another logger is set, or if no thread can be started.
 pub fn init_stdout(node: NodeId) -> Result<(), Error> {
     let out = pipe::BoundedStdout::start().map_err(|err| Error::output(&err.to_string()))?;
+    let _first = STDOUT.set(out.clone());
     init_to(node, Target::Pipe(Box::new(out)))
 }
 
+/// Waits for a moment until the lines of [`init_stdout`] are written, before the process ends.
+pub fn finish() {
+    if let Some(out) = STDOUT.get() {
+        out.finish(FINISH_WAIT);
+    }
+}
+
 fn init_to(node: NodeId, target: Target) -> Result<(), Error> {
     let source = Source {
         node,
--- a/crates/carawayrill-telemetry/src/pipe.rs
+++ b/crates/carawayrill-telemetry/src/pipe.rs
@@ -18,12 +18,21 @@
 struct Waiting {
     bytes: Vec<u8>,
     left_out: u64,
+    /// Whether lines are being written.
+    writing: bool,
+}
+
+impl Waiting {
+    fn is_done(&self) -> bool {
+        self.bytes.is_empty() && self.left_out == 0 && !self.writing
+    }
 }
 
 #[derive(Debug, Default)]
 struct Shared {
     waiting: Mutex<Waiting>,
     filled: Condvar,
+    written: Condvar,
 }
 
 /// The writing end.
@@ -46,6 +55,17 @@
             .spawn(move || drain(&drained))?;
         Ok(Self { shared })
     }
+
+    /// Waits until all lines are written, at most this long.
+    pub(crate) fn finish(&self, most: Duration) {
+        let lock = &self.shared.waiting;
+        let waiting = lock.lock().unwrap_or_else(PoisonError::into_inner);
+        let done = self
+            .shared
+            .written
+            .wait_timeout_while(waiting, most, |waiting| !waiting.is_done());
+        drop(done.unwrap_or_else(PoisonError::into_inner));
+    }
 }
 
 impl Write for BoundedStdout {
@@ -94,8 +114,22 @@
             .waiting
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
-        std::mem::take(&mut *lock)
+        let taken = std::mem::take(&mut *lock);
+        lock.writing = true;
+        taken
     };
+    let result = write_out(&taken);
+    let mut lock = shared
+        .waiting
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner);
+    lock.writing = false;
+    drop(lock);
+    shared.written.notify_all();
+    result
+}
+
+fn write_out(taken: &Waiting) -> io::Result<()> {
     let mut out = io::stdout().lock();
     out.write_all(&taken.bytes)?;
     if taken.left_out > 0 {
