Tell fronts that join again only what they missed; wait longer for many; know the strongest front

The processor was not at its limit (0.027 of a core at most).

Changes: each told span bears the change that brought it; a front names in its first report up to where it was told by this granter. The first update may take 3 s, later ones 0.9 s and 10 ms a front. The granter tells the processor time of the strongest front, and a weaker one claims a free lease later; among equal fronts nobody waits any more. Span tables have a file of their own, cutting a range out of another stands once (`KeyRange::without`).

--- a/crates/carawayrill-core/src/direct/granter/row.rs
+++ b/crates/carawayrill-core/src/direct/granter/row.rs
@@ -407,7 +407,7 @@
 ) -> Row {
     let parents: Vec<&Row> = old
         .values()
-        .filter(|row| overlaps(row.span.range, span.range))
+        .filter(|row| row.span.range.overlaps(span.range))
         .collect();
     let Some(first) = parents.first() else {
         return Row::fresh(span.clone(), now, cfg);
@@ -452,7 +452,3 @@
         ..Row::fresh(span.clone(), now, cfg)
     }
 }
-
-fn overlaps(one: KeyRange, other: KeyRange) -> bool {
-    one.first <= other.last && other.first <= one.last
-}
--- a/crates/carawayrill-core/src/direct/keys.rs
+++ b/crates/carawayrill-core/src/direct/keys.rs
@@ -49,6 +49,26 @@
         self.first <= key && key <= self.last
     }
 
+    /// Returns whether two ranges share a key.
+    #[must_use]
+    pub fn overlaps(self, other: Self) -> bool {
+        self.first <= other.last && other.first <= self.last
+    }
+
+    /// Returns what is left of the range without `cut`: the keys before it and those behind it.
+    #[must_use]
+    pub fn without(self, cut: Self) -> [Option<Self>; 2] {
+        let before = (self.first < cut.first).then(|| Self {
+            last: self.last.min(cut.first - 1),
+            ..self
+        });
+        let behind = (cut.last < self.last).then(|| Self {
+            first: self.first.max(cut.last + 1),
+            ..self
+        });
+        [before, behind]
+    }
+
     /// Returns the number of keys.
     #[must_use]
     pub fn len(self) -> usize {
--- a/crates/carawayrill-core/src/direct/rebalance.rs
+++ b/crates/carawayrill-core/src/direct/rebalance.rs
@@ -243,24 +243,11 @@
         .iter()
         .position(|piece| piece.range.contains(range.first))?;
     let piece = free.swap_remove(at);
-    if piece.range.first < range.first {
-        free.push(Piece {
-            range: KeyRange {
-                first: piece.range.first,
-                last: range.first - 1,
-            },
-            ..piece.clone()
-        });
-    }
-    if range.last < piece.range.last {
-        free.push(Piece {
-            range: KeyRange {
-                first: range.last + 1,
-                last: piece.range.last,
-            },
-            ..piece.clone()
-        });
-    }
+    let rest = piece.range.without(range).into_iter().flatten();
+    free.extend(rest.map(|range| Piece {
+        range,
+        ..piece.clone()
+    }));
     Some(piece.server)
 }
 
--- a/crates/carawayrill-gateway/src/granting.rs
+++ b/crates/carawayrill-gateway/src/granting.rs
@@ -20,7 +20,6 @@
 use carawayrill_core::direct::granter::Step;
 use carawayrill_core::direct::rebalance::Capacities;
 use carawayrill_core::direct::servers::Server;
-use carawayrill_core::direct::spans::Span;
 use carawayrill_core::direct::spans::SpanRecord;
 use carawayrill_core::event::EventKind;
 use carawayrill_core::id::Revision;
@@ -41,9 +40,10 @@
 use crate::clock;
 use crate::leasing::Leasing;
 use crate::port::SpanOrders;
+use crate::spans::SpanTable;
+use crate::spans::Told;
+use crate::spans::ToldTable;
 use crate::state::Shared;
-use crate::state::SpanEntry;
-use crate::state::SpanTable;
 use crate::state::Tables;
 
 /// The kind of objects that spans are stored as.
@@ -80,6 +80,8 @@
     pub demand: HashMap<ServiceId, BTreeMap<u16, u32>>,
     /// The mean service time of servers, in milliseconds.
     pub speeds: Vec<(ServerId, f64)>,
+    /// The processor time of the front, in cores.
+    pub cores: f64,
 }
 
 /// What the fronts are told.
@@ -89,10 +91,17 @@
     pub lease: Version,
     /// The number of fronts that are alive.
     pub fronts: u32,
-    /// The version of the manifest that the granter has in force.
-    pub manifest: u64,
-    /// The spans of each keyed service, with a count that rises with each change.
-    pub tables: BTreeMap<ServiceId, (u64, Arc<SpanTable>)>,
+    /// The processor time of the strongest front, in cores.
+    pub strongest: f64,
+    /// The spans of each keyed service.
+    pub tables: BTreeMap<ServiceId, Arc<ToldTable>>,
+}
+
+/// A front that reports.
+#[derive(Debug)]
+struct Member {
+    heard: Time,
+    cores: f64,
 }
 
 #[derive(Debug)]
@@ -104,10 +113,10 @@
     demand: BTreeMap<ServiceId, KeyDemand>,
     /// The service time of each server in milliseconds, as told by each front.
     speeds: HashMap<ServerId, HashMap<CompactString, f64>>,
-    members: HashMap<CompactString, Time>,
+    members: HashMap<CompactString, Member>,
     demand_at: Time,
     told_at: Time,
-    told: BTreeMap<ServiceId, u64>,
+    told: BTreeMap<ServiceId, Arc<ToldTable>>,
     store_away: bool,
     settling: bool,
 }
@@ -120,6 +129,8 @@
     store: Arc<dyn ObjectStore>,
     orders: Arc<dyn SpanOrders>,
     began: Time,
+    /// The version of the lease with which this work began.
+    lease: Version,
     state: Mutex<State>,
     updates: watch::Sender<Arc<Update>>,
 }
@@ -144,7 +155,9 @@
         }
         let now = clock::now();
         let shared = Arc::clone(leasing.shared());
+        let lease = leasing.version();
         Ok(Arc::new(Self {
+            lease,
             leasing,
             shared,
             store,
@@ -185,7 +198,11 @@
     /// Takes in a front's report.
     pub fn report(&self, report: Report) {
         let mut state = self.state();
-        state.members.insert(report.front.clone(), clock::now());
+        let member = Member {
+            heard: clock::now(),
+            cores: report.cores,
+        };
+        state.members.insert(report.front.clone(), member);
         for (service, keys) in report.demand {
             let demand = state
                 .demand
@@ -252,37 +269,27 @@
     fn tell(&self, now: Time) {
         let update = {
             let mut state = self.state();
-            let changes: BTreeMap<ServiceId, u64> = state
-                .granters
-                .iter()
-                .map(|(service, granter)| (service.clone(), granter.changes()))
-                .collect();
             let since = now.since(state.told_at);
             let members = u32::try_from(state.members.len()).unwrap_or(u32::MAX);
             // The next tick tells what changes until then.
             if since < TELL_PER_FRONT.saturating_mul(members) {
                 return;
             }
-            if changes == state.told && since < HEARTBEAT {
+            if !state.is_changed() && since < HEARTBEAT {
                 return;
             }
-            state.told = changes;
             state.told_at = now;
             state
                 .members
-                .retain(|_, heard| now.since(*heard) < MEMBER_TTL);
-            let manifest = self
-                .shared
-                .tables()
-                .manifest
-                .as_ref()
-                .map_or(0, |one| one.version.0);
+                .retain(|_, member| now.since(member.heard) < MEMBER_TTL);
+            state.renew_told(self.lease);
             let members = u32::try_from(state.members.len()).unwrap_or(u32::MAX);
+            let cores = state.members.values().map(|member| member.cores);
             Update {
                 lease: self.leasing.version(),
                 fronts: members.max(1),
-                manifest,
-                tables: state.tables(),
+                strongest: cores.fold(self.shared.cfg.cores, f64::max),
+                tables: state.told.clone(),
             }
         };
         self.updates.send_replace(Arc::new(update));
@@ -419,23 +426,6 @@
     }
 }
 
-/// Turns the stored form of spans into the form that fronts use.
-#[must_use]
-pub fn table_of(version: Version, spans: &[Span]) -> SpanTable {
-    SpanTable {
-        version,
-        spans: spans
-            .iter()
-            .map(|span| SpanEntry {
-                range: span.range,
-                server: span.holder.server.clone(),
-                fence: span.fence,
-                moving: span.former.is_some(),
-            })
-            .collect(),
-    }
-}
-
 /// Reads all stored spans, for a front that can't join the granter.
 ///
 /// # Errors
@@ -445,7 +435,7 @@
     let listed = store.watch(SPANS_KIND, Revision(0), Duration::ZERO).await?;
     let read = listed.objects.iter().filter_map(|object| {
         let (service, record) = read_record(&object.name, &object.value)?;
-        Some((service, table_of(object.version, &record.spans)))
+        Some((service, SpanTable::stored(object.version, &record.spans)))
     });
     Ok(read.collect())
 }
@@ -520,15 +510,32 @@
         steps
     }
 
-    fn tables(&self) -> BTreeMap<ServiceId, (u64, Arc<SpanTable>)> {
+    /// Returns whether fronts have to be told something new.
+    fn is_changed(&self) -> bool {
+        let told = |service: &ServiceId| self.told.get(service).map(|table| table.told().change);
         self.granters
             .iter()
-            .filter(|(_, granter)| granter.is_confirmed())
-            .map(|(service, granter)| {
-                let table = table_of(granter.version(), &granter.spans());
-                (service.clone(), (granter.changes(), Arc::new(table)))
-            })
-            .collect()
+            .any(|(service, granter)| told(service) != Some(granter.changes()))
+    }
+
+    /// Makes the tables that fronts are told anew, as far as they have changed.
+    fn renew_told(&mut self, lease: Version) {
+        self.told
+            .retain(|service, _| self.granters.contains_key(service));
+        for (service, granter) in &self.granters {
+            let before = self.told.get(service);
+            let change = granter.changes();
+            if !granter.is_confirmed() || before.is_some_and(|one| one.told().change == change) {
+                continue;
+            }
+            let told = Told {
+                granter: lease,
+                change,
+            };
+            let before = before.map(Arc::as_ref);
+            let table = ToldTable::new(granter.version(), told, &granter.spans(), before);
+            self.told.insert(service.clone(), Arc::new(table));
+        }
     }
 }
 
--- a/crates/carawayrill-gateway/src/leasing.rs
+++ b/crates/carawayrill-gateway/src/leasing.rs
@@ -41,12 +41,12 @@
 /// The time between two reads of a follower that is not joined to the granter.
 const READ_INTERVAL: Duration = Duration::from_millis(400);
 /// How long a follower may hear nothing of the granter before it reads the lease.
-pub const SILENCE: Duration = Duration::from_millis(900);
-/// The processor time with which a front claims a free lease at once, in cores.
-const AMPLE_CORES: f64 = 0.5;
-/// How much longer a front with hardly any processor time waits: the granter needs some, and
-/// another front may have more.
-const WEAK_DELAY: Duration = Duration::from_millis(400);
+const SILENCE: Duration = Duration::from_millis(900);
+/// What each front adds to that: the granter tells one after the other.
+const SILENCE_PER_FRONT: Duration = Duration::from_millis(10);
+/// How much longer than the strongest front one with hardly any processor time waits before it
+/// claims a free lease.
+const WEAK_DELAY: Duration = Duration::from_millis(700);
 /// How often a stopping granter tries to give the lease up.
 const MAX_RELEASES: u32 = 4;
 /// The longest wait for moves to end before the lease is given up.
@@ -142,6 +142,18 @@
         heard.map(|heard| clock::now().since(heard))
     }
 
+    /// Returns how long this front may hear nothing of the granter.
+    #[must_use]
+    pub fn silence_limit(&self) -> Duration {
+        let fronts = self.shared.tables().fronts.get();
+        SILENCE + SILENCE_PER_FRONT.saturating_mul(fronts)
+    }
+
+    fn is_heard(&self) -> bool {
+        let limit = self.silence_limit();
+        self.silence().is_some_and(|silence| silence < limit)
+    }
+
     /// Notes that the stream to the granter has ended.
     pub fn unheard(&self) {
         *self.heard.lock().unwrap_or_else(PoisonError::into_inner) = None;
@@ -156,7 +168,7 @@
             self.drop_lost(now);
             let wait = if self.view().is_own() && self.granting().is_some() {
                 self.renew(&mut dependency).await
-            } else if self.silence().is_some_and(|silence| silence < SILENCE) || now < next_read {
+            } else if self.is_heard() || now < next_read {
                 FOLLOW_INTERVAL
             } else {
                 next_read = now + READ_INTERVAL + self.jitter(READ_INTERVAL / 2);
@@ -300,7 +312,8 @@
 
     /// Returns how long this front lets others claim a free lease first.
     fn claim_delay(&self) -> Duration {
-        let share = (self.shared.cfg.cores / AMPLE_CORES).clamp(0.0, 1.0);
+        let strongest = self.shared.tables().strongest.max(f64::MIN_POSITIVE);
+        let share = (self.shared.cfg.cores / strongest).clamp(0.0, 1.0);
         WEAK_DELAY.mul_f64(1.0 - share)
     }
 
--- a/crates/carawayrill-gateway/src/lib.rs
+++ b/crates/carawayrill-gateway/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod port;
 pub mod ready;
 pub mod run;
+pub mod spans;
 pub mod state;
 pub mod upstream;
 
--- a/crates/carawayrill-gateway/src/link/convert.rs
+++ b/crates/carawayrill-gateway/src/link/convert.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
-use std::sync::Arc;
 
 use carawayrill_core::direct::keys::Fence;
 use carawayrill_core::direct::keys::KeyRange;
@@ -14,11 +13,15 @@
 
 use crate::granting::Report;
 use crate::granting::Update;
-use crate::state::SpanEntry;
-use crate::state::SpanTable;
+use crate::spans::SpanEntry;
+use crate::spans::SpanNews;
+use crate::spans::Told;
+
+/// Up to where a front was told of each service.
+pub(super) type Known = BTreeMap<ServiceId, Told>;
 
 /// Writes a report.
-pub(super) fn report(report: Report) -> wire::FrontReport {
+pub(super) fn report(report: Report, known: Known) -> wire::FrontReport {
     let demand = report.demand.into_iter().map(|(service, keys)| {
         let (keys, counts) = keys
             .into_iter()
@@ -41,9 +44,36 @@
         front: report.front.into(),
         demand: demand.collect(),
         speeds: speeds.collect(),
+        known: known.into_iter().map(write_known).collect(),
+        milli_cores: milli(report.cores),
+    }
+}
+
+fn write_known((service, told): (ServiceId, Told)) -> wire::KnownTable {
+    wire::KnownTable {
+        service: service.as_str().to_owned(),
+        granter: told.granter.0,
+        change: told.change,
     }
 }
 
+/// Reads up to where a front was told.
+pub(super) fn read_known(report: &wire::FrontReport) -> Known {
+    let known = report.known.iter().filter_map(|known| {
+        let service = named(ServiceId::try_from(known.service.as_str()))?;
+        let told = Told {
+            granter: Version(known.granter),
+            change: known.change,
+        };
+        Some((service, told))
+    });
+    known.collect()
+}
+
+fn milli(cores: f64) -> u32 {
+    u32::try_from(whole(cores * 1_000.0)).unwrap_or(u32::MAX)
+}
+
 /// Reads a report; what can't be read of it is left out and logged.
 pub(super) fn read_report(report: wire::FrontReport) -> Report {
     let demand = report.demand.into_iter().filter_map(|demand| {
@@ -64,6 +94,7 @@
         front: report.front.into(),
         demand: demand.collect::<HashMap<_, _>>(),
         speeds: speeds.collect(),
+        cores: f64::from(report.milli_cores) / 1_000.0,
     }
 }
 
@@ -72,43 +103,25 @@
         .ok()
 }
 
-/// What was sent on one stream.
-#[derive(Debug, Default)]
-pub(super) struct Sent {
-    tables: BTreeMap<ServiceId, (u64, Arc<SpanTable>)>,
-}
-
-/// Writes an update with the spans that differ from what was sent, and notes them there.
-pub(super) fn write_update(update: &Update, sent: &mut Sent) -> wire::GranterUpdate {
+/// Writes an update with what a front was not told yet, and notes that as told.
+pub(super) fn write_update(update: &Update, known: &mut Known) -> wire::GranterUpdate {
     let mut tables = Vec::new();
-    for (service, (change, table)) in &update.tables {
-        let before = sent
-            .tables
-            .insert(service.clone(), (*change, Arc::clone(table)));
-        match before {
-            Some((last, _)) if last == *change => {}
-            before => tables.push(write_table(service, table, before.as_ref())),
+    for (service, table) in &update.tables {
+        if let Some(news) = table.since(known.get(service).copied()) {
+            known.insert(service.clone(), news.told);
+            tables.push(write_news(service, &news));
         }
     }
     wire::GranterUpdate {
         lease_version: update.lease.0,
         fronts: update.fronts,
         tables,
-        manifest_version: update.manifest,
+        strongest_milli_cores: milli(update.strongest),
     }
 }
 
-fn write_table(
-    service: &ServiceId,
-    table: &SpanTable,
-    before: Option<&(u64, Arc<SpanTable>)>,
-) -> wire::SpanTable {
-    let known = before.map_or(&[][..], |(_, table)| &table.spans);
-    let changed = table.spans.iter().filter(|span| {
-        let at = known.partition_point(|known| known.range.first < span.range.first);
-        known.get(at) != Some(*span)
-    });
-    let spans = changed.map(|span| wire::SpanRow {
+fn write_news(service: &ServiceId, news: &SpanNews) -> wire::SpanTable {
+    let spans = news.spans.iter().map(|span| wire::SpanRow {
         first: u32::from(span.range.first),
         last: u32::from(span.range.last),
         server: span.server.as_str().to_owned(),
@@ -117,24 +130,55 @@
     });
     wire::SpanTable {
         service: service.as_str().to_owned(),
-        version: table.version.0,
+        version: news.version.0,
         spans: spans.collect(),
+        granter: news.told.granter.0,
+        change: news.told.change,
     }
 }
 
-/// Reads an update.
-pub(super) fn update(update: wire::GranterUpdate) -> Update {
-    let tables = update.tables.into_iter().filter_map(|table| {
+/// An update as a front gets it.
+#[derive(Debug)]
+pub(super) struct Heard {
+    pub(super) lease: Version,
+    pub(super) fronts: u32,
+    pub(super) strongest: f64,
+    pub(super) news: Vec<(ServiceId, SpanNews)>,
+}
+
+/// Reads an update; what can't be read of it is left out and logged.
+pub(super) fn update(update: wire::GranterUpdate) -> Heard {
+    let news = update.tables.into_iter().filter_map(|table| {
         let service = named(ServiceId::try_from(table.service.as_str()))?;
-        let spans = table.spans.iter().filter_map(read_span).collect();
-        let version = Version(table.version);
-        Some((service, (0, Arc::new(SpanTable { version, spans }))))
+        let news = SpanNews {
+            version: Version(table.version),
+            told: Told {
+                granter: Version(table.granter),
+                change: table.change,
+            },
+            spans: table.spans.iter().filter_map(read_span).collect(),
+        };
+        Some((service, news))
     });
-    Update {
+    Heard {
         lease: Version(update.lease_version),
         fronts: update.fronts,
-        manifest: update.manifest_version,
-        tables: tables.collect(),
+        strongest: f64::from(update.strongest_milli_cores) / 1_000.0,
+        news: news.collect(),
+    }
+}
+
+/// Returns what this process's own granter tells, as a front gets it.
+pub(super) fn own_update(update: &Update, known: &Known) -> Heard {
+    let news = update.tables.iter().filter_map(|(service, table)| {
+        let news = table.since(known.get(service).copied())?;
+        Some((service.clone(), news))
+    });
+    Heard {
+        lease: update.lease,
+        fronts: update.fronts,
+        strongest: update.strongest,
+        news: news.collect(),
     }
 }
 
--- a/crates/carawayrill-gateway/src/link/mod.rs
+++ b/crates/carawayrill-gateway/src/link/mod.rs
@@ -20,16 +20,16 @@
 use tonic::transport::Channel;
 use tonic::transport::Endpoint;
 
+use self::convert::Heard;
 pub use self::service::serve;
 use crate::clock;
 use crate::feed::Dependency;
 use crate::granting;
 use crate::granting::Report;
-use crate::granting::Update;
 use crate::leasing::Leasing;
-use crate::leasing::SILENCE;
+use crate::spans::SpanNews;
+use crate::spans::SpanTable;
 use crate::state::Shared;
-use crate::state::SpanTable;
 use crate::state::Tables;
 
 /// The time between two reports.
@@ -38,6 +38,8 @@
 const SPEED_CHANGE: f64 = 0.05;
 /// The time within which a connection to the granter has to be open.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// How long a front that has just joined waits for the first update: it may be long.
+const JOIN_WAIT: Duration = Duration::from_secs(3);
 /// Reports that may wait to be sent.
 const QUEUED_REPORTS: usize = 4;
 /// The pause before the granter is joined again.
@@ -55,7 +57,11 @@
             dependency.reached();
             let report = take_report(leasing.shared());
             granting.report(report);
-            take_in(leasing.shared(), &granting.updates().borrow());
+            let update = {
+                let known = known(&leasing.shared().tables());
+                convert::own_update(&granting.updates().borrow(), &known)
+            };
+            take_in(leasing.shared(), &update);
             wait_for_update(&granting).await;
             continue;
         }
@@ -97,34 +103,39 @@
         .map_err(|err| tonic::Status::unavailable(err.to_string()))?;
     let shared = leasing.shared();
     let (tx, rx) = mpsc::channel(QUEUED_REPORTS);
-    // A new granter knows no speeds.
-    shared.tables().told_speeds.clear();
+    let known = {
+        let mut tables = shared.tables();
+        // A new granter knows no speeds.
+        tables.told_speeds.clear();
+        known(&tables)
+    };
     // The first report names the front; it has to wait in the channel before the call begins.
-    let _sent = tx.try_send(convert::report(take_report(shared)));
+    let _sent = tx.try_send(convert::report(take_report(shared), known));
     let mut client = GranterClient::new(channel);
     let call = client.join(ReceiverStream::new(rx));
-    let mut updates = tokio::time::timeout(SILENCE, call)
+    let mut updates = tokio::time::timeout(JOIN_WAIT, call)
         .await
         .map_err(|_elapsed| tonic::Status::deadline_exceeded("no answer to joining"))??
         .into_inner();
     let mut reports = tokio::time::interval(REPORT_INTERVAL);
-    let mut heard = clock::now();
+    let mut silent_at = clock::now() + JOIN_WAIT;
     loop {
         tokio::select! {
             update = updates.message() => {
                 let update = update?.ok_or_else(|| tonic::Status::unavailable("stream ended"))?;
-                heard = clock::now();
+                silent_at = clock::now() + leasing.silence_limit();
                 dependency.reached();
                 let update = convert::update(update);
                 leasing.heard(update.lease);
                 take_in(shared, &update);
             }
             _ = reports.tick() => {
-                if clock::now().since(heard) > SILENCE {
+                if clock::now() > silent_at {
                     return Err(tonic::Status::deadline_exceeded("silent"));
                 }
                 if tx.capacity() > 0 {
-                    let _sent = tx.try_send(convert::report(take_report(shared)));
+                    let report = convert::report(take_report(shared), convert::Known::new());
+                    let _sent = tx.try_send(report);
                 }
             }
         }
@@ -141,9 +152,19 @@
         front: shared.cfg.front.clone(),
         demand,
         speeds,
+        cores: shared.cfg.cores,
     }
 }
 
+/// Returns up to where this front was told.
+fn known(tables: &Tables) -> convert::Known {
+    let told = tables
+        .spans
+        .iter()
+        .filter_map(|(service, table)| Some((service.clone(), table.told?)));
+    told.collect()
+}
+
 /// Returns the speeds of keyed servers that have changed since they were told.
 fn new_speeds(tables: &mut Tables) -> Vec<(ServerId, f64)> {
     let now = clock::now();
@@ -164,35 +185,31 @@
 }
 
 /// Takes in what the granter tells.
-fn take_in(shared: &Shared, update: &Update) {
-    let mut changed = false;
+fn take_in(shared: &Shared, update: &Heard) {
     {
         let mut tables = shared.tables();
         tables.fronts.tell(update.fronts, clock::now());
-        for (service, (_, table)) in &update.tables {
-            changed |= take_in_table(&mut tables, service, table);
+        tables.strongest = update.strongest;
+        for (service, news) in &update.news {
+            take_in_news(&mut tables, service, news);
         }
     }
-    if changed {
+    if !update.news.is_empty() {
         shared.announce();
     }
 }
 
-fn take_in_table(tables: &mut Tables, service: &ServiceId, table: &SpanTable) -> bool {
+fn take_in_news(tables: &mut Tables, service: &ServiceId, news: &SpanNews) {
     let known = tables.spans.entry(service.clone()).or_default();
-    let new_version = known.version != table.version;
-    if !new_version && table.spans.is_empty() {
-        return false;
-    }
-    known.put(table.version, &table.spans);
+    let new_version = known.version != news.version;
+    known.put(news);
     if new_version {
         emit(EventKind::SpansSeen {
             service: service.clone(),
-            version: table.version,
+            version: news.version,
             spans: known.spans.len(),
         });
     }
-    true
 }
 
 /// Reads the spans from the store while the granter can't be joined, for ever.
--- a/crates/carawayrill-gateway/src/link/service.rs
+++ b/crates/carawayrill-gateway/src/link/service.rs
@@ -77,9 +77,14 @@
     mut reports: Streaming<wire::FrontReport>,
     tx: mpsc::Sender<Result<wire::GranterUpdate, Status>>,
 ) {
+    let first = tokio::time::timeout(REPORT_SILENCE, reports.message()).await;
+    let Ok(Ok(Some(first))) = first else {
+        return;
+    };
+    let mut known = convert::read_known(&first);
+    granting.report(convert::read_report(first));
     let mut updates = granting.updates();
     updates.mark_changed();
-    let mut sent = convert::Sent::default();
     loop {
         let is_current = leasing
             .granting()
@@ -96,7 +101,7 @@
                 if changed.is_err() {
                     return;
                 }
-                let update = convert::write_update(&updates.borrow_and_update(), &mut sent);
+                let update = convert::write_update(&updates.borrow_and_update(), &mut known);
                 // A full channel would let updates grow old: the front joins again instead.
                 if tx.try_send(Ok(update)).is_err() {
                     return;
--- a/crates/carawayrill-gateway/src/state.rs
+++ b/crates/carawayrill-gateway/src/state.rs
@@ -12,8 +12,6 @@
 use carawayrill_core::direct::admission::Distance;
 use carawayrill_core::direct::budget::RetryWindow;
 use carawayrill_core::direct::fronts::FrontCount;
-use carawayrill_core::direct::keys::Fence;
-use carawayrill_core::direct::keys::KeyRange;
 use carawayrill_core::direct::load::Ended;
 use carawayrill_core::direct::load::LoadReport;
 use carawayrill_core::direct::load::ServerLoad;
@@ -25,7 +23,6 @@
 use carawayrill_core::id::DataCentreId;
 use carawayrill_core::id::ServerId;
 use carawayrill_core::id::ServiceId;
-use carawayrill_core::id::Version;
 use carawayrill_core::time::Time;
 use carawayrill_core::time::millis;
 use rand::SeedableRng;
@@ -35,6 +32,7 @@
 use crate::clock;
 use crate::config::Config;
 use crate::metrics::Metrics;
+use crate::spans::SpanTable;
 
 /// The weight of a new request in the mean size of a route's requests.
 const SIZE_GAIN: f64 = 0.05;
@@ -42,6 +40,9 @@
 const DEFAULT_KIB: f64 = 4.0;
 /// The fronts that are assumed before the granter has told their number.
 const ASSUMED_FRONTS: u32 = 12;
+/// The processor time of the strongest front that is assumed before the granter has told it, in
+/// cores.
+const ASSUMED_STRONGEST: f64 = 0.5;
 /// The part of a front's connections to a server that may be kept idle is one in this many.
 const KEPT_PART: u32 = 3;
 /// The fewest connections that a front may have to a server.
@@ -49,93 +50,6 @@
 /// The longest time that a server stays slow after its start; a longer report is not believed.
 const MAX_COLD: Duration = Duration::from_mins(1);
 
-/// A span as a front uses it.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct SpanEntry {
-    /// The keys.
-    pub range: KeyRange,
-    /// Their holder.
-    pub server: ServerId,
-    /// The fence of its grant.
-    pub fence: Fence,
-    /// Whether no server may be asked for these keys at present.
-    pub moving: bool,
-}
-
-impl SpanEntry {
-    /// Returns what of the span lies before a range.
-    fn before(&self, range: KeyRange) -> Option<Self> {
-        (self.range.first < range.first).then(|| Self {
-            range: KeyRange {
-                last: range.first - 1,
-                ..self.range
-            },
-            ..self.clone()
-        })
-    }
-
-    /// Returns what of the span lies behind a range.
-    fn behind(&self, range: KeyRange) -> Option<Self> {
-        (range.last < self.range.last).then(|| Self {
-            range: KeyRange {
-                first: range.last + 1,
-                ..self.range
-            },
-            ..self.clone()
-        })
-    }
-}
-
-/// The spans of one service.
-#[derive(Debug, Clone, Default)]
-pub struct SpanTable {
-    /// The version of the stored record that they come from.
-    pub version: Version,
-    /// The spans, in order of keys.
-    pub spans: Vec<SpanEntry>,
-}
-
-impl SpanTable {
-    /// Puts spans into the table; each replaces whatever was known of its keys.
-    ///
-    /// What is left of a span that is replaced in part keeps its holder: the rest of the change
-    /// replaces it too, or it was cut by its granter.
-    pub fn put(&mut self, version: Version, spans: &[SpanEntry]) {
-        self.version = version;
-        for span in spans {
-            self.cut_out(span.range);
-            let at = self
-                .spans
-                .partition_point(|known| known.range.first < span.range.first);
-            self.spans.insert(at, span.clone());
-        }
-    }
-
-    /// Removes the keys of a range from all spans.
-    fn cut_out(&mut self, range: KeyRange) {
-        let first = self
-            .spans
-            .partition_point(|known| known.range.last < range.first);
-        let end = self
-            .spans
-            .partition_point(|known| known.range.first <= range.last);
-        let cut: Vec<SpanEntry> = self.spans.drain(first..end.max(first)).collect();
-        let mut rest = Vec::new();
-        for known in cut {
-            rest.extend(known.before(range));
-            rest.extend(known.behind(range));
-        }
-        self.spans.splice(first..first, rest);
-    }
-
-    /// Returns the span of a key.
-    #[must_use]
-    pub fn find(&self, key: u16) -> Option<&SpanEntry> {
-        let at = self.spans.partition_point(|span| span.range.last < key);
-        self.spans.get(at).filter(|span| span.range.contains(key))
-    }
-}
-
 /// The tables of a gateway.
 #[derive(Debug)]
 pub struct Tables {
@@ -161,6 +75,8 @@
     pub told_speeds: HashMap<ServerId, f64>,
     /// The number of fronts that are alive.
     pub fronts: FrontCount,
+    /// The processor time of the strongest front, in cores.
+    pub strongest: f64,
     /// Randomness of decisions.
     pub rng: ChaCha8Rng,
 }
@@ -196,6 +112,7 @@
                 demand: HashMap::new(),
                 told_speeds: HashMap::new(),
                 fronts: FrontCount::assume(ASSUMED_FRONTS, clock::now()),
+                strongest: ASSUMED_STRONGEST,
                 rng: ChaCha8Rng::seed_from_u64(seed),
             }),
             changed: watch::Sender::new(0),
