--- a/crates/carawayrill-core/src/direct/rebalance.rs
+++ b/crates/carawayrill-core/src/direct/rebalance.rs
@@ -24,6 +24,9 @@
 const MIN_PART: f64 = 0.04;
 /// The utilisation by a single key above which the key goes to a faster server.
 const HOT_KEY_UTILISATION: f64 = 0.8;
+/// The least part of the mean utilisation that a server takes over from one that leaves. Each part
+/// is a span of its own, to be renewed and told of.
+const LEAST_ROOM: f64 = 0.3;
 /// How much faster that server has to be.
 const FASTER_FACTOR: f64 = 1.5;
 /// The share of the giving server's utilisation that the taking one may reach by a move.
@@ -180,7 +183,7 @@
             let Some(to) = loads.least_used(targets.iter().cloned()) else {
                 return moves;
             };
-            let room = (mean - loads.utilisation(&to)).max(0.1 * mean) * capacities.of(&to);
+            let room = (mean - loads.utilisation(&to)).max(LEAST_ROOM * mean) * capacities.of(&to);
             let (end, rate) = take_front(demand, first, last, room);
             if let Some(load) = loads.rates.get_mut(&to) {
                 *load += rate;
