--- a/crates/carawayrill-core/src/direct/admission.rs
+++ b/crates/carawayrill-core/src/direct/admission.rs
@@ -107,8 +107,10 @@
     NoServer,
 }
 
-/// Returns the time within which an answer has to be expected, in milliseconds.
-fn limit_ms(wish: &Wish, answer_ms: f64) -> f64 {
+/// Returns the time within which an answer has to be expected, in milliseconds; `answer_ms` is the
+/// time in which an idle server would answer.
+#[must_use]
+pub fn limit_ms(wish: &Wish, answer_ms: f64) -> f64 {
     let objective = as_ms(wish.objective_left) * OBJECTIVE_SHARE;
     let deadline = as_ms(wish.deadline_left) * DEADLINE_SHARE;
     // Once the objective can't be met even by an idle server, only the deadline counts.
--- a/crates/carawayrill-core/src/direct/load.rs
+++ b/crates/carawayrill-core/src/direct/load.rs
@@ -150,6 +150,12 @@
         self.paused_until
     }
 
+    /// Returns the age of the server's last report, if it ever made one.
+    #[must_use]
+    pub fn report_age(&self, now: Time) -> Option<Duration> {
+        self.reported.map(|at| now.since(at))
+    }
+
     /// Returns how many requests are expected to be at the server.
     #[must_use]
     pub fn expected_total(&self, now: Time) -> f64 {
--- a/crates/carawayrill-core/src/event.rs
+++ b/crates/carawayrill-core/src/event.rs
@@ -50,6 +50,29 @@
         /// The servers that it was sent to, in order.
         #[serde(default, skip_serializing_if = "Vec::is_empty")]
         pub tries: Vec<TryRecord>,
+        /// What was believed of the servers when it was refused for lack of room.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub believed: Option<BeliefRecord>,
+    }
+
+    /// What a front believed of the servers that could have taken a request.
+    pub struct BeliefRecord {
+        /// The servers that were weighed.
+        pub servers: usize,
+        /// Those of them that were neither paused after failures nor at this front's share of
+        /// connections.
+        pub usable: usize,
+        /// The time within which an answer had to be expected, in milliseconds.
+        pub limit_ms: u64,
+        /// The server that was expected to answer first, usable or not.
+        pub server: CompactString,
+        /// The time within which it was expected to answer, in milliseconds.
+        pub expected_ms: u64,
+        /// Requests that were expected to be there, in tenths.
+        pub load_tenths: u64,
+        /// The age of its last report, in milliseconds, if it ever made one.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub age_ms: Option<u64>,
     }
 
     /// One send of a request to a server.
--- a/crates/carawayrill-gateway/src/forward/choose.rs
+++ b/crates/carawayrill-gateway/src/forward/choose.rs
@@ -3,11 +3,16 @@
 use std::time::Duration;
 
 use carawayrill_core::direct::admission;
+use carawayrill_core::direct::admission::Candidate;
 use carawayrill_core::direct::admission::Choice;
 use carawayrill_core::direct::admission::Wish;
 use carawayrill_core::direct::keys::Fence;
 use carawayrill_core::direct::servers::Server;
+use carawayrill_core::event::BeliefRecord;
 use carawayrill_core::time::Time;
+use carawayrill_core::time::millis;
+use carawayrill_core::time::whole;
+use compact_str::ToCompactString;
 
 use super::DEFAULT_RETRY_AFTER;
 use super::Journey;
@@ -22,7 +27,26 @@
 pub(super) enum Next {
     Send(Box<Server>, Option<Fence>),
     WaitForOwner,
-    Refuse(&'static str, Duration),
+    Refuse(Refusal),
+}
+
+/// Why a request is sent nowhere.
+#[derive(Debug)]
+pub(super) struct Refusal {
+    pub(super) reason: &'static str,
+    /// When there may be room.
+    pub(super) after: Duration,
+    pub(super) believed: Option<BeliefRecord>,
+}
+
+impl Refusal {
+    fn new(reason: &'static str, after: Duration) -> Self {
+        Self {
+            reason,
+            after,
+            believed: None,
+        }
+    }
 }
 
 impl Journey<'_> {
@@ -54,21 +78,27 @@
         let wish = self.wish(tables, now);
         let idle_ms = mean_ms.unwrap_or(ASSUMED_IDLE_MS);
         let fronts = tables.fronts.get();
-        match admission::choose(&candidates, &wish, idle_ms, fronts, &mut tables.rng) {
+        let refusal = match admission::choose(&candidates, &wish, idle_ms, fronts, &mut tables.rng)
+        {
             Choice::Send(id) => match tables.servers.get(&id) {
-                Some(server) => Next::Send(Box::new(server.clone()), None),
-                None => Next::Refuse("no-server", DEFAULT_RETRY_AFTER),
+                Some(server) => return Next::Send(Box::new(server.clone()), None),
+                None => Refusal::new("no-server", DEFAULT_RETRY_AFTER),
             },
-            Choice::Full(after) => Next::Refuse("full", after),
-            Choice::NoServer => Next::Refuse("no-server", DEFAULT_RETRY_AFTER),
-        }
+            Choice::Full(after) => Refusal::new("full", after),
+            Choice::NoServer => Refusal::new("no-server", DEFAULT_RETRY_AFTER),
+        };
+        let limit_ms = admission::limit_ms(&wish, idle_ms);
+        Next::Refuse(Refusal {
+            believed: believed(tables, &candidates, limit_ms, now),
+            ..refusal
+        })
     }
 
     /// Looks the owner of the key up.
     fn next_owner(&self, tables: &mut Tables, now: Time) -> Next {
         let service = &self.taken.matched.service;
         let Some(key) = self.taken.key else {
-            return Next::Refuse("no-key", DEFAULT_RETRY_AFTER);
+            return Next::Refuse(Refusal::new("no-key", DEFAULT_RETRY_AFTER));
         };
         let span = tables
             .spans
@@ -91,11 +121,18 @@
         let wish = self.wish(tables, now);
         let idle_ms = candidate.answer_ms.min(mean_ms.unwrap_or(ASSUMED_IDLE_MS));
         let fronts = tables.fronts.get();
-        match admission::choose(&[candidate], &wish, idle_ms, fronts, &mut tables.rng) {
-            Choice::Send(_) => Next::Send(Box::new(server), Some(span.fence)),
-            Choice::Full(after) => Next::Refuse("full", after),
-            Choice::NoServer => Next::Refuse("owner-busy", DEFAULT_RETRY_AFTER),
-        }
+        let candidates = [candidate];
+        let refusal = match admission::choose(&candidates, &wish, idle_ms, fronts, &mut tables.rng)
+        {
+            Choice::Send(_) => return Next::Send(Box::new(server), Some(span.fence)),
+            Choice::Full(after) => Refusal::new("full", after),
+            Choice::NoServer => Refusal::new("owner-busy", DEFAULT_RETRY_AFTER),
+        };
+        let limit_ms = admission::limit_ms(&wish, idle_ms);
+        Next::Refuse(Refusal {
+            believed: believed(tables, &candidates, limit_ms, now),
+            ..refusal
+        })
     }
 
     /// Returns whether one more send is within the route's tries and the shared budget.
@@ -113,3 +150,25 @@
                 .take(now, fronts)
     }
 }
+
+/// Tells what was believed of the servers that were weighed, for the log.
+fn believed(
+    tables: &Tables,
+    candidates: &[Candidate],
+    limit_ms: f64,
+    now: Time,
+) -> Option<BeliefRecord> {
+    let first = candidates
+        .iter()
+        .min_by(|one, other| one.answer_ms.total_cmp(&other.answer_ms))?;
+    let load = tables.loads.get(&first.server)?;
+    Some(BeliefRecord {
+        servers: candidates.len(),
+        usable: candidates.iter().filter(|one| one.usable).count(),
+        limit_ms: whole(limit_ms),
+        server: first.server.to_compact_string(),
+        expected_ms: whole(first.answer_ms),
+        load_tenths: whole(load.expected_total(now) * 10.0),
+        age_ms: load.report_age(now).map(millis),
+    })
+}
--- a/crates/carawayrill-gateway/src/forward/mod.rs
+++ b/crates/carawayrill-gateway/src/forward/mod.rs
@@ -11,6 +11,7 @@
 use carawayrill_core::direct::manifest::Repeat;
 use carawayrill_core::direct::routes::Matched;
 use carawayrill_core::direct::servers::Server;
+use carawayrill_core::event::BeliefRecord;
 use carawayrill_core::event::TryRecord;
 use carawayrill_core::id::ServerId;
 use carawayrill_core::time::Time;
@@ -108,6 +109,8 @@
     pub tries: Vec<TryRecord>,
     /// The time spent waiting for an owner.
     pub waited: Duration,
+    /// What was believed of the servers when it was refused for lack of room.
+    pub believed: Option<BeliefRecord>,
     avoid: Vec<ServerId>,
     unsent: u32,
     /// Whether it may have been run.
@@ -132,6 +135,7 @@
             taken,
             tries: Vec::new(),
             waited: Duration::ZERO,
+            believed: None,
             avoid: Vec::new(),
             unsent: 0,
             open: false,
@@ -180,7 +184,10 @@
                 return self.timed_out();
             }
             match self.next(now) {
-                Next::Refuse(reason, after) => return self.give_up(reason, after),
+                Next::Refuse(refusal) => {
+                    self.believed = refusal.believed;
+                    return self.give_up(refusal.reason, refusal.after);
+                }
                 Next::WaitForOwner => {
                     if let Some(reply) = self.wait_for_owner(now).await {
                         return reply;
--- a/crates/carawayrill-gateway/src/front.rs
+++ b/crates/carawayrill-gateway/src/front.rs
@@ -263,6 +263,7 @@
         let reply = ended.unwrap_or_else(|| journey.cut_short("stopping"));
         story.record.waited_ms = millis(journey.waited);
         story.record.tries = std::mem::take(&mut journey.tries);
+        story.record.believed = journey.believed.take();
         reply
     }
 
@@ -416,6 +417,7 @@
                 waited_ms: 0,
                 retry_after_ms: None,
                 tries: Vec::new(),
+                believed: None,
             },
             ended: false,
         }
