--- a/crates/carawayrill-core/src/direct/fronts.rs
+++ b/crates/carawayrill-core/src/direct/fronts.rs
@@ -4,6 +4,8 @@
 
 use crate::time::Time;
 
+/// The fronts that are assumed before the granter has told their number.
+pub const ASSUMED_FRONTS: u32 = 12;
 /// How long a lower number has to be told before it counts. A granter that has just begun knows
 /// few fronts, and a larger share for each would be too much for all together.
 const BELIEVE_FEWER_AFTER: Duration = Duration::from_secs(12);
--- a/crates/carawayrill-core/src/direct/load.rs
+++ b/crates/carawayrill-core/src/direct/load.rs
@@ -5,6 +5,7 @@
 
 use std::time::Duration;
 
+use crate::direct::fronts::ASSUMED_FRONTS;
 use crate::time::Time;
 use crate::time::millis;
 
@@ -26,8 +27,6 @@
 /// front. Without it, a server that was found full would never be tried again; with many fronts,
 /// all of them would try it at once.
 const MEAN_HALF_LIFE_PER_FRONT_MS: f64 = 75.0;
-/// The fronts that are assumed before their number is known.
-const ASSUMED_FRONTS: u32 = 11;
 /// The weight of a new report in the mean load by others.
 const OTHERS_GAIN: f64 = 0.2;
 /// How much slower a server is while it is cold.
@@ -261,3 +260,10 @@
         self.paused_until = now + span;
     }
 }
+
+/// Returns the mean of values, if there are any.
+#[must_use]
+pub fn mean(values: impl Iterator<Item = f64>) -> Option<f64> {
+    let (sum, count) = values.fold((0.0, 0_u32), |(sum, count), value| (sum + value, count + 1));
+    (count > 0).then(|| sum / f64::from(count))
+}
--- a/crates/carawayrill-gateway/src/feed.rs
+++ b/crates/carawayrill-gateway/src/feed.rs
@@ -165,7 +165,7 @@
     fn put(&self, objects: &[Object]) {
         let name = self.directory.manifest_name();
         for object in objects {
-            if last_part(&object.name) == name && object.version.0 != 0 {
+            if object.short_name() == name && object.version.0 != 0 {
                 self.put_one(object);
             }
         }
@@ -205,11 +205,6 @@
     }
 }
 
-/// Returns the last part of an object's name.
-fn last_part(name: &str) -> &str {
-    name.rsplit('/').next().unwrap_or(name)
-}
-
 /// Follows the list of servers for ever.
 pub async fn follow_servers(
     shared: Arc<Shared>,
@@ -324,7 +319,7 @@
                 Some(server) => seen.extend(tables.servers.put(server, now)),
                 // An entry that can't be read any more names no server to use.
                 None => {
-                    if let Ok(id) = ServerId::try_from(last_part(&object.name)) {
+                    if let Ok(id) = ServerId::try_from(object.short_name()) {
                         seen.extend(tables.servers.vanish(&id, now));
                     }
                 }
--- /dev/null
+++ b/crates/carawayrill-gateway/src/granting/capacity.rs
@@ -0,0 +1,40 @@
+//! What each server can serve, from what the fronts have measured.
+
+use std::collections::HashMap;
+
+use carawayrill_core::direct::load;
+use carawayrill_core::direct::rebalance::Capacities;
+use carawayrill_core::direct::servers::Server;
+use carawayrill_core::id::ServerId;
+use carawayrill_core::id::ServiceId;
+use compact_str::CompactString;
+
+use crate::state::Tables;
+
+/// The service time that is assumed while none was measured, in milliseconds.
+const DEFAULT_SERVICE_MS: f64 = 100.0;
+/// The share of its capacity that a cold server counts with.
+const COLD_SHARE: f64 = 0.6;
+
+/// Works out what each ready server of a service can serve.
+pub(super) fn capacities(
+    service: &ServiceId,
+    tables: &Tables,
+    speeds: &HashMap<ServerId, HashMap<CompactString, f64>>,
+) -> Capacities {
+    let measured = |server: &Server| load::mean(speeds.get(&server.id)?.values().copied());
+    let known = tables.servers.ready_of(service).filter_map(measured);
+    let assumed = load::mean(known).unwrap_or(DEFAULT_SERVICE_MS);
+    let mut capacities = Capacities::default();
+    for server in tables.servers.ready_of(service) {
+        let service_ms = measured(server).unwrap_or(assumed).max(1.0);
+        let cold = if server.cold_for.is_zero() {
+            1.0
+        } else {
+            COLD_SHARE
+        };
+        let rate = f64::from(server.slots) * 1_000.0 / service_ms * cold;
+        capacities.set(server.id.clone(), rate);
+    }
+    capacities
+}
--- a/crates/carawayrill-gateway/src/granting.rs
+++ b/crates/carawayrill-gateway/src/granting/mod.rs
@@ -1,6 +1,9 @@
 //! The granter's work: runs the decisions of [`carawayrill_core::direct::granter`] and tells the
 //! fronts.
 
+mod capacity;
+mod stored;
+
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -18,8 +21,6 @@
 use carawayrill_core::direct::granter::OrderResult;
 use carawayrill_core::direct::granter::SpanOrder;
 use carawayrill_core::direct::granter::Step;
-use carawayrill_core::direct::rebalance::Capacities;
-use carawayrill_core::direct::servers::Server;
 use carawayrill_core::direct::spans::SpanRecord;
 use carawayrill_core::event::EventKind;
 use carawayrill_core::id::Revision;
@@ -37,17 +38,19 @@
 use compact_str::format_compact;
 use tokio::sync::watch;
 
+use self::capacity::capacities;
+pub use self::stored::SPANS_KIND;
+use self::stored::holds_record;
+use self::stored::read_record;
+pub use self::stored::read_tables;
 use crate::clock;
 use crate::leasing::Leasing;
 use crate::port::SpanOrders;
-use crate::spans::SpanTable;
 use crate::spans::Told;
 use crate::spans::ToldTable;
 use crate::state::Shared;
 use crate::state::Tables;
 
-/// The kind of objects that spans are stored as.
-pub const SPANS_KIND: &str = "carawayrill-spans";
 /// The time between two rounds of decisions.
 const TICK: Duration = Duration::from_millis(40);
 /// The time between two updates to the fronts if nothing changes.
@@ -64,10 +67,6 @@
 const FIRST_SPREAD_WAIT: Duration = Duration::from_millis(4_500);
 /// How long a front counts as alive after its last report.
 const MEMBER_TTL: Duration = Duration::from_secs(2);
-/// The service time that is assumed while none was measured, in milliseconds.
-const DEFAULT_SERVICE_MS: f64 = 100.0;
-/// The share of its capacity that a cold server counts with.
-const COLD_SHARE: f64 = 0.6;
 /// The pause before a write that was not done is tried again.
 const WRITE_RETRY: Duration = Duration::from_millis(120);
 
@@ -149,7 +148,7 @@
         let listed = store.watch(SPANS_KIND, Revision(0), Duration::ZERO).await?;
         let mut stored = BTreeMap::new();
         for object in listed.objects {
-            if let Some((service, record)) = read_record(&object.name, &object.value) {
+            if let Some((service, record)) = read_record(&object) {
                 stored.insert(service, (object.version, record));
             }
         }
@@ -335,7 +334,7 @@
         log::warn!("another granter wrote the spans of {service}");
         let now = clock::now();
         let stored = found.and_then(|found| {
-            let (_, record) = read_record(&found.name, &found.value)?;
+            let (_, record) = read_record(&found)?;
             Some((found.version, record))
         });
         if let Some(granter) = self.state().granters.get_mut(service) {
@@ -398,48 +397,6 @@
     }
 }
 
-/// Returns whether an object holds a record, however the store has written it.
-fn holds_record(object: &Object, record: &SpanRecord) -> bool {
-    serde_json::from_slice::<SpanRecord>(&object.value).is_ok_and(|found| found == *record)
-}
-
-/// Reads a stored record; one that can't be read counts as none, and is logged.
-fn read_record(name: &str, value: &[u8]) -> Option<(ServiceId, SpanRecord)> {
-    let service = name.rsplit('/').next().unwrap_or(name);
-    let service = match ServiceId::try_from(service) {
-        Ok(service) => service,
-        Err(err) => {
-            log::error!("spans of a service that can't be named: {err}");
-            return None;
-        }
-    };
-    match serde_json::from_slice::<SpanRecord>(value) {
-        Ok(record) if record.is_complete() => Some((service, record)),
-        Ok(_) => {
-            log::error!("the stored spans of {service} have gaps");
-            None
-        }
-        Err(err) => {
-            log::error!("the stored spans of {service} can't be read: {err}");
-            None
-        }
-    }
-}
-
-/// Reads all stored spans, for a front that can't join the granter.
-///
-/// # Errors
-///
-/// Fails if the store can't be read.
-pub async fn read_tables(store: &dyn ObjectStore) -> Result<BTreeMap<ServiceId, SpanTable>, Error> {
-    let listed = store.watch(SPANS_KIND, Revision(0), Duration::ZERO).await?;
-    let read = listed.objects.iter().filter_map(|object| {
-        let (service, record) = read_record(&object.name, &object.value)?;
-        Some((service, SpanTable::stored(object.version, &record.spans)))
-    });
-    Ok(read.collect())
-}
-
 impl State {
     /// Starts the granters of keyed services that have none, and drops those that are not needed.
     fn add_services(&mut self, tables: &Tables, cfg: Config, now: Time, began: Time) {
@@ -538,31 +495,3 @@
         }
     }
 }
-
-/// Works out what each ready server of a service can serve.
-fn capacities(
-    service: &ServiceId,
-    tables: &Tables,
-    speeds: &HashMap<ServerId, HashMap<CompactString, f64>>,
-) -> Capacities {
-    let measured = |server: &Server| mean(speeds.get(&server.id)?.values().copied());
-    let known = tables.servers.ready_of(service).filter_map(measured);
-    let assumed = mean(known).unwrap_or(DEFAULT_SERVICE_MS);
-    let mut capacities = Capacities::default();
-    for server in tables.servers.ready_of(service) {
-        let service_ms = measured(server).unwrap_or(assumed).max(1.0);
-        let cold = if server.cold_for.is_zero() {
-            1.0
-        } else {
-            COLD_SHARE
-        };
-        let rate = f64::from(server.slots) * 1_000.0 / service_ms * cold;
-        capacities.set(server.id.clone(), rate);
-    }
-    capacities
-}
-
-fn mean(values: impl Iterator<Item = f64>) -> Option<f64> {
-    let (sum, count) = values.fold((0.0, 0_u32), |(sum, count), value| (sum + value, count + 1));
-    (count > 0).then(|| sum / f64::from(count))
-}
--- /dev/null
+++ b/crates/carawayrill-gateway/src/granting/stored.rs
@@ -0,0 +1,57 @@
+//! Spans as they are stored.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use carawayrill_core::direct::spans::SpanRecord;
+use carawayrill_core::id::Revision;
+use carawayrill_core::id::ServiceId;
+use carawayrill_store::Error;
+use carawayrill_store::port::Object;
+use carawayrill_store::port::ObjectStore;
+
+use crate::spans::SpanTable;
+
+/// The kind of objects that spans are stored as.
+pub const SPANS_KIND: &str = "carawayrill-spans";
+
+/// Returns whether an object holds a record, however the store has written it.
+pub(super) fn holds_record(object: &Object, record: &SpanRecord) -> bool {
+    serde_json::from_slice::<SpanRecord>(&object.value).is_ok_and(|found| found == *record)
+}
+
+/// Reads a stored record; one that can't be read counts as none, and is logged.
+pub(super) fn read_record(object: &Object) -> Option<(ServiceId, SpanRecord)> {
+    let service = match ServiceId::try_from(object.short_name()) {
+        Ok(service) => service,
+        Err(err) => {
+            log::error!("spans of a service that can't be named: {err}");
+            return None;
+        }
+    };
+    match serde_json::from_slice::<SpanRecord>(&object.value) {
+        Ok(record) if record.is_complete() => Some((service, record)),
+        Ok(_) => {
+            log::error!("the stored spans of {service} have gaps");
+            None
+        }
+        Err(err) => {
+            log::error!("the stored spans of {service} can't be read: {err}");
+            None
+        }
+    }
+}
+
+/// Reads all stored spans, for a front that can't join the granter.
+///
+/// # Errors
+///
+/// Fails if the store can't be read.
+pub async fn read_tables(store: &dyn ObjectStore) -> Result<BTreeMap<ServiceId, SpanTable>, Error> {
+    let listed = store.watch(SPANS_KIND, Revision(0), Duration::ZERO).await?;
+    let read = listed.objects.iter().filter_map(|object| {
+        let (service, record) = read_record(object)?;
+        Some((service, SpanTable::stored(object.version, &record.spans)))
+    });
+    Ok(read.collect())
+}
--- a/crates/carawayrill-gateway/src/state.rs
+++ b/crates/carawayrill-gateway/src/state.rs
@@ -11,7 +11,9 @@
 use carawayrill_core::direct::admission::Candidate;
 use carawayrill_core::direct::admission::Distance;
 use carawayrill_core::direct::budget::RetryWindow;
+use carawayrill_core::direct::fronts::ASSUMED_FRONTS;
 use carawayrill_core::direct::fronts::FrontCount;
+use carawayrill_core::direct::load;
 use carawayrill_core::direct::load::Ended;
 use carawayrill_core::direct::load::LoadReport;
 use carawayrill_core::direct::load::ServerLoad;
@@ -38,8 +40,6 @@
 const SIZE_GAIN: f64 = 0.05;
 /// The size that is assumed of a route's requests before any was seen, in KiB.
 const DEFAULT_KIB: f64 = 4.0;
-/// The fronts that are assumed before the granter has told their number.
-const ASSUMED_FRONTS: u32 = 12;
 /// The processor time of the strongest front that is assumed before the granter has told it, in
 /// cores.
 const ASSUMED_STRONGEST: f64 = 0.5;
@@ -172,12 +172,11 @@
     /// Returns the mean service time of a service's servers, in milliseconds.
     #[must_use]
     pub fn service_ms(&self, service: &ServiceId, now: Time) -> Option<f64> {
-        let known: Vec<f64> = self
+        let known = self
             .servers
             .ready_of(service)
-            .filter_map(|server| self.loads.get(&server.id)?.service_ms(now))
-            .collect();
-        (!known.is_empty()).then(|| known.iter().sum::<f64>() / known.len() as f64)
+            .filter_map(|server| self.loads.get(&server.id)?.service_ms(now));
+        load::mean(known)
     }
 
     /// Returns the row of a server's load, made anew if there is none.
--- a/crates/carawayrill-store/src/port.rs
+++ b/crates/carawayrill-store/src/port.rs
@@ -29,6 +29,14 @@
     pub value: Bytes,
 }
 
+impl Object {
+    /// Returns the last part of its name.
+    #[must_use]
+    pub fn short_name(&self) -> &str {
+        self.name.rsplit('/').next().unwrap_or(&self.name)
+    }
+}
+
 /// What a watch saw.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Changes {
