Never send beside what may not run twice

Seen in the read-through: the wait for an answer of a request that may run once ended at its time limit in the same moment as the whole request, and then looked for another server. That found none, since no time was left; nothing else kept it from being sent twice.

Change: such a request, and one with too little time, waits without that end.

--- a/crates/carawayrill-gateway/src/forward/send.rs
+++ b/crates/carawayrill-gateway/src/forward/send.rs
@@ -105,10 +105,15 @@
     pub(super) async fn send(&mut self, server: &Server, fence: Option<Fence>) -> Outcome {
         let was_open = self.open;
         let mut first = self.begin(server, fence);
-        let patience = self.patience(first.limit);
-        let outcome = match tokio::time::timeout(patience, &mut first.answer).await {
-            Ok(result) => self.finish(first, result),
-            Err(_elapsed) => self.send_beside(first).await,
+        let outcome = match self.patience(first.limit) {
+            None => {
+                let result = (&mut first.answer).await;
+                self.finish(first, result)
+            }
+            Some(patience) => match tokio::time::timeout(patience, &mut first.answer).await {
+                Ok(result) => self.finish(first, result),
+                Err(_elapsed) => self.send_beside(first).await,
+            },
         };
         self.open = was_open;
         outcome
@@ -196,14 +201,11 @@
         outcome
     }
 
-    /// Returns how long to wait for a server's answer before another one may be asked beside.
-    fn patience(&self, limit: Duration) -> Duration {
+    /// Returns how long to wait for a server's answer before another one may be asked beside, if the
+    /// request may be run twice and there is time.
+    fn patience(&self, limit: Duration) -> Option<Duration> {
         let may_repeat = self.taken.matched.route.repeat == Repeat::Idempotent;
-        if may_repeat && limit >= MIN_PATIENT_LIMIT {
-            limit.mul_f64(PATIENCE_SHARE)
-        } else {
-            limit
-        }
+        (may_repeat && limit >= MIN_PATIENT_LIMIT).then(|| limit.mul_f64(PATIENCE_SHARE))
     }
 
     fn record_try(
