Don't ask a server again that has said it doesn't hold the key

Each request for their keys was sent to the address twice, 80 ms apart; both were refused as misdirected. The second counts as a repeat at the other service, whose budget the front does not charge.

Ruled out: the budget's own count (within its bound for the requests' service).

Change: after such an answer the key waits for another owner or grant, for a quarter of the objective, and is refused then. Before: `a_server_that_does_not_hold_a_key_is_not_asked_twice` found two; now one.

--- a/crates/carawayrill-gateway/src/forward/choose.rs
+++ b/crates/carawayrill-gateway/src/forward/choose.rs
@@ -115,6 +115,12 @@
         if leaving.is_some_and(|since| now.since(since) > self.shared.cfg.drain) {
             return Next::WaitForOwner;
         }
+        // A server that has said that it does not hold the key is not asked again until it is another
+        // one, or another grant. Its address may have been given to another service, whose retry
+        // budget a second send would use up.
+        if self.misdirected == Some((server.address, span.fence)) {
+            return Next::WaitForOwner;
+        }
         let distance = self.shared.distance(&server.data_centre);
         let mean_ms = tables.service_ms(service, now);
         let candidate = tables.candidate(&server, distance, mean_ms, now);
--- a/crates/carawayrill-gateway/src/forward/mod.rs
+++ b/crates/carawayrill-gateway/src/forward/mod.rs
@@ -3,6 +3,7 @@
 mod choose;
 mod send;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -33,8 +34,11 @@
 const MIN_LEFT: Duration = Duration::from_millis(10);
 /// The longest wait for the owner of a key to be known, as a share of the objective.
 const OWNER_WAIT_SHARE: f64 = 0.8;
-/// How long to wait for newer spans after a server said that it does not hold the key.
-const MISDIRECTED_WAIT: Duration = Duration::from_millis(60);
+/// The same once a server has said that it does not hold the key: either news of its owner are on
+/// their way, or it takes long.
+const MISDIRECTED_WAIT_SHARE: f64 = 0.25;
+/// The pause before the owner of a key is tried again after it was not reached.
+const UNREACHED_WAIT: Duration = Duration::from_millis(60);
 /// Sends that did not leave this process before a request is given up.
 const MAX_UNSENT: u32 = 3;
 /// When to come back after a refusal that does not know better.
@@ -112,6 +116,8 @@
     /// What was believed of the servers when it was refused for lack of room.
     pub believed: Option<BeliefRecord>,
     avoid: Vec<ServerId>,
+    /// Where and under which fence a server said last that it does not hold the key.
+    misdirected: Option<(SocketAddr, Fence)>,
     unsent: u32,
     /// Whether it may have been run.
     open: bool,
@@ -137,6 +143,7 @@
             waited: Duration::ZERO,
             believed: None,
             avoid: Vec::new(),
+            misdirected: None,
             unsent: 0,
             open: false,
             failure: None,
@@ -216,7 +223,11 @@
     /// Waits until the spans change. Returns the answer if that has taken too long.
     async fn wait_for_owner(&mut self, now: Time) -> Option<Reply> {
         let objective = self.taken.objective.since(self.taken.received);
-        let allowed = objective.mul_f64(OWNER_WAIT_SHARE);
+        let share = match self.misdirected {
+            Some(_) => MISDIRECTED_WAIT_SHARE,
+            None => OWNER_WAIT_SHARE,
+        };
+        let allowed = objective.mul_f64(share);
         let mut changes = self.shared.changes();
         let left = allowed.saturating_sub(self.waited);
         if left.is_zero() {
@@ -248,7 +259,7 @@
             }
             Outcome::NotRun { misdirected } => {
                 if misdirected && self.taken.keyed {
-                    self.wait_for_newer_spans().await;
+                    self.misdirected = fence.map(|fence| (server.address, fence));
                 } else {
                     self.avoid.push(server.id.clone());
                 }
@@ -257,7 +268,7 @@
             Outcome::NotSent => {
                 self.unsent += 1;
                 if self.taken.keyed {
-                    tokio::time::sleep(MISDIRECTED_WAIT).await;
+                    tokio::time::sleep(UNREACHED_WAIT).await;
                 } else {
                     self.avoid.push(server.id.clone());
                 }
@@ -278,9 +289,4 @@
         }
         None
     }
-
-    async fn wait_for_newer_spans(&self) {
-        let mut changes = self.shared.changes();
-        let _changed = tokio::time::timeout(MISDIRECTED_WAIT, changes.changed()).await;
-    }
 }
