Fill a destination no further than it can bear, and tell callers of a busy owner when to return

Callers of an overloaded owner came back after 0.25 s, before keys could move. Ruled out: cooldown alone; demand is counted for refused requests too. Change: a move brings its destination to 0.75 of its capacity or 1.1 times the mean; a quarter of the servers may be in moves of one plan; Retry-After of a keyed request is as late as still meets its objective.

--- a/crates/carawayrill-core/src/direct/admission.rs
+++ b/crates/carawayrill-core/src/direct/admission.rs
@@ -31,6 +31,11 @@
 const TOTAL_SAMPLES: u32 = 66;
 /// The least number of servers that one front samples at each distance.
 const MIN_SAMPLES: usize = 2;
+/// The number of service times before its objective at which a request that its owner could not
+/// serve has to be back.
+const OWNER_RETRY_SERVICE_TIMES: f64 = 1.5;
+/// The earliest time at which such a request returns, as a share of the latest.
+const OWNER_RETRY_MIN_SHARE: f64 = 0.5;
 /// The shortest retry-after time of a refusal, in milliseconds.
 const MIN_RETRY_AFTER_MS: f64 = 50.0;
 /// The longest retry-after time of a refusal, in milliseconds.
@@ -210,6 +215,26 @@
     sample.min_by(|one, other| one.cost.total_cmp(&other.cost))
 }
 
+/// Returns the retry-after time of a request whose only possible server, the owner of its key, is
+/// overloaded. `busy` is the time until the owner accepts requests, as far as is known.
+///
+/// A moment later the owner is still overloaded: it takes the granter about a second to move keys
+/// off it. The request should return as late as still meets its objective, and not together with
+/// others.
+pub fn owner_retry_after(
+    profile: &RequestProfile,
+    idle_ms: f64,
+    busy: Duration,
+    rng: &mut impl Rng,
+) -> Duration {
+    let latest = as_ms(profile.objective_left) - OWNER_RETRY_SERVICE_TIMES * idle_ms;
+    let wait = latest * rng.random_range(OWNER_RETRY_MIN_SHARE..=1.0);
+    let wait = wait
+        .max(as_ms(busy))
+        .clamp(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS);
+    Duration::from_secs_f64(wait / 1_000.0)
+}
+
 /// Returns the retry-after time of a refused request: the time until the backlog above the limit is
 /// processed, plus a jitter of up to one service time so that refused requests do not all return at
 /// once.
--- a/crates/carawayrill-core/src/direct/rebalance.rs
+++ b/crates/carawayrill-core/src/direct/rebalance.rs
@@ -19,7 +19,12 @@
 /// The maximum number of moves in one plan for a small service.
 const MIN_MOVES_PER_PLAN: usize = 24;
 /// The number of servers for each move that a plan may have in a large service.
-const SERVERS_PER_MOVE: usize = 8;
+const SERVERS_PER_MOVE: usize = 4;
+/// The utilisation up to which moves fill a server. A hot range that is merely halved with each move
+/// would overload one server after the other, and each of its parts has to rest after a move.
+const FILL_UTILISATION: f64 = 0.75;
+/// The ratio of the mean utilisation up to which moves fill a server, if that is higher.
+const FILL_FACTOR: f64 = 1.1;
 /// The number of standard deviations by which a server's measured rate has to exceed the bound
 /// before keys are moved off it. With hundreds of servers each gets only a few requests a second, so
 /// that some always seem overloaded by chance.
@@ -160,6 +165,13 @@
             / (source_capacity + destination_capacity)
     }
 
+    /// Returns the rate that may be moved to a server without filling it, where `mean` is the mean
+    /// utilisation.
+    fn spare_rate(&self, to: &ServerId, mean: f64) -> f64 {
+        let fill = FILL_UTILISATION.max(mean * FILL_FACTOR);
+        (fill - self.utilisation(to)) * self.capacities.of(to)
+    }
+
     fn move_rate(&mut self, from: &ServerId, to: &ServerId, rate: f64) {
         if let Some(load) = self.rates.get_mut(from) {
             *load -= rate;
@@ -169,9 +181,9 @@
         }
     }
 
-    fn least_used(&self, servers: impl Iterator<Item = ServerId>) -> Option<ServerId> {
+    fn least_used<'s>(&self, servers: impl Iterator<Item = &'s ServerId>) -> Option<&'s ServerId> {
         servers
-            .map(|server| (self.utilisation(&server), server))
+            .map(|server| (self.utilisation(server), server))
             .min_by(|one, other| one.0.total_cmp(&other.0))
             .map(|(_, server)| server)
     }
@@ -197,7 +209,7 @@
         let mut first = usize::from(range.first);
         let last = usize::from(range.last);
         while first <= last {
-            let Some(to) = loads.least_used(targets.iter().cloned()) else {
+            let Some(to) = loads.least_used(targets.iter()).cloned() else {
                 return moves;
             };
             let spare_rate =
@@ -311,7 +323,7 @@
     demand: &KeyDemand,
     mean: f64,
 ) -> Option<Move> {
-    let to = loads.least_used(loads.rates.keys().cloned())?;
+    let to = loads.least_used(loads.rates.keys())?.clone();
     let to_use = loads.utilisation(&to);
     // A server without keys receives some, however low the utilisation of the others is.
     let is_empty = to_use == 0.0;
@@ -327,7 +339,8 @@
         .collect();
     sources.sort_by(|one, other| other.0.total_cmp(&one.0));
     for (used, from) in sources {
-        let target_rate = loads.equalising_rate(from, &to) * GAP_SHARE;
+        let equalising_rate = loads.equalising_rate(from, &to) * GAP_SHARE;
+        let target_rate = equalising_rate.min(loads.spare_rate(&to, mean));
         if target_rate <= 0.0 {
             continue;
         }
--- a/crates/carawayrill-gateway/src/forward/choose.rs
+++ b/crates/carawayrill-gateway/src/forward/choose.rs
@@ -135,7 +135,10 @@
             .min(mean_ms.unwrap_or(ASSUMED_IDLE_MS));
         let fronts = tables.fronts.get();
         let candidates = [candidate];
-        let refusal = match admission::choose(
+        let busy = tables.loads.get(&server.id).map_or(Duration::ZERO, |load| {
+            load.paused_until().max(load.backoff_until()).since(now)
+        });
+        let (reason, busy) = match admission::choose(
             &candidates,
             &request_profile,
             idle_ms,
@@ -143,16 +146,11 @@
             &mut tables.rng,
         ) {
             Choice::Send(_) => return NextStep::Send(Box::new(server), Some(span.fence)),
-            Choice::Full(after) => Refusal::new("full", after),
-            Choice::NoServer => {
-                let left = tables.loads.get(&server.id).map(|load| {
-                    let until = load.paused_until().max(load.backoff_until());
-                    until.since(now)
-                });
-                let after = left.unwrap_or_default().max(DEFAULT_RETRY_AFTER);
-                Refusal::new("owner-busy", after)
-            }
+            Choice::Full(after) => ("full", after),
+            Choice::NoServer => ("owner-busy", busy),
         };
+        let after = admission::owner_retry_after(&request_profile, idle_ms, busy, &mut tables.rng);
+        let refusal = Refusal::new(reason, after);
         let limit_ms = admission::limit_ms(&request_profile, idle_ms);
         NextStep::Refuse(Refusal {
             load_estimate: load_estimate(tables, &candidates, limit_ms, now),
