Answer the connections in the listen backlog at a planned stop

Ruled out: the balancer; callers connect until the front's readiness is seen. Change: a stopping front accepts until it aborts what is left, empties the backlog, and keeps new connections open for their first request.

--- a/crates/carawayrill-gateway/src/front.rs
+++ b/crates/carawayrill-gateway/src/front.rs
@@ -58,6 +58,11 @@
 /// The maximum number of request log lines per second.
 const MAX_LOG_LINES_PER_SECOND: u64 = 400;
 
+/// The retry-after time of a request that arrives at the end of a shutdown. Another front takes it.
+const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
+/// How long a new connection is kept open for its first request during a shutdown.
+const NEW_CONNECTION_GRACE: Duration = Duration::from_millis(500);
+
 /// The phases of a graceful shutdown.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Phase {
@@ -79,6 +84,13 @@
     }
 }
 
+/// Waits until the shutdown reaches [`Phase::Closing`], but at least for `grace`: the first request of
+/// a new connection may be on its way.
+async fn closing_after(phase: &mut watch::Receiver<Phase>, grace: Duration) {
+    tokio::time::sleep(grace).await;
+    wait_for_phase(phase, Phase::Closing).await;
+}
+
 /// Serves callers' requests.
 #[derive(Debug)]
 pub struct Front {
@@ -150,24 +162,30 @@
         self.open_connections.load(Ordering::Relaxed)
     }
 
-    /// Accepts connections until the shutdown reaches [`Phase::Closing`].
+    /// Accepts connections until the shutdown reaches [`Phase::Aborting`], and then those that wait
+    /// in the backlog: the kernel has completed them, and their callers may have sent requests.
     pub async fn accept(self: Arc<Self>, listener: TcpListener) {
         let mut phase = self.phase.clone();
         loop {
             let accepted = tokio::select! {
                 accepted = listener.accept() => accepted,
-                () = wait_for_phase(&mut phase, Phase::Closing) => return,
+                () = wait_for_phase(&mut phase, Phase::Aborting) => break,
             };
-            match accepted {
-                Ok((stream, _peer)) => {
-                    tokio::spawn(Arc::clone(&self).serve_connection(stream));
-                }
-                Err(err) => {
-                    log::warn!("could not accept a connection: {err}");
-                    tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-                }
+            if let Err(err) = accepted.map(|(stream, _peer)| self.spawn_connection(stream)) {
+                log::warn!("could not accept a connection: {err}");
+                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
+        while let Ok(Ok((stream, _peer))) =
+            tokio::time::timeout(Duration::ZERO, listener.accept()).await
+        {
+            self.spawn_connection(stream);
+        }
+    }
+
+    fn spawn_connection(self: &Arc<Self>, stream: TcpStream) {
+        self.open_connections.fetch_add(1, Ordering::Relaxed);
+        tokio::spawn(Arc::clone(self).serve_connection(stream));
     }
 
     fn caller_limits(&self) -> CallerLimits {
@@ -182,7 +200,6 @@
         if let Err(err) = stream.set_nodelay(true) {
             log::debug!("could not set TCP_NODELAY on a caller's connection: {err}");
         }
-        self.open_connections.fetch_add(1, Ordering::Relaxed);
         let limits = self.caller_limits();
         let front = Arc::clone(&self);
         let service = service_fn(move |req| {
@@ -199,7 +216,7 @@
         tokio::pin!(served);
         let ended = tokio::select! {
             ended = served.as_mut() => ended,
-            () = wait_for_phase(&mut phase, Phase::Closing) => {
+            () = closing_after(&mut phase, NEW_CONNECTION_GRACE) => {
                 served.as_mut().graceful_shutdown();
                 served.await
             }
@@ -215,7 +232,12 @@
         let metadata = self.header_codec.parse_request(req.headers());
         let mut log_entry = AccessLogEntry::new(self, received, &metadata);
         self.shared.metrics.in_flight.inc();
-        let reply = self.handle(req, &metadata, &mut log_entry).await;
+        let reply = if *self.phase.borrow() >= Phase::Aborting {
+            let after = Some(STOPPING_RETRY_AFTER);
+            Reply::local(StatusCode::SERVICE_UNAVAILABLE, "stopping", after)
+        } else {
+            self.handle(req, &metadata, &mut log_entry).await
+        };
         log_entry.end(&reply);
         self.respond(reply)
     }
