--- a/crates/carawayrill-core/src/direct/fronts.rs
+++ b/crates/carawayrill-core/src/direct/fronts.rs
@@ -16,6 +16,7 @@
     count: u32,
     /// When the granter last reported a number at least as large as `count`.
     confirmed_at: Time,
+    is_reported: bool,
 }
 
 impl FrontCount {
@@ -25,9 +26,16 @@
         Self {
             count: count.max(1),
             confirmed_at: now,
+            is_reported: false,
         }
     }
 
+    /// Returns the number of fronts, or `None` before the granter has reported it.
+    #[must_use]
+    pub fn reported(&self) -> Option<u32> {
+        self.is_reported.then_some(self.count)
+    }
+
     /// Returns the number of fronts to divide shared limits by.
     #[must_use]
     pub fn get(&self) -> u32 {
@@ -37,6 +45,7 @@
     /// Applies a number that the granter reported at `now`.
     pub fn update(&mut self, count: u32, now: Time) {
         let count = count.max(1);
+        self.is_reported = true;
         if count >= self.count || now.since(self.confirmed_at) > LOWER_COUNT_DELAY {
             self.count = count;
             self.confirmed_at = now;
--- a/crates/carawayrill-core/src/direct/knowledge/freshness.rs
+++ b/crates/carawayrill-core/src/direct/knowledge/freshness.rs
@@ -80,20 +80,21 @@
         self.confirmed.map(|confirmed| now.since(confirmed))
     }
 
-    /// Returns the next step. `spread` is this front's share of the spread, between 0 and 1.
+    /// Returns the next step. `fronts` is the number of fronts, as far as it is known, and `spread`
+    /// this front's share of the spread, between 0 and 1.
     #[must_use]
     pub fn next_read(
         &self,
         now: Time,
         is_granter: bool,
-        fronts: u32,
+        fronts: Option<u32>,
         limits: &Limits,
         spread: f64,
     ) -> NextRead {
         let Some(age) = self.age(now) else {
             return NextRead::Watch;
         };
-        if fronts < MIN_RELAY_FRONTS {
+        if fronts.is_some_and(|fronts| fronts < MIN_RELAY_FRONTS) {
             return NextRead::Watch;
         }
         if is_granter {
@@ -101,7 +102,7 @@
         }
         let bound = limits.max_age + limits.spread.mul_f64(spread.clamp(0.0, 1.0));
         if age < bound {
-            return NextRead::NotBefore(bound - age);
+            return NextRead::NotBefore(bound.saturating_sub(age));
         }
         NextRead::Watch
     }
--- a/crates/carawayrill-core/tests/knowledge_fleet/mod.rs
+++ b/crates/carawayrill-core/tests/knowledge_fleet/mod.rs
@@ -155,10 +155,10 @@
         }
         let no_store = self.fault == Fault::CutFromStore && self.is_faulty();
         let fronts = u32::try_from(self.fronts.len()).expect("fits");
-        let next = self
-            .granter
-            .freshness
-            .next_read(self.now, true, fronts, &self.limits, 0.0);
+        let next =
+            self.granter
+                .freshness
+                .next_read(self.now, true, Some(fronts), &self.limits, 0.0);
         if let NextRead::Relay(wait) = next
             && self.granter.call.is_none()
             && !no_store
@@ -231,7 +231,7 @@
         }
         match front
             .freshness
-            .next_read(now, false, fronts, &self.limits, spread)
+            .next_read(now, false, Some(fronts), &self.limits, spread)
         {
             NextRead::NotBefore(delay) => front.next = now + delay,
             NextRead::Watch | NextRead::Relay(_) => {
--- a/crates/carawayrill-gateway/src/forward/send.rs
+++ b/crates/carawayrill-gateway/src/forward/send.rs
@@ -24,6 +24,7 @@
 use crate::clock;
 use crate::port::ResponseMetadata;
 use crate::port::SendMetadata;
+use crate::port::ServerRefusal;
 use crate::state::InFlight;
 use crate::upstream::Reuse;
 use crate::upstream::SendError;
@@ -275,8 +276,8 @@
         if is_own || is_unnamed {
             self.note_server_state(server, metadata);
         }
-        if (metadata.not_run || metadata.misdirected) && (is_own || is_unnamed) {
-            let misdirected = metadata.misdirected;
+        if let Some(refusal) = metadata.refusal.filter(|_| is_own || is_unnamed) {
+            let misdirected = refusal == ServerRefusal::Misdirected;
             let ended = if misdirected {
                 AttemptResult::Unknown
             } else {
--- a/crates/carawayrill-gateway/src/granter_runtime/mod.rs
+++ b/crates/carawayrill-gateway/src/granter_runtime/mod.rs
@@ -2,6 +2,7 @@
 //! the spans to the fronts.
 
 mod capacity;
+mod restore;
 mod stored;
 
 use std::collections::BTreeMap;
@@ -44,10 +45,10 @@
 use tokio::sync::watch;
 
 use self::capacity::capacities;
+use self::restore::StoredRecords;
 pub use self::stored::SPANS_KIND;
 use self::stored::holds_record;
 use self::stored::read_record;
-use self::stored::read_stored;
 pub use self::stored::read_tables;
 use crate::clock;
 use crate::lease_manager::LeaseManager;
@@ -122,15 +123,7 @@
 
 #[derive(Debug)]
 struct State {
-    stored: BTreeMap<ServiceId, (Version, SpanRecord)>,
-    /// The era of the store in which the records were read or written.
-    era: Era,
-    /// Whether the records are being read anew, because the store is in a later era.
-    entering_era: bool,
-    /// Whether a missing record may have been lost when the store was restored.
-    may_have_lost_records: bool,
-    /// The version of the lease in that era.
-    lease: StoredVersion,
+    stored: StoredRecords,
     granters: BTreeMap<ServiceId, Granter>,
     /// The number of listed servers of services without spans, and since when it is unchanged.
     listed_servers: BTreeMap<ServiceId, (usize, Time)>,
@@ -173,14 +166,10 @@
         store: Arc<dyn ObjectStore>,
         orders: Arc<dyn SpanOrderSender>,
     ) -> Result<Arc<Self>, Error> {
-        let (era, stored) = read_stored(&*store).await?;
-        if era != lease_manager.version().era {
-            return Err(Error::malformed("the store was restored"));
-        }
+        let stored = StoredRecords::read(&*store, &lease_manager).await?;
         let now = clock::now();
         let shared = Arc::clone(lease_manager.shared());
         let lease = lease_manager.version();
-        let may_have_lost_records = !lease_manager.is_first_era();
         Ok(Arc::new(Self {
             lease,
             lease_manager,
@@ -190,10 +179,6 @@
             started: now,
             state: Mutex::new(State {
                 stored,
-                era,
-                entering_era: false,
-                may_have_lost_records,
-                lease,
                 granters: BTreeMap::new(),
                 listed_servers: BTreeMap::new(),
                 demand: BTreeMap::new(),
@@ -314,33 +299,6 @@
         self.publish_update(now);
     }
 
-    /// Starts to write the records anew if the store was restored from an older copy and this front
-    /// has renewed its lease since.
-    fn follow_era(self: &Arc<Self>) {
-        let era = self.store.era();
-        let mut state = self.state();
-        let renewed = self.lease_manager.version().era == era && self.lease_manager.holds();
-        if era != state.era && renewed && !state.entering_era {
-            state.entering_era = true;
-            tokio::spawn(Arc::clone(self).enter_era(era));
-        }
-    }
-
-    async fn enter_era(self: Arc<Self>, era: Era) {
-        let read = read_stored(&*self.store).await;
-        let lease = self.lease_manager.version();
-        let mut state = self.state();
-        state.entering_era = false;
-        match read {
-            Ok((read_era, stored)) if read_era == era && lease.era == era => {
-                log::warn!("the store was restored: writing the spans again in era {era}");
-                state.enter_era(lease, &stored);
-            }
-            Ok((read_era, _)) => log::info!("read spans of era {read_era} instead of era {era}"),
-            Err(err) => log::info!("could not read the restored spans: {err}"),
-        }
-    }
-
     /// Publishes an update to the fronts if something changed or the heartbeat is due.
     fn publish_update(&self, now: Time) {
         let update = {
@@ -423,8 +381,13 @@
     fn adopt_stored(&self, service: &ServiceId, era: Era, found: Option<Object>) {
         log::warn!("another granter wrote the spans of {service}");
         let now = clock::now();
-        let read = found.and_then(|found| Some((found.version, read_record(&found)?.1)));
-        let stored = stored_spans(era, read, false, self.lease_manager.version());
+        let version = found.as_ref().map_or(Version(0), |found| found.version);
+        let stored = StoredSpans {
+            version: StoredVersion { era, version },
+            record: found.and_then(|found| Some(read_record(&found)?.1)),
+            may_be_lost: false,
+            lease: self.lease_manager.version(),
+        };
         if let Some(granter) = self.state().granters.get_mut(service) {
             granter.adopt(stored, now);
         }
@@ -485,44 +448,7 @@
     }
 }
 
-/// Returns what the store says of one service, where `read` is its record.
-fn stored_spans(
-    era: Era,
-    read: Option<(Version, SpanRecord)>,
-    may_be_lost: bool,
-    lease: StoredVersion,
-) -> StoredSpans {
-    let version = read.as_ref().map_or(Version(0), |(version, _)| *version);
-    StoredSpans {
-        version: StoredVersion { era, version },
-        record: read.map(|(_, record)| record),
-        may_be_lost,
-        lease,
-    }
-}
-
 impl State {
-    /// Continues in a later era of the store, which has the records in `stored`.
-    ///
-    /// `lease` is the version of the lease as renewed in that era.
-    fn enter_era(
-        &mut self,
-        lease: StoredVersion,
-        stored: &BTreeMap<ServiceId, (Version, SpanRecord)>,
-    ) {
-        let era = lease.era;
-        self.era = era;
-        self.lease = lease;
-        self.may_have_lost_records = true;
-        self.stored.clone_from(stored);
-        for (service, granter) in &mut self.granters {
-            let version = stored
-                .get(service)
-                .map_or(Version(0), |(version, _)| *version);
-            granter.enter_era(StoredVersion { era, version }, lease);
-        }
-    }
-
     /// Creates the granters of new keyed services, and removes those of services that are gone.
     fn update_granters(&mut self, tables: &Tables, cfg: Config, now: Time, started: Time) {
         let Some(manifest) = tables.manifest.as_ref().filter(|_| tables.servers_read) else {
@@ -535,9 +461,8 @@
             if self.granters.contains_key(name) {
                 continue;
             }
-            let stored = self.stored.remove(name);
-            let is_new = stored.is_none();
-            let stored = stored_spans(self.era, stored, self.may_have_lost_records, self.lease);
+            let stored = self.stored.take(name);
+            let is_new = stored.record.is_none();
             if is_new && !self.may_assign_first(tables, name, now, started) {
                 continue;
             }
--- a/crates/carawayrill-gateway/src/granter_stream/mod.rs
+++ b/crates/carawayrill-gateway/src/granter_stream/mod.rs
@@ -49,6 +49,9 @@
 const REJOIN_DELAY: Duration = Duration::from_millis(100);
 /// The time without a connection to the granter after which a front reads the spans from the store.
 const STORE_READ_DELAY: Duration = Duration::from_millis(700);
+/// The time without a connection to the granter for which the spans that it has sent are current
+/// enough: no other granter moves keys before its lease has expired.
+const KNOWN_SPANS_TTL: Duration = Duration::from_secs(4);
 /// The interval between two reads of the spans from the store.
 const STORE_READ_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -251,10 +254,15 @@
     let shared = Arc::clone(lease_manager.shared());
     loop {
         tokio::time::sleep(STORE_READ_DELAY).await;
+        let enough = if shared.tables().lacks_spans() {
+            STORE_READ_DELAY
+        } else {
+            KNOWN_SPANS_TTL
+        };
         let joined = lease_manager.granter_runtime().is_some()
             || lease_manager
                 .time_since_contact()
-                .is_some_and(|elapsed| elapsed < STORE_READ_DELAY);
+                .is_some_and(|elapsed| elapsed < enough);
         if joined {
             continue;
         }
--- a/crates/carawayrill-gateway/src/knowledge/mod.rs
+++ b/crates/carawayrill-gateway/src/knowledge/mod.rs
@@ -159,10 +159,23 @@
         self.state().log.as_ref().map(ChangeLog::position)
     }
 
-    /// Returns the time since the knowledge was last known to be complete.
-    #[must_use]
-    pub fn age(&self, now: Time) -> Option<Duration> {
-        self.state().freshness.age(now)
+    /// Brings the metrics of this kind up to date.
+    pub fn update_metrics(&self, now: Time) {
+        let (age, source) = {
+            let state = self.state();
+            (state.freshness.age(now), state.source)
+        };
+        let metrics = &self.shared.metrics;
+        let age = age.unwrap_or_default().as_secs_f64();
+        let from_store = f64::from(u8::from(source == Some(Source::Store)));
+        metrics
+            .knowledge_age
+            .with_label_values(&[self.kind])
+            .set(age);
+        metrics
+            .knowledge_from_store
+            .with_label_values(&[self.kind])
+            .set(from_store);
     }
 
     /// Returns the delay between a change and the next watch of this front.
@@ -178,7 +191,7 @@
         let (fronts, spread) = {
             let mut tables = self.shared.tables();
             let spread = tables.rng.random_range(0.0..=1.0);
-            (tables.fronts.get(), spread)
+            (tables.fronts.reported(), spread)
         };
         let state = self.state();
         if state.log.is_none() {
@@ -190,7 +203,7 @@
     }
 
     /// Applies the complete list of objects, which was asked for at `sent`.
-    pub fn apply_snapshot(&self, changes: Changes, sent: Time) {
+    pub fn apply_snapshot(&self, changes: &Changes, sent: Time) {
         let position = StorePosition {
             era: changes.era,
             revision: changes.revision,
--- a/crates/carawayrill-gateway/src/lease_manager.rs
+++ b/crates/carawayrill-gateway/src/lease_manager.rs
@@ -55,6 +55,15 @@
 /// The maximum wait for moves to complete before the lease is released.
 const HANDOVER_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// This front's stream to the granter.
+#[derive(Debug, Clone, Copy, Default)]
+struct Contact {
+    /// When the last update of the granter arrived.
+    last: Option<Time>,
+    /// Whether the stream is open.
+    is_open: bool,
+}
+
 /// Manages this front's participation in the granter's lease.
 #[derive(Debug)]
 pub struct LeaseManager {
@@ -63,8 +72,7 @@
     store: Arc<dyn ObjectStore>,
     orders: Arc<dyn SpanOrderSender>,
     view: Mutex<LeaseView>,
-    /// When the last update of the granter arrived.
-    last_contact: Mutex<Option<Time>>,
+    contact: Mutex<Contact>,
     granter_runtime: watch::Sender<Option<Arc<GranterRuntime>>>,
     stopping: watch::Sender<bool>,
 }
@@ -94,7 +102,7 @@
             store,
             orders,
             view: Mutex::new(LeaseView::new(own, first_start)),
-            last_contact: Mutex::new(None),
+            contact: Mutex::default(),
             granter_runtime: watch::Sender::new(None),
             stopping: watch::Sender::new(false),
         }
@@ -104,6 +112,10 @@
         self.view.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn contact(&self) -> MutexGuard<'_, Contact> {
+        self.contact.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns the settings and tables of this front.
     #[must_use]
     pub fn shared(&self) -> &Arc<Shared> {
@@ -149,10 +161,10 @@
     /// Records an update of the granter and the lease version in it.
     pub fn record_contact(&self, version: StoredVersion) {
         let now = clock::now();
-        *self
-            .last_contact
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner) = Some(now);
+        *self.contact() = Contact {
+            last: Some(now),
+            is_open: true,
+        };
         let mut view = self.view();
         let lease = view.current().cloned();
         view.observe(version, lease, now);
@@ -161,11 +173,8 @@
     /// Returns the time since the last update of the granter.
     #[must_use]
     pub fn time_since_contact(&self) -> Option<Duration> {
-        let last_contact = *self
-            .last_contact
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        last_contact.map(|at| clock::now().since(at))
+        let last = self.contact().last;
+        last.map(|at| clock::now().since(at))
     }
 
     /// Returns the time without an update after which the granter counts as unreachable.
@@ -177,16 +186,14 @@
 
     fn has_recent_contact(&self) -> bool {
         let timeout = self.contact_timeout();
-        self.time_since_contact()
-            .is_some_and(|elapsed| elapsed < timeout)
+        let is_open = self.contact().is_open;
+        let elapsed = self.time_since_contact();
+        is_open && elapsed.is_some_and(|elapsed| elapsed < timeout)
     }
 
     /// Records that the stream to the granter has ended.
     pub fn clear_contact(&self) {
-        *self
-            .last_contact
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner) = None;
+        self.contact().is_open = false;
     }
 
     /// Claims, renews or follows the lease. Never returns.
--- a/crates/carawayrill-gateway/src/metrics.rs
+++ b/crates/carawayrill-gateway/src/metrics.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use prometheus::Encoder;
+use prometheus::GaugeVec;
 use prometheus::Histogram;
 use prometheus::HistogramOpts;
 use prometheus::IntCounter;
@@ -45,6 +46,10 @@
     pub in_flight: IntGauge,
     /// 1 while this front is the granter, otherwise 0.
     pub granter: IntGauge,
+    /// The age of what this front knows of the store, in seconds, by kind of object.
+    pub knowledge_age: GaugeVec,
+    /// 1 while this front itself reads changes of a kind of object from the store, otherwise 0.
+    pub knowledge_from_store: GaugeVec,
 }
 
 fn counters(registry: &Registry, name: &str, help: &str) -> Result<IntCounterVec, Error> {
@@ -72,6 +77,14 @@
     Ok(gauge)
 }
 
+fn gauges(registry: &Registry, name: &str, help: &str) -> Result<GaugeVec, Error> {
+    let gauges = GaugeVec::new(Opts::new(name, help), &["kind"]).map_err(Error::metrics)?;
+    registry
+        .register(Box::new(gauges.clone()))
+        .map_err(Error::metrics)?;
+    Ok(gauges)
+}
+
 fn histogram(registry: &Registry, name: &str, help: &str) -> Result<Histogram, Error> {
     let opts = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS.to_vec());
     let histogram = Histogram::with_opts(opts).map_err(Error::metrics)?;
@@ -103,6 +116,12 @@
             dropped_log_lines: counter(r, "log_lines_left_out_total", "Request lines left out")?,
             in_flight: gauge(r, "in_flight", "Requests in flight")?,
             granter: gauge(r, "granter", "1 while this front is the granter")?,
+            knowledge_age: gauges(r, "knowledge_age_seconds", "Age of what is known")?,
+            knowledge_from_store: gauges(
+                r,
+                "knowledge_from_store",
+                "1 while changes are read from the store",
+            )?,
             registry,
         })
     }
--- a/crates/carawayrill-gateway/src/port.rs
+++ b/crates/carawayrill-gateway/src/port.rs
@@ -45,6 +45,15 @@
     pub timeout: Duration,
 }
 
+/// Why a server did not run a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ServerRefusal {
+    /// The server is not the intended one, or does not hold the key.
+    Misdirected,
+    /// Any other reason, such as a full queue.
+    NotRun,
+}
+
 /// The metadata in the status and headers of a response.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct ResponseMetadata {
@@ -52,10 +61,8 @@
     pub request: Option<CompactString>,
     /// Whether the server signed the response.
     pub signed: bool,
-    /// Whether the server reports that it did not run the request.
-    pub not_run: bool,
-    /// Whether the server reports that it is not the intended one or does not hold the key.
-    pub misdirected: bool,
+    /// The reason why the server did not run the request, if it reports that.
+    pub refusal: Option<ServerRefusal>,
     /// The load that the server reports.
     pub load: Option<LoadReport>,
     /// How long the server keeps an idle connection open, if it says so.
--- a/crates/carawayrill-gateway/src/ready.rs
+++ b/crates/carawayrill-gateway/src/ready.rs
@@ -45,15 +45,13 @@
             return Err("stopping");
         }
         let tables = self.shared.tables();
-        let manifest = tables.manifest.as_ref().ok_or("no-manifest")?;
+        if tables.manifest.is_none() {
+            return Err("no-manifest");
+        }
         if !tables.servers_read {
             return Err("no-servers");
         }
-        let lacks_spans = manifest
-            .services
-            .iter()
-            .any(|service| service.keyed && !tables.spans.contains_key(&service.name));
-        if lacks_spans {
+        if tables.lacks_spans() {
             return Err("no-spans");
         }
         Ok(())
--- a/crates/carawayrill-gateway/src/run.rs
+++ b/crates/carawayrill-gateway/src/run.rs
@@ -149,6 +149,7 @@
     }
     tokio::spawn(watcher::run_cleanup(
         Arc::clone(lease_manager.shared()),
+        Arc::clone(knowledge),
         Arc::clone(upstream),
     ));
 }
--- a/crates/carawayrill-gateway/src/state.rs
+++ b/crates/carawayrill-gateway/src/state.rs
@@ -163,6 +163,16 @@
         newer
     }
 
+    /// Returns whether the spans of a keyed service are not known.
+    #[must_use]
+    pub fn lacks_spans(&self) -> bool {
+        let Some(manifest) = &self.manifest else {
+            return true;
+        };
+        let mut keyed = manifest.services.iter().filter(|service| service.keyed);
+        keyed.any(|service| !self.spans.contains_key(&service.name))
+    }
+
     /// Finds the route of a request.
     pub fn find_route(&mut self, host: &str, path: &str) -> Option<RouteMatch> {
         self.routes.find(host, path)
--- a/crates/carawayrill-gateway/src/watcher.rs
+++ b/crates/carawayrill-gateway/src/watcher.rs
@@ -17,6 +17,7 @@
 use rand::RngExt;
 
 use crate::clock;
+use crate::knowledge::Knowledge;
 use crate::knowledge::KnownKind;
 use crate::lease_manager::LeaseManager;
 use crate::state::Shared;
@@ -181,16 +182,19 @@
         .watch(known.kind(), Revision(0), Duration::ZERO)
         .await
         .map_err(|err| FailedRead { sent, err })?;
-    known.apply_snapshot(listed, sent);
+    known.apply_snapshot(&listed, sent);
     Ok(ReadResult::Unchanged)
 }
 
 /// Removes servers that did not reappear after a store outage, and expired idle connections. Never
 /// returns.
-pub async fn run_cleanup(shared: Arc<Shared>, upstream: Arc<Upstream>) {
+pub async fn run_cleanup(shared: Arc<Shared>, knowledge: Arc<Knowledge>, upstream: Arc<Upstream>) {
     loop {
         tokio::time::sleep(CLEANUP_INTERVAL).await;
         let now = clock::now();
+        for known in knowledge.kinds() {
+            known.update_metrics(now);
+        }
         let removed = shared.tables().servers.expire(now);
         for change in &removed {
             log::info!("server entry did not reappear after the store outage: {change:?}");
