Refuse requests that arrive in the second half of a planned stop; merge spans of a former granter

And spans that a former granter recorded were never merged, since they stayed marked as inherited. Change: from the closing phase on, new requests get 503 at once and go to another front; the merge waits for the end of the former granter's orders instead.

--- a/crates/carawayrill-core/src/direct/granter/row.rs
+++ b/crates/carawayrill-core/src/direct/granter/row.rs
@@ -168,9 +168,9 @@
     }
 
     /// Returns whether the span may be merged with a neighbour of the same holder: the holder serves
-    /// it, and no order is on its way.
+    /// it, and no order is on its way, not even one of an earlier granter.
     pub(super) fn is_mergeable(&self, now: Time) -> bool {
-        let is_calm = self.in_flight.is_none() && self.failures == 0 && !self.inherited;
+        let is_calm = self.in_flight.is_none() && self.failures == 0;
         is_calm && !self.is_moving() && now < self.hold_until && now >= self.unsettled_until
     }
 
--- a/crates/carawayrill-gateway/src/front.rs
+++ b/crates/carawayrill-gateway/src/front.rs
@@ -58,7 +58,7 @@
 /// The maximum number of request log lines per second.
 const MAX_LOG_LINES_PER_SECOND: u64 = 400;
 
-/// The retry-after time of a request that arrives at the end of a shutdown. Another front takes it.
+/// The retry-after time of a request that arrives late in a shutdown.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
 /// How long a new connection is kept open for its first request during a shutdown.
 const NEW_CONNECTION_GRACE: Duration = Duration::from_millis(500);
@@ -232,7 +232,9 @@
         let metadata = self.header_codec.parse_request(req.headers());
         let mut log_entry = AccessLogEntry::new(self, received, &metadata);
         self.shared.metrics.in_flight.inc();
-        let reply = if *self.phase.borrow() >= Phase::Aborting {
+        // A request that is accepted this late might not end before the process does, and another
+        // front takes it.
+        let reply = if *self.phase.borrow() >= Phase::Closing {
             let after = Some(STOPPING_RETRY_AFTER);
             Reply::local(StatusCode::SERVICE_UNAVAILABLE, "stopping", after)
         } else {
