Let the weak fronts of a large fleet call a store that is away less often

Each refused call is priced. Change: fronts with less than half of the strongest one's processor time back off to 2.4 s and look for a new granter every 0.8 s; those that can become the granter do as before, and the granter tells the others.

--- a/crates/carawayrill-core/src/direct/fronts.rs
+++ b/crates/carawayrill-core/src/direct/fronts.rs
@@ -10,6 +10,23 @@
 /// fronts that have connected to it; dividing the limits by that number would exceed them in total.
 const LOWER_COUNT_DELAY: Duration = Duration::from_secs(12);
 
+/// The least number of fronts of which only the strong ones call the store often during an outage.
+const MIN_LARGE_FLEET: u32 = 30;
+/// The ratio of a front's processor time to that of the strongest front from which it is strong.
+const STRONG_SHARE: f64 = 0.5;
+
+/// Returns whether a front waits longer than others before it calls the store again: it is one of
+/// many, and not strong enough to become the granter soon. `fronts` is their number, as far as it is
+/// known.
+///
+/// Each call is paid for, also while the store is down. It is enough that some fronts notice its
+/// return, since one of them becomes the granter and tells the others.
+#[must_use]
+pub fn waits_longer(fronts: Option<u32>, cores: f64, strongest_cores: f64) -> bool {
+    let is_large = fronts.is_some_and(|fronts| fronts >= MIN_LARGE_FLEET);
+    is_large && cores < strongest_cores * STRONG_SHARE
+}
+
 /// The number of fronts as reported by the granter.
 #[derive(Debug, Clone, Copy)]
 pub struct FrontCount {
--- a/crates/carawayrill-core/tests/direct_fronts.rs
+++ b/crates/carawayrill-core/tests/direct_fronts.rs
@@ -1,7 +1,9 @@
-//! The number of fronts by which shared limits are divided.
+//! The number of fronts, by which shared limits are divided, and what depends on it.
 
 use carawayrill_core::direct::fronts::FrontCount;
+use carawayrill_core::direct::fronts::waits_longer;
 use carawayrill_core::time::Time;
+use rstest::rstest;
 
 #[test]
 fn a_lower_front_count_from_a_new_granter_is_applied_only_after_a_delay() {
@@ -18,3 +20,16 @@
     fronts.update(11, Time(20_000));
     assert_eq!(fronts.get(), 11);
 }
+
+#[rstest]
+#[case::strong_of_many(Some(295), 0.5, false)]
+#[case::weak_of_many(Some(295), 0.1, true)]
+#[case::weak_of_few(Some(11), 0.1, false)]
+#[case::of_unknown_number(None, 0.1, false)]
+fn only_the_weak_fronts_of_a_large_fleet_wait_longer(
+    #[case] fronts: Option<u32>,
+    #[case] cores: f64,
+    #[case] waits: bool,
+) {
+    assert_eq!(waits_longer(fronts, cores, 0.5), waits);
+}
--- a/crates/carawayrill-gateway/src/lease_manager.rs
+++ b/crates/carawayrill-gateway/src/lease_manager.rs
@@ -42,6 +42,8 @@
 const FOLLOWER_POLL_INTERVAL: Duration = Duration::from_millis(100);
 /// The interval at which a follower without a connection to the granter reads the lease.
 const LEASE_READ_INTERVAL: Duration = Duration::from_millis(400);
+/// The same for the weaker fronts of a large fleet.
+const LONGER_LEASE_READ_INTERVAL: Duration = Duration::from_millis(800);
 /// How long a follower waits for an update of the granter before it reads the lease.
 const CONTACT_TIMEOUT: Duration = Duration::from_millis(900);
 /// The addition to `CONTACT_TIMEOUT` per front: the granter sends updates to one front after the
@@ -208,7 +210,12 @@
             } else if self.has_recent_contact() || now < next_read {
                 FOLLOWER_POLL_INTERVAL
             } else {
-                next_read = now + LEASE_READ_INTERVAL + self.jitter(LEASE_READ_INTERVAL / 2);
+                let interval = if self.shared.waits_longer() {
+                    LONGER_LEASE_READ_INTERVAL
+                } else {
+                    LEASE_READ_INTERVAL
+                };
+                next_read = now + interval + self.jitter(interval / 2);
                 self.try_acquire(&mut dependency).await
             };
             tokio::time::sleep(wait).await;
--- a/crates/carawayrill-gateway/src/state.rs
+++ b/crates/carawayrill-gateway/src/state.rs
@@ -11,6 +11,7 @@
 use carawayrill_core::direct::admission::Candidate;
 use carawayrill_core::direct::admission::Distance;
 use carawayrill_core::direct::budget::RetryWindow;
+use carawayrill_core::direct::fronts;
 use carawayrill_core::direct::fronts::DEFAULT_FRONT_COUNT;
 use carawayrill_core::direct::fronts::FrontCount;
 use carawayrill_core::direct::load;
@@ -123,6 +124,13 @@
         self.tables.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns whether this front waits longer than others before it calls the store again.
+    pub fn waits_longer(&self) -> bool {
+        let tables = self.tables();
+        let fronts = tables.fronts.reported();
+        fronts::waits_longer(fronts, self.cfg.cores, tables.strongest_cores)
+    }
+
     /// Wakes requests that wait for a change of the tables.
     pub fn notify_changed(&self) {
         self.changed.send_modify(|count| *count += 1);
--- a/crates/carawayrill-gateway/src/watcher.rs
+++ b/crates/carawayrill-gateway/src/watcher.rs
@@ -32,6 +32,8 @@
 /// The maximum backoff after successive failed calls.
 const MAX_BACKOFF: Duration = Duration::from_millis(600);
 
+/// The maximum backoff of the weaker fronts of a large fleet.
+const LONGER_MAX_BACKOFF: Duration = Duration::from_millis(2_400);
 /// The time until a broken connection is detected while a call waits.
 const BREAK_DETECTION_TIME: Duration = Duration::from_secs(1);
 /// How often expired servers and idle connections are removed.
@@ -67,7 +69,12 @@
         }
         let doublings = self.failures.min(4);
         self.failures += 1;
-        let backoff = (MIN_BACKOFF * 2_u32.pow(doublings)).min(MAX_BACKOFF);
+        let max_backoff = if shared.waits_longer() {
+            LONGER_MAX_BACKOFF
+        } else {
+            MAX_BACKOFF
+        };
+        let backoff = (MIN_BACKOFF * 2_u32.pow(doublings)).min(max_backoff);
         backoff.mul_f64(shared.tables().rng.random_range(0.5..=1.0))
     }
 
