Notice that a caller has left also while its next request waits

Ruled out: the changed planned stop; the front had not stopped. Change: while a request is served, the front itself looks every 150 ms whether the end of the stream is next.

--- a/crates/carawayrill-gateway/src/front.rs
+++ b/crates/carawayrill-gateway/src/front.rs
@@ -1,6 +1,6 @@
 //! Accepts requests from callers and responds to them.
 
-use std::convert::Infallible;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
@@ -46,6 +46,7 @@
 use crate::port::HeaderCodec;
 use crate::port::Key;
 use crate::port::RequestMetadata;
+use crate::shared_stream::SharedStream;
 use crate::state::Shared;
 use crate::upstream::Upstream;
 
@@ -202,9 +203,17 @@
         }
         let limits = self.caller_limits();
         let front = Arc::clone(&self);
+        let stream = SharedStream::new(stream);
+        let caller = stream.clone();
         let service = service_fn(move |req| {
             let front = Arc::clone(&front);
-            async move { Ok::<_, Infallible>(front.serve(req).await) }
+            let caller = caller.clone();
+            async move {
+                tokio::select! {
+                    resp = front.serve(req) => Ok(resp),
+                    () = caller.closed() => Err(std::io::Error::from(ErrorKind::ConnectionAborted)),
+                }
+            }
         });
         let mut builder = http1::Builder::new();
         builder
--- a/crates/carawayrill-gateway/src/lib.rs
+++ b/crates/carawayrill-gateway/src/lib.rs
@@ -7,7 +7,8 @@
 //! - [`front`]: accepts requests from callers and responds to them,
 //! - [`forward`]: forwards one request, with retries and hedging,
 //! - [`upstream`]: connections to servers,
-//! - [`watcher`]: watches the manifest and the server list in the store,
+//! - [`knowledge`] and [`watcher`]: what is known of the manifest and the servers, and reading it
+//!   from the store,
 //! - [`lease_manager`] and [`granter_runtime`]: the granter's lease, and the execution of its
 //!   decisions,
 //! - [`granter_stream`]: the stream between fronts and the granter,
@@ -27,6 +28,7 @@
 pub mod port;
 pub mod ready;
 pub mod run;
+mod shared_stream;
 pub mod spans;
 pub mod state;
 pub mod upstream;
