Split the granter's state and the access log from long files; look for a silent granter sooner

Change: 5 ms instead of 10 ms a front are added to the time without an update after which a front looks at the lease; granter_runtime::state and access_log are modules of their own.

--- a/crates/carawayrill-core/tests/direct_granter.rs
+++ b/crates/carawayrill-core/tests/direct_granter.rs
@@ -241,3 +241,15 @@
     assert_eq!(last.era, Era(2));
     assert!(last.next_fence >= Fence::first_after(version(2, 4)));
 }
+
+/// Each earlier granter of the era stored records under versions below that of this lease, and each
+/// record gives out nine fences a key at most.
+#[test]
+fn a_granter_without_a_record_starts_above_the_fences_of_earlier_ones() {
+    let most_fences_of_a_record = 9 << 16;
+    let earlier = Fence::first_after(version(2, 7));
+    let later = Fence::first_after(version(2, 8));
+    assert!(later.0 >= earlier.0 + most_fences_of_a_record);
+    let next_era = Fence::first_after(version(3, 0));
+    assert!(next_era > Fence::first_after(version(2, (1 << 28) - 1)));
+}
--- a/crates/carawayrill-gateway/src/front.rs
+++ b/crates/carawayrill-gateway/src/front.rs
@@ -10,12 +10,8 @@
 use bytes::Bytes;
 use carawayrill_core::direct::manifest::CallerLimits;
 use carawayrill_core::direct::manifest::Manifest;
-use carawayrill_core::event::EventKind;
-use carawayrill_core::event::RequestRecord;
 use carawayrill_core::time::Time;
 use carawayrill_core::time::millis;
-use carawayrill_telemetry::emit;
-use compact_str::CompactString;
 use compact_str::ToCompactString;
 use http::HeaderMap;
 use http::HeaderValue;
@@ -39,6 +35,8 @@
 use tokio::sync::watch;
 
 use crate::Error;
+use crate::access_log::AccessLogEntry;
+use crate::access_log::LogLineLimiter;
 use crate::clock;
 use crate::forward::AcceptedRequest;
 use crate::forward::Forwarder;
@@ -56,8 +54,6 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// The smallest header buffer that the HTTP library accepts, in bytes.
 const MIN_HEADER_BUFFER_BYTES: usize = 8_192;
-/// The maximum number of request log lines per second.
-const MAX_LOG_LINES_PER_SECOND: u64 = 400;
 
 /// The retry-after time of a request that arrives late in a shutdown.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
@@ -104,24 +100,6 @@
     log_limiter: LogLineLimiter,
 }
 
-/// Limits the rate of request log lines.
-#[derive(Debug, Default)]
-struct LogLineLimiter {
-    second: std::sync::atomic::AtomicU64,
-    written: std::sync::atomic::AtomicU64,
-}
-
-impl LogLineLimiter {
-    /// Returns whether one more line may be logged now.
-    fn allow(&self, now: Time) -> bool {
-        let second = now.0 / 1_000;
-        if self.second.swap(second, Ordering::Relaxed) != second {
-            self.written.store(0, Ordering::Relaxed);
-        }
-        self.written.fetch_add(1, Ordering::Relaxed) < MAX_LOG_LINES_PER_SECOND
-    }
-}
-
 /// Listens on an address.
 ///
 /// # Errors
@@ -239,7 +217,8 @@
     async fn serve(&self, req: Request<Incoming>) -> Response<Full<Bytes>> {
         let received = clock::now();
         let metadata = self.header_codec.parse_request(req.headers());
-        let mut log_entry = AccessLogEntry::new(self, received, &metadata);
+        let mut log_entry =
+            AccessLogEntry::new(&self.shared, &self.log_limiter, received, &metadata);
         self.shared.metrics.in_flight.inc();
         // A request that is accepted this late might not end before the process does, and another
         // front takes it.
@@ -434,70 +413,6 @@
     }
 }
 
-/// The access log entry of one request. It is also written if the caller disconnects.
-#[derive(Debug)]
-struct AccessLogEntry<'a> {
-    front: &'a Front,
-    received: Time,
-    record: RequestRecord,
-    ended: bool,
-}
-
-impl<'a> AccessLogEntry<'a> {
-    fn new(front: &'a Front, received: Time, metadata: &RequestMetadata) -> Self {
-        Self {
-            front,
-            received,
-            record: RequestRecord {
-                request: metadata.id.clone().unwrap_or_default(),
-                route: CompactString::default(),
-                service: CompactString::default(),
-                key: None,
-                manifest: 0,
-                status: 0,
-                reason: "caller-left".into(),
-                limit_ms: metadata.timeout.map_or(0, millis),
-                took_ms: 0,
-                waited_ms: 0,
-                retry_after_ms: None,
-                tries: Vec::new(),
-                believed: None,
-            },
-            ended: false,
-        }
-    }
-
-    fn end(&mut self, reply: &Reply) {
-        self.record.status = reply.status.as_u16();
-        self.record.reason = reply.reason.into();
-        self.record.retry_after_ms = reply.retry_after.map(millis);
-        self.finish();
-    }
-
-    fn finish(&mut self) {
-        self.ended = true;
-        let now = clock::now();
-        let took = now.since(self.received);
-        self.record.took_ms = millis(took);
-        let metrics = &self.front.shared.metrics;
-        metrics.record_request(&self.record.reason, took);
-        metrics.in_flight.dec();
-        if self.front.log_limiter.allow(now) {
-            emit(EventKind::Request(self.record.clone()));
-        } else {
-            metrics.dropped_log_lines.inc();
-        }
-    }
-}
-
-impl Drop for AccessLogEntry<'_> {
-    fn drop(&mut self) {
-        if !self.ended {
-            self.finish();
-        }
-    }
-}
-
 /// Returns the URI with only path and query.
 fn origin_form(uri: &Uri) -> Uri {
     uri.path_and_query()
--- a/crates/carawayrill-gateway/src/granter_runtime/mod.rs
+++ b/crates/carawayrill-gateway/src/granter_runtime/mod.rs
@@ -3,6 +3,7 @@
 
 mod capacity;
 mod restore;
+mod state;
 mod stored;
 
 use std::collections::BTreeMap;
@@ -14,18 +15,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use carawayrill_core::direct::demand::KeyDemand;
 use carawayrill_core::direct::granter::Action;
 use carawayrill_core::direct::granter::Command;
-use carawayrill_core::direct::granter::Config;
 use carawayrill_core::direct::granter::Granter;
-use carawayrill_core::direct::granter::Inputs;
 use carawayrill_core::direct::granter::OrderResult;
 use carawayrill_core::direct::granter::SpanOrder;
 use carawayrill_core::direct::granter::StoredSpans;
 use carawayrill_core::direct::keys::Born;
 use carawayrill_core::direct::knowledge::StoredVersion;
-use carawayrill_core::direct::rebalance::Capacities;
 use carawayrill_core::direct::spans::SpanRecord;
 use carawayrill_core::event::EventKind;
 use carawayrill_core::id::Era;
@@ -44,8 +41,8 @@
 use compact_str::format_compact;
 use tokio::sync::watch;
 
-use self::capacity::capacities;
 use self::restore::StoredRecords;
+use self::state::State;
 pub use self::stored::SPANS_KIND;
 use self::stored::holds_record;
 use self::stored::read_record;
@@ -54,9 +51,7 @@
 use crate::lease_manager::LeaseManager;
 use crate::port::SpanOrderSender;
 use crate::spans::PublishedTable;
-use crate::spans::TablePosition;
 use crate::state::Shared;
-use crate::state::Tables;
 
 /// The interval between two rounds of decisions.
 const TICK_INTERVAL: Duration = Duration::from_millis(40);
@@ -64,16 +59,6 @@
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(300);
 /// The minimum interval between two updates, per reporting front.
 const UPDATE_INTERVAL_PER_FRONT: Duration = Duration::from_micros(700);
-/// The time constant of the moving average of demand by key.
-const DEMAND_TIME_CONSTANT: Duration = Duration::from_millis(1_200);
-/// The interval at which reports are added to the moving average of demand.
-const DEMAND_INTERVAL: Duration = Duration::from_millis(150);
-/// How long the number of listed servers must stay the same before keys are first assigned.
-const FIRST_ASSIGNMENT_QUIET_TIME: Duration = Duration::from_millis(1_800);
-/// The maximum wait before keys are first assigned.
-const FIRST_ASSIGNMENT_MAX_WAIT: Duration = Duration::from_millis(4_500);
-/// How long a front counts as alive after its last report.
-const FRONT_TTL: Duration = Duration::from_secs(2);
 /// The delay before a failed write is retried.
 const WRITE_RETRY_DELAY: Duration = Duration::from_millis(120);
 
@@ -114,33 +99,6 @@
     pub tables: BTreeMap<ServiceId, Arc<PublishedTable>>,
 }
 
-/// A front that sends reports.
-#[derive(Debug)]
-struct ReportingFront {
-    last_report: Time,
-    cores: f64,
-}
-
-#[derive(Debug)]
-struct State {
-    stored: StoredRecords,
-    granters: BTreeMap<ServiceId, Granter>,
-    /// The number of listed servers of services without spans, and since when it is unchanged.
-    listed_servers: BTreeMap<ServiceId, (usize, Time)>,
-    demand: BTreeMap<ServiceId, KeyDemand>,
-    /// The service time of each server in milliseconds, by reporting front.
-    service_times: HashMap<ServerId, HashMap<CompactString, f64>>,
-    fronts: HashMap<CompactString, ReportingFront>,
-    /// The capacity of the servers of each keyed service.
-    capacities: BTreeMap<ServiceId, Capacities>,
-    /// When the demand and the capacities were last brought up to date.
-    demand_advanced_at: Time,
-    published_at: Time,
-    published: BTreeMap<ServiceId, Arc<PublishedTable>>,
-    store_unreachable: bool,
-    stopping: bool,
-}
-
 /// The runtime of the front that is the granter.
 #[derive(Debug)]
 pub struct GranterRuntime {
@@ -177,20 +135,7 @@
             store,
             orders,
             started: now,
-            state: Mutex::new(State {
-                stored,
-                granters: BTreeMap::new(),
-                listed_servers: BTreeMap::new(),
-                demand: BTreeMap::new(),
-                service_times: HashMap::new(),
-                fronts: HashMap::new(),
-                capacities: BTreeMap::new(),
-                demand_advanced_at: Time::default(),
-                published_at: now,
-                published: BTreeMap::new(),
-                store_unreachable: false,
-                stopping: false,
-            }),
+            state: Mutex::new(State::new(stored, now)),
             updates: watch::Sender::new(Arc::default()),
         }))
     }
@@ -213,25 +158,7 @@
     /// Adds the report of a front.
     pub fn add_report(&self, report: Report) {
         self.mark_leaving(&report);
-        let mut state = self.state();
-        let front = ReportingFront {
-            last_report: clock::now(),
-            cores: report.cores,
-        };
-        state.fronts.insert(report.front.clone(), front);
-        for (service, keys) in report.demand {
-            let demand = state
-                .demand
-                .entry(service)
-                .or_insert_with(|| KeyDemand::new(DEMAND_TIME_CONSTANT));
-            for (key, requests) in keys {
-                demand.add(key, requests);
-            }
-        }
-        for (server, service_ms) in report.service_times {
-            let by_front = state.service_times.entry(server).or_default();
-            by_front.insert(report.front.clone(), service_ms);
-        }
+        self.state().add_report(report, clock::now());
     }
 
     /// Marks the servers that another front knows to be leaving, so that their keys are moved.
@@ -313,9 +240,7 @@
                 return;
             }
             state.published_at = now;
-            state
-                .fronts
-                .retain(|_, front| now.since(front.last_report) < FRONT_TTL);
+            state.remove_silent_fronts(now);
             state.refresh_published(self.lease);
             let front_count = u32::try_from(state.fronts.len()).unwrap_or(u32::MAX);
             let cores = state.fronts.values().map(|front| front.cores);
@@ -447,121 +372,3 @@
         });
     }
 }
-
-impl State {
-    /// Creates the granters of new keyed services, and removes those of services that are gone.
-    fn update_granters(&mut self, tables: &Tables, cfg: Config, now: Time, started: Time) {
-        let Some(manifest) = tables.manifest.as_ref().filter(|_| tables.servers_read) else {
-            return;
-        };
-        let keyed = |service: &ServiceId| manifest.service(service).is_some_and(|one| one.keyed);
-        self.granters.retain(|service, _| keyed(service));
-        for service in manifest.services.iter().filter(|service| service.keyed) {
-            let name = &service.name;
-            if self.granters.contains_key(name) {
-                continue;
-            }
-            let stored = self.stored.take(name);
-            let is_new = stored.record.is_none();
-            if is_new && !self.may_assign_first(tables, name, now, started) {
-                continue;
-            }
-            let granter = Granter::new(name.clone(), cfg, stored, now);
-            self.granters.insert(name.clone(), granter);
-            self.demand
-                .entry(name.clone())
-                .or_insert_with(|| KeyDemand::new(DEMAND_TIME_CONSTANT));
-        }
-    }
-
-    /// Returns whether the list of a service's servers seems complete.
-    fn may_assign_first(
-        &mut self,
-        tables: &Tables,
-        name: &ServiceId,
-        now: Time,
-        started: Time,
-    ) -> bool {
-        let count = tables.servers.ready_servers(name).count();
-        let (previous_count, since) = *self.listed_servers.get(name).unwrap_or(&(0, now));
-        if count != previous_count {
-            self.listed_servers.insert(name.clone(), (count, now));
-            return false;
-        }
-        let quiet = now.since(since) >= FIRST_ASSIGNMENT_QUIET_TIME;
-        count > 0 && (quiet || now.since(started) >= FIRST_ASSIGNMENT_MAX_WAIT)
-    }
-
-    fn advance_demand(&mut self, tables: &Tables, now: Time) {
-        let elapsed = now.since(self.demand_advanced_at);
-        if elapsed < DEMAND_INTERVAL {
-            return;
-        }
-        self.demand_advanced_at = now;
-        for service in self.granters.keys() {
-            let capacities = capacities(service, tables, &self.service_times);
-            self.capacities.insert(service.clone(), capacities);
-        }
-        for demand in self.demand.values_mut() {
-            demand.advance(elapsed);
-        }
-    }
-
-    fn decide(&mut self, tables: &Tables, now: Time) -> Vec<(ServiceId, Action)> {
-        let mut actions = Vec::new();
-        for (service, granter) in &mut self.granters {
-            let Some(demand) = self.demand.get(service) else {
-                continue;
-            };
-            let Some(capacities) = self.capacities.get(service) else {
-                continue;
-            };
-            let inputs = Inputs {
-                now,
-                servers: &tables.servers,
-                demand,
-                capacities,
-                store_unreachable: self.store_unreachable,
-                stopping: self.stopping,
-            };
-            let decided = granter.tick(&inputs);
-            actions.extend(decided.into_iter().map(|action| (service.clone(), action)));
-        }
-        actions
-    }
-
-    /// Returns whether there are changes that are not published.
-    fn has_unpublished_changes(&self) -> bool {
-        let published = |service: &ServiceId| {
-            self.published
-                .get(service)
-                .map(|table| table.position().change)
-        };
-        self.granters
-            .iter()
-            .any(|(service, granter)| published(service) != Some(granter.change_count()))
-    }
-
-    /// Rebuilds the published tables that have changed.
-    fn refresh_published(&mut self, lease: StoredVersion) {
-        self.published
-            .retain(|service, _| self.granters.contains_key(service));
-        for (service, granter) in &self.granters {
-            let previous = self.published.get(service);
-            let change = granter.change_count();
-            if !granter.is_confirmed()
-                || previous.is_some_and(|one| one.position().change == change)
-            {
-                continue;
-            }
-            let position = TablePosition {
-                granter: lease,
-                change,
-            };
-            let previous = previous.map(Arc::as_ref);
-            let table =
-                PublishedTable::new(granter.version(), position, &granter.spans(), previous);
-            self.published.insert(service.clone(), Arc::new(table));
-        }
-    }
-}
--- a/crates/carawayrill-gateway/src/granter_runtime/restore.rs
+++ b/crates/carawayrill-gateway/src/granter_runtime/restore.rs
@@ -14,7 +14,7 @@
 use carawayrill_store::port::ObjectStore;
 
 use super::GranterRuntime;
-use super::State;
+use super::state::State;
 use super::stored::read_stored;
 use crate::lease_manager::LeaseManager;
 
--- a/crates/carawayrill-gateway/src/lease_manager.rs
+++ b/crates/carawayrill-gateway/src/lease_manager.rs
@@ -48,7 +48,7 @@
 const CONTACT_TIMEOUT: Duration = Duration::from_millis(900);
 /// The addition to `CONTACT_TIMEOUT` per front: the granter sends updates to one front after the
 /// other.
-const CONTACT_TIMEOUT_PER_FRONT: Duration = Duration::from_millis(10);
+const CONTACT_TIMEOUT_PER_FRONT: Duration = Duration::from_millis(5);
 /// How much longer than the strongest front a front with almost no processor time waits before it
 /// claims a free lease.
 const MAX_CLAIM_DELAY: Duration = Duration::from_millis(700);
--- a/crates/carawayrill-gateway/src/lib.rs
+++ b/crates/carawayrill-gateway/src/lib.rs
@@ -14,6 +14,7 @@
 //! - [`granter_stream`]: the stream between fronts and the granter,
 //! - [`ready`]: the readiness and metrics endpoints.
 
+mod access_log;
 pub mod clock;
 pub mod config;
 mod counting_store;
