--- a/crates/carawayrill-core/src/direct/servers.rs
+++ b/crates/carawayrill-core/src/direct/servers.rs
@@ -1,6 +1,7 @@
 //! The table of servers that the platform lists, including those it retains after a store outage.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -72,6 +73,8 @@
     /// The incarnations that have said that they leave. None of them becomes ready again, whatever
     /// an older copy of the store says.
     leaving: BTreeMap<ServerId, Born>,
+    /// The servers of which only their responses, not their entries, say that they leave.
+    announced: BTreeSet<ServerId>,
     /// The incarnations that were removed, and when.
     removed: BTreeMap<ServerId, RemovedServer>,
     /// Servers that a restored store lists although they were removed, and until when they are not
@@ -123,7 +126,11 @@
         self.retained_until.remove(&server.id);
         self.suspects.remove(&server.id);
         self.removed.remove(&server.id);
-        server.draining |= self.leaving.get(&server.id) == Some(&server.born);
+        let is_known_to_leave = self.leaving.get(&server.id) == Some(&server.born);
+        if server.draining || !is_known_to_leave {
+            self.announced.remove(&server.id);
+        }
+        server.draining |= is_known_to_leave;
         if server.draining {
             self.leaving.insert(server.id.clone(), server.born);
             self.draining_since
@@ -152,19 +159,14 @@
         }
         let server = server.clone();
         self.leaving.insert(id.clone(), born);
+        self.announced.insert(id.clone());
         self.upsert(server, now)
     }
 
-    /// Iterates over the listed incarnations that have said that they leave.
-    pub fn leaving(&self) -> impl Iterator<Item = (&ServerId, Born)> {
-        self.leaving
-            .iter()
-            .filter(|(id, born)| {
-                self.rows
-                    .get(*id)
-                    .is_some_and(|server| server.born == **born)
-            })
-            .map(|(id, born)| (id, *born))
+    /// Iterates over the servers that have said in responses that they leave, and whose entries don't
+    /// say so yet.
+    pub fn announced_leaving(&self) -> impl Iterator<Item = &Server> {
+        self.announced.iter().filter_map(|id| self.rows.get(id))
     }
 
     /// Handles a server whose entry is missing from the platform's list.
@@ -185,6 +187,7 @@
     fn remove(&mut self, id: &ServerId, now: Time) -> Option<ServerChange> {
         self.retained_until.remove(id);
         self.draining_since.remove(id);
+        self.announced.remove(id);
         let server = self.rows.remove(id)?;
         let removed = RemovedServer {
             born: server.born,
--- a/crates/carawayrill-core/tests/direct_servers.rs
+++ b/crates/carawayrill-core/tests/direct_servers.rs
@@ -97,6 +97,10 @@
     assert_eq!(changed, Some(ServerChange::Draining(id.clone())));
     assert_eq!(servers.upsert(server("s-1", 1, false), Time(500)), None);
     assert_eq!(servers.draining_since(&id), Some(Time(10)));
+    assert_eq!(servers.announced_leaving().count(), 1);
+    // Once its entry says so too, other fronts don't have to be told.
+    assert_eq!(servers.upsert(server("s-1", 1, true), Time(700)), None);
+    assert_eq!(servers.announced_leaving().count(), 0);
     assert_eq!(
         servers
             .ready_servers(&"forms".parse().expect("a name"))
--- a/crates/carawayrill-gateway/src/granter_stream/mod.rs
+++ b/crates/carawayrill-gateway/src/granter_stream/mod.rs
@@ -164,10 +164,10 @@
     let service_times = changed_service_times(&mut tables);
     let leaving = tables
         .servers
-        .leaving()
-        .map(|(server, born)| LeavingServer {
-            server: server.clone(),
-            born,
+        .announced_leaving()
+        .map(|server| LeavingServer {
+            server: server.id.clone(),
+            born: server.born,
         });
     let leaving = leaving.collect();
     Report {
