Ask a store that has failed with a short wait first

Ruled out: the relay; with eleven fronts each watches itself, and the granter hung in the same way. Test: a_manifest_is_applied_after_the_store_was_silent failed before (not in force after 4 s) and passes now.

--- a/crates/carawayrill-gateway/src/watcher.rs
+++ b/crates/carawayrill-gateway/src/watcher.rs
@@ -101,6 +101,7 @@
     name: &'static str,
 ) {
     let mut dependency = Dependency::new(name);
+    let mut has_failed = false;
     loop {
         let is_granter = lease_manager.granter_runtime().is_some();
         let wait = match known.next_read(clock::now(), is_granter) {
@@ -108,10 +109,14 @@
                 tokio::time::sleep(delay).await;
                 continue;
             }
+            // A store that neither answers nor closes would hold a long watch for its whole wait.
+            NextRead::Relay(_) | NextRead::Watch if has_failed => Duration::ZERO,
             NextRead::Relay(wait) => wait,
             NextRead::Watch => WATCH_TIMEOUT,
         };
-        match read_changes(&*store, &known, wait).await {
+        let result = read_changes(&*store, &known, wait).await;
+        has_failed = result.is_err();
+        match result {
             Ok(ReadResult::Changed) => {
                 dependency.record_success();
                 let delay = if wait == WATCH_TIMEOUT {
