Log the age of the list of servers, stale knowledge and retained servers

Metrics are read every 5 s only. Change: each request line has servers_age_ms; knowledge_stale and knowledge_current when what is known passes the drain time; server_changed says retained. No decision changes.

--- a/crates/carawayrill-core/src/direct/servers.rs
+++ b/crates/carawayrill-core/src/direct/servers.rs
@@ -197,6 +197,11 @@
         Some(ServerChange::Removed(id.clone()))
     }
 
+    /// Iterates over the servers that are retained although their entries are missing.
+    pub fn retained(&self) -> impl Iterator<Item = &ServerId> {
+        self.retained_until.keys()
+    }
+
     /// Returns for how long entries that are missing are still retained.
     #[must_use]
     pub fn retention_left(&self, now: Time) -> Duration {
--- a/crates/carawayrill-core/src/event.rs
+++ b/crates/carawayrill-core/src/event.rs
@@ -34,6 +34,9 @@
         pub key: Option<u16>,
         /// The version of the manifest that was applied.
         pub manifest: u64,
+        /// The time since the list of servers was last known to be complete, in milliseconds.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub servers_age_ms: Option<u64>,
         /// The HTTP status of the response; 0 if the caller closed the connection before it.
         pub status: u16,
         /// The reason of the result: `served`, `full`, `timeout` and others, listed in
@@ -252,7 +255,8 @@
         ServerChanged {
             /// The id of the server.
             server: CompactString,
-            /// The change: `added`, `draining` or `removed`.
+            /// The change: `added`, `draining`, `removed`, or `retained` if the entry is missing after
+            /// a store outage and may still come back.
             change: CompactString,
             /// The revision of the store that was read.
             revision: u64,
@@ -289,6 +293,20 @@
             /// The age of what is known, in milliseconds.
             age_ms: u64,
         },
+        /// What is known of the store's objects has become so old that changes may be missing.
+        KnowledgeStale {
+            /// The kind of object.
+            kind: CompactString,
+            /// The age of what is known, in milliseconds.
+            age_ms: u64,
+        },
+        /// What is known of the store's objects is recent again.
+        KnowledgeCurrent {
+            /// The kind of object.
+            kind: CompactString,
+            /// The time for which it was stale, in milliseconds.
+            after_ms: u64,
+        },
         /// A dependency of the process became unreachable.
         DependencyLost {
             /// The dependency: `store` or `granter`.
--- a/crates/carawayrill-gateway/src/access_log.rs
+++ b/crates/carawayrill-gateway/src/access_log.rs
@@ -64,6 +64,7 @@
                 service: CompactString::default(),
                 key: None,
                 manifest: 0,
+                servers_age_ms: None,
                 status: 0,
                 reason: "caller-left".into(),
                 limit_ms: metadata.timeout.map_or(0, millis),
--- a/crates/carawayrill-gateway/src/front.rs
+++ b/crates/carawayrill-gateway/src/front.rs
@@ -260,15 +260,8 @@
         };
         let _buffered = self.count_buffered(body.len());
         let request = AcceptedRequest { body, ..request };
-        {
-            let mut tables = self.shared.tables();
-            tables
-                .budget(&request.matched.service, &self.shared.cfg)
-                .record_request(log_entry.received);
-            if let Some(key) = request.key.filter(|_| request.keyed) {
-                tables.record_key(&request.matched.service, key);
-            }
-        }
+        let servers_age = self.count_accepted(&request);
+        log_entry.record.servers_age_ms = servers_age.map(millis);
         let mut forwarder =
             Forwarder::new(&self.shared, &self.upstream, &*self.header_codec, &request);
         let mut phase = self.phase.clone();
@@ -283,6 +276,20 @@
         reply
     }
 
+    /// Counts a request that will be forwarded, and returns the age of the list of servers.
+    fn count_accepted(&self, request: &AcceptedRequest) -> Option<Duration> {
+        let service = &request.matched.service;
+        let mut tables = self.shared.tables();
+        tables
+            .budget(service, &self.shared.cfg)
+            .record_request(request.received);
+        if let Some(key) = request.key.filter(|_| request.keyed) {
+            tables.record_key(service, key);
+        }
+        let confirmed = tables.servers_confirmed?;
+        Some(clock::now().since(confirmed))
+    }
+
     /// Checks the head of a request and finds its route.
     fn check_request(
         &self,
--- a/crates/carawayrill-gateway/src/knowledge/handler.rs
+++ b/crates/carawayrill-gateway/src/knowledge/handler.rs
@@ -19,6 +19,9 @@
     /// Handles a failed call that was sent at `sent`.
     fn on_failure(&mut self, sent: Time);
 
+    /// Notes that the objects were last known to be complete at `confirmed`.
+    fn on_confirmed(&mut self, confirmed: Time);
+
     /// Returns the delay between a change and the next watch call, so that successive changes are
     /// read together.
     fn batch_delay(&self) -> Duration;
--- a/crates/carawayrill-gateway/src/knowledge/manifest.rs
+++ b/crates/carawayrill-gateway/src/knowledge/manifest.rs
@@ -66,6 +66,8 @@
 
     fn on_failure(&mut self, _sent: Time) {}
 
+    fn on_confirmed(&mut self, _confirmed: Time) {}
+
     fn batch_delay(&self) -> Duration {
         MANIFEST_BATCH_DELAY
     }
--- a/crates/carawayrill-gateway/src/knowledge/mod.rs
+++ b/crates/carawayrill-gateway/src/knowledge/mod.rs
@@ -125,6 +125,8 @@
     versions: BTreeMap<CompactString, Version>,
     freshness: Freshness,
     source: Option<Source>,
+    /// Since when the knowledge has been too old.
+    stale_since: Option<Time>,
 }
 
 impl KnownKind {
@@ -138,6 +140,7 @@
                 versions: BTreeMap::new(),
                 freshness: Freshness::default(),
                 source: None,
+                stale_since: None,
             }),
         }
     }
@@ -159,10 +162,12 @@
         self.state().log.as_ref().map(ChangeLog::position)
     }
 
-    /// Brings the metrics of this kind up to date.
+    /// Brings the metrics of this kind up to date, and emits an event when the knowledge has become
+    /// too old, or is recent again.
     pub fn update_metrics(&self, now: Time) {
         let (age, source) = {
-            let state = self.state();
+            let mut state = self.state();
+            self.note_staleness(&mut state, now);
             (state.freshness.age(now), state.source)
         };
         let metrics = &self.shared.metrics;
@@ -178,6 +183,26 @@
             .set(from_store);
     }
 
+    fn note_staleness(&self, state: &mut State, now: Time) {
+        let Some(age) = state.freshness.age(now) else {
+            return;
+        };
+        let kind = CompactString::from(self.kind);
+        match (age > self.shared.cfg.drain, state.stale_since) {
+            (true, None) => {
+                state.stale_since = Some(now);
+                let age_ms = millis(age);
+                emit(EventKind::KnowledgeStale { kind, age_ms });
+            }
+            (false, Some(since)) => {
+                state.stale_since = None;
+                let after_ms = millis(now.since(since));
+                emit(EventKind::KnowledgeCurrent { kind, after_ms });
+            }
+            _ => {}
+        }
+    }
+
     /// Returns the delay between a change and the next watch of this front.
     #[must_use]
     pub fn batch_delay(&self) -> Duration {
@@ -226,7 +251,7 @@
             });
         }
         state.append_snapshot(position, &changes.objects);
-        state.freshness.confirm(sent);
+        state.confirm(sent);
         self.note_source(&mut state, Source::Store);
         state
             .handler
@@ -278,7 +303,7 @@
         if delta.position < known {
             return true;
         }
-        state.freshness.confirm(confirmed);
+        state.confirm(confirmed);
         self.note_source(&mut state, source);
         let changed: Vec<Object> = delta
             .objects
@@ -330,6 +355,14 @@
 }
 
 impl State {
+    /// Records that the knowledge was complete at `at`.
+    fn confirm(&mut self, at: Time) {
+        self.freshness.confirm(at);
+        if let Some(confirmed) = self.freshness.confirmed() {
+            self.handler.on_confirmed(confirmed);
+        }
+    }
+
     /// Adds the differences between what is known and a complete list to the log.
     fn append_snapshot(&mut self, position: StorePosition, objects: &[Object]) {
         let versions: BTreeMap<CompactString, Version> = objects
--- a/crates/carawayrill-gateway/src/knowledge/servers.rs
+++ b/crates/carawayrill-gateway/src/knowledge/servers.rs
@@ -34,6 +34,8 @@
     upstream: Arc<Upstream>,
     /// The undecodable entries that were logged already.
     unreadable: BTreeSet<CompactString>,
+    /// The servers whose retention was logged already.
+    retained: BTreeSet<ServerId>,
     started: Time,
 }
 
@@ -48,6 +50,7 @@
             schema,
             upstream,
             unreadable: BTreeSet::new(),
+            retained: BTreeSet::new(),
             started: clock::now(),
         }
     }
@@ -68,10 +71,11 @@
         }
     }
 
-    fn publish(&self, changes: &[ServerChange], revision: Revision) {
+    fn publish(&mut self, changes: &[ServerChange], revision: Revision) {
         for change in changes {
             emit_change(change, revision);
         }
+        self.log_retained(revision);
         if changes.is_empty() {
             return;
         }
@@ -79,6 +83,16 @@
         self.shared.notify_changed();
     }
 
+    /// Emits an event for each server that is retained from now on.
+    fn log_retained(&mut self, revision: Revision) {
+        let retained: BTreeSet<ServerId> =
+            self.shared.tables().servers.retained().cloned().collect();
+        for server in retained.difference(&self.retained) {
+            emit_server_change(server, "retained", revision);
+        }
+        self.retained = retained;
+    }
+
     /// Discards connections and load estimates of servers that restarted or were removed.
     fn discard_stale_state(&self, changes: &[ServerChange]) {
         let removed: Vec<&ServerId> = changes
@@ -149,6 +163,10 @@
         self.shared.tables().servers.mark_store_unreachable(sent);
     }
 
+    fn on_confirmed(&mut self, confirmed: Time) {
+        self.shared.tables().servers_confirmed = Some(confirmed);
+    }
+
     fn batch_delay(&self) -> Duration {
         let cfg = &self.shared.cfg;
         let starting = cfg.first_start && clock::now().since(self.started) < STARTUP_PERIOD;
@@ -161,14 +179,17 @@
 }
 
 fn emit_change(change: &ServerChange, revision: Revision) {
-    let (server, change_kind) = match change {
-        ServerChange::Added(server) => (server, "added"),
-        ServerChange::Draining(server) => (server, "draining"),
-        ServerChange::Removed(server) => (server, "removed"),
-    };
+    match change {
+        ServerChange::Added(server) => emit_server_change(server, "added", revision),
+        ServerChange::Draining(server) => emit_server_change(server, "draining", revision),
+        ServerChange::Removed(server) => emit_server_change(server, "removed", revision),
+    }
+}
+
+fn emit_server_change(server: &ServerId, change: &str, revision: Revision) {
     emit(EventKind::ServerChanged {
         server: server.to_compact_string(),
-        change: change_kind.into(),
+        change: change.into(),
         revision: revision.0,
     });
 }
--- a/crates/carawayrill-gateway/src/state.rs
+++ b/crates/carawayrill-gateway/src/state.rs
@@ -61,6 +61,8 @@
     pub servers: Servers,
     /// Whether the list of servers has been read.
     pub servers_read: bool,
+    /// When the list of servers was last known to be complete.
+    pub servers_confirmed: Option<Time>,
     /// The estimated load of each server.
     pub loads: HashMap<ServerId, ServerLoad>,
     /// The spans of each keyed service.
@@ -105,6 +107,7 @@
                 routes: Routes::default(),
                 servers: Servers::default(),
                 servers_read: false,
+                servers_confirmed: None,
                 loads: HashMap::new(),
                 spans: HashMap::new(),
                 retry_budgets: HashMap::new(),
