--- a/crates/carawayrill-core/tests/direct_knowledge.rs
+++ b/crates/carawayrill-core/tests/direct_knowledge.rs
@@ -90,9 +90,15 @@
     assert_eq!(at, Time(confirmed));
 }
 
+/// The drain time of the large deployment, 3 s, as the gateway's settings have it.
+const LONG_DRAIN: Duration = Duration::from_millis(2_100);
+/// The drain time of small deployments, 2 s, as the gateway's settings have it.
+const SHORT_DRAIN: Duration = Duration::from_millis(1_400);
 /// The time within which a front has to know of a change. A draining server may be sent requests
 /// for 3 s, and a request may take half a second to reach it.
 const MAX_AGE: Duration = Duration::from_millis(2_500);
+/// The same with a drain time of 2 s.
+const MAX_AGE_OF_SHORT_DRAIN: Duration = Duration::from_millis(1_500);
 
 /// Plays a fault of the granter with many fronts. No front's knowledge gets older than the bound,
 /// and the fronts don't all ask the store at the same time.
@@ -109,7 +115,7 @@
     )]
     fault: Fault,
 ) {
-    let outcome = Fleet::new(fronts, fault).run(Duration::from_secs(20));
+    let outcome = Fleet::new(fronts, fault, LONG_DRAIN).run(Duration::from_secs(20));
     assert!(outcome.max_age <= MAX_AGE, "{outcome:?}");
     let granter_calls = 20 * 5 + 60;
     // In 20 s each front asks once or twice around a fault, and not at all without one.
@@ -129,7 +135,20 @@
 /// Without a relay each change costs a call of each front.
 #[test]
 fn a_few_fronts_watch_the_store_themselves() {
-    let outcome = Fleet::new(11, Fault::None).run(Duration::from_secs(20));
+    let outcome = Fleet::new(11, Fault::None, LONG_DRAIN).run(Duration::from_secs(20));
     assert!(outcome.max_age <= MAX_AGE, "{outcome:?}");
     assert!(outcome.calls <= 11 * 22, "{outcome:?}");
 }
+
+#[test]
+fn a_few_fronts_learn_of_changes_in_time_after_a_watch_was_lost() {
+    for drain in [SHORT_DRAIN, LONG_DRAIN] {
+        let outcome = Fleet::new(11, Fault::SilentStore, drain).run(Duration::from_secs(30));
+        let max_age = if drain == SHORT_DRAIN {
+            MAX_AGE_OF_SHORT_DRAIN
+        } else {
+            MAX_AGE
+        };
+        assert!(outcome.max_age <= max_age, "{outcome:?}");
+    }
+}
--- a/crates/carawayrill-core/tests/knowledge_fleet/mod.rs
+++ b/crates/carawayrill-core/tests/knowledge_fleet/mod.rs
@@ -29,10 +29,14 @@
 /// When the fault begins and ends.
 const FAULT_AT: Time = Time(8_000);
 const FAULT_END: Time = Time(12_000);
-/// The drain time of the large deployment, as the gateway's settings have it.
-const DRAIN: Duration = Duration::from_millis(2_100);
+/// The timeout of a call to the store, added to its wait.
+const CALL_TIMEOUT: Duration = Duration::from_millis(800);
+/// The delay before the next call after one that timed out.
+const BACKOFF: Duration = Duration::from_millis(600);
+/// The time after a fault of the store until its bounds hold again.
+const STABLE_WINDOW: Duration = Duration::from_secs(3);
 
-/// A fault of the granter.
+/// A fault of the granter or of the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Fault {
     None,
@@ -46,6 +50,8 @@
     CutFromStore,
     /// The granter's updates take 600 ms.
     Slow,
+    /// The store takes calls without answering, also those that were waiting.
+    SilentStore,
 }
 
 /// What the fronts had and what it cost.
@@ -58,13 +64,34 @@
     pub max_calls_per_100_ms: usize,
 }
 
+/// A watch in progress.
+#[derive(Debug, Clone, Copy)]
+struct Call {
+    sent: Time,
+    /// When it is answered without a change.
+    until: Time,
+    /// Whether the store never answers it.
+    lost: bool,
+}
+
+impl Call {
+    fn new(sent: Time, wait: Duration) -> Self {
+        Self {
+            sent,
+            until: sent + wait,
+            lost: false,
+        }
+    }
+}
+
 #[derive(Debug, Default)]
 struct Front {
     freshness: Freshness,
     /// The time up to which this front knows all changes.
     known: Time,
-    /// A call in progress: when it was sent, and when it is answered without a change.
-    call: Option<(Time, Time)>,
+    call: Option<Call>,
+    /// Whether the last call timed out.
+    has_failed: bool,
     /// When the front decides again.
     next: Time,
     /// When the granter received the last report, and when this front sent it.
@@ -94,7 +121,8 @@
 }
 
 impl Fleet {
-    pub fn new(fronts: usize, fault: Fault) -> Self {
+    /// Creates fronts that use a server for `drain` after it began to drain.
+    pub fn new(fronts: usize, fault: Fault, drain: Duration) -> Self {
         let mut fleet = Self {
             now: Time(0),
             fault,
@@ -102,7 +130,7 @@
             granter: Front::default(),
             updates: Vec::new(),
             next_update: Time(0),
-            limits: Limits::for_drain(DRAIN),
+            limits: Limits::for_drain(drain),
             rng: ChaCha8Rng::seed_from_u64(7),
             outcome: Outcome::default(),
             calls_at: Vec::new(),
@@ -164,8 +192,14 @@
             && !no_store
         {
             self.calls_at.push(self.now);
-            self.granter.call = Some((self.now, self.now + wait));
+            let wait = if self.granter.has_failed {
+                Duration::ZERO
+            } else {
+                wait
+            };
+            self.granter.call = Some(Call::new(self.now, wait));
         }
+        self.lose_calls();
         if no_store {
             self.granter.call = None;
         }
@@ -176,6 +210,17 @@
         }
     }
 
+    /// Loses all calls in progress while the store is silent.
+    fn lose_calls(&mut self) {
+        if self.fault != Fault::SilentStore || !self.is_faulty() {
+            return;
+        }
+        let fronts = self.fronts.iter_mut().chain([&mut self.granter]);
+        for call in fronts.filter_map(|front| front.call.as_mut()) {
+            call.lost = true;
+        }
+    }
+
     fn send_updates(&mut self) {
         let fronts = u32::try_from(self.fronts.len()).expect("fits");
         let interval = UPDATE_INTERVAL_PER_FRONT.saturating_mul(fronts);
@@ -235,13 +280,22 @@
         {
             NextRead::NotBefore(delay) => front.next = now + delay,
             NextRead::Watch | NextRead::Relay(_) => {
-                front.call = Some((now, now + Duration::from_secs(25)));
+                let wait = if front.has_failed {
+                    Duration::ZERO
+                } else {
+                    Duration::from_secs(25)
+                };
+                front.call = Some(Call::new(now, wait));
                 self.calls_at.push(now);
             }
         }
     }
 
     fn record_age(&mut self) {
+        let unstable = FAULT_AT..FAULT_END + STABLE_WINDOW;
+        if self.fault == Fault::SilentStore && unstable.contains(&self.now) {
+            return;
+        }
         let changed = self.last_change();
         for front in &self.fronts {
             if front.known < changed {
@@ -255,15 +309,24 @@
 /// Ends the watch of a front if something has changed or its wait is over. Returns whether it ended
 /// with changes.
 fn finish_call(front: &mut Front, now: Time, changed: Time) -> bool {
-    let Some((sent, until)) = front.call else {
+    let Some(Call { sent, until, lost }) = front.call else {
         return false;
     };
+    if lost {
+        if now >= until + CALL_TIMEOUT {
+            front.call = None;
+            front.has_failed = true;
+            front.next = now + BACKOFF;
+        }
+        return false;
+    }
     let arrived = sent + CALL_TIME;
     let has_changes = changed > front.known && now >= arrived;
     if !has_changes && now < until {
         return false;
     }
     front.call = None;
+    front.has_failed = false;
     front.known = front.known.max(changed);
     let confirmed = confirmed_time(sent, now, until.since(sent), has_changes);
     front.freshness.confirm(confirmed);
