Count the drain time from when the list was last known to be complete

Cause: a front's own watch assumed that a change is no older than the delay that collects changes, and a list was taken to be as new as its read. Neither is true of a front whose granter has just been lost, or whose store was away. Ruled out: the relay, which counted from the last confirmed time already. Change: all three ways (watch, list, relay) count from that time. The calls of direct_servers name the new argument; no check changed.

--- a/crates/carawayrill-core/src/direct/servers.rs
+++ b/crates/carawayrill-core/src/direct/servers.rs
@@ -226,8 +226,14 @@
         }
     }
 
-    /// Replaces the table by the complete list that was read at `now`.
-    pub fn replace_all(&mut self, listed: Vec<Server>, now: Time) -> Vec<ServerChange> {
+    /// Replaces the table by the complete list that was read at `now`. The servers that are listed
+    /// as draining were not before `since`, as far as is known.
+    pub fn replace_all(
+        &mut self,
+        listed: Vec<Server>,
+        now: Time,
+        since: Time,
+    ) -> Vec<ServerChange> {
         self.mark_store_reachable(now);
         let missing: Vec<ServerId> = self
             .rows
@@ -237,7 +243,7 @@
             .collect();
         let mut changes: Vec<ServerChange> = listed
             .into_iter()
-            .filter_map(|server| self.upsert(server, now))
+            .filter_map(|server| self.upsert(server, since))
             .collect();
         self.removed
             .retain(|_, removed| now.since(removed.at) < REMOVED_TTL);
@@ -263,6 +269,7 @@
         &mut self,
         listed: Vec<Server>,
         now: Time,
+        since: Time,
         suspect_for: Duration,
     ) -> Vec<ServerChange> {
         self.retain_missing(now + RETENTION_AFTER_READ);
@@ -271,7 +278,7 @@
                 let removed = self.removed.get(&server.id);
                 removed.is_some_and(|removed| removed.born == server.born)
             });
-        let changes = self.replace_all(listed, now);
+        let changes = self.replace_all(listed, now, since);
         let until = now + suspect_for;
         self.suspects = suspects
             .into_iter()
--- a/crates/carawayrill-core/tests/direct_granter.rs
+++ b/crates/carawayrill-core/tests/direct_granter.rs
@@ -54,7 +54,7 @@
         software: "v1".into(),
     });
     let mut servers = Servers::default();
-    servers.replace_all(listed.collect(), Time(0));
+    servers.replace_all(listed.collect(), Time(0), Time(0));
     servers
 }
 
--- a/crates/carawayrill-core/tests/direct_servers.rs
+++ b/crates/carawayrill-core/tests/direct_servers.rs
@@ -34,8 +34,9 @@
     servers.replace_all(
         vec![server("s-1", 1, false), server("s-2", 1, false)],
         Time(0),
+        Time(0),
     );
-    let changes = servers.replace_all(vec![server("s-2", 1, false)], Time(10));
+    let changes = servers.replace_all(vec![server("s-2", 1, false)], Time(10), Time(10));
     assert_eq!(changes, [ServerChange::Removed(id("s-1"))]);
 }
 
@@ -48,9 +49,9 @@
 #[case::late(10_000, 11_500)]
 fn a_server_missing_after_an_outage_is_removed_in_time(#[case] failed: u64, #[case] read: u64) {
     let mut servers = Servers::default();
-    servers.replace_all(vec![server("s-1", 1, false)], Time(0));
+    servers.replace_all(vec![server("s-1", 1, false)], Time(0), Time(0));
     servers.mark_store_unreachable(Time(failed));
-    let changes = servers.replace_all(Vec::new(), Time(read));
+    let changes = servers.replace_all(Vec::new(), Time(read), Time(read));
     assert_eq!(changes, []);
     assert!(servers.get(&id("s-1")).is_some());
     let in_touch = Time(failed) + Duration::from_secs(3);
@@ -60,9 +61,9 @@
 #[test]
 fn a_server_listed_again_after_an_outage_is_not_reported_as_changed() {
     let mut servers = Servers::default();
-    servers.replace_all(vec![server("s-1", 1, false)], Time(0));
+    servers.replace_all(vec![server("s-1", 1, false)], Time(0), Time(0));
     servers.mark_store_unreachable(Time(10_000));
-    servers.replace_all(Vec::new(), Time(10_100));
+    servers.replace_all(Vec::new(), Time(10_100), Time(10_100));
     assert_eq!(servers.upsert(server("s-1", 1, false), Time(11_000)), None);
     assert_eq!(servers.expire(Time(20_000)), []);
 }
@@ -90,7 +91,7 @@
 #[test]
 fn a_server_that_said_that_it_leaves_is_draining_whatever_the_store_says() {
     let mut servers = Servers::default();
-    servers.replace_all(vec![server("s-1", 1, false)], Time(0));
+    servers.replace_all(vec![server("s-1", 1, false)], Time(0), Time(0));
     let id = id("s-1");
     assert_eq!(servers.mark_leaving(&id, Born(2), Time(5)), None);
     let changed = servers.mark_leaving(&id, Born(1), Time(10));
@@ -121,11 +122,12 @@
     servers.replace_all(
         vec![server("s-1", 1, false), server("s-2", 1, false)],
         Time(0),
+        Time(0),
     );
-    servers.replace_all(vec![server("s-2", 1, false)], Time(1_000));
+    servers.replace_all(vec![server("s-2", 1, false)], Time(1_000), Time(1_000));
     let restored = vec![server("s-1", 1, false), server("s-2", 1, false)];
     assert_eq!(
-        servers.replace_all_restored(restored, Time(2_000), ENTRY_EXPIRY),
+        servers.replace_all_restored(restored, Time(2_000), Time(2_000), ENTRY_EXPIRY),
         []
     );
     assert_eq!(servers.get(&id("s-1")), None);
@@ -138,9 +140,14 @@
 #[test]
 fn a_running_server_that_a_restored_store_lists_again_is_used_once_that_is_certain() {
     let mut servers = Servers::default();
-    servers.replace_all(vec![server("s-1", 1, false)], Time(0));
-    servers.replace_all(Vec::new(), Time(1_000));
-    servers.replace_all_restored(vec![server("s-1", 1, false)], Time(2_000), ENTRY_EXPIRY);
+    servers.replace_all(vec![server("s-1", 1, false)], Time(0), Time(0));
+    servers.replace_all(Vec::new(), Time(1_000), Time(1_000));
+    servers.replace_all_restored(
+        vec![server("s-1", 1, false)],
+        Time(2_000),
+        Time(2_000),
+        ENTRY_EXPIRY,
+    );
     assert_eq!(servers.expire(Time(5_479)), []);
     assert_eq!(
         servers.expire(Time(5_480)),
@@ -151,9 +158,9 @@
 #[test]
 fn a_running_server_that_a_restored_store_lacks_is_retained_for_a_while() {
     let mut servers = Servers::default();
-    servers.replace_all(vec![server("s-1", 1, false)], Time(0));
+    servers.replace_all(vec![server("s-1", 1, false)], Time(0), Time(0));
     assert_eq!(
-        servers.replace_all_restored(Vec::new(), Time(1_000), ENTRY_EXPIRY),
+        servers.replace_all_restored(Vec::new(), Time(1_000), Time(1_000), ENTRY_EXPIRY),
         []
     );
     assert!(servers.get(&id("s-1")).is_some());
@@ -166,7 +173,12 @@
 #[test]
 fn a_draining_server_is_not_ready_again_in_a_restored_store() {
     let mut servers = Servers::default();
-    servers.replace_all(vec![server("s-1", 1, true)], Time(0));
-    servers.replace_all_restored(vec![server("s-1", 1, false)], Time(1_000), ENTRY_EXPIRY);
+    servers.replace_all(vec![server("s-1", 1, true)], Time(0), Time(0));
+    servers.replace_all_restored(
+        vec![server("s-1", 1, false)],
+        Time(1_000),
+        Time(1_000),
+        ENTRY_EXPIRY,
+    );
     assert_eq!(servers.draining_since(&id("s-1")), Some(Time(0)));
 }
--- a/crates/carawayrill-core/tests/direct_simulation/mod.rs
+++ b/crates/carawayrill-core/tests/direct_simulation/mod.rs
@@ -163,7 +163,7 @@
             .values()
             .filter_map(SimServer::listed)
             .collect();
-        servers.replace_all(rows, self.now);
+        servers.replace_all(rows, self.now, self.now);
         servers
     }
 
--- a/crates/carawayrill-gateway/src/knowledge/handler.rs
+++ b/crates/carawayrill-gateway/src/knowledge/handler.rs
@@ -7,11 +7,22 @@
 use carawayrill_core::time::Time;
 use carawayrill_store::port::Object;
 
+/// The complete list of the objects of one kind.
+#[derive(Debug)]
+pub(super) struct Snapshot<'a> {
+    pub(super) objects: &'a [Object],
+    /// The revision of the store that was read.
+    pub(super) revision: Revision,
+    /// Whether the store has come back from an older copy since the last list.
+    pub(super) restored: bool,
+    /// When the objects were last known to be complete. None of the changes was made before.
+    pub(super) complete_at: Time,
+}
+
 /// Applies the objects of one kind to the tables of this front.
 pub(super) trait ChangeHandler: Debug + Send {
-    /// Applies the complete list of objects; `restored` says that the store has come back from an
-    /// older copy since the last list.
-    fn on_snapshot(&mut self, objects: &[Object], revision: Revision, restored: bool);
+    /// Applies the complete list of objects.
+    fn on_snapshot(&mut self, snapshot: &Snapshot<'_>);
 
     /// Applies changed objects. None of the changes was made before `complete_at`.
     fn on_changes(&mut self, objects: &[Object], revision: Revision, complete_at: Time);
--- a/crates/carawayrill-gateway/src/knowledge/manifest.rs
+++ b/crates/carawayrill-gateway/src/knowledge/manifest.rs
@@ -10,6 +10,7 @@
 use carawayrill_telemetry::emit;
 
 use super::handler::ChangeHandler;
+use super::handler::Snapshot;
 use crate::port::StoreSchema;
 use crate::state::Shared;
 
@@ -56,8 +57,8 @@
 }
 
 impl ChangeHandler for ManifestHandler {
-    fn on_snapshot(&mut self, objects: &[Object], _revision: Revision, _restored: bool) {
-        self.apply(objects);
+    fn on_snapshot(&mut self, snapshot: &Snapshot<'_>) {
+        self.apply(snapshot.objects);
     }
 
     fn on_changes(&mut self, objects: &[Object], _revision: Revision, _complete_at: Time) {
--- a/crates/carawayrill-gateway/src/knowledge/mod.rs
+++ b/crates/carawayrill-gateway/src/knowledge/mod.rs
@@ -32,6 +32,7 @@
 use rand::RngExt;
 
 use self::handler::ChangeHandler;
+use self::handler::Snapshot;
 use self::manifest::ManifestHandler;
 use self::servers::ServerHandler;
 use crate::clock;
@@ -242,11 +243,16 @@
             });
         }
         state.append_snapshot(position, &changes.objects);
+        let complete_at = state.freshness.confirmed().unwrap_or(sent);
         state.confirm(sent);
         self.note_source(&mut state, Source::Store);
-        state
-            .handler
-            .on_snapshot(&changes.objects, position.revision, restored);
+        let snapshot = Snapshot {
+            objects: &changes.objects,
+            revision: position.revision,
+            restored,
+            complete_at,
+        };
+        state.handler.on_snapshot(&snapshot);
     }
 
     /// Applies the changes after `after` that a watch of this front has returned. The knowledge was
@@ -260,29 +266,20 @@
             },
             objects: latest_of_each(changes.objects),
         };
-        let complete_at = clock::now() - self.batch_delay();
-        self.apply(&delta, Source::Store, confirmed, complete_at)
+        self.apply(&delta, Source::Store, confirmed)
     }
 
     /// Applies changes that the granter has relayed. The knowledge was complete at `confirmed`.
     /// Returns whether the changes continue from what is known.
     pub fn apply_relayed(&self, relayed: &RelayedChanges, confirmed: Time) -> bool {
-        let complete_at = self.state().freshness.confirmed();
         if !relayed.retention.is_zero() {
             let until = clock::now() + relayed.retention;
             self.shared.tables().servers.retain_missing(until);
         }
-        let complete_at = complete_at.unwrap_or(confirmed);
-        self.apply(&relayed.delta, Source::Relay, confirmed, complete_at)
+        self.apply(&relayed.delta, Source::Relay, confirmed)
     }
 
-    fn apply(
-        &self,
-        delta: &Delta<Object>,
-        source: Source,
-        confirmed: Time,
-        complete_at: Time,
-    ) -> bool {
+    fn apply(&self, delta: &Delta<Object>, source: Source, confirmed: Time) -> bool {
         let mut state = self.state();
         let Some(known) = state.log.as_ref().map(ChangeLog::position) else {
             return false;
@@ -294,6 +291,7 @@
         if delta.position < known {
             return true;
         }
+        let complete_at = state.freshness.confirmed().unwrap_or(confirmed);
         state.confirm(confirmed);
         self.note_source(&mut state, source);
         let changed: Vec<Object> = delta
--- a/crates/carawayrill-gateway/src/knowledge/servers.rs
+++ b/crates/carawayrill-gateway/src/knowledge/servers.rs
@@ -16,6 +16,7 @@
 use compact_str::ToCompactString;
 
 use super::handler::ChangeHandler;
+use super::handler::Snapshot;
 use crate::clock;
 use crate::port::StoreSchema;
 use crate::state::Shared;
@@ -114,25 +115,27 @@
 }
 
 impl ChangeHandler for ServerHandler {
-    fn on_snapshot(&mut self, objects: &[Object], revision: Revision, restored: bool) {
-        let listed = objects
+    fn on_snapshot(&mut self, snapshot: &Snapshot<'_>) {
+        let listed = snapshot
+            .objects
             .iter()
             .filter_map(|object| self.decode_server(object))
             .collect();
         let now = clock::now();
+        let complete_at = snapshot.complete_at;
         let applied = {
             let mut tables = self.shared.tables();
             tables.servers_read = true;
-            if restored {
+            if snapshot.restored {
                 let suspect_for = self.shared.cfg.entry_expiry;
                 tables
                     .servers
-                    .replace_all_restored(listed, now, suspect_for)
+                    .replace_all_restored(listed, now, complete_at, suspect_for)
             } else {
-                tables.servers.replace_all(listed, now)
+                tables.servers.replace_all(listed, now, complete_at)
             }
         };
-        self.publish(&applied, revision);
+        self.publish(&applied, snapshot.revision);
     }
 
     fn on_changes(&mut self, objects: &[Object], revision: Revision, complete_at: Time) {
