Expire retained servers once the list was confirmed by any way

Change: a list that is known to be complete after the failed call settles it. Test: a_failed_call_does_not_retain_a_server_after_the_list_was_confirmed; failed with the new method left empty, as the code did before, passes now.

--- a/crates/carawayrill-core/src/direct/servers.rs
+++ b/crates/carawayrill-core/src/direct/servers.rs
@@ -226,6 +226,17 @@
         }
     }
 
+    /// Records that the list was known to be complete at `confirmed`, by whatever way. Calls of this
+    /// front that were sent and failed before say nothing about the store any more.
+    pub fn confirm(&mut self, confirmed: Time, now: Time) {
+        if self
+            .failed_call_sent_at
+            .is_some_and(|sent| sent < confirmed)
+        {
+            self.mark_store_reachable(now);
+        }
+    }
+
     /// Replaces the table by the complete list that was read at `now`. The servers that are listed
     /// as draining were not before `since`, as far as is known.
     pub fn replace_all(
--- a/crates/carawayrill-core/tests/direct_servers.rs
+++ b/crates/carawayrill-core/tests/direct_servers.rs
@@ -182,3 +182,20 @@
     );
     assert_eq!(servers.draining_since(&id("s-1")), Some(Time(0)));
 }
+
+/// A call of this front failed, and then it made none, since the granter relayed all changes.
+#[test]
+fn a_failed_call_does_not_retain_a_server_after_the_list_was_confirmed() {
+    let mut servers = Servers::default();
+    servers.replace_all(vec![server("s-1", 1, false)], Time(0), Time(0));
+    servers.mark_store_unreachable(Time(10_000));
+    servers.replace_all(Vec::new(), Time(10_100), Time(10_100));
+    servers.mark_store_unreachable(Time(10_500));
+    servers.confirm(Time(10_400), Time(11_000));
+    assert_eq!(servers.expire(Time(13_500)), []);
+    servers.confirm(Time(13_000), Time(13_500));
+    assert_eq!(
+        servers.expire(Time(13_500)),
+        [ServerChange::Removed(id("s-1"))]
+    );
+}
--- a/crates/carawayrill-gateway/src/knowledge/servers.rs
+++ b/crates/carawayrill-gateway/src/knowledge/servers.rs
@@ -167,7 +167,9 @@
     }
 
     fn on_confirmed(&mut self, confirmed: Time) {
-        self.shared.tables().servers_confirmed = Some(confirmed);
+        let mut tables = self.shared.tables();
+        tables.servers_confirmed = Some(confirmed);
+        tables.servers.confirm(confirmed, clock::now());
     }
 
     fn batch_delay(&self) -> Duration {
