Retain missing servers only after an outage in which entries can expire

Change: entries expire after three heartbeats without an update, so not in an outage of less than two; a front follows the granter's retention only if it asked the store in vain itself. Ruled out: dropping the retention; after a real outage running servers are missing for up to two seconds. Test: a_server_that_left_around_a_short_failure_is_not_retained; the code before retained it (as the outage tests beside it show with the same calls). The outage tests say since when the list was unknown; their checks are as they were.

--- a/crates/carawayrill-core/src/direct/knowledge/freshness.rs
+++ b/crates/carawayrill-core/src/direct/knowledge/freshness.rs
@@ -43,6 +43,12 @@
     pub fn longest(&self) -> Duration {
         self.max_age + self.spread
     }
+
+    /// Returns whether knowledge of this age means that the front asked the store in vain.
+    #[must_use]
+    pub fn is_overdue(&self, age: Duration) -> bool {
+        age > self.longest() + self.relay_wait
+    }
 }
 
 /// The next step of a front to keep its knowledge current.
--- a/crates/carawayrill-core/src/direct/servers.rs
+++ b/crates/carawayrill-core/src/direct/servers.rs
@@ -70,6 +70,8 @@
     failed_call_sent_at: Option<Time>,
     /// The end of the retention: until then, an entry may be missing because of an outage.
     retain_missing_until: Time,
+    /// The shortest outage of the store in which the entry of a running server can expire.
+    min_lapse: Duration,
     /// The incarnations that have said that they leave. None of them becomes ready again, whatever
     /// an older copy of the store says.
     leaving: BTreeMap<ServerId, Born>,
@@ -96,6 +98,16 @@
 }
 
 impl Servers {
+    /// Creates an empty table. `min_lapse` is the shortest outage of the store in which the entry of
+    /// a running server can expire: after a shorter one, a missing entry was removed on purpose.
+    #[must_use]
+    pub fn new(min_lapse: Duration) -> Self {
+        Self {
+            min_lapse,
+            ..Self::default()
+        }
+    }
+
     /// Returns the entry of a server.
     #[must_use]
     pub fn get(&self, id: &ServerId) -> Option<&Server> {
@@ -218,34 +230,38 @@
         self.failed_call_sent_at = Some(sent);
     }
 
-    /// Records that the store was read.
-    pub fn mark_store_reachable(&mut self, now: Time) {
-        if let Some(sent) = self.failed_call_sent_at.take() {
+    /// Records that the store was read. The list was last known to be complete at `complete_at`.
+    pub fn mark_store_reachable(&mut self, now: Time, complete_at: Time) {
+        let Some(sent) = self.failed_call_sent_at.take() else {
+            return;
+        };
+        if now.since(complete_at) >= self.min_lapse {
             self.retain_missing_until =
                 (now + RETENTION_AFTER_READ).min(sent + MAX_RETENTION_AFTER_FAILURE);
         }
     }
 
-    /// Records that the list was known to be complete at `confirmed`, by whatever way. Calls of this
-    /// front that were sent and failed before say nothing about the store any more.
-    pub fn confirm(&mut self, confirmed: Time, now: Time) {
+    /// Records that the list was known to be complete at `confirmed`, by whatever way, and before
+    /// that at `complete_at`. Calls of this front that were sent and failed before say nothing about
+    /// the store any more.
+    pub fn confirm(&mut self, confirmed: Time, now: Time, complete_at: Time) {
         if self
             .failed_call_sent_at
             .is_some_and(|sent| sent < confirmed)
         {
-            self.mark_store_reachable(now);
+            self.mark_store_reachable(now, complete_at);
         }
     }
 
-    /// Replaces the table by the complete list that was read at `now`. The servers that are listed
-    /// as draining were not before `since`, as far as is known.
+    /// Replaces the table by the complete list that was read at `now`. The table was last known to be
+    /// complete at `complete_at`, so that the drain time of servers counts from then.
     pub fn replace_all(
         &mut self,
         listed: Vec<Server>,
         now: Time,
-        since: Time,
+        complete_at: Time,
     ) -> Vec<ServerChange> {
-        self.mark_store_reachable(now);
+        self.mark_store_reachable(now, complete_at);
         let missing: Vec<ServerId> = self
             .rows
             .keys()
@@ -254,7 +270,7 @@
             .collect();
         let mut changes: Vec<ServerChange> = listed
             .into_iter()
-            .filter_map(|server| self.upsert(server, since))
+            .filter_map(|server| self.upsert(server, complete_at))
             .collect();
         self.removed
             .retain(|_, removed| now.since(removed.at) < REMOVED_TTL);
@@ -280,7 +296,7 @@
         &mut self,
         listed: Vec<Server>,
         now: Time,
-        since: Time,
+        complete_at: Time,
         suspect_for: Duration,
     ) -> Vec<ServerChange> {
         self.retain_missing(now + RETENTION_AFTER_READ);
@@ -289,7 +305,7 @@
                 let removed = self.removed.get(&server.id);
                 removed.is_some_and(|removed| removed.born == server.born)
             });
-        let changes = self.replace_all(listed, now, since);
+        let changes = self.replace_all(listed, now, complete_at);
         let until = now + suspect_for;
         self.suspects = suspects
             .into_iter()
--- a/crates/carawayrill-core/tests/direct_servers.rs
+++ b/crates/carawayrill-core/tests/direct_servers.rs
@@ -28,6 +28,9 @@
     }
 }
 
+/// The shortest outage of the store in which entries expire.
+const MIN_LAPSE: Duration = Duration::from_millis(1_740);
+
 #[test]
 fn a_missing_server_is_removed_at_once_while_the_store_is_reachable() {
     let mut servers = Servers::default();
@@ -48,10 +51,10 @@
 #[case::soon(10_000, 10_200)]
 #[case::late(10_000, 11_500)]
 fn a_server_missing_after_an_outage_is_removed_in_time(#[case] failed: u64, #[case] read: u64) {
-    let mut servers = Servers::default();
+    let mut servers = Servers::new(MIN_LAPSE);
     servers.replace_all(vec![server("s-1", 1, false)], Time(0), Time(0));
     servers.mark_store_unreachable(Time(failed));
-    let changes = servers.replace_all(Vec::new(), Time(read), Time(read));
+    let changes = servers.replace_all(Vec::new(), Time(read), Time(0));
     assert_eq!(changes, []);
     assert!(servers.get(&id("s-1")).is_some());
     let in_touch = Time(failed) + Duration::from_secs(3);
@@ -60,10 +63,10 @@
 
 #[test]
 fn a_server_listed_again_after_an_outage_is_not_reported_as_changed() {
-    let mut servers = Servers::default();
+    let mut servers = Servers::new(MIN_LAPSE);
     servers.replace_all(vec![server("s-1", 1, false)], Time(0), Time(0));
     servers.mark_store_unreachable(Time(10_000));
-    servers.replace_all(Vec::new(), Time(10_100), Time(10_100));
+    servers.replace_all(Vec::new(), Time(10_100), Time(0));
     assert_eq!(servers.upsert(server("s-1", 1, false), Time(11_000)), None);
     assert_eq!(servers.expire(Time(20_000)), []);
 }
@@ -186,16 +189,27 @@
 /// A call of this front failed, and then it made none, since the granter relayed all changes.
 #[test]
 fn a_failed_call_does_not_retain_a_server_after_the_list_was_confirmed() {
-    let mut servers = Servers::default();
+    let mut servers = Servers::new(MIN_LAPSE);
     servers.replace_all(vec![server("s-1", 1, false)], Time(0), Time(0));
     servers.mark_store_unreachable(Time(10_000));
-    servers.replace_all(Vec::new(), Time(10_100), Time(10_100));
+    servers.replace_all(Vec::new(), Time(10_100), Time(0));
     servers.mark_store_unreachable(Time(10_500));
-    servers.confirm(Time(10_400), Time(11_000));
+    servers.confirm(Time(10_400), Time(11_000), Time(10_100));
     assert_eq!(servers.expire(Time(13_500)), []);
-    servers.confirm(Time(13_000), Time(13_500));
+    servers.confirm(Time(13_000), Time(13_500), Time(10_400));
     assert_eq!(
         servers.expire(Time(13_500)),
         [ServerChange::Removed(id("s-1"))]
     );
 }
+
+/// The granter, or this front alone, was cut off from the store for too short a time for entries to
+/// expire, or a single call was lost.
+#[test]
+fn a_server_that_left_around_a_short_failure_is_not_retained() {
+    let mut servers = Servers::new(MIN_LAPSE);
+    servers.replace_all(vec![server("s-1", 1, false)], Time(9_000), Time(9_000));
+    servers.mark_store_unreachable(Time(9_100));
+    let changes = servers.replace_all(Vec::new(), Time(10_000), Time(9_000));
+    assert_eq!(changes, [ServerChange::Removed(id("s-1"))]);
+}
--- a/crates/carawayrill-gateway/src/config.rs
+++ b/crates/carawayrill-gateway/src/config.rs
@@ -45,6 +45,8 @@
     pub server_batch_delay: Duration,
     /// The time after which the entry of a server that has ended is removed from the list.
     pub entry_expiry: Duration,
+    /// The shortest outage of the store in which the entry of a running server can expire.
+    pub min_lapse: Duration,
     /// How long requests may still be sent to a server after it started to drain.
     pub drain: Duration,
     /// The settings of the granter's decision logic.
--- a/crates/carawayrill-gateway/src/knowledge/handler.rs
+++ b/crates/carawayrill-gateway/src/knowledge/handler.rs
@@ -30,8 +30,9 @@
     /// Handles a failed call that was sent at `sent`.
     fn on_failure(&mut self, sent: Time);
 
-    /// Notes that the objects were last known to be complete at `confirmed`.
-    fn on_confirmed(&mut self, confirmed: Time);
+    /// Notes that the objects were known to be complete at `confirmed`, and before that at
+    /// `complete_at`.
+    fn on_confirmed(&mut self, confirmed: Time, complete_at: Time);
 
     /// Returns the delay between a change and the next watch call, so that successive changes are
     /// read together.
--- a/crates/carawayrill-gateway/src/knowledge/manifest.rs
+++ b/crates/carawayrill-gateway/src/knowledge/manifest.rs
@@ -67,7 +67,7 @@
 
     fn on_failure(&mut self, _sent: Time) {}
 
-    fn on_confirmed(&mut self, _confirmed: Time) {}
+    fn on_confirmed(&mut self, _confirmed: Time, _complete_at: Time) {}
 
     fn batch_delay(&self) -> Duration {
         MANIFEST_BATCH_DELAY
--- a/crates/carawayrill-gateway/src/knowledge/mod.rs
+++ b/crates/carawayrill-gateway/src/knowledge/mod.rs
@@ -243,8 +243,7 @@
             });
         }
         state.append_snapshot(position, &changes.objects);
-        let complete_at = state.freshness.confirmed().unwrap_or(sent);
-        state.confirm(sent);
+        let complete_at = state.confirm(sent);
         self.note_source(&mut state, Source::Store);
         let snapshot = Snapshot {
             objects: &changes.objects,
@@ -272,13 +271,22 @@
     /// Applies changes that the granter has relayed. The knowledge was complete at `confirmed`.
     /// Returns whether the changes continue from what is known.
     pub fn apply_relayed(&self, relayed: &RelayedChanges, confirmed: Time) -> bool {
-        if !relayed.retention.is_zero() {
-            let until = clock::now() + relayed.retention;
+        let now = clock::now();
+        if !relayed.retention.is_zero() && self.is_overdue(now) {
+            let until = now + relayed.retention;
             self.shared.tables().servers.retain_missing(until);
         }
         self.apply(&relayed.delta, Source::Relay, confirmed)
     }
 
+    /// Returns whether this front could not ask the store either, so that there was an outage. While
+    /// only the granter is cut off from the store, the other fronts ask it in time.
+    fn is_overdue(&self, now: Time) -> bool {
+        let limits = Limits::for_drain(self.shared.cfg.drain);
+        let age = self.state().freshness.age(now);
+        age.is_some_and(|age| age >= self.shared.cfg.min_lapse && limits.is_overdue(age))
+    }
+
     fn apply(&self, delta: &Delta<Object>, source: Source, confirmed: Time) -> bool {
         let mut state = self.state();
         let Some(known) = state.log.as_ref().map(ChangeLog::position) else {
@@ -291,8 +299,7 @@
         if delta.position < known {
             return true;
         }
-        let complete_at = state.freshness.confirmed().unwrap_or(confirmed);
-        state.confirm(confirmed);
+        let complete_at = state.confirm(confirmed);
         self.note_source(&mut state, source);
         let changed: Vec<Object> = delta
             .objects
@@ -344,12 +351,13 @@
 }
 
 impl State {
-    /// Records that the knowledge was complete at `at`.
-    fn confirm(&mut self, at: Time) {
+    /// Records that the knowledge was complete at `at`. Returns when it was last known to be complete
+    /// before.
+    fn confirm(&mut self, at: Time) -> Time {
+        let complete_at = self.freshness.confirmed().unwrap_or(at);
         self.freshness.confirm(at);
-        if let Some(confirmed) = self.freshness.confirmed() {
-            self.handler.on_confirmed(confirmed);
-        }
+        self.handler.on_confirmed(at.max(complete_at), complete_at);
+        complete_at
     }
 
     /// Adds the differences between what is known and a complete list to the log.
--- a/crates/carawayrill-gateway/src/knowledge/servers.rs
+++ b/crates/carawayrill-gateway/src/knowledge/servers.rs
@@ -141,7 +141,10 @@
     fn on_changes(&mut self, objects: &[Object], revision: Revision, complete_at: Time) {
         let mut applied = Vec::new();
         let now = clock::now();
-        self.shared.tables().servers.mark_store_reachable(now);
+        self.shared
+            .tables()
+            .servers
+            .mark_store_reachable(now, complete_at);
         for object in objects {
             let decoded = if object.version.0 == 0 {
                 None
@@ -166,10 +169,10 @@
         self.shared.tables().servers.mark_store_unreachable(sent);
     }
 
-    fn on_confirmed(&mut self, confirmed: Time) {
+    fn on_confirmed(&mut self, confirmed: Time, complete_at: Time) {
         let mut tables = self.shared.tables();
         tables.servers_confirmed = Some(confirmed);
-        tables.servers.confirm(confirmed, clock::now());
+        tables.servers.confirm(confirmed, clock::now(), complete_at);
     }
 
     fn batch_delay(&self) -> Duration {
--- a/crates/carawayrill-gateway/src/state.rs
+++ b/crates/carawayrill-gateway/src/state.rs
@@ -99,13 +99,14 @@
     #[must_use]
     pub fn new(cfg: Config, metrics: Metrics) -> Self {
         let seed = cfg.incarnation;
+        let min_lapse = cfg.min_lapse;
         Self {
             cfg,
             metrics,
             tables: Mutex::new(Tables {
                 manifest: None,
                 routes: Routes::default(),
-                servers: Servers::default(),
+                servers: Servers::new(min_lapse),
                 servers_read: false,
                 servers_confirmed: None,
                 loads: HashMap::new(),
