Keep to the limit on requests a second that a server names

Cause: nothing read Server-Limit. Class: a server's word on its load that is read nowhere, or by one front only, while all fronts send. Change: core::direct::limit decides. A front learns of the limit from responses or from the granter, and spends its share in permits that come at a steady rate and expire: many idle fronts can't send all at once. The granter divides a limit by what the fronts want to send, a fifth of it equally; without its word the shares are equal. It counts the limit as the server's capacity, so that keys move away. What finds no permit goes elsewhere or is refused at once, with the time until the next one. A response without the header ends the limit, everywhere. Ruled out: equal shares alone (2 of 11 fronts asking get 2/11 of the limit); permits without an end (300 idle fronts send 300 requests at once), both by the test in virtual time; forgetting a limit after 10 s (fronts with small shares sent freely). Why it works: shares add up to the limit, and saved permits to 1.5 s of it and 3 requests, below the half that the rule leaves. Known: with many fronts and a low limit most permits expire unused: 89 fronts that ask evenly for 2 requests a second in all use a fraction of it.

--- a/crates/carawayrill-core/src/direct/mod.rs
+++ b/crates/carawayrill-core/src/direct/mod.rs
@@ -14,6 +14,7 @@
 pub mod keys;
 pub mod knowledge;
 pub mod lease;
+pub mod limit;
 pub mod load;
 pub mod manifest;
 pub mod rebalance;
--- a/crates/carawayrill-core/src/event.rs
+++ b/crates/carawayrill-core/src/event.rs
@@ -275,6 +275,15 @@
             /// The time, in milliseconds.
             pause_ms: u64,
         },
+        /// The limit on the requests a second that a server takes from all fronts has changed.
+        ServerLimited {
+            /// The id of the server.
+            server: CompactString,
+            /// The limit in requests a second; empty if there is none any more.
+            limit: CompactString,
+            /// Where it was learned: `response` or `granter`.
+            source: CompactString,
+        },
         /// The store came back from an older copy.
         StoreRestored {
             /// The kind of object whose list was read anew.
--- a/crates/carawayrill-gateway/src/forward/choose.rs
+++ b/crates/carawayrill-gateway/src/forward/choose.rs
@@ -90,7 +90,12 @@
                 None => Refusal::new("no-server", DEFAULT_RETRY_AFTER),
             },
             Choice::Full(after) => Refusal::new("full", after),
-            Choice::NoServer => Refusal::new("no-server", DEFAULT_RETRY_AFTER),
+            Choice::NoServer => {
+                match refuse_limited(tables, &candidates, &request_profile, idle_ms, now) {
+                    Some(refusal) => refusal,
+                    None => Refusal::new("no-server", DEFAULT_RETRY_AFTER),
+                }
+            }
         };
         let limit_ms = admission::limit_ms(&request_profile, idle_ms);
         NextStep::Refuse(Refusal {
@@ -135,9 +140,14 @@
             .min(mean_ms.unwrap_or(ASSUMED_IDLE_MS));
         let fronts = tables.fronts.get();
         let candidates = [candidate];
+        let limited = tables.limits.wait(&server.id, now);
+        if !limited.is_zero() {
+            tables.limits.record_refused(&server.id);
+        }
         let busy = tables.loads.get(&server.id).map_or(Duration::ZERO, |load| {
             load.paused_until().max(load.backoff_until()).since(now)
         });
+        let busy = busy.max(limited);
         let (reason, busy) = match admission::choose(
             &candidates,
             &request_profile,
@@ -147,6 +157,7 @@
         ) {
             Choice::Send(_) => return NextStep::Send(Box::new(server), Some(span.fence)),
             Choice::Full(after) => ("full", after),
+            Choice::NoServer if !limited.is_zero() => ("owner-limited", busy),
             Choice::NoServer => ("owner-busy", busy),
         };
         let after = admission::owner_retry_after(&request_profile, idle_ms, busy, &mut tables.rng);
@@ -175,6 +186,25 @@
     }
 }
 
+/// Returns the refusal of a request for which only the limits of servers leave none.
+fn refuse_limited(
+    tables: &mut Tables,
+    candidates: &[Candidate],
+    profile: &RequestProfile,
+    idle_ms: f64,
+    now: Time,
+) -> Option<Refusal> {
+    let limits = &tables.limits;
+    let waits = candidates
+        .iter()
+        .map(|candidate| (&candidate.server, limits.wait(&candidate.server, now)))
+        .filter(|(_, wait)| !wait.is_zero());
+    let (server, wait) = waits.min_by_key(|(_, wait)| *wait)?;
+    tables.limits.record_refused(server);
+    let after = admission::owner_retry_after(profile, idle_ms, wait, &mut tables.rng);
+    Some(Refusal::new("limited", after))
+}
+
 /// Returns the load estimates of the candidates, for the log.
 fn load_estimate(
     tables: &Tables,
--- a/crates/carawayrill-gateway/src/forward/send.rs
+++ b/crates/carawayrill-gateway/src/forward/send.rs
@@ -17,15 +17,18 @@
 use compact_str::ToCompactString;
 use http::Request;
 use http_body_util::Full;
+use rand::RngExt;
 
 use super::Forwarder;
 use super::Reply;
 use super::choose::NextStep;
 use crate::clock;
+use crate::port::LimitHeader;
 use crate::port::ResponseMetadata;
 use crate::port::SendMetadata;
 use crate::port::ServerRefusal;
 use crate::state::InFlight;
+use crate::state::Tables;
 use crate::upstream::Reuse;
 use crate::upstream::SendError;
 use crate::upstream::ServerResponse;
@@ -328,6 +331,9 @@
                 pause_ms: millis(pause),
             });
         }
+        if metadata.request.is_some() {
+            self.note_limit(&mut tables, server, metadata.limit, now);
+        }
         if !metadata.leaving {
             return;
         }
@@ -342,6 +348,23 @@
         }
     }
 
+    /// Records the limit that the response of a server names, or that it names none.
+    fn note_limit(&self, tables: &mut Tables, server: &Server, limit: LimitHeader, now: Time) {
+        let limit = match limit {
+            LimitHeader::Absent => None,
+            LimitHeader::Named(limit) => Some(limit),
+            LimitHeader::Invalid => return,
+        };
+        let fronts = tables.fronts.get();
+        let phase = tables.rng.random_range(0.0..1.0);
+        let changed = tables
+            .limits
+            .record(&server.id, server.born, limit, now, fronts, phase);
+        if changed {
+            self.shared.emit_limit(&server.id, limit, "response");
+        }
+    }
+
     fn make_reply(
         &self,
         server: &Server,
--- a/crates/carawayrill-gateway/src/granter_runtime/capacity.rs
+++ b/crates/carawayrill-gateway/src/granter_runtime/capacity.rs
@@ -34,6 +34,8 @@
             COLD_SHARE
         };
         let rate = f64::from(server.slots) * 1_000.0 / service_ms * cold;
+        let limit = tables.limits.get(&server.id);
+        let rate = limit.map_or(rate, |limit| rate.min(limit.per_second()));
         capacities.set(server.id.clone(), rate);
     }
     capacities
--- a/crates/carawayrill-gateway/src/granter_runtime/mod.rs
+++ b/crates/carawayrill-gateway/src/granter_runtime/mod.rs
@@ -23,6 +23,8 @@
 use carawayrill_core::direct::granter::StoredSpans;
 use carawayrill_core::direct::keys::Born;
 use carawayrill_core::direct::knowledge::StoredVersion;
+use carawayrill_core::direct::limit::FrontShare;
+use carawayrill_core::direct::limit::LimitReport;
 use carawayrill_core::direct::spans::SpanRecord;
 use carawayrill_core::event::EventKind;
 use carawayrill_core::id::Era;
@@ -84,6 +86,8 @@
     pub cores: f64,
     /// The servers that are leaving, as this front knows it.
     pub leaving: Vec<LeavingServer>,
+    /// The limits that servers have named.
+    pub limits: Vec<LimitReport>,
 }
 
 /// An update to the fronts.
@@ -178,6 +182,12 @@
         }
     }
 
+    /// Returns the shares of a front in the limits of servers.
+    #[must_use]
+    pub fn shares_of(&self, front: &str, now: Time) -> Vec<FrontShare> {
+        self.state().shares_of(front, now)
+    }
+
     /// Runs rounds of decisions until this front is no longer the granter.
     pub async fn run(self: Arc<Self>) {
         while self.is_current() {
--- a/crates/carawayrill-gateway/src/granter_runtime/state.rs
+++ b/crates/carawayrill-gateway/src/granter_runtime/state.rs
@@ -11,6 +11,8 @@
 use carawayrill_core::direct::granter::Granter;
 use carawayrill_core::direct::granter::Inputs;
 use carawayrill_core::direct::knowledge::StoredVersion;
+use carawayrill_core::direct::limit::FrontShare;
+use carawayrill_core::direct::limit::LimitDivision;
 use carawayrill_core::direct::rebalance::Capacities;
 use carawayrill_core::id::ServerId;
 use carawayrill_core::id::ServiceId;
@@ -53,6 +55,8 @@
     /// The service time of each server in milliseconds, by reporting front.
     service_times: HashMap<ServerId, HashMap<CompactString, f64>>,
     pub(super) fronts: HashMap<CompactString, ReportingFront>,
+    /// The limits of servers, and what the fronts want to send them.
+    limits: LimitDivision,
     /// The capacity of the servers of each keyed service.
     capacities: BTreeMap<ServiceId, Capacities>,
     /// When the demand and the capacities were last brought up to date.
@@ -73,6 +77,7 @@
             demand: BTreeMap::new(),
             service_times: HashMap::new(),
             fronts: HashMap::new(),
+            limits: LimitDivision::default(),
             capacities: BTreeMap::new(),
             demand_advanced_at: Time::default(),
             published_at: now,
@@ -102,12 +107,22 @@
             let by_front = self.service_times.entry(server).or_default();
             by_front.insert(report.front.clone(), service_ms);
         }
+        for limit in &report.limits {
+            self.limits.add_report(&report.front, limit, now);
+        }
+    }
+
+    /// Returns the shares of a front in the limits of servers.
+    pub(super) fn shares_of(&self, front: &str, now: Time) -> Vec<FrontShare> {
+        let fronts = u32::try_from(self.fronts.len()).unwrap_or(u32::MAX);
+        self.limits.shares_of(front, fronts, now)
     }
 
     /// Removes the fronts that have stopped sending reports.
     pub(super) fn remove_silent_fronts(&mut self, now: Time) {
         self.fronts
             .retain(|_, front| now.since(front.last_report) < FRONT_TTL);
+        self.limits.expire(now);
     }
 
     /// Creates the granters of new keyed services, and removes those of services that are gone.
--- a/crates/carawayrill-gateway/src/granter_stream/convert.rs
+++ b/crates/carawayrill-gateway/src/granter_stream/convert.rs
@@ -10,6 +10,9 @@
 use carawayrill_core::direct::knowledge::Delta;
 use carawayrill_core::direct::knowledge::StorePosition;
 use carawayrill_core::direct::knowledge::StoredVersion;
+use carawayrill_core::direct::limit::FrontShare;
+use carawayrill_core::direct::limit::LimitReport;
+use carawayrill_core::direct::limit::RequestRate;
 use carawayrill_core::id::Era;
 use carawayrill_core::id::Revision;
 use carawayrill_core::id::ServerId;
@@ -69,9 +72,58 @@
         kinds: Vec::new(),
         sent_ms: 0,
         leaving: leaving.collect(),
+        limits: report.limits.iter().map(encode_limit_report).collect(),
     }
 }
 
+fn encode_limit_report(report: &LimitReport) -> wire::LimitReport {
+    wire::LimitReport {
+        server: report.server.as_str().to_owned(),
+        born: report.born.0,
+        milli_rate: report.limit.map(|limit| limit.0),
+        age_ms: millis(report.age),
+        wanted: report.wanted,
+    }
+}
+
+fn decode_limit_report(report: &wire::LimitReport) -> Option<LimitReport> {
+    Some(LimitReport {
+        server: parse_id(ServerId::try_from(report.server.as_str()))?,
+        born: Born(report.born),
+        limit: report.milli_rate.map(RequestRate),
+        age: Duration::from_millis(report.age_ms),
+        wanted: report.wanted,
+    })
+}
+
+/// Adds the front's shares in the limits of servers.
+pub(super) fn add_shares(
+    update: wire::GranterUpdate,
+    shares: Vec<FrontShare>,
+) -> wire::GranterUpdate {
+    let limits = shares.into_iter().map(|share| wire::LimitShare {
+        server: share.server.as_str().to_owned(),
+        born: share.born.0,
+        milli_rate: share.limit.map(|limit| limit.0),
+        age_ms: millis(share.age),
+        share_milli_rate: share.share.0,
+    });
+    wire::GranterUpdate {
+        limits: limits.collect(),
+        ..update
+    }
+}
+
+fn decode_share(share: &wire::LimitShare) -> Option<FrontShare> {
+    Some(FrontShare {
+        server: parse_id(ServerId::try_from(share.server.as_str()))?,
+        born: Born(share.born),
+        limit: share.milli_rate.map(RequestRate),
+        age: Duration::from_millis(share.age_ms),
+        share: RequestRate(share.share_milli_rate),
+    })
+}
+
 /// Adds what the front knows of the store, and when the report is sent.
 pub(super) fn add_positions(
     report: wire::FrontReport,
@@ -163,9 +215,11 @@
             born: Born(leaving.born),
         })
     });
+    let limits = report.limits.iter().filter_map(decode_limit_report);
     Report {
         front: report.front.into(),
         leaving: leaving.collect(),
+        limits: limits.collect(),
         demand: demand.collect::<HashMap<_, _>>(),
         service_times: service_times.collect(),
         cores: f64::from(report.milli_cores) / 1_000.0,
@@ -194,6 +248,7 @@
         strongest_milli_cores: milli_cores(update.strongest_cores),
         kinds: Vec::new(),
         echo_ms: 0,
+        limits: Vec::new(),
     }
 }
 
@@ -305,6 +360,8 @@
     pub(super) strongest_cores: f64,
     pub(super) changes: Vec<ReceivedChanges>,
     pub(super) deltas: Vec<(ServiceId, SpanDelta)>,
+    /// This front's shares in the limits of servers.
+    pub(super) limits: Vec<FrontShare>,
 }
 
 /// Decodes an update. Invalid parts are logged and skipped.
@@ -332,11 +389,16 @@
         fronts: update.fronts,
         strongest_cores: f64::from(update.strongest_milli_cores) / 1_000.0,
         deltas: deltas.collect(),
+        limits: update.limits.iter().filter_map(decode_share).collect(),
     }
 }
 
 /// Converts an update of the granter in this process.
-pub(super) fn local_update(update: &Update, known: &KnownPositions) -> ReceivedUpdate {
+pub(super) fn local_update(
+    update: &Update,
+    known: &KnownPositions,
+    limits: Vec<FrontShare>,
+) -> ReceivedUpdate {
     let deltas = update.tables.iter().filter_map(|(service, table)| {
         let delta = table.delta_since(known.get(service).copied())?;
         Some((service.clone(), delta))
@@ -347,6 +409,7 @@
         fronts: update.fronts,
         strongest_cores: update.strongest_cores,
         deltas: deltas.collect(),
+        limits,
     }
 }
 
--- a/crates/carawayrill-gateway/src/granter_stream/mod.rs
+++ b/crates/carawayrill-gateway/src/granter_stream/mod.rs
@@ -11,12 +11,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use carawayrill_core::direct::limit::FrontShare;
 use carawayrill_core::event::EventKind;
 use carawayrill_core::id::ServerId;
 use carawayrill_core::id::ServiceId;
 use carawayrill_proto::granter::granter_client::GranterClient;
 use carawayrill_store::port::ObjectStore;
 use carawayrill_telemetry::emit;
+use rand::RngExt;
 use tokio::sync::mpsc;
 use tokio_stream::wrappers::ReceiverStream;
 use tonic::transport::Channel;
@@ -64,8 +66,10 @@
             let report = take_report(lease_manager.shared());
             granter_runtime.add_report(report);
             let update = {
-                let known = known_positions(&lease_manager.shared().tables());
-                convert::local_update(&granter_runtime.updates().borrow(), &known)
+                let shared = lease_manager.shared();
+                let known = known_positions(&shared.tables());
+                let limits = granter_runtime.shares_of(&shared.cfg.front, clock::now());
+                convert::local_update(&granter_runtime.updates().borrow(), &known, limits)
             };
             apply_update(&lease_manager, &update);
             wait_for_update(&granter_runtime).await;
@@ -170,8 +174,10 @@
             born: server.born,
         });
     let leaving = leaving.collect();
+    let limits = tables.limits.take_reports(clock::now());
     Report {
         leaving,
+        limits,
         front: shared.cfg.front.clone(),
         demand,
         service_times,
@@ -224,6 +230,7 @@
         let mut tables = shared.tables();
         tables.fronts.update(update.fronts, clock::now());
         tables.strongest_cores = update.strongest_cores;
+        apply_limits(shared, &mut tables, &update.limits);
         for (service, delta) in &update.deltas {
             apply_delta(&mut tables, service, delta);
         }
@@ -233,6 +240,22 @@
     }
 }
 
+/// Applies this front's shares in the limits of servers.
+fn apply_limits(shared: &Shared, tables: &mut Tables, limits: &[FrontShare]) {
+    let now = clock::now();
+    let fronts = tables.fronts.get();
+    for share in limits {
+        let listed = tables.servers.get(&share.server);
+        if listed.is_none_or(|server| server.born != share.born) {
+            continue;
+        }
+        let phase = tables.rng.random_range(0.0..1.0);
+        if tables.limits.apply_share(share, fronts, phase, now) {
+            shared.emit_limit(&share.server, share.limit, "granter");
+        }
+    }
+}
+
 fn apply_delta(tables: &mut Tables, service: &ServiceId, delta: &SpanDelta) {
     let known = tables.spans.entry(service.clone()).or_default();
     let new_version = known.version != delta.version;
--- a/crates/carawayrill-gateway/src/granter_stream/service.rs
+++ b/crates/carawayrill-gateway/src/granter_stream/service.rs
@@ -8,6 +8,7 @@
 use carawayrill_proto::granter as wire;
 use carawayrill_proto::granter::granter_server::Granter;
 use carawayrill_proto::granter::granter_server::GranterServer;
+use compact_str::CompactString;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio_stream::Stream;
@@ -87,6 +88,7 @@
     let mut positions = convert::decode_positions(&first);
     let mut echo = Time(first.sent_ms);
     let knowledge = Arc::clone(lease_manager.knowledge());
+    let front = CompactString::from(first.front.as_str());
     granter_runtime.add_report(convert::decode_report(first));
     let mut updates = granter_runtime.updates();
     updates.mark_changed();
@@ -113,6 +115,7 @@
                 let update = convert::encode_update(&updates.borrow_and_update(), &mut known);
                 let now = clock::now();
                 let update = convert::add_changes(update, &knowledge, &mut positions, echo, now);
+                let update = convert::add_shares(update, granter_runtime.shares_of(&front, now));
                 // Queued updates would become stale, so the stream is closed if the channel is
                 // full. The front then joins again.
                 if tx.try_send(Ok(update)).is_err() {
--- a/crates/carawayrill-gateway/src/knowledge/servers.rs
+++ b/crates/carawayrill-gateway/src/knowledge/servers.rs
@@ -108,9 +108,10 @@
         for change in changes {
             if let ServerChange::Added(id) = change {
                 tables.loads.remove(id);
+                tables.limits.remove(id);
             }
         }
-        tables.remove_unlisted_loads();
+        tables.remove_unlisted();
     }
 }
 
--- a/crates/carawayrill-gateway/src/port.rs
+++ b/crates/carawayrill-gateway/src/port.rs
@@ -6,6 +6,7 @@
 use async_trait::async_trait;
 use carawayrill_core::direct::granter::OrderResult;
 use carawayrill_core::direct::granter::SpanOrder;
+use carawayrill_core::direct::limit::RequestRate;
 use carawayrill_core::direct::load::LoadReport;
 use carawayrill_core::direct::manifest::Manifest;
 use carawayrill_core::direct::servers::Server;
@@ -71,6 +72,20 @@
     pub leaving: bool,
     /// The time for which an overloaded server wants no request from this front.
     pub pause: Option<Duration>,
+    /// The limit on the requests that the server takes.
+    pub limit: LimitHeader,
+}
+
+/// What a response says of the requests a second that its server takes from all fronts together.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum LimitHeader {
+    /// The server has no limit.
+    #[default]
+    Absent,
+    /// The server has this limit.
+    Named(RequestRate),
+    /// A value that is not a rate. It says nothing about the limit.
+    Invalid,
 }
 
 /// Reads and writes the platform-specific headers of requests and responses.
--- a/crates/carawayrill-gateway/src/state.rs
+++ b/crates/carawayrill-gateway/src/state.rs
@@ -14,6 +14,8 @@
 use carawayrill_core::direct::fronts;
 use carawayrill_core::direct::fronts::DEFAULT_FRONT_COUNT;
 use carawayrill_core::direct::fronts::FrontCount;
+use carawayrill_core::direct::limit::RequestRate;
+use carawayrill_core::direct::limit::ServerLimits;
 use carawayrill_core::direct::load;
 use carawayrill_core::direct::load::AttemptResult;
 use carawayrill_core::direct::load::LoadReport;
@@ -23,11 +25,15 @@
 use carawayrill_core::direct::routes::Routes;
 use carawayrill_core::direct::servers::Server;
 use carawayrill_core::direct::servers::Servers;
+use carawayrill_core::event::EventKind;
 use carawayrill_core::id::DataCentreId;
 use carawayrill_core::id::ServerId;
 use carawayrill_core::id::ServiceId;
 use carawayrill_core::time::Time;
 use carawayrill_core::time::millis;
+use carawayrill_telemetry::emit;
+use compact_str::CompactString;
+use compact_str::ToCompactString;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use tokio::sync::watch;
@@ -65,6 +71,8 @@
     pub servers_confirmed: Option<Time>,
     /// The estimated load of each server.
     pub loads: HashMap<ServerId, ServerLoad>,
+    /// The limits that servers have named.
+    pub limits: ServerLimits,
     /// The spans of each keyed service.
     pub spans: HashMap<ServiceId, SpanTable>,
     /// The retry budget of each service.
@@ -110,6 +118,7 @@
                 servers_read: false,
                 servers_confirmed: None,
                 loads: HashMap::new(),
+                limits: ServerLimits::default(),
                 spans: HashMap::new(),
                 retry_budgets: HashMap::new(),
                 route_sizes_kib: HashMap::new(),
@@ -146,6 +155,16 @@
         self.changed.subscribe()
     }
 
+    /// Emits an event for a changed limit of a server.
+    pub fn emit_limit(&self, server: &ServerId, limit: Option<RequestRate>, source: &str) {
+        self.metrics.limit_changes.inc();
+        emit(EventKind::ServerLimited {
+            server: server.to_compact_string(),
+            limit: limit.map_or_else(CompactString::default, |limit| limit.to_compact_string()),
+            source: source.into(),
+        });
+    }
+
     /// Returns the distance between a data centre and this front.
     #[must_use]
     pub fn distance(&self, to: &DataCentreId) -> Distance {
@@ -216,9 +235,10 @@
         load
     }
 
-    /// Removes the load estimates of servers that are no longer listed.
-    pub fn remove_unlisted_loads(&mut self) {
+    /// Removes the load estimates and the limits of servers that are no longer listed.
+    pub fn remove_unlisted(&mut self) {
         let servers = &self.servers;
+        self.limits.retain(|id| servers.get(id).is_some());
         self.loads
             .retain(|id, load| servers.get(id).is_some() || load.in_flight() > 0);
     }
@@ -233,11 +253,12 @@
         now: Time,
     ) -> Candidate {
         let share = self.connection_share(&server.service);
+        let within_limit = self.limits.allows(&server.id, now);
         let load = self.load(server, now);
         if let Some(mean_ms) = mean_ms {
             load.set_assumed_service_ms(mean_ms);
         }
-        make_candidate(server, load, distance, share, now)
+        make_candidate(server, load, distance, share, within_limit, now)
     }
 
     /// Returns the servers of a service that accept requests as candidates for a request.
@@ -250,6 +271,7 @@
     ) -> Vec<Candidate> {
         let share = self.connection_share(service);
         let fronts = self.fronts.get();
+        let limits = &self.limits;
         let loads = &mut self.loads;
         let ready = self.servers.ready_servers(service);
         ready
@@ -265,7 +287,9 @@
                 if let Some(mean_ms) = mean_ms {
                     load.set_assumed_service_ms(mean_ms);
                 }
-                make_candidate(server, load, distance(&server.data_centre), share, now)
+                let distance = distance(&server.data_centre);
+                let within_limit = limits.allows(&server.id, now);
+                make_candidate(server, load, distance, share, within_limit, now)
             })
             .collect()
     }
@@ -334,6 +358,7 @@
     load: &ServerLoad,
     distance: Distance,
     connections: u32,
+    within_limit: bool,
     now: Time,
 ) -> Candidate {
     Candidate {
@@ -342,7 +367,7 @@
         response_ms: load.response_ms(now),
         service_rounds: load.service_rounds(now),
         failure_cost_ms: load.failure_cost_ms(now),
-        usable: load.in_flight() < connections && load.accepts(now),
+        usable: within_limit && load.in_flight() < connections && load.accepts(now),
     }
 }
 
@@ -365,6 +390,7 @@
         let load = tables.load(server, now);
         let total_at_send = load.expected_total(now);
         load.begin_request();
+        tables.limits.record_sent(&server.id, now);
         drop(tables);
         Self {
             shared: Arc::clone(shared),
--- a/crates/carawayrill-gateway/src/watcher.rs
+++ b/crates/carawayrill-gateway/src/watcher.rs
@@ -205,7 +205,12 @@
         for known in knowledge.kinds() {
             known.update_metrics(now);
         }
-        let removed = shared.tables().servers.expire(now);
+        let removed = {
+            let mut tables = shared.tables();
+            let fronts = tables.fronts.get();
+            tables.limits.refresh(fronts, now);
+            tables.servers.expire(now)
+        };
         for change in &removed {
             log::info!("server entry did not reappear after the store outage: {change:?}");
         }
