Controller: wait no longer than 2 s for a watch of the store

After a lost answer it learned of an order to drain a server, a member or a configuration 22 s late. Change: 2 s, so that a lost watch ends after 4 s at most. Each watch is one call; the four prefixes are watched by the leader only. Looked at too: the routers of the own interface wait 5 s and have a margin of 1 s; their authority rests on reads, not on watches. Test: a_drain_order_is_seen_after_a_watch_was_lost, failed before (not known after 6 s), passes.

--- a/crates/carawayrill-controller/src/leader.rs
+++ b/crates/carawayrill-controller/src/leader.rs
@@ -40,8 +40,9 @@
 
 /// The prefixes of the store that a leader watches.
 pub const WATCHED_PREFIXES: [&str; 4] = [ASSIGNMENTS, MEMBERS, DRAINS, CONFIG_HEAD];
-/// Maximum time that a watch of the store waits for changes.
-const WATCH_TIMEOUT: Duration = Duration::from_secs(20);
+/// Maximum time that a watch of the store waits for changes. If its answer is lost, nothing is learned
+/// before this time and the timeout of a call are over.
+const WATCH_TIMEOUT: Duration = Duration::from_secs(2);
 /// Delay after a failed call.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 /// Interval at which a task checks whether this controller is the leader.
--- a/crates/carawayrill-controller/tests/leader.rs
+++ b/crates/carawayrill-controller/tests/leader.rs
@@ -3,6 +3,8 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -23,14 +25,19 @@
 use carawayrill_core::id::ServerId;
 use carawayrill_core::id::Version;
 use carawayrill_core::object::CONFIG_HEAD;
+use carawayrill_core::object::DRAINS;
+use carawayrill_core::object::DrainOrder;
 use carawayrill_core::object::Member;
 use carawayrill_core::object::member_name;
 use carawayrill_core::order::LoadReport;
 use carawayrill_core::order::Order;
 use carawayrill_core::order::OrderReply;
 use carawayrill_core::time::ServerTime;
+use carawayrill_core::time::WallTime;
 use carawayrill_store::memory::Fault;
 use carawayrill_store::memory::MemoryStore;
+use carawayrill_store::port::Changes;
+use carawayrill_store::port::Object;
 use carawayrill_store::port::ObjectStore;
 use carawayrill_store::port::ServerControl;
 use tokio::time::timeout;
@@ -100,6 +107,54 @@
     }
 }
 
+/// A store that never answers the first watch of drain orders that waits for a change.
+#[derive(Debug)]
+struct LostWatch {
+    store: MemoryStore,
+    lost: AtomicBool,
+}
+
+/// The time after its wait at which a client gives a watch up.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+
+#[async_trait]
+impl ObjectStore for LostWatch {
+    async fn get(&self, name: &str) -> Result<Option<Object>, carawayrill_store::Error> {
+        self.store.get(name).await
+    }
+
+    async fn version(&self, name: &str) -> Result<Version, carawayrill_store::Error> {
+        self.store.version(name).await
+    }
+
+    async fn put(
+        &self,
+        name: &str,
+        value: Bytes,
+        expected: Version,
+    ) -> Result<Version, carawayrill_store::Error> {
+        self.store.put(name, value, expected).await
+    }
+
+    async fn delete(&self, name: &str, expected: Version) -> Result<(), carawayrill_store::Error> {
+        self.store.delete(name, expected).await
+    }
+
+    async fn watch(
+        &self,
+        prefix: &str,
+        after: Revision,
+        wait: Duration,
+    ) -> Result<Changes, carawayrill_store::Error> {
+        let is_lost = prefix == DRAINS && after != Revision(0);
+        if is_lost && !self.lost.swap(true, Ordering::Relaxed) {
+            tokio::time::sleep(wait + CALL_TIMEOUT).await;
+            return Err(carawayrill_store::Error::no_response("lost"));
+        }
+        self.store.watch(prefix, after, wait).await
+    }
+}
+
 fn leader(name: &str, store: &MemoryStore) -> Leader {
     let peer: SocketAddr = "127.0.0.1:1".parse().unwrap();
     let lease_duration = Duration::from_millis(500);
@@ -236,3 +291,43 @@
     assert_eq!(all_assigned(&store).await, before);
     tasks.iter().for_each(tokio::task::JoinHandle::abort);
 }
+
+/// The time within which a leader must know of an order to drain a server. A router that is told by a
+/// relay needs as long.
+const DRAIN_ORDER_TIMEOUT: Duration = Duration::from_secs(6);
+
+#[tokio::test]
+async fn a_drain_order_is_seen_after_a_watch_was_lost() {
+    let store = MemoryStore::new();
+    add_routers(&store).await;
+    let lossy = LostWatch {
+        store: store.clone(),
+        lost: AtomicBool::new(false),
+    };
+    let lossy = Arc::new(lossy);
+    let leader = Leader {
+        store: Arc::clone(&lossy) as Arc<dyn ObjectStore>,
+        ..leader("c-1", &store)
+    };
+    let tasks = spawn_tasks(&leader);
+    all_assigned(&store).await;
+    let poll = async |condition: &dyn Fn() -> bool| {
+        while !condition() {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    poll(&|| lossy.lost.load(Ordering::Relaxed)).await;
+    let order = DrainOrder {
+        name: "forms-1".into(),
+        reason: "test".into(),
+        since: WallTime(1),
+    };
+    let value = Bytes::from(serde_json::to_vec(&order).unwrap());
+    let name = format!("{DRAINS}forms-1");
+    store.put(&name, value, Version(0)).await.unwrap();
+    let is_known = || leader.state.tables().view.drains.contains_key("forms-1");
+    timeout(DRAIN_ORDER_TIMEOUT, poll(&is_known))
+        .await
+        .expect("the leader knows of the order");
+    tasks.iter().for_each(tokio::task::JoinHandle::abort);
+}
