Router: accept the connections in the backlog at a planned stop

Cause: a stopping router of the own interface closed its listener with connections in the backlog; the kernel reset them, and their callers got no answer (broken-off). Change: the backlog is accepted before the listener is closed. Test: a_planned_stop_accepts_the_connections_in_the_backlog, 0 of 20 before, 20 after.

--- a/crates/carawayrill-router/src/entry/callers.rs
+++ b/crates/carawayrill-router/src/entry/callers.rs
@@ -149,10 +149,14 @@
 
 impl CallerAcceptor {
     /// Waits for the next connection; waits forever once the listener is closed.
+    ///
+    /// The connections in the backlog are accepted before the listener is closed: the kernel has
+    /// completed them, and their callers may have sent requests.
     async fn next(&mut self) -> io::Result<(TcpStream, SocketAddr)> {
         let mut accepting = self.callers.accepting.subscribe();
         if let Some(listener) = &self.listener {
             tokio::select! {
+                biased;
                 accepted = listener.accept() => return accepted,
                 _ = accepting.wait_for(|accepting| !accepting) => {}
             }
