A copy of claims says for how long its home may lack claims itself

Cause of the known red repeats_through_other_routers_run_nothing_twice..., as far as its trace tells: a home that had taken over without the claims of its predecessor refused repeats (claims-not-known), copied what it had to its standby home, and the copy counted as complete. Ruled out: lost copies (the next home would have refused too). Change: the copy carries the time that is left of the refusals; a handover too. Test: the_copy_of_a_home_that_lacks_claims_lacks_them_too failed before ('done 200') and passes. The calls of answer_claims name the new argument; no check changed.

--- a/crates/carawayrill-core/src/answer/claims/copy.rs
+++ b/crates/carawayrill-core/src/answer/claims/copy.rs
@@ -4,6 +4,7 @@
 use crate::answer::claims::ClaimKey;
 use crate::answer::claims::ClaimTable;
 use crate::answer::claims::Lineage;
+use crate::answer::claims::row::CompleteCopy;
 use crate::answer::claims::row::Row;
 use crate::answer::claims::row::Rows;
 use crate::answer::claims::row::ShardClaims;
@@ -76,8 +77,9 @@
         }
     }
 
-    /// Records that the copy holds all claims of the assignment with this lineage. Returns false if
-    /// this incarnation of the home has not started a copy.
+    /// Records that the copy holds all claims that the home has under the assignment with this
+    /// lineage. The home itself may lack claims until `missing_until`. Returns false if this
+    /// incarnation of the home has not started a copy.
     #[must_use]
     pub fn complete_copy(
         &mut self,
@@ -85,6 +87,7 @@
         from: &RouterId,
         incarnation: Incarnation,
         lineage: Lineage,
+        missing_until: Time,
     ) -> bool {
         let Some(claims) = self.shards.get_mut(shard) else {
             return false;
@@ -93,7 +96,10 @@
             return false;
         }
         if let ShardRole::Copy { complete, .. } = &mut claims.role {
-            *complete = Some(lineage);
+            *complete = Some(CompleteCopy {
+                lineage,
+                missing_until,
+            });
         }
         true
     }
--- a/crates/carawayrill-core/src/answer/claims/mod.rs
+++ b/crates/carawayrill-core/src/answer/claims/mod.rs
@@ -160,20 +160,28 @@
             role: ShardRole::HomeIncompleteUntil(term, now + window),
             rows: Rows::new(),
         });
-        let complete = match origin {
-            Origin::Initial => true,
+        let missing_until = match origin {
+            Origin::Initial => now,
             Origin::Appointed(lineage) | Origin::TakenOver(lineage) => {
-                claims.is_complete_copy(lineage)
+                claims.copy_missing_until(lineage).unwrap_or(now + window)
             }
         };
-        claims.role = if complete {
+        claims.role = if missing_until <= now {
             ShardRole::HomeComplete(term)
         } else {
-            ShardRole::HomeIncompleteUntil(term, now + window)
+            ShardRole::HomeIncompleteUntil(term, missing_until)
         };
         claims.mark_running_lost();
     }
 
+    /// Returns for how long this router may lack claims of a shard whose home it is. A copy of its
+    /// claims lacks them too.
+    #[must_use]
+    pub fn missing_for(&self, now: Time, shard: &ShardId) -> Duration {
+        let claims = self.shards.get(shard);
+        claims.map_or(Duration::ZERO, |claims| claims.missing_for(now))
+    }
+
     /// Updates the term of a shard whose home this router has been throughout.
     fn update_term(&mut self, shard: &ShardId, term: Term) {
         if let Some(claims) = self.shards.get_mut(shard) {
--- a/crates/carawayrill-core/src/answer/claims/row.rs
+++ b/crates/carawayrill-core/src/answer/claims/row.rs
@@ -26,15 +26,23 @@
     HomeComplete(Term),
     /// This router is the home under this term and may lack claims until this time.
     HomeIncompleteUntil(Term, Time),
-    /// This router is a standby home and holds copies for the home `from`. `complete` is the
-    /// lineage for which the copy holds all claims.
+    /// This router is a standby home and holds copies for the home `from`.
     Copy {
         from: RouterId,
         incarnation: Incarnation,
-        complete: Option<Lineage>,
+        complete: Option<CompleteCopy>,
     },
 }
 
+/// A copy that holds all claims of a home.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct CompleteCopy {
+    /// The assignment for which the copy is complete.
+    pub(super) lineage: Lineage,
+    /// Until when the home itself may lack claims of its predecessor.
+    pub(super) missing_until: Time,
+}
+
 #[derive(Debug, Clone)]
 pub(super) struct Row {
     pub(super) fingerprint: Fingerprint,
@@ -117,8 +125,23 @@
         }
     }
 
-    pub(super) fn is_complete_copy(&self, lineage: Lineage) -> bool {
-        matches!(&self.role, ShardRole::Copy { complete, .. } if *complete == Some(lineage))
+    /// Returns until when this router may lack claims if it becomes the home by the assignment with
+    /// this lineage, or `None` if it has no complete copy for that.
+    pub(super) fn copy_missing_until(&self, lineage: Lineage) -> Option<Time> {
+        match &self.role {
+            ShardRole::Copy { complete, .. } => complete
+                .filter(|copy| copy.lineage == lineage)
+                .map(|copy| copy.missing_until),
+            ShardRole::HomeComplete(_) | ShardRole::HomeIncompleteUntil(..) => None,
+        }
+    }
+
+    /// Returns for how long this router may lack claims as the home.
+    pub(super) fn missing_for(&self, now: Time) -> Duration {
+        match self.role {
+            ShardRole::HomeIncompleteUntil(_, until) => until.since(now),
+            ShardRole::HomeComplete(_) | ShardRole::Copy { .. } => Duration::ZERO,
+        }
     }
 
     /// Marks claims in progress as lost: no answer will arrive for requests that a former home
--- a/crates/carawayrill-core/tests/answer_claims.rs
+++ b/crates/carawayrill-core/tests/answer_claims.rs
@@ -170,7 +170,7 @@
         assert!(table.keep_copy(Time(0), claim, &home(), INCARNATION));
     }
     if let Some(lineage) = complete {
-        assert!(table.complete_copy(&shard(), &home(), INCARNATION, lineage));
+        assert!(table.complete_copy(&shard(), &home(), INCARNATION, lineage, Time(0)));
     }
     table
 }
@@ -307,7 +307,7 @@
         left,
     };
     assert!(!table.keep_copy(Time(0), late_claim, &home(), Incarnation(2)));
-    assert!(!table.complete_copy(&shard(), &home(), Incarnation(2), LINEAGE));
+    assert!(!table.complete_copy(&shard(), &home(), Incarnation(2), LINEAGE, Time(0)));
 }
 
 #[test]
@@ -415,10 +415,13 @@
         for claim in claims {
             assert!(self.standby.keep_copy(Time(0), claim, &home(), INCARNATION));
         }
-        assert!(
-            self.standby
-                .complete_copy(&shard(), &home(), INCARNATION, pending.lineage)
-        );
+        assert!(self.standby.complete_copy(
+            &shard(),
+            &home(),
+            INCARNATION,
+            pending.lineage,
+            Time(0)
+        ));
         if !unanswered {
             self.mirror.mark_complete(&pending, self.standby_run);
         }
--- a/crates/carawayrill-router/src/home/serve/mirror.rs
+++ b/crates/carawayrill-router/src/home/serve/mirror.rs
@@ -13,12 +13,15 @@
 
 use carawayrill_core::answer::claims::Claim;
 use carawayrill_core::answer::claims::ClaimKey;
+use carawayrill_core::answer::claims::ClaimTable;
 use carawayrill_core::answer::claims::Lineage;
 use carawayrill_core::answer::mirror::PendingCopy;
 use carawayrill_core::id::Incarnation;
 use carawayrill_core::id::RequestId;
 use carawayrill_core::id::RouterId;
 use carawayrill_core::id::ShardId;
+use carawayrill_core::time::Time;
+use carawayrill_core::time::millis;
 use carawayrill_proto::wire;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
@@ -168,10 +171,9 @@
             .mirror
             .pending_copies(&link.standby, SYNC_BATCH);
         for copy in copies {
-            let Some(claims) = self.begin_copy(cx, &copy) else {
+            let Some((claims, whole)) = self.begin_copy(cx, &copy) else {
                 continue;
             };
-            let whole = whole_shard(&copy.shard, copy.lineage);
             let Some(reply) = call(cx, link, claims, vec![whole]).await else {
                 return;
             };
@@ -184,14 +186,17 @@
 
     /// Exports all claims of a shard. From the same moment on, each new claim waits for its own
     /// copy, so that none is missed.
-    fn begin_copy(&self, cx: &Context, copy: &PendingCopy) -> Option<Vec<wire::Claim>> {
+    fn begin_copy(
+        &self,
+        cx: &Context,
+        copy: &PendingCopy,
+    ) -> Option<(Vec<wire::Claim>, wire::WholeShard)> {
         let mut state = self.lock();
         if !state.serving.mirror.mark_maybe_complete(copy) {
             return None;
         }
-        Some(claims_of(
-            state.serving.claims.export(cx.now(), &copy.shard),
-        ))
+        let claims = &state.serving.claims;
+        Some(export_shard(claims, cx.now(), &copy.shard, copy.lineage))
     }
 
     /// Hands the claims of a shard over to the router that is to become its home, under the
@@ -223,8 +228,11 @@
         shard: &ShardId,
         lineage: Lineage,
     ) -> bool {
-        let claims = claims_of(self.lock().serving.claims.export(cx.now(), shard));
-        let reply = call(cx, link, claims, vec![whole_shard(shard, lineage)]).await;
+        let (claims, whole) = {
+            let state = self.lock();
+            export_shard(&state.serving.claims, cx.now(), shard, lineage)
+        };
+        let reply = call(cx, link, claims, vec![whole]).await;
         reply.is_some_and(|reply| reply.kept)
     }
 
@@ -254,7 +262,8 @@
             reply.kept_each.push(kept_one);
             kept &= kept_one;
         }
-        reply.kept = kept && state.complete_copies(&message.whole, (&from, incarnation));
+        let now = cx.now();
+        reply.kept = kept && state.complete_copies(now, &message.whole, (&from, incarnation));
         reply
     }
 
@@ -315,15 +324,17 @@
 
     fn complete_copies(
         &mut self,
+        now: Time,
         whole: &[wire::WholeShard],
         (from, incarnation): (&RouterId, Incarnation),
     ) -> bool {
         whole.iter().all(|copy| {
             let lineage = Lineage(copy.lineage);
+            let missing_until = now + Duration::from_millis(copy.missing_ms);
             let shard = copy.shard.parse::<ShardId>();
             shard.is_ok_and(|shard| {
                 let claims = &mut self.serving.claims;
-                claims.complete_copy(&shard, from, incarnation, lineage)
+                claims.complete_copy(&shard, from, incarnation, lineage, missing_until)
             })
         })
     }
@@ -337,11 +348,19 @@
     claims.into_iter().map(wire).collect()
 }
 
-fn whole_shard(shard: &ShardId, lineage: Lineage) -> wire::WholeShard {
-    wire::WholeShard {
+/// Returns all claims of a shard, and the statement that these are all that its home has.
+fn export_shard(
+    claims: &ClaimTable,
+    now: Time,
+    shard: &ShardId,
+    lineage: Lineage,
+) -> (Vec<wire::Claim>, wire::WholeShard) {
+    let whole = wire::WholeShard {
         shard: shard.to_string(),
         lineage: lineage.0,
-    }
+        missing_ms: millis(claims.missing_for(now, shard)),
+    };
+    (claims_of(claims.export(now, shard)), whole)
 }
 
 async fn call(
--- a/crates/carawayrill-router/tests/answers_mirror.rs
+++ b/crates/carawayrill-router/tests/answers_mirror.rs
@@ -172,6 +172,26 @@
     assert_eq!(MirroredPair::ask(&pair.standby, "other").await, fresh);
 }
 
+/// A home that may lack claims of its predecessor copies what it has. Its standby home must not run
+/// requests that the predecessor may have run.
+#[tokio::test]
+async fn the_copy_of_a_home_that_lacks_claims_lacks_them_too() {
+    let pair = MirroredPair::start().await;
+    let appointed = Assignment {
+        reason: Reason::Drain,
+        ..with_standby()
+    };
+    for harness in [&pair.home, &pair.standby] {
+        set_assignment(&harness.cx, Version(3), appointed.clone());
+    }
+    let refused = "not-run 503 claims-not-known";
+    assert_eq!(MirroredPair::ask(&pair.home, "k").await, refused);
+    pair.copy().await;
+    pair.standby.owner.set(Some(RESERVED_TOKEN));
+    assert_eq!(MirroredPair::ask(&pair.standby, "k").await, refused);
+    assert_eq!(pair.home.server.stats().runs, 0);
+}
+
 async fn write_intent(pair: &MirroredPair, next: Assignment) {
     let mut block = Block::empty(carawayrill_core::assignment::BlockId {
         service: shard().service,
