--- a/crates/carawayrill-core/src/direct/limit/division.rs
+++ b/crates/carawayrill-core/src/direct/limit/division.rs
@@ -6,6 +6,7 @@
 use compact_str::CompactString;
 
 use super::LimitReport;
+use super::LimitStatement;
 use super::RequestRate;
 use crate::direct::keys::Born;
 use crate::id::ServerId;
@@ -23,14 +24,8 @@
 /// The share of one front in the limit of a server.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct FrontShare {
-    /// The server.
-    pub server: ServerId,
-    /// Its incarnation.
-    pub born: Born,
-    /// The limit; `None` if the server named one before and no longer does.
-    pub limit: Option<RequestRate>,
-    /// The time since the response that said so.
-    pub age: Duration,
+    /// The latest statement that the granter knows of.
+    pub statement: LimitStatement,
     /// The share of the front.
     pub share: RequestRate,
 }
@@ -66,19 +61,20 @@
 impl LimitDivision {
     /// Adds what a front reports of a limit.
     pub fn add_report(&mut self, front: &CompactString, report: &LimitReport, now: Time) {
-        let named_at = now - report.age;
+        let statement = &report.statement;
+        let named_at = now - statement.age;
         let divided = self
             .servers
-            .entry(report.server.clone())
+            .entry(statement.server.clone())
             .or_insert_with(|| DividedLimit {
-                born: report.born,
-                limit: report.limit,
+                born: statement.born,
+                limit: statement.limit,
                 named_at,
                 wanted: BTreeMap::new(),
             });
         if named_at > divided.named_at {
-            divided.born = report.born;
-            divided.limit = report.limit;
+            divided.born = statement.born;
+            divided.limit = statement.limit;
             divided.named_at = named_at;
         }
         let before = divided.wanted.get(front).copied();
@@ -104,10 +100,12 @@
     #[must_use]
     pub fn shares_of(&self, front: &str, fronts: u32, now: Time) -> Vec<FrontShare> {
         let shares = self.servers.iter().map(|(server, divided)| FrontShare {
-            server: server.clone(),
-            born: divided.born,
-            limit: divided.limit,
-            age: now.since(divided.named_at),
+            statement: LimitStatement {
+                server: server.clone(),
+                born: divided.born,
+                limit: divided.limit,
+                age: now.since(divided.named_at),
+            },
             share: divided.share_of(front, fronts, now),
         });
         shares.collect()
--- a/crates/carawayrill-core/src/direct/limit/mod.rs
+++ b/crates/carawayrill-core/src/direct/limit/mod.rs
@@ -12,6 +12,7 @@
 
 use std::fmt;
 use std::str::FromStr;
+use std::time::Duration;
 
 pub use self::division::FrontShare;
 pub use self::division::LimitDivision;
@@ -19,6 +20,8 @@
 pub use self::table::LimitReport;
 pub use self::table::ServerLimits;
 use crate::Error;
+use crate::direct::keys::Born;
+use crate::id::ServerId;
 use crate::number;
 use crate::time::floor_to_u64;
 
@@ -33,6 +36,19 @@
     RequestRate;
 }
 
+/// What a response of a server said of the server's limit.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LimitStatement {
+    /// The server.
+    pub server: ServerId,
+    /// Its incarnation.
+    pub born: Born,
+    /// The limit; `None` if the server named one before and no longer does.
+    pub limit: Option<RequestRate>,
+    /// The time since the response.
+    pub age: Duration,
+}
+
 impl RequestRate {
     /// Returns the rate in requests a second.
     #[must_use]
--- a/crates/carawayrill-core/src/direct/limit/table.rs
+++ b/crates/carawayrill-core/src/direct/limit/table.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::FrontShare;
+use super::LimitStatement;
 use super::Permits;
 use super::RequestRate;
 use crate::direct::keys::Born;
@@ -18,14 +19,8 @@
 /// What a front reports of a server's limit.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct LimitReport {
-    /// The server.
-    pub server: ServerId,
-    /// Its incarnation.
-    pub born: Born,
-    /// The limit; `None` if the server named one before and no longer does.
-    pub limit: Option<RequestRate>,
-    /// The time since the response that said so.
-    pub age: Duration,
+    /// The latest statement that the front knows of.
+    pub statement: LimitStatement,
     /// The number of requests that this front sent or would have sent since its last report.
     pub wanted: u32,
 }
@@ -43,6 +38,19 @@
 }
 
 impl NamedLimit {
+    fn new(statement: &LimitStatement, named_at: Time, fronts: u32, phase: f64) -> Self {
+        let mut named = Self {
+            born: statement.born,
+            limit: statement.limit,
+            named_at,
+            share: None,
+            permits: Permits::new(phase, named_at),
+            wanted: 0,
+        };
+        named.refresh(fronts, named_at);
+        named
+    }
+
     /// Brings the rate of the permits up to date: to the share that the granter has assigned, or to
     /// an equal share.
     fn refresh(&mut self, fronts: u32, now: Time) {
@@ -63,54 +71,41 @@
 }
 
 impl ServerLimits {
-    /// Records that a response said at `named_at` which limit a server has, if any. `phase`, between
-    /// 0 and 1, differs from front to front. Returns whether the limit has changed.
+    /// Records what a response said at `now` or before. `phase`, between 0 and 1, differs from front to
+    /// front. Returns whether the limit has changed.
     pub fn record(
         &mut self,
-        server: &ServerId,
-        born: Born,
-        limit: Option<RequestRate>,
-        named_at: Time,
+        statement: &LimitStatement,
         fronts: u32,
         phase: f64,
+        now: Time,
     ) -> bool {
-        let known = self.named.get_mut(server);
-        let Some(known) = known.filter(|known| known.born == born) else {
-            return limit.is_some() && self.insert(server, born, limit, named_at, fronts, phase);
+        let named_at = now - statement.age;
+        let known = self.named.get_mut(&statement.server);
+        let Some(known) = known.filter(|known| known.born == statement.born) else {
+            if statement.limit.is_some() {
+                let named = NamedLimit::new(statement, named_at, fronts, phase);
+                self.named.insert(statement.server.clone(), named);
+            }
+            return statement.limit.is_some();
         };
         if named_at < known.named_at {
             return false;
         }
         known.named_at = named_at;
-        let has_changed = known.limit != limit;
-        known.limit = limit;
+        let has_changed = known.limit != statement.limit;
+        known.limit = statement.limit;
         if has_changed {
             known.share = None;
-            known.refresh(fronts, named_at);
+            known.refresh(fronts, now);
         }
         has_changed
     }
 
-    fn insert(
-        &mut self,
-        server: &ServerId,
-        born: Born,
-        limit: Option<RequestRate>,
-        named_at: Time,
-        fronts: u32,
-        phase: f64,
-    ) -> bool {
-        let mut named = NamedLimit {
-            born,
-            limit,
-            named_at,
-            share: None,
-            permits: Permits::new(phase, named_at),
-            wanted: 0,
-        };
-        named.refresh(fronts, named_at);
-        self.named.insert(server.clone(), named);
-        true
+    /// Returns whether a response has named a limit of the server.
+    #[must_use]
+    pub fn contains(&self, server: &ServerId) -> bool {
+        self.named.contains_key(server)
     }
 
     /// Returns the limit of a server.
@@ -157,18 +152,11 @@
     /// Applies the share that the granter has assigned to this front. Returns whether the limit has
     /// changed.
     pub fn apply_share(&mut self, share: &FrontShare, fronts: u32, phase: f64, now: Time) -> bool {
-        let named_at = now - share.age;
-        let has_changed = self.record(
-            &share.server,
-            share.born,
-            share.limit,
-            named_at,
-            fronts,
-            phase,
-        );
-        if let Some(named) = self.named.get_mut(&share.server)
-            && named.born == share.born
-            && named.limit == share.limit
+        let statement = &share.statement;
+        let has_changed = self.record(statement, fronts, phase, now);
+        if let Some(named) = self.named.get_mut(&statement.server)
+            && named.born == statement.born
+            && named.limit == statement.limit
         {
             named.share = Some((share.share, now));
         }
@@ -196,10 +184,12 @@
     /// Takes what this front reports to the granter.
     pub fn take_reports(&mut self, now: Time) -> Vec<LimitReport> {
         let reports = self.named.iter_mut().map(|(server, named)| LimitReport {
-            server: server.clone(),
-            born: named.born,
-            limit: named.limit,
-            age: now.since(named.named_at),
+            statement: LimitStatement {
+                server: server.clone(),
+                born: named.born,
+                limit: named.limit,
+                age: now.since(named.named_at),
+            },
             wanted: std::mem::take(&mut named.wanted),
         });
         reports.collect()
--- a/crates/carawayrill-core/tests/direct_limit.rs
+++ b/crates/carawayrill-core/tests/direct_limit.rs
@@ -5,6 +5,7 @@
 
 use carawayrill_core::direct::keys::Born;
 use carawayrill_core::direct::limit::LimitDivision;
+use carawayrill_core::direct::limit::LimitStatement;
 use carawayrill_core::direct::limit::RequestRate;
 use carawayrill_core::direct::limit::ServerLimits;
 use carawayrill_core::id::ServerId;
@@ -115,7 +116,7 @@
             self.arrivals.push(now);
         }
         let phase = self.rng.random_range(0.0..1.0);
-        let _changed = limits.record(&self.server, Born(1), Some(self.limit), now, fronts, phase);
+        let _changed = limits.record(&said(Some(self.limit)), fronts, phase, now);
     }
 
     fn exchange(&mut self, front: usize, step: u64, now: Time) {
@@ -161,6 +162,16 @@
     }
 }
 
+/// Returns what the server says of its limit in a response.
+fn said(limit: Option<RequestRate>) -> LimitStatement {
+    LimitStatement {
+        server: "s-1".parse().expect("a name"),
+        born: Born(1),
+        limit,
+        age: Duration::ZERO,
+    }
+}
+
 fn front_name(front: usize) -> CompactString {
     format_compact!("front-{front}")
 }
@@ -212,9 +223,9 @@
     let mut told = ServerLimits::default();
     let mut other = ServerLimits::default();
     let mut granter = LimitDivision::default();
-    assert!(told.record(&server, Born(1), limit, Time(0), 2, 0.0));
+    assert!(told.record(&said(limit), 2, 0.0, Time(0)));
     for (now, limit) in [(Time(100), limit), (Time(500), None)] {
-        let _changed = told.record(&server, Born(1), limit, now, 2, 0.0);
+        let _changed = told.record(&said(limit), 2, 0.0, now);
         for report in told.take_reports(now) {
             granter.add_report(&"front-1".into(), &report, now);
         }
@@ -232,8 +243,8 @@
     let server: ServerId = "s-1".parse().expect("a name");
     let mut limits = ServerLimits::default();
     let limit = |rate| Some(RequestRate(rate));
-    assert!(limits.record(&server, Born(1), limit(2_000), Time(1_000), 2, 0.0));
-    assert!(!limits.record(&server, Born(1), None, Time(900), 2, 0.0));
+    assert!(limits.record(&said(limit(2_000)), 2, 0.0, Time(1_000)));
+    assert!(!limits.record(&said(None), 2, 0.0, Time(900)));
     assert_eq!(limits.get(&server), limit(2_000));
 }
 
@@ -242,7 +253,7 @@
 fn a_restarted_server_has_no_limit() {
     let server: ServerId = "s-1".parse().expect("a name");
     let mut limits = ServerLimits::default();
-    assert!(limits.record(&server, Born(1), Some(RequestRate(2_000)), Time(0), 2, 0.0));
+    assert!(limits.record(&said(Some(RequestRate(2_000))), 2, 0.0, Time(0)));
     limits.remove(&server);
     assert_eq!(limits.get(&server), None);
     assert!(limits.allows(&server, Time(100)));
--- a/crates/carawayrill-gateway/src/forward/send.rs
+++ b/crates/carawayrill-gateway/src/forward/send.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use carawayrill_core::direct::keys::Fence;
+use carawayrill_core::direct::limit::LimitStatement;
 use carawayrill_core::direct::load::AttemptResult;
 use carawayrill_core::direct::manifest::Repeat;
 use carawayrill_core::direct::servers::Server;
@@ -355,12 +356,18 @@
             LimitHeader::Named(limit) => Some(limit),
             LimitHeader::Invalid => return,
         };
+        if limit.is_none() && !tables.limits.contains(&server.id) {
+            return;
+        }
+        let statement = LimitStatement {
+            server: server.id.clone(),
+            born: server.born,
+            limit,
+            age: Duration::ZERO,
+        };
         let fronts = tables.fronts.get();
         let phase = tables.rng.random_range(0.0..1.0);
-        let changed = tables
-            .limits
-            .record(&server.id, server.born, limit, now, fronts, phase);
-        if changed {
+        if tables.limits.record(&statement, fronts, phase, now) {
             self.shared.emit_limit(&server.id, limit, "response");
         }
     }
--- a/crates/carawayrill-gateway/src/granter_stream/convert.rs
+++ b/crates/carawayrill-gateway/src/granter_stream/convert.rs
@@ -12,6 +12,7 @@
 use carawayrill_core::direct::knowledge::StoredVersion;
 use carawayrill_core::direct::limit::FrontShare;
 use carawayrill_core::direct::limit::LimitReport;
+use carawayrill_core::direct::limit::LimitStatement;
 use carawayrill_core::direct::limit::RequestRate;
 use carawayrill_core::id::Era;
 use carawayrill_core::id::Revision;
@@ -78,35 +79,44 @@
 
 fn encode_limit_report(report: &LimitReport) -> wire::LimitReport {
     wire::LimitReport {
-        server: report.server.as_str().to_owned(),
-        born: report.born.0,
-        milli_rate: report.limit.map(|limit| limit.0),
-        age_ms: millis(report.age),
+        statement: Some(encode_statement(&report.statement)),
         wanted: report.wanted,
     }
 }
 
 fn decode_limit_report(report: &wire::LimitReport) -> Option<LimitReport> {
     Some(LimitReport {
-        server: parse_id(ServerId::try_from(report.server.as_str()))?,
-        born: Born(report.born),
-        limit: report.milli_rate.map(RequestRate),
-        age: Duration::from_millis(report.age_ms),
+        statement: decode_statement(report.statement.as_ref()?)?,
         wanted: report.wanted,
     })
 }
 
+fn encode_statement(statement: &LimitStatement) -> wire::LimitStatement {
+    wire::LimitStatement {
+        server: statement.server.as_str().to_owned(),
+        born: statement.born.0,
+        milli_rate: statement.limit.map(|limit| limit.0),
+        age_ms: millis(statement.age),
+    }
+}
+
+fn decode_statement(statement: &wire::LimitStatement) -> Option<LimitStatement> {
+    Some(LimitStatement {
+        server: parse_id(ServerId::try_from(statement.server.as_str()))?,
+        born: Born(statement.born),
+        limit: statement.milli_rate.map(RequestRate),
+        age: Duration::from_millis(statement.age_ms),
+    })
+}
+
 /// Adds the front's shares in the limits of servers.
 pub(super) fn add_shares(
     update: wire::GranterUpdate,
-    shares: Vec<FrontShare>,
+    shares: &[FrontShare],
 ) -> wire::GranterUpdate {
-    let limits = shares.into_iter().map(|share| wire::LimitShare {
-        server: share.server.as_str().to_owned(),
-        born: share.born.0,
-        milli_rate: share.limit.map(|limit| limit.0),
-        age_ms: millis(share.age),
-        share_milli_rate: share.share.0,
+    let limits = shares.iter().map(|share| wire::LimitShare {
+        statement: Some(encode_statement(&share.statement)),
+        milli_rate: share.share.0,
     });
     wire::GranterUpdate {
         limits: limits.collect(),
@@ -116,11 +126,8 @@
 
 fn decode_share(share: &wire::LimitShare) -> Option<FrontShare> {
     Some(FrontShare {
-        server: parse_id(ServerId::try_from(share.server.as_str()))?,
-        born: Born(share.born),
-        limit: share.milli_rate.map(RequestRate),
-        age: Duration::from_millis(share.age_ms),
-        share: RequestRate(share.share_milli_rate),
+        statement: decode_statement(share.statement.as_ref()?)?,
+        share: RequestRate(share.milli_rate),
     })
 }
 
--- a/crates/carawayrill-gateway/src/granter_stream/mod.rs
+++ b/crates/carawayrill-gateway/src/granter_stream/mod.rs
@@ -245,13 +245,14 @@
     let now = clock::now();
     let fronts = tables.fronts.get();
     for share in limits {
-        let listed = tables.servers.get(&share.server);
-        if listed.is_none_or(|server| server.born != share.born) {
+        let statement = &share.statement;
+        let listed = tables.servers.get(&statement.server);
+        if listed.is_none_or(|server| server.born != statement.born) {
             continue;
         }
         let phase = tables.rng.random_range(0.0..1.0);
         if tables.limits.apply_share(share, fronts, phase, now) {
-            shared.emit_limit(&share.server, share.limit, "granter");
+            shared.emit_limit(&statement.server, statement.limit, "granter");
         }
     }
 }
--- a/crates/carawayrill-gateway/src/granter_stream/service.rs
+++ b/crates/carawayrill-gateway/src/granter_stream/service.rs
@@ -115,7 +115,7 @@
                 let update = convert::encode_update(&updates.borrow_and_update(), &mut known);
                 let now = clock::now();
                 let update = convert::add_changes(update, &knowledge, &mut positions, echo, now);
-                let update = convert::add_shares(update, granter_runtime.shares_of(&front, now));
+                let update = convert::add_shares(update, &granter_runtime.shares_of(&front, now));
                 // Queued updates would become stale, so the stream is closed if the channel is
                 // full. The front then joins again.
                 if tx.try_send(Ok(update)).is_err() {
