--- a/crates/carawayrill-core/tests/direct_servers.rs
+++ b/crates/carawayrill-core/tests/direct_servers.rs
@@ -213,3 +213,17 @@
     let changes = servers.replace_all(Vec::new(), Time(10_000), Time(9_000));
     assert_eq!(changes, [ServerChange::Removed(id("s-1"))]);
 }
+
+/// A server restarted shortly before the restore, so that the copy lists its former incarnation. Its
+/// present one goes on, and may hold keys.
+#[test]
+fn a_restored_store_that_lists_a_former_incarnation_replaces_no_server() {
+    let mut servers = Servers::default();
+    servers.replace_all(vec![server("s-1", 1, false)], Time(0), Time(0));
+    servers.upsert(server("s-1", 2, false), Time(1_000));
+    let former = vec![server("s-1", 1, false)];
+    let changes = servers.replace_all_restored(former, Time(2_000), Time(2_000), ENTRY_EXPIRY);
+    assert_eq!(changes, []);
+    let known = servers.get(&id("s-1")).map(|server| server.born);
+    assert_eq!(known, Some(Born(2)));
+}
