Logs: tell requests of the same content, and why a send had no response

The logs could not tell whether the requests under which servers ended had the same content, nor how a connection was lost. A request's line now names a hash of host, method, path, query, key and body, and each try its error.

No decision uses either. The record of a request is boxed: it had made other events larger than clippy allows.

--- a/crates/carawayrill-core/src/direct/mod.rs
+++ b/crates/carawayrill-core/src/direct/mod.rs
@@ -17,6 +17,7 @@
 pub mod limit;
 pub mod load;
 pub mod manifest;
+pub mod quarantine;
 pub mod rebalance;
 pub mod routes;
 pub mod servers;
--- a/crates/carawayrill-core/src/event.rs
+++ b/crates/carawayrill-core/src/event.rs
@@ -32,6 +32,10 @@
         /// The key, for a keyed service.
         #[serde(skip_serializing_if = "Option::is_none")]
         pub key: Option<u16>,
+        /// The fingerprint of the content, which is the same if a caller sends the request again;
+        /// empty if the request was not read completely.
+        #[serde(default, skip_serializing_if = "CompactString::is_empty")]
+        pub content: CompactString,
         /// The version of the manifest that was applied.
         pub manifest: u64,
         /// The time since the list of servers was last known to be complete, in milliseconds.
@@ -94,6 +98,9 @@
         pub fence: Option<u64>,
         /// The result of the attempt.
         pub outcome: CompactString,
+        /// Why there was no response; empty if there was one.
+        #[serde(default, skip_serializing_if = "CompactString::is_empty")]
+        pub error: CompactString,
         /// The duration of the attempt, in milliseconds.
         pub took_ms: u64,
     }
@@ -243,7 +250,7 @@
             took_us: u64,
         },
         /// A front answered a request, or the caller closed the connection before.
-        Request(RequestRecord),
+        Request(Box<RequestRecord>),
         /// A process applied a version of the manifest.
         ManifestInForce {
             /// The version of the manifest.
--- a/crates/carawayrill-gateway/src/access_log.rs
+++ b/crates/carawayrill-gateway/src/access_log.rs
@@ -63,6 +63,7 @@
                 route: CompactString::default(),
                 service: CompactString::default(),
                 key: None,
+                content: CompactString::default(),
                 manifest: 0,
                 servers_age_ms: None,
                 status: 0,
@@ -95,7 +96,7 @@
         metrics.record_request(&self.record.reason, took);
         metrics.in_flight.dec();
         if self.limiter.allow(now) {
-            emit(EventKind::Request(self.record.clone()));
+            emit(EventKind::Request(Box::new(self.record.clone())));
         } else {
             metrics.dropped_log_lines.inc();
         }
--- a/crates/carawayrill-gateway/src/forward/mod.rs
+++ b/crates/carawayrill-gateway/src/forward/mod.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use carawayrill_core::direct::keys::Fence;
 use carawayrill_core::direct::manifest::Repeat;
+use carawayrill_core::direct::quarantine::Fingerprints;
 use carawayrill_core::direct::routes::RouteMatch;
 use carawayrill_core::direct::servers::Server;
 use carawayrill_core::event::LoadEstimateRecord;
@@ -55,6 +56,8 @@
     pub keyed: bool,
     /// The routing key.
     pub key: Option<u16>,
+    /// The fingerprints of its content.
+    pub fingerprints: Fingerprints,
     /// The version of the manifest that the route is from.
     pub manifest: u64,
     /// The method.
--- a/crates/carawayrill-gateway/src/forward/send.rs
+++ b/crates/carawayrill-gateway/src/forward/send.rs
@@ -15,6 +15,7 @@
 use carawayrill_core::time::floor_to_u64;
 use carawayrill_core::time::millis;
 use carawayrill_telemetry::emit;
+use compact_str::CompactString;
 use compact_str::ToCompactString;
 use http::Request;
 use http_body_util::Full;
@@ -204,10 +205,12 @@
         result: Result<ServerResponse, SendError>,
     ) -> Outcome {
         let took = clock::now().since(pending.started);
+        let error = result.as_ref().err().map(|err| err.reason().clone());
         let (outcome, label) = self.classify_result(&pending.server, result, pending.in_flight);
         self.shared.metrics.record_try(label, took);
         if let Some(record) = self.tries.get_mut(pending.try_index) {
             record.outcome = label.into();
+            record.error = error.unwrap_or_default();
             record.took_ms = millis(took);
         }
         outcome
@@ -238,6 +241,7 @@
             load_tenths: floor_to_u64(in_flight.total_at_send() * 10.0),
             fence: fence.map(|fence| fence.0),
             outcome: "unanswered".into(),
+            error: CompactString::default(),
             took_ms: 0,
         });
     }
--- a/crates/carawayrill-gateway/src/front.rs
+++ b/crates/carawayrill-gateway/src/front.rs
@@ -10,6 +10,8 @@
 use bytes::Bytes;
 use carawayrill_core::direct::manifest::CallerLimits;
 use carawayrill_core::direct::manifest::Manifest;
+use carawayrill_core::direct::quarantine::Fingerprints;
+use carawayrill_core::direct::quarantine::RequestContent;
 use carawayrill_core::time::Time;
 use carawayrill_core::time::millis;
 use compact_str::ToCompactString;
@@ -259,7 +261,13 @@
             Err(reply) => return reply,
         };
         let _buffered = self.count_buffered(body.len());
-        let request = AcceptedRequest { body, ..request };
+        let fingerprints = fingerprints(&parts, metadata, &body);
+        log_entry.record.content = fingerprints.exact.to_compact_string();
+        let request = AcceptedRequest {
+            body,
+            fingerprints,
+            ..request
+        };
         let servers_age = self.count_accepted(&request);
         log_entry.record.servers_age_ms = servers_age.map(millis);
         let mut forwarder =
@@ -336,6 +344,7 @@
             id,
             keyed,
             key,
+            fingerprints: Fingerprints::default(),
             manifest: manifest.version.0,
             method: parts.method.clone(),
             uri: origin_form(&parts.uri),
@@ -420,6 +429,28 @@
     }
 }
 
+/// Returns the fingerprints of a request.
+fn fingerprints(
+    parts: &http::request::Parts,
+    metadata: &RequestMetadata,
+    body: &[u8],
+) -> Fingerprints {
+    let host = parts.headers.get(header::HOST);
+    let key = match metadata.key {
+        Some(Key::Valid(key)) => Some(key),
+        Some(Key::Invalid) | None => None,
+    };
+    let content = RequestContent {
+        host: host.and_then(|host| host.to_str().ok()).unwrap_or(""),
+        method: parts.method.as_str(),
+        path: parts.uri.path(),
+        query: parts.uri.query().unwrap_or(""),
+        key,
+        body,
+    };
+    content.fingerprints()
+}
+
 /// Returns the URI with only path and query.
 fn origin_form(uri: &Uri) -> Uri {
     uri.path_and_query()
--- a/crates/carawayrill-gateway/src/upstream.rs
+++ b/crates/carawayrill-gateway/src/upstream.rs
@@ -5,6 +5,7 @@
 
 use std::collections::HashMap;
 use std::collections::VecDeque;
+use std::error::Error as _;
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -77,6 +78,16 @@
     Lost(CompactString),
 }
 
+impl SendError {
+    /// Returns what went wrong.
+    #[must_use]
+    pub fn reason(&self) -> &CompactString {
+        match self {
+            Self::NotSent(reason) | Self::Lost(reason) => reason,
+        }
+    }
+}
+
 /// A connection that is closed when it is dropped.
 #[derive(Debug)]
 struct Connection {
@@ -241,7 +252,10 @@
 }
 
 fn lost(err: &hyper::Error) -> SendError {
-    SendError::Lost(format_compact!("{err}"))
+    match err.source() {
+        Some(source) => SendError::Lost(format_compact!("{err}: {source}")),
+        None => SendError::Lost(format_compact!("{err}")),
+    }
 }
 
 /// Returns whether a response announces that its connection will be closed.
