--- a/crates/carawayrill-gateway/src/front.rs
+++ b/crates/carawayrill-gateway/src/front.rs
@@ -264,8 +264,8 @@
         let fingerprints = fingerprints(&parts, metadata, &body);
         log_entry.record.content = fingerprints.exact.to_compact_string();
         let request = AcceptedRequest {
-            body,
             fingerprints,
+            body,
             ..request
         };
         let servers_age = self.count_accepted(&request);
