Keep requests from servers that have crashed several servers

Cause: nothing remembered what a request did. A lost connection counted against the server only, so each retry, and each repetition at any front, cost another server. Class: a fault of the input that is put down to whoever handles it.

Change: core::direct::quarantine. A request is recognised by its content, with and without its query. A connection closed before the first byte, at an address that then refuses connections, is a crash; three that followed each other refuse the content for 10 min on all fronts (503 quarantined, Retry-After says when). Any answer clears it. The granter's front alone tries again after 30 s, 2 min, 8 min. Fronts report at once, the granter tells all at once from the second crash on.

Ruled out: resets, broken answers and silence as evidence (a sound request would be refused); crashes within 0.2 s of each other (in virtual time a popular request was refused when a third of the servers was lost at once).

--- a/crates/carawayrill-core/src/direct/quarantine/fingerprint.rs
+++ b/crates/carawayrill-core/src/direct/quarantine/fingerprint.rs
@@ -56,6 +56,14 @@
     pub any_query: Fingerprint,
 }
 
+impl Fingerprints {
+    /// Returns the fingerprints without repetition.
+    pub fn distinct(&self) -> impl Iterator<Item = Fingerprint> + use<> {
+        let any_query = (self.any_query != self.exact).then_some(self.any_query);
+        std::iter::once(self.exact).chain(any_query)
+    }
+}
+
 impl RequestContent<'_> {
     /// Returns the fingerprints of the request.
     #[must_use]
--- a/crates/carawayrill-core/src/event.rs
+++ b/crates/carawayrill-core/src/event.rs
@@ -291,6 +291,32 @@
             /// Where it was learned: `response` or `granter`.
             source: CompactString,
         },
+        /// A server crashed while it had a request of this front.
+        RequestCrashedServer {
+            /// The fingerprint of the request's content.
+            content: CompactString,
+            /// The server.
+            server: CompactString,
+            /// The number of servers that have crashed under the request, one after the other,
+            /// since it was last answered.
+            crashes: usize,
+        },
+        /// A request that crashes servers is refused from now on.
+        RequestQuarantined {
+            /// The fingerprint of the request's content, with or without its query.
+            content: CompactString,
+            /// The number of servers that have crashed under it.
+            crashes: usize,
+            /// Where it was learned: `front`, `granter`, `store`, or the name of another front.
+            source: CompactString,
+        },
+        /// A request under which servers had crashed was answered, and is no longer suspected.
+        RequestCleared {
+            /// The fingerprint of the request's content.
+            content: CompactString,
+            /// The server that answered it.
+            server: CompactString,
+        },
         /// The store came back from an older copy.
         StoreRestored {
             /// The kind of object whose list was read anew.
--- /dev/null
+++ b/crates/carawayrill-gateway/src/forward/crash.rs
@@ -0,0 +1,65 @@
+//! Keeps a request from servers under which others have crashed.
+
+use std::sync::Arc;
+
+use carawayrill_core::direct::servers::Server;
+use carawayrill_core::time::Time;
+
+use super::Forwarder;
+use super::Reply;
+use crate::clock;
+use crate::quarantine;
+use crate::quarantine::ClosedSend;
+
+impl Forwarder<'_> {
+    /// Returns the reply to a request that must not be sent because it crashes servers.
+    pub(super) fn refuse_quarantined(&mut self, now: Time) -> Option<Reply> {
+        let left = {
+            let tables = self.shared.tables();
+            tables
+                .crashes
+                .refused_for(&self.request.fingerprints, now)?
+        };
+        Some(self.give_up("quarantined", left))
+    }
+
+    /// Returns the same for a request that is sent now if there is no such reply.
+    pub(super) fn begin_send(&mut self) -> Option<Reply> {
+        let left = {
+            let mut tables = self.shared.tables();
+            let fingerprints = &self.request.fingerprints;
+            tables.crashes.begin_send(fingerprints, clock::now())?
+        };
+        Some(self.give_up("quarantined", left))
+    }
+
+    /// Returns whether a server has crashed under the request since it was last answered.
+    pub(super) fn is_suspicious(&self) -> bool {
+        let tables = self.shared.tables();
+        tables.crashes.is_suspicious(&self.request.fingerprints)
+    }
+
+    /// Notes that a server has closed the connection instead of a response.
+    pub(super) fn note_closed(&mut self, server: &Server, sent: Time) {
+        self.closed_sends.push(ClosedSend {
+            server: server.clone(),
+            sent,
+            ended: clock::now(),
+        });
+    }
+
+    /// Finds out which servers of closed sends have crashed, so that the next send is decided with
+    /// that knowledge. It is recorded even if the caller leaves meanwhile.
+    pub(super) async fn check_crashes(&mut self) {
+        for closed in std::mem::take(&mut self.closed_sends) {
+            let shared = Arc::clone(self.shared);
+            let fingerprints = self.request.fingerprints;
+            let checked = tokio::spawn(async move {
+                quarantine::check_crash(&shared, &fingerprints, closed).await;
+            });
+            if let Err(err) = checked.await {
+                log::error!("the check for a crashed server failed: {err}");
+            }
+        }
+    }
+}
--- a/crates/carawayrill-gateway/src/forward/mod.rs
+++ b/crates/carawayrill-gateway/src/forward/mod.rs
@@ -1,6 +1,7 @@
 //! Forwards one request: chooses servers, sends and retries, and builds the reply to the caller.
 
 mod choose;
+mod crash;
 mod send;
 
 use std::net::SocketAddr;
@@ -28,6 +29,7 @@
 use self::send::ResponseClass;
 use crate::clock;
 use crate::port::HeaderCodec;
+use crate::quarantine::ClosedSend;
 use crate::state::Shared;
 use crate::upstream::Upstream;
 
@@ -127,6 +129,8 @@
     may_have_run: bool,
     /// The last error response of a server, which is passed on if no later send succeeds.
     server_error: Option<Reply>,
+    /// The sends whose server may have crashed, until that is known.
+    closed_sends: Vec<ClosedSend>,
 }
 
 impl<'a> Forwarder<'a> {
@@ -151,6 +155,7 @@
             unsent_tries: 0,
             may_have_run: false,
             server_error: None,
+            closed_sends: Vec::new(),
         }
     }
 
@@ -194,6 +199,9 @@
             if self.request.deadline.since(now) < MIN_SEND_TIME {
                 return self.timed_out();
             }
+            if let Some(reply) = self.refuse_quarantined(now) {
+                return reply;
+            }
             match self.choose_next(now) {
                 NextStep::Refuse(refusal) => {
                     self.load_estimate = refusal.load_estimate;
@@ -250,7 +258,11 @@
         if !self.try_acquire_send() {
             return Some(self.give_up("no-more-tries", DEFAULT_RETRY_AFTER));
         }
+        if let Some(reply) = self.begin_send() {
+            return Some(reply);
+        }
         let outcome = self.send(server, fence).await;
+        self.check_crashes().await;
         match outcome {
             Outcome::Response(reply, ResponseClass::Final) => Some(*reply),
             Outcome::Response(reply, ResponseClass::ServerError) => {
--- a/crates/carawayrill-gateway/src/forward/send.rs
+++ b/crates/carawayrill-gateway/src/forward/send.rs
@@ -29,6 +29,7 @@
 use crate::port::ResponseMetadata;
 use crate::port::SendMetadata;
 use crate::port::ServerRefusal;
+use crate::quarantine;
 use crate::state::InFlight;
 use crate::state::Tables;
 use crate::upstream::Reuse;
@@ -160,6 +161,9 @@
 
     /// Chooses a server other than `first` for the hedged send.
     fn choose_hedge_server(&self, first: &Server) -> Option<(Server, Option<Fence>)> {
+        if self.is_suspicious() {
+            return None;
+        }
         match self.choose_next(clock::now()) {
             NextStep::Send(server, fence) if server.id != first.id && self.try_acquire_send() => {
                 Some((*server, fence))
@@ -205,6 +209,9 @@
         result: Result<ServerResponse, SendError>,
     ) -> Outcome {
         let took = clock::now().since(pending.started);
+        if matches!(result, Err(SendError::Closed(_))) {
+            self.note_closed(&pending.server, pending.started);
+        }
         let error = result.as_ref().err().map(|err| err.reason().clone());
         let (outcome, label) = self.classify_result(&pending.server, result, pending.in_flight);
         self.shared.metrics.record_try(label, took);
@@ -260,7 +267,7 @@
                 in_flight.end(AttemptResult::Unreachable, None);
                 return (Outcome::NotSent, "not-sent");
             }
-            Err(SendError::Lost(reason)) => {
+            Err(SendError::Closed(reason) | SendError::Lost(reason)) => {
                 log::debug!("no response from {}: {reason}", server.id);
                 in_flight.end(AttemptResult::Failed, None);
                 return (Outcome::Lost, "lost");
@@ -316,6 +323,7 @@
             ResponseClass::Final => AttemptResult::Served,
         };
         in_flight.end(ended, metadata.load);
+        quarantine::record_answered(self.shared, &self.request.fingerprints, server);
         let reply = self.make_reply(server, response, metadata, class);
         let label = match class {
             ResponseClass::ServerError => "server-error",
--- a/crates/carawayrill-gateway/src/granter_runtime/mod.rs
+++ b/crates/carawayrill-gateway/src/granter_runtime/mod.rs
@@ -25,6 +25,7 @@
 use carawayrill_core::direct::knowledge::StoredVersion;
 use carawayrill_core::direct::limit::FrontShare;
 use carawayrill_core::direct::limit::LimitReport;
+use carawayrill_core::direct::quarantine::Scope;
 use carawayrill_core::direct::spans::SpanRecord;
 use carawayrill_core::event::EventKind;
 use carawayrill_core::id::Era;
@@ -238,6 +239,7 @@
 
     /// Publishes an update to the fronts if something changed or the heartbeat is due.
     fn publish_update(&self, now: Time) {
+        let crashes = self.shared.tables().crashes.last_change(Scope::Shared);
         let update = {
             let mut state = self.state();
             let elapsed = now.since(state.published_at);
@@ -246,10 +248,12 @@
             if elapsed < UPDATE_INTERVAL_PER_FRONT.saturating_mul(front_count) {
                 return;
             }
-            if !state.has_unpublished_changes() && elapsed < HEARTBEAT_INTERVAL {
+            let is_changed = state.has_unpublished_changes() || crashes > state.published_crashes;
+            if !is_changed && elapsed < HEARTBEAT_INTERVAL {
                 return;
             }
             state.published_at = now;
+            state.published_crashes = crashes;
             state.remove_silent_fronts(now);
             state.refresh_published(self.lease);
             let front_count = u32::try_from(state.fronts.len()).unwrap_or(u32::MAX);
--- a/crates/carawayrill-gateway/src/granter_runtime/state.rs
+++ b/crates/carawayrill-gateway/src/granter_runtime/state.rs
@@ -62,6 +62,8 @@
     /// When the demand and the capacities were last brought up to date.
     demand_advanced_at: Time,
     pub(super) published_at: Time,
+    /// The number of the last published change of requests that crash servers.
+    pub(super) published_crashes: u64,
     pub(super) published: BTreeMap<ServiceId, Arc<PublishedTable>>,
     pub(super) store_unreachable: bool,
     pub(super) stopping: bool,
@@ -81,6 +83,7 @@
             capacities: BTreeMap::new(),
             demand_advanced_at: Time::default(),
             published_at: now,
+            published_crashes: 0,
             published: BTreeMap::new(),
             store_unreachable: false,
             stopping: false,
--- a/crates/carawayrill-gateway/src/granter_stream/convert.rs
+++ b/crates/carawayrill-gateway/src/granter_stream/convert.rs
@@ -14,6 +14,7 @@
 use carawayrill_core::direct::limit::LimitReport;
 use carawayrill_core::direct::limit::LimitStatement;
 use carawayrill_core::direct::limit::RequestRate;
+use carawayrill_core::direct::quarantine::CrashReport;
 use carawayrill_core::id::Era;
 use carawayrill_core::id::Revision;
 use carawayrill_core::id::ServerId;
@@ -25,6 +26,7 @@
 use carawayrill_proto::granter as wire;
 use carawayrill_store::port::Object;
 
+use super::crashes;
 use crate::granter_runtime::LeavingServer;
 use crate::granter_runtime::Report;
 use crate::granter_runtime::Update;
@@ -74,6 +76,7 @@
         sent_ms: 0,
         leaving: leaving.collect(),
         limits: report.limits.iter().map(encode_limit_report).collect(),
+        crashes: Vec::new(),
     }
 }
 
@@ -233,7 +236,7 @@
     }
 }
 
-fn parse_id<T>(id: Result<T, carawayrill_core::Error>) -> Option<T> {
+pub(super) fn parse_id<T>(id: Result<T, carawayrill_core::Error>) -> Option<T> {
     id.map_err(|err| log::warn!("skipped part of a message with an invalid name: {err}"))
         .ok()
 }
@@ -256,6 +259,7 @@
         kinds: Vec::new(),
         echo_ms: 0,
         limits: Vec::new(),
+        crashes: Vec::new(),
     }
 }
 
@@ -369,6 +373,8 @@
     pub(super) deltas: Vec<(ServiceId, SpanDelta)>,
     /// This front's shares in the limits of servers.
     pub(super) limits: Vec<FrontShare>,
+    /// The requests under which servers crashed.
+    pub(super) crashes: Vec<CrashReport>,
 }
 
 /// Decodes an update. Invalid parts are logged and skipped.
@@ -397,6 +403,7 @@
         strongest_cores: f64::from(update.strongest_milli_cores) / 1_000.0,
         deltas: deltas.collect(),
         limits: update.limits.iter().filter_map(decode_share).collect(),
+        crashes: crashes::decode(&update.crashes),
     }
 }
 
@@ -417,6 +424,7 @@
         strongest_cores: update.strongest_cores,
         deltas: deltas.collect(),
         limits,
+        crashes: Vec::new(),
     }
 }
 
--- a/crates/carawayrill-gateway/src/granter_stream/mod.rs
+++ b/crates/carawayrill-gateway/src/granter_stream/mod.rs
@@ -3,6 +3,7 @@
 //! A front reports demand and service times; the granter sends updates of the spans.
 
 mod convert;
+mod crashes;
 mod service;
 
 use std::collections::BTreeMap;
@@ -12,9 +13,11 @@
 use std::time::Duration;
 
 use carawayrill_core::direct::limit::FrontShare;
+use carawayrill_core::direct::quarantine::Scope;
 use carawayrill_core::event::EventKind;
 use carawayrill_core::id::ServerId;
 use carawayrill_core::id::ServiceId;
+use carawayrill_proto::granter as wire;
 use carawayrill_proto::granter::granter_client::GranterClient;
 use carawayrill_store::port::ObjectStore;
 use carawayrill_telemetry::emit;
@@ -31,6 +34,7 @@
 use crate::granter_runtime::LeavingServer;
 use crate::granter_runtime::Report;
 use crate::lease_manager::LeaseManager;
+use crate::quarantine;
 use crate::spans::SpanDelta;
 use crate::spans::SpanTable;
 use crate::state::Shared;
@@ -124,6 +128,8 @@
     // The first report names the front and must be in the channel before the call begins.
     let first = convert::encode_report(take_report(shared), known);
     let knowledge = lease_manager.knowledge();
+    let mut crashes_reported = 0;
+    let first = add_crashes(first, shared, Scope::All, &mut crashes_reported);
     let _sent = tx.try_send(convert::add_positions(first, knowledge, clock::now()));
     let mut client = GranterClient::new(channel);
     let call = client.join(ReceiverStream::new(rx));
@@ -143,6 +149,7 @@
                 lease_manager.record_contact(update.lease);
                 apply_update(lease_manager, &update);
             }
+            () = shared.crash_observed() => reports.reset_immediately(),
             _ = reports.tick() => {
                 if clock::now() > update_deadline {
                     return Err(tonic::Status::deadline_exceeded("silent"));
@@ -152,6 +159,8 @@
                         take_report(shared),
                         convert::KnownPositions::new()
                     );
+                    let report =
+                        add_crashes(report, shared, Scope::Observed, &mut crashes_reported);
                     let report = convert::add_positions(report, knowledge, clock::now());
                     let _sent = tx.try_send(report);
                 }
@@ -160,6 +169,23 @@
     }
 }
 
+/// Adds the requests under which servers crashed, as far as they have changed after change number
+/// `reported`.
+fn add_crashes(
+    report: wire::FrontReport,
+    shared: &Shared,
+    scope: Scope,
+    reported: &mut u64,
+) -> wire::FrontReport {
+    let tables = shared.tables();
+    let crashes = tables.crashes.reports(scope, *reported, clock::now());
+    *reported = tables.crashes.change_count();
+    wire::FrontReport {
+        crashes: crashes::encode(&crashes),
+        ..report
+    }
+}
+
 /// Takes the observations since the last report.
 fn take_report(shared: &Shared) -> Report {
     let mut tables = shared.tables();
@@ -235,6 +261,7 @@
             apply_delta(&mut tables, service, delta);
         }
     }
+    quarantine::merge_reports(shared, &update.crashes, "granter");
     if !update.deltas.is_empty() {
         shared.notify_changed();
     }
--- a/crates/carawayrill-gateway/src/granter_stream/service.rs
+++ b/crates/carawayrill-gateway/src/granter_stream/service.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use carawayrill_core::direct::quarantine::Scope;
 use carawayrill_core::time::Time;
 use carawayrill_proto::granter as wire;
 use carawayrill_proto::granter::granter_server::Granter;
@@ -23,7 +24,10 @@
 use crate::clock;
 use crate::granter_runtime::GranterRuntime;
 use crate::granter_stream::convert;
+use crate::granter_stream::crashes;
 use crate::lease_manager::LeaseManager;
+use crate::quarantine;
+use crate::state::Shared;
 
 /// The maximum number of updates that wait to be sent to one front.
 const UPDATE_QUEUE_LEN: usize = 4;
@@ -89,6 +93,9 @@
     let mut echo = Time(first.sent_ms);
     let knowledge = Arc::clone(lease_manager.knowledge());
     let front = CompactString::from(first.front.as_str());
+    let shared = Arc::clone(lease_manager.shared());
+    let mut crashes_told = 0;
+    quarantine::merge_reports(&shared, &crashes::decode(&first.crashes), &front);
     granter_runtime.add_report(convert::decode_report(first));
     let mut updates = granter_runtime.updates();
     updates.mark_changed();
@@ -104,6 +111,7 @@
                 Ok(Ok(Some(report))) => {
                     echo = Time(report.sent_ms);
                     advance(&mut positions, convert::decode_positions(&report));
+                    quarantine::merge_reports(&shared, &crashes::decode(&report.crashes), &front);
                     granter_runtime.add_report(convert::decode_report(report));
                 }
                 Ok(Ok(None) | Err(_)) | Err(_) => return,
@@ -116,6 +124,7 @@
                 let now = clock::now();
                 let update = convert::add_changes(update, &knowledge, &mut positions, echo, now);
                 let update = convert::add_shares(update, &granter_runtime.shares_of(&front, now));
+                let update = add_crashes(update, &shared, &mut crashes_told, now);
                 // Queued updates would become stale, so the stream is closed if the channel is
                 // full. The front then joins again.
                 if tx.try_send(Ok(update)).is_err() {
@@ -126,6 +135,23 @@
     }
 }
 
+/// Adds the requests under which several servers crashed, as far as they have changed after change
+/// number `told`.
+fn add_crashes(
+    update: wire::GranterUpdate,
+    shared: &Shared,
+    told: &mut u64,
+    now: Time,
+) -> wire::GranterUpdate {
+    let tables = shared.tables();
+    let reports = tables.crashes.reports(Scope::Shared, *told, now);
+    *told = tables.crashes.change_count();
+    wire::GranterUpdate {
+        crashes: crashes::encode(&reports),
+        ..update
+    }
+}
+
 /// Applies the positions that a front has reported. It may have read on in the store by itself.
 fn advance(positions: &mut convert::StorePositions, reported: convert::StorePositions) {
     for (kind, position) in reported {
--- a/crates/carawayrill-gateway/src/lease_manager.rs
+++ b/crates/carawayrill-gateway/src/lease_manager.rs
@@ -243,7 +243,7 @@
 
     fn stop_runtime(&self, change: &'static str, reason: &'static str) {
         self.granter_runtime.send_replace(None);
-        self.shared.metrics.granter.set(0);
+        self.set_granter(false);
         emit(EventKind::GranterLease {
             change: change.into(),
             version: self.version().version,
@@ -387,6 +387,14 @@
         MAX_CLAIM_DELAY.mul_f64(1.0 - share)
     }
 
+    /// Publishes whether this front is the granter.
+    fn set_granter(&self, is_granter: bool) {
+        self.shared.metrics.granter.set(i64::from(is_granter));
+        let mut tables = self.shared.tables();
+        // Only one front may try requests that crash servers.
+        tables.crashes.set_tries_refused(is_granter);
+    }
+
     async fn start_runtime(self: &Arc<Self>) {
         emit(EventKind::GranterLease {
             change: "taken".into(),
@@ -400,7 +408,7 @@
         );
         match loading.await {
             Ok(granter_runtime) => {
-                self.shared.metrics.granter.set(1);
+                self.set_granter(true);
                 self.granter_runtime
                     .send_replace(Some(Arc::clone(&granter_runtime)));
                 tokio::spawn(granter_runtime.run());
--- a/crates/carawayrill-gateway/src/lib.rs
+++ b/crates/carawayrill-gateway/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod lease_manager;
 pub mod metrics;
 pub mod port;
+mod quarantine;
 pub mod ready;
 pub mod run;
 mod shared_stream;
--- /dev/null
+++ b/crates/carawayrill-gateway/src/quarantine.rs
@@ -0,0 +1,85 @@
+//! Records under which requests servers crashed, and logs what follows from it.
+
+use carawayrill_core::direct::quarantine::Crash;
+use carawayrill_core::direct::quarantine::CrashReport;
+use carawayrill_core::direct::quarantine::Fingerprints;
+use carawayrill_core::direct::servers::Server;
+use carawayrill_core::event::EventKind;
+use carawayrill_core::time::Time;
+use carawayrill_telemetry::emit;
+use compact_str::CompactString;
+use compact_str::ToCompactString;
+
+use crate::clock;
+use crate::state::Shared;
+use crate::upstream;
+
+/// A send that ended because the server closed the connection before it responded.
+#[derive(Debug, Clone)]
+pub(crate) struct ClosedSend {
+    pub(crate) server: Server,
+    pub(crate) sent: Time,
+    pub(crate) ended: Time,
+}
+
+/// Finds out whether the server of a closed send has crashed, and records it. A server that only
+/// closed the connection still accepts others.
+pub(crate) async fn check_crash(shared: &Shared, fingerprints: &Fingerprints, closed: ClosedSend) {
+    if !upstream::is_refused(closed.server.address).await {
+        return;
+    }
+    let crash = Crash {
+        server: closed.server.id,
+        born: closed.server.born,
+        sent: closed.sent,
+        ended: closed.ended,
+    };
+    let now = clock::now();
+    let (crashes, is_refused) = {
+        let mut tables = shared.tables();
+        let was_refused = tables.crashes.refused_for(fingerprints, now).is_some();
+        let crashes = tables.crashes.record_crash(fingerprints, &crash, now);
+        let is_refused = tables.crashes.refused_for(fingerprints, now).is_some();
+        (crashes, is_refused && !was_refused)
+    };
+    shared.notify_crash_observed();
+    shared.metrics.request_crashes.inc();
+    emit(EventKind::RequestCrashedServer {
+        content: fingerprints.exact.to_compact_string(),
+        server: crash.server.to_compact_string(),
+        crashes,
+    });
+    if is_refused {
+        emit(EventKind::RequestQuarantined {
+            content: fingerprints.exact.to_compact_string(),
+            crashes,
+            source: "front".into(),
+        });
+    }
+}
+
+/// Records that a server answered a request.
+pub(crate) fn record_answered(shared: &Shared, fingerprints: &Fingerprints, server: &Server) {
+    let now = clock::now();
+    if shared.tables().crashes.record_served(fingerprints, now) {
+        shared.notify_crash_observed();
+        emit(EventKind::RequestCleared {
+            content: fingerprints.exact.to_compact_string(),
+            server: server.id.to_compact_string(),
+        });
+    }
+}
+
+/// Adds what another front, the granter or the store tells.
+pub(crate) fn merge_reports(shared: &Shared, reports: &[CrashReport], source: &str) {
+    let now = clock::now();
+    for report in reports {
+        if shared.tables().crashes.merge(report, now) {
+            emit(EventKind::RequestQuarantined {
+                content: report.fingerprint.to_compact_string(),
+                crashes: report.crashes.len(),
+                source: CompactString::from(source),
+            });
+        }
+    }
+}
--- a/crates/carawayrill-gateway/src/state.rs
+++ b/crates/carawayrill-gateway/src/state.rs
@@ -21,6 +21,7 @@
 use carawayrill_core::direct::load::LoadReport;
 use carawayrill_core::direct::load::ServerLoad;
 use carawayrill_core::direct::manifest::Manifest;
+use carawayrill_core::direct::quarantine::CrashTable;
 use carawayrill_core::direct::routes::RouteMatch;
 use carawayrill_core::direct::routes::Routes;
 use carawayrill_core::direct::servers::Server;
@@ -36,6 +37,7 @@
 use compact_str::ToCompactString;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
+use tokio::sync::Notify;
 use tokio::sync::watch;
 
 use crate::clock;
@@ -73,6 +75,8 @@
     pub loads: HashMap<ServerId, ServerLoad>,
     /// The limits that servers have named.
     pub limits: ServerLimits,
+    /// The requests under which servers crashed.
+    pub crashes: CrashTable,
     /// The spans of each keyed service.
     pub spans: HashMap<ServiceId, SpanTable>,
     /// The retry budget of each service.
@@ -100,6 +104,7 @@
     pub metrics: Metrics,
     tables: Mutex<Tables>,
     changed: watch::Sender<u64>,
+    crash_observed: Notify,
 }
 
 impl Shared {
@@ -119,6 +124,7 @@
                 servers_confirmed: None,
                 loads: HashMap::new(),
                 limits: ServerLimits::default(),
+                crashes: CrashTable::default(),
                 spans: HashMap::new(),
                 retry_budgets: HashMap::new(),
                 route_sizes_kib: HashMap::new(),
@@ -129,6 +135,7 @@
                 rng: ChaCha8Rng::seed_from_u64(seed),
             }),
             changed: watch::Sender::new(0),
+            crash_observed: Notify::new(),
         }
     }
 
@@ -149,6 +156,17 @@
         self.changed.send_modify(|count| *count += 1);
     }
 
+    /// Reports to the granter without delay that a server crashed under a request, or that such a
+    /// request was answered.
+    pub fn notify_crash_observed(&self) {
+        self.crash_observed.notify_one();
+    }
+
+    /// Waits until there is such an observation to report.
+    pub async fn crash_observed(&self) {
+        self.crash_observed.notified().await;
+    }
+
     /// Returns a receiver that is notified of changes of the tables.
     #[must_use]
     pub fn changes(&self) -> watch::Receiver<u64> {
--- a/crates/carawayrill-gateway/src/upstream.rs
+++ b/crates/carawayrill-gateway/src/upstream.rs
@@ -6,6 +6,7 @@
 use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::error::Error as _;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -46,6 +47,8 @@
 const RESET_WAIT_MARGIN: Duration = Duration::from_millis(1);
 /// The maximum time for which a new connection is observed.
 const MAX_RESET_WAIT: Duration = Duration::from_millis(30);
+/// The timeout for learning whether an address refuses connections.
+const REFUSAL_TIMEOUT: Duration = Duration::from_millis(150);
 /// How long sent data may stay unacknowledged before a connection counts as dead.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(900);
 /// How long an idle connection is kept if the server does not state a time.
@@ -74,6 +77,9 @@
 pub enum SendError {
     /// No byte of the request was sent.
     NotSent(CompactString),
+    /// The connection was closed before a byte of the response arrived; the server may have run the
+    /// request.
+    Closed(CompactString),
     /// The response was lost; the server may have run the request.
     Lost(CompactString),
 }
@@ -83,7 +89,7 @@
     #[must_use]
     pub fn reason(&self) -> &CompactString {
         match self {
-            Self::NotSent(reason) | Self::Lost(reason) => reason,
+            Self::NotSent(reason) | Self::Closed(reason) | Self::Lost(reason) => reason,
         }
     }
 }
@@ -211,7 +217,7 @@
                 Err(mut err) => match err.take_message() {
                     // The connection was already closed; nothing was written to it.
                     Some(unsent) => req = unsent,
-                    None => return Err(lost(&err.into_error())),
+                    None => return Err(without_response(&err.into_error())),
                 },
             }
         }
@@ -225,7 +231,7 @@
                 if unsent {
                     return Err(SendError::NotSent(format_compact!("{err}")));
                 }
-                Err(lost(&err))
+                Err(without_response(&err))
             }
         }
     }
@@ -251,13 +257,31 @@
     }
 }
 
-fn lost(err: &hyper::Error) -> SendError {
-    match err.source() {
-        Some(source) => SendError::Lost(format_compact!("{err}: {source}")),
-        None => SendError::Lost(format_compact!("{err}")),
+/// Returns the error of a request whose response did not begin.
+fn without_response(err: &hyper::Error) -> SendError {
+    let reason = match err.source() {
+        Some(source) => format_compact!("{err}: {source}"),
+        None => format_compact!("{err}"),
+    };
+    if is_closed(err) {
+        SendError::Closed(reason)
+    } else {
+        SendError::Lost(reason)
     }
 }
 
+/// Returns whether the peer has closed or reset the connection.
+fn is_closed(err: &hyper::Error) -> bool {
+    let source = err.source().and_then(|source| source.downcast_ref());
+    let is_reset = source.is_some_and(|err: &std::io::Error| {
+        matches!(
+            err.kind(),
+            ErrorKind::ConnectionReset | ErrorKind::ConnectionAborted | ErrorKind::BrokenPipe
+        )
+    });
+    err.is_incomplete_message() || is_reset
+}
+
 /// Returns whether a response announces that its connection will be closed.
 fn has_connection_close(headers: &HeaderMap) -> bool {
     headers
@@ -342,6 +366,18 @@
     })
 }
 
+/// Returns whether nothing listens at an address, as after the crash of a server. An address that
+/// does not respond is no evidence of that: the network may be at fault.
+pub async fn is_refused(address: SocketAddr) -> bool {
+    let connected = connect(address, REFUSAL_TIMEOUT).await;
+    connected.is_err_and(|err| {
+        matches!(
+            err.kind(),
+            ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset
+        )
+    })
+}
+
 /// Opens a TCP connection that fails if the peer stops acknowledging data.
 ///
 /// # Errors
--- a/crates/carawayrill-gateway/src/watcher.rs
+++ b/crates/carawayrill-gateway/src/watcher.rs
@@ -209,6 +209,7 @@
             let mut tables = shared.tables();
             let fronts = tables.fronts.get();
             tables.limits.refresh(fronts, now);
+            tables.crashes.expire(now);
             tables.servers.expire(now)
         };
         for change in &removed {
