Keep in the store which requests are refused because they crash servers

The granter stores the refused contents (one object, conditional write, checked each 0.5 s), and reads them when it takes over: one call more a granter, one for each change. A failed read delays nothing and is repeated.

--- a/crates/carawayrill-gateway/src/granter_runtime/mod.rs
+++ b/crates/carawayrill-gateway/src/granter_runtime/mod.rs
@@ -2,6 +2,7 @@
 //! the spans to the fronts.
 
 mod capacity;
+mod quarantine;
 mod restore;
 mod state;
 mod stored;
@@ -234,6 +235,7 @@
                 }
             }
         }
+        self.store_quarantine(now);
         self.publish_update(now);
     }
 
--- a/crates/carawayrill-gateway/src/granter_runtime/state.rs
+++ b/crates/carawayrill-gateway/src/granter_runtime/state.rs
@@ -21,6 +21,7 @@
 
 use super::Report;
 use super::capacity::capacities;
+use super::quarantine::StoredState;
 use super::restore::StoredRecords;
 use crate::spans::PublishedTable;
 use crate::spans::TablePosition;
@@ -48,6 +49,7 @@
 #[derive(Debug)]
 pub(super) struct State {
     pub(super) stored: StoredRecords,
+    pub(super) quarantine: StoredState,
     pub(super) granters: BTreeMap<ServiceId, Granter>,
     /// The number of listed servers of services without spans, and since when it is unchanged.
     listed_servers: BTreeMap<ServiceId, (usize, Time)>,
@@ -74,6 +76,7 @@
     pub(super) fn new(stored: StoredRecords, now: Time) -> Self {
         Self {
             stored,
+            quarantine: StoredState::default(),
             granters: BTreeMap::new(),
             listed_servers: BTreeMap::new(),
             demand: BTreeMap::new(),
