--- a/crates/carawayrill-gateway/src/forward/crash.rs
+++ b/crates/carawayrill-gateway/src/forward/crash.rs
@@ -53,9 +53,10 @@
     pub(super) async fn check_crashes(&mut self) {
         for closed in std::mem::take(&mut self.closed_sends) {
             let shared = Arc::clone(self.shared);
+            let upstream = Arc::clone(self.upstream);
             let fingerprints = self.request.fingerprints;
             let checked = tokio::spawn(async move {
-                quarantine::check_crash(&shared, &fingerprints, closed).await;
+                quarantine::check_crash(&shared, &upstream, &fingerprints, closed).await;
             });
             if let Err(err) = checked.await {
                 log::error!("the check for a crashed server failed: {err}");
--- a/crates/carawayrill-gateway/src/forward/mod.rs
+++ b/crates/carawayrill-gateway/src/forward/mod.rs
@@ -111,7 +111,7 @@
 #[derive(Debug)]
 pub struct Forwarder<'a> {
     shared: &'a Arc<Shared>,
-    upstream: &'a Upstream,
+    upstream: &'a Arc<Upstream>,
     header_codec: &'a dyn HeaderCodec,
     request: &'a AcceptedRequest,
     /// The sends to servers.
@@ -138,7 +138,7 @@
     #[must_use]
     pub fn new(
         shared: &'a Arc<Shared>,
-        upstream: &'a Upstream,
+        upstream: &'a Arc<Upstream>,
         header_codec: &'a dyn HeaderCodec,
         request: &'a AcceptedRequest,
     ) -> Self {
--- a/crates/carawayrill-gateway/src/port.rs
+++ b/crates/carawayrill-gateway/src/port.rs
@@ -1,6 +1,7 @@
 //! Traits for the external systems, except the object store.
 
 use std::fmt::Debug;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -16,6 +17,7 @@
 use compact_str::CompactString;
 use http::HeaderMap;
 use http::StatusCode;
+use tokio::net::TcpStream;
 
 /// The metadata in the headers of a request.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -126,6 +128,17 @@
     fn decode_server(&self, object: &Object) -> Result<Server, Error>;
 }
 
+/// Opens connections to servers.
+#[async_trait]
+pub trait ServerConnector: Debug + Send + Sync {
+    /// Opens a connection that fails if the server stops acknowledging data.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection is not established within `timeout`.
+    async fn connect(&self, address: SocketAddr, timeout: Duration) -> std::io::Result<TcpStream>;
+}
+
 /// Sends the granter's orders to servers.
 #[async_trait]
 pub trait SpanOrderSender: Debug + Send + Sync {
--- a/crates/carawayrill-gateway/src/quarantine.rs
+++ b/crates/carawayrill-gateway/src/quarantine.rs
@@ -12,7 +12,7 @@
 
 use crate::clock;
 use crate::state::Shared;
-use crate::upstream;
+use crate::upstream::Upstream;
 
 /// A send that ended because the server closed the connection before it responded.
 #[derive(Debug, Clone)]
@@ -24,8 +24,13 @@
 
 /// Finds out whether the server of a closed send has crashed, and records it. A server that only
 /// closed the connection still accepts others.
-pub(crate) async fn check_crash(shared: &Shared, fingerprints: &Fingerprints, closed: ClosedSend) {
-    if !upstream::is_refused(closed.server.address).await {
+pub(crate) async fn check_crash(
+    shared: &Shared,
+    upstream: &Upstream,
+    fingerprints: &Fingerprints,
+    closed: ClosedSend,
+) {
+    if !upstream.is_refused(closed.server.address).await {
         return;
     }
     let crash = Crash {
--- a/crates/carawayrill-gateway/src/run.rs
+++ b/crates/carawayrill-gateway/src/run.rs
@@ -26,6 +26,7 @@
 use crate::lease_manager::LeaseManager;
 use crate::metrics::Metrics;
 use crate::port::HeaderCodec;
+use crate::port::ServerConnector;
 use crate::port::SpanOrderSender;
 use crate::port::StoreSchema;
 use crate::ready;
@@ -54,6 +55,8 @@
     pub header_codec: Arc<dyn HeaderCodec>,
     /// Sends orders to servers.
     pub orders: Arc<dyn SpanOrderSender>,
+    /// Opens the connections for requests to servers.
+    pub connector: Arc<dyn ServerConnector>,
 }
 
 /// Serves until the process receives a stop signal, then shuts down gracefully.
@@ -90,7 +93,10 @@
         ..ports
     };
     let (phase, phases) = watch::channel(Phase::Running);
-    let upstream = Arc::new(Upstream::new(shared.cfg.max_buffered_bytes));
+    let upstream = Arc::new(Upstream::new(
+        Arc::clone(&ports.connector),
+        shared.cfg.max_buffered_bytes,
+    ));
     let front = Arc::new(Front::new(
         Arc::clone(&shared),
         Arc::clone(&upstream),
--- a/crates/carawayrill-gateway/src/upstream.rs
+++ b/crates/carawayrill-gateway/src/upstream.rs
@@ -8,6 +8,7 @@
 use std::error::Error as _;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
@@ -15,6 +16,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use async_trait::async_trait;
 use bytes::Bytes;
 use bytes::BytesMut;
 use carawayrill_core::direct::servers::Server;
@@ -37,6 +39,7 @@
 use tokio::task::AbortHandle;
 
 use crate::clock;
+use crate::port::ServerConnector;
 
 /// The timeout for opening a connection to a server.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -125,6 +128,7 @@
 /// The connections to all servers.
 #[derive(Debug)]
 pub struct Upstream {
+    connector: Arc<dyn ServerConnector>,
     idle: Mutex<HashMap<ServerId, VecDeque<IdleConnection>>>,
     /// The bytes of the response bodies that are being read.
     buffered: AtomicUsize,
@@ -134,8 +138,9 @@
 impl Upstream {
     /// Creates the connections of a front that may buffer `max_buffered` bytes of response bodies.
     #[must_use]
-    pub fn new(max_buffered: usize) -> Self {
+    pub fn new(connector: Arc<dyn ServerConnector>, max_buffered: usize) -> Self {
         Self {
+            connector,
             idle: Mutex::default(),
             buffered: AtomicUsize::new(0),
             max_buffered,
@@ -222,7 +227,7 @@
             }
         }
         on_open();
-        let mut connection = open(server.address).await?;
+        let mut connection = open(&*self.connector, server.address).await?;
         match connection.sender.try_send_request(req).await {
             Ok(resp) => self.receive(resp, connection).await,
             Err(mut err) => {
@@ -236,6 +241,18 @@
         }
     }
 
+    /// Returns whether nothing listens at an address, as after the crash of a server. An address that
+    /// does not respond is no evidence of that: the network may be at fault.
+    pub async fn is_refused(&self, address: SocketAddr) -> bool {
+        let connected = self.connector.connect(address, REFUSAL_TIMEOUT).await;
+        connected.is_err_and(|err| {
+            matches!(
+                err.kind(),
+                ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset
+            )
+        })
+    }
+
     /// Reads the body of a response.
     async fn receive(
         &self,
@@ -337,10 +354,14 @@
 }
 
 /// Opens a connection and waits for an early reset.
-async fn open(address: SocketAddr) -> Result<Connection, SendError> {
+async fn open(
+    connector: &dyn ServerConnector,
+    address: SocketAddr,
+) -> Result<Connection, SendError> {
     let not_sent = |err: &dyn std::fmt::Display| SendError::NotSent(format_compact!("{err}"));
     let started = clock::now();
-    let stream = connect(address, CONNECT_TIMEOUT)
+    let stream = connector
+        .connect(address, CONNECT_TIMEOUT)
         .await
         .map_err(|err| not_sent(&err))?;
     // A server sends nothing before it receives a request, so the stream only becomes readable if
@@ -366,29 +387,19 @@
     })
 }
 
-/// Returns whether nothing listens at an address, as after the crash of a server. An address that
-/// does not respond is no evidence of that: the network may be at fault.
-pub async fn is_refused(address: SocketAddr) -> bool {
-    let connected = connect(address, REFUSAL_TIMEOUT).await;
-    connected.is_err_and(|err| {
-        matches!(
-            err.kind(),
-            ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset
-        )
-    })
-}
+/// Opens TCP connections to servers.
+#[derive(Debug, Clone, Copy)]
+pub struct TcpConnector;
 
-/// Opens a TCP connection that fails if the peer stops acknowledging data.
-///
-/// # Errors
-///
-/// Fails if the connection is not established within `timeout`.
-pub async fn connect(address: SocketAddr, timeout: Duration) -> std::io::Result<TcpStream> {
-    let socket = TcpSocket::new_v4()?;
-    SockRef::from(&socket).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
-    let stream = tokio::time::timeout(timeout, socket.connect(address))
-        .await
-        .map_err(|_elapsed| std::io::Error::from(std::io::ErrorKind::TimedOut))??;
-    stream.set_nodelay(true)?;
-    Ok(stream)
+#[async_trait]
+impl ServerConnector for TcpConnector {
+    async fn connect(&self, address: SocketAddr, timeout: Duration) -> std::io::Result<TcpStream> {
+        let socket = TcpSocket::new_v4()?;
+        SockRef::from(&socket).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
+        let stream = tokio::time::timeout(timeout, socket.connect(address))
+            .await
+            .map_err(|_elapsed| std::io::Error::from(ErrorKind::TimedOut))??;
+        stream.set_nodelay(true)?;
+        Ok(stream)
+    }
 }
