Pass requests on to another front while this one reaches no server

Cause: a front had one way to a server, its own. It refused what other fronts could serve, and callers with open connections stayed. Class: a part that has lost its only way onward goes on taking work.

Change: core::direct::reach. Requests then go to one of four other fronts that reach the servers (named by the granter) as a caller would send them, once.

In virtual time all requests of cut fronts are served from 3 s after the cut, with 11 and 300 fronts, also half of the fleet at once.

--- a/crates/carawayrill-core/src/direct/mod.rs
+++ b/crates/carawayrill-core/src/direct/mod.rs
@@ -18,6 +18,7 @@
 pub mod load;
 pub mod manifest;
 pub mod quarantine;
+pub mod reach;
 pub mod rebalance;
 pub mod routes;
 pub mod servers;
--- /dev/null
+++ b/crates/carawayrill-core/src/direct/reach/mod.rs
@@ -0,0 +1,13 @@
+//! Whether a front reaches the servers, and which other front takes its requests if not.
+//!
+//! A front may be cut off from all servers while callers, the store and the other fronts reach it.
+//! It then passes its callers' requests on to a front that reaches the servers.
+
+mod peers;
+mod servers;
+
+pub use self::peers::Peer;
+pub use self::peers::PeerTable;
+pub use self::peers::choose_peers;
+pub use self::servers::ReachChange;
+pub use self::servers::ServerReach;
--- a/crates/carawayrill-core/src/event.rs
+++ b/crates/carawayrill-core/src/event.rs
@@ -317,6 +317,16 @@
             /// The server that answered it.
             server: CompactString,
         },
+        /// A front opens no connection to any server, and passes its requests on to other fronts.
+        ServersUnreachable {
+            /// The number of servers that it did not reach, one after the other.
+            servers: usize,
+        },
+        /// The front opened a connection to a server again.
+        ServersReachable {
+            /// The time for which it was cut off, in milliseconds.
+            after_ms: u64,
+        },
         /// The store came back from an older copy.
         StoreRestored {
             /// The kind of object whose list was read anew.
--- /dev/null
+++ b/crates/carawayrill-core/tests/direct_reach.rs
@@ -0,0 +1,132 @@
+//! Fronts that are cut off from all servers: when they notice, and who takes their requests.
+
+mod reach_fleet;
+
+use std::time::Duration;
+
+use carawayrill_core::direct::admission::Distance;
+use carawayrill_core::direct::reach::Peer;
+use carawayrill_core::direct::reach::PeerTable;
+use carawayrill_core::direct::reach::ReachChange;
+use carawayrill_core::direct::reach::ServerReach;
+use carawayrill_core::direct::reach::choose_peers;
+use carawayrill_core::id::DataCentreId;
+use carawayrill_core::id::ServerId;
+use carawayrill_core::time::Time;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use reach_fleet::Cut;
+use reach_fleet::Fleet;
+use rstest::rstest;
+
+fn server(number: usize) -> ServerId {
+    format!("i-{number}").parse().expect("a name")
+}
+
+fn peer(number: usize, data_centre: &str) -> Peer {
+    Peer {
+        front: format!("front-{number}").into(),
+        address: format!("10.0.0.{number}:80").parse().expect("an address"),
+        data_centre: data_centre.parse().expect("a name"),
+    }
+}
+
+#[test]
+fn a_front_is_cut_off_after_three_servers_and_until_it_reaches_one() {
+    let mut reach = ServerReach::default();
+    assert_eq!(reach.record_failed(&server(1), 50, Time(100)), None);
+    assert_eq!(reach.record_failed(&server(1), 50, Time(110)), None);
+    assert_eq!(reach.record_failed(&server(2), 50, Time(120)), None);
+    let lost = reach.record_failed(&server(3), 50, Time(130));
+    assert_eq!(lost, Some(ReachChange::Lost(3)));
+    assert!(reach.is_cut_off());
+    assert_eq!(reach.record_failed(&server(4), 50, Time(140)), None);
+    let regained = reach.record_connected(Time(1_130));
+    let after = Duration::from_secs(1);
+    assert_eq!(regained, Some(ReachChange::Regained(after)));
+    assert!(!reach.is_cut_off());
+}
+
+#[test]
+fn servers_that_crash_one_by_one_cut_off_nobody() {
+    let mut reach = ServerReach::default();
+    for number in 0..20 {
+        let now = Time(100 * u64::try_from(number).expect("fits"));
+        assert_eq!(reach.record_failed(&server(number), 50, now), None);
+        assert_eq!(reach.record_connected(now), None);
+    }
+}
+
+#[test]
+fn old_failures_count_no_more() {
+    let mut reach = ServerReach::default();
+    for (number, at) in [(1, 100), (2, 2_000), (3, 4_000), (4, 6_000)] {
+        assert_eq!(reach.record_failed(&server(number), 50, Time(at)), None);
+    }
+}
+
+#[test]
+fn with_fewer_servers_all_of_them_have_to_be_lost() {
+    let mut reach = ServerReach::default();
+    assert_eq!(reach.record_failed(&server(1), 2, Time(100)), None);
+    let lost = reach.record_failed(&server(2), 2, Time(110));
+    assert_eq!(lost, Some(ReachChange::Lost(2)));
+}
+
+/// Data centres `a` and `b` are one region.
+fn distance(to: &DataCentreId) -> Distance {
+    match to.as_str() {
+        "a" => Distance::SameDataCentre,
+        "b" => Distance::SameRegion,
+        _ => Distance::OtherRegion,
+    }
+}
+
+#[rstest]
+#[case::near_and_elsewhere(
+    &[peer(1, "a"), peer(2, "a"), peer(3, "a"), peer(4, "b"), peer(5, "c")], &["a", "a", "b", "c"]
+)]
+#[case::one_data_centre(&[peer(1, "a"), peer(2, "a"), peer(3, "a")], &["a", "a", "a"])]
+#[case::not_itself(&[peer(0, "a"), peer(5, "c")], &["c"])]
+#[case::nobody(&[], &[])]
+fn peers_are_near_and_not_all_in_one_data_centre(
+    #[case] others: &[Peer],
+    #[case] expected: &[&str],
+) {
+    let peers = choose_peers("front-0", others.iter(), distance);
+    let places: Vec<&str> = peers.iter().map(|peer| peer.data_centre.as_str()).collect();
+    assert_eq!(places, expected);
+}
+
+#[test]
+fn a_peer_that_was_not_reached_is_passed_over_for_a_while() {
+    let mut rng = ChaCha8Rng::seed_from_u64(3);
+    let mut peers = PeerTable::default();
+    peers.set(vec![peer(1, "a"), peer(2, "b")]);
+    peers.record_failed("front-1", Time(100));
+    let chosen = peers.choose(&[], Time(200), &mut rng);
+    assert_eq!(chosen, Some(peer(2, "b")));
+    assert_eq!(peers.choose(&["front-2".into()], Time(200), &mut rng), None);
+    let chosen = peers.choose(&["front-2".into()], Time(600), &mut rng);
+    assert_eq!(chosen, Some(peer(1, "a")));
+}
+
+/// From 3 s after the cut, callers of cut fronts are served as often as the others, and no peer gets
+/// more than a few times its own requests.
+#[rstest]
+fn a_fleet_serves_the_callers_of_fronts_that_are_cut_off(
+    #[values(11, 300)] fronts: usize,
+    #[values(
+        Cut::OneFront,
+        Cut::Granter,
+        Cut::MostOfADataCentre,
+        Cut::HalfOfTheFleet
+    )]
+    cut: Cut,
+    #[values(5, 400)] connect_ms: u64,
+) {
+    let outcome = Fleet::new(fronts, cut, Duration::from_millis(connect_ms)).run();
+    assert!(outcome.served_of_cut >= 0.99, "{outcome:?}");
+    assert!(outcome.max_load <= 4.0, "{outcome:?}");
+    insta::assert_json_snapshot!(format!("fleet_{fronts}_{cut:?}_{connect_ms}ms"), outcome);
+}
--- a/crates/carawayrill-gateway/src/forward/mod.rs
+++ b/crates/carawayrill-gateway/src/forward/mod.rs
@@ -2,6 +2,7 @@
 
 mod choose;
 mod crash;
+pub(crate) mod peer;
 mod send;
 
 use std::net::SocketAddr;
@@ -60,6 +61,8 @@
     pub key: Option<u16>,
     /// The fingerprints of its content.
     pub fingerprints: Fingerprints,
+    /// Whether another front has passed the request on to this one.
+    pub was_forwarded: bool,
     /// The version of the manifest that the route is from.
     pub manifest: u64,
     /// The method.
@@ -112,6 +115,7 @@
 pub struct Forwarder<'a> {
     shared: &'a Arc<Shared>,
     upstream: &'a Arc<Upstream>,
+    peers: &'a Upstream,
     header_codec: &'a dyn HeaderCodec,
     request: &'a AcceptedRequest,
     /// The sends to servers.
@@ -134,17 +138,20 @@
 }
 
 impl<'a> Forwarder<'a> {
-    /// Creates the state for a request that was not sent yet.
+    /// Creates the state for a request that was not sent yet. `upstream` has the connections to
+    /// servers and `peers` those to other fronts.
     #[must_use]
     pub fn new(
         shared: &'a Arc<Shared>,
         upstream: &'a Arc<Upstream>,
+        peers: &'a Upstream,
         header_codec: &'a dyn HeaderCodec,
         request: &'a AcceptedRequest,
     ) -> Self {
         Self {
             shared,
             upstream,
+            peers,
             header_codec,
             request,
             tries: Vec::new(),
@@ -202,7 +209,12 @@
             if let Some(reply) = self.refuse_quarantined(now) {
                 return reply;
             }
-            match self.choose_next(now) {
+            if self.shared.is_cut_off()
+                && let Some(reply) = self.forward_to_peer().await
+            {
+                return reply;
+            }
+            match self.choose_next(clock::now()) {
                 NextStep::Refuse(refusal) => {
                     self.load_estimate = refusal.load_estimate;
                     return self.give_up(refusal.reason, refusal.retry_after);
--- /dev/null
+++ b/crates/carawayrill-gateway/src/forward/peer.rs
@@ -0,0 +1,160 @@
+//! Passes a request on to another front while this one is cut off from the servers.
+
+use std::time::Duration;
+
+use carawayrill_core::direct::manifest::Repeat;
+use carawayrill_core::direct::reach::Peer;
+use carawayrill_core::event::TryRecord;
+use carawayrill_core::id::ServerId;
+use carawayrill_core::time::Time;
+use carawayrill_core::time::millis;
+use compact_str::CompactString;
+use http::HeaderName;
+use http::HeaderValue;
+use http::Request;
+use http::StatusCode;
+use http_body_util::Full;
+
+use super::DEFAULT_RETRY_AFTER;
+use super::Forwarder;
+use super::MIN_SEND_TIME;
+use super::Reply;
+use crate::clock;
+use crate::port::SendMetadata;
+use crate::upstream::Destination;
+use crate::upstream::Reuse;
+use crate::upstream::SendError;
+use crate::upstream::ServerResponse;
+
+/// Marks a request that a front has passed on. It is not passed on again.
+pub(crate) const FORWARDED: HeaderName = HeaderName::from_static("carawayrill-forwarded");
+/// Marks the refusal of such a request by a front that is cut off as well.
+const CUT_OFF: HeaderName = HeaderName::from_static("carawayrill-cut-off");
+/// The number of idle connections that are kept to a peer.
+const MAX_IDLE_CONNECTIONS: usize = 16;
+/// How long an idle connection to a peer is kept.
+const KEEP_ALIVE: Duration = Duration::from_secs(4);
+
+impl Forwarder<'_> {
+    /// Passes the request on to other fronts until one replies. Returns `None` if there is none to
+    /// pass it on to.
+    pub(super) async fn forward_to_peer(&mut self) -> Option<Reply> {
+        if self.request.was_forwarded {
+            return Some(refuse_cut_off());
+        }
+        let mut tried = Vec::new();
+        loop {
+            let now = clock::now();
+            if self.request.deadline.since(now) < MIN_SEND_TIME {
+                return Some(self.timed_out());
+            }
+            let peer = {
+                let tables = &mut *self.shared.tables();
+                tables.peers.choose(&tried, now, &mut tables.rng)?
+            };
+            let may_have_run_before = self.may_have_run;
+            let result = self.send_to_peer(&peer, now).await;
+            let outcome = match &result {
+                Ok(response) if response.headers.contains_key(CUT_OFF) => "cut-off",
+                Ok(_) => "answered",
+                Err(SendError::NotSent(_)) => "not-sent",
+                Err(SendError::Closed(_) | SendError::Lost(_)) => "lost",
+            };
+            self.end_peer_try(now, outcome, result.as_ref().err());
+            match result {
+                Ok(response) if outcome == "answered" => {
+                    self.may_have_run = may_have_run_before;
+                    return Some(self.peer_reply(&peer, response));
+                }
+                Err(SendError::Closed(_) | SendError::Lost(_)) => {
+                    if self.request.matched.route.repeat == Repeat::AtMostOnce {
+                        return Some(self.give_up("answer-lost", DEFAULT_RETRY_AFTER));
+                    }
+                }
+                Ok(_) | Err(SendError::NotSent(_)) => self.may_have_run = may_have_run_before,
+            }
+            let mut tables = self.shared.tables();
+            tables.peers.record_failed(&peer.front, clock::now());
+            drop(tables);
+            tried.push(peer.front);
+        }
+    }
+
+    async fn send_to_peer(&mut self, peer: &Peer, now: Time) -> Result<ServerResponse, SendError> {
+        let id = peer_id(peer)?;
+        self.tries.push(TryRecord {
+            server: peer.front.clone(),
+            at_ms: millis(now.since(self.request.received)),
+            expected_ms: 0,
+            load_tenths: 0,
+            fence: None,
+            outcome: "unanswered".into(),
+            error: CompactString::default(),
+            took_ms: 0,
+        });
+        // Until the outcome is known, a server may have run the request.
+        self.may_have_run = true;
+        let mut req = Request::new(Full::new(self.request.body.clone()));
+        *req.method_mut() = self.request.method.clone();
+        *req.uri_mut() = self.request.uri.clone();
+        *req.headers_mut() = self.request.headers.clone();
+        let metadata = SendMetadata {
+            server: &id,
+            timeout: self.request.deadline.since(now),
+        };
+        self.header_codec
+            .write_request(req.headers_mut(), &metadata);
+        let mark = HeaderValue::from_static("1");
+        req.headers_mut().insert(FORWARDED, mark);
+        let reuse = match self.request.matched.route.repeat {
+            Repeat::Idempotent => Reuse::Allowed,
+            Repeat::AtMostOnce => Reuse::Fresh,
+        };
+        let to = Destination {
+            id: &id,
+            address: peer.address,
+        };
+        self.peers.send(to, req, reuse, |_result| {}).await
+    }
+
+    fn end_peer_try(&mut self, started: Time, outcome: &'static str, error: Option<&SendError>) {
+        let took = clock::now().since(started);
+        self.shared.metrics.record_try(outcome, took);
+        if let Some(record) = self.tries.last_mut() {
+            record.outcome = outcome.into();
+            record.error = error.map(|err| err.reason().clone()).unwrap_or_default();
+            record.took_ms = millis(took);
+        }
+    }
+
+    /// Returns what the peer replied, whether it is the response of a server or of its own.
+    fn peer_reply(&self, peer: &Peer, response: ServerResponse) -> Reply {
+        let reply = Reply {
+            status: response.status,
+            headers: response.headers.clone(),
+            body: response.body.clone(),
+            reason: "forwarded",
+            retry_after: None,
+        };
+        if let Ok(id) = peer_id(peer) {
+            let keep_alive = Some(KEEP_ALIVE);
+            self.peers
+                .keep_idle(&id, response, keep_alive, MAX_IDLE_CONNECTIONS);
+        }
+        reply
+    }
+}
+
+/// Returns the id by which connections to a peer are reused.
+fn peer_id(peer: &Peer) -> Result<ServerId, SendError> {
+    ServerId::try_from(peer.front.as_str())
+        .map_err(|err| SendError::NotSent(CompactString::from(err.to_string())))
+}
+
+/// Returns the reply to a request that was passed on to this front while it is cut off as well.
+fn refuse_cut_off() -> Reply {
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    let mut reply = Reply::local(status, "cut-off", Some(DEFAULT_RETRY_AFTER));
+    reply.headers.insert(CUT_OFF, HeaderValue::from_static("1"));
+    reply
+}
--- a/crates/carawayrill-gateway/src/forward/send.rs
+++ b/crates/carawayrill-gateway/src/forward/send.rs
@@ -31,7 +31,10 @@
 use crate::port::ServerRefusal;
 use crate::quarantine;
 use crate::state::InFlight;
+use crate::state::Shared;
 use crate::state::Tables;
+use crate::upstream::ConnectResult;
+use crate::upstream::Destination;
 use crate::upstream::Reuse;
 use crate::upstream::SendError;
 use crate::upstream::ServerResponse;
@@ -189,8 +192,10 @@
         let upstream = self.upstream;
         let to = server.clone();
         let response = Box::pin(async move {
-            let opened = || shared.metrics.connections.inc();
-            upstream.send(&to, req, reuse, opened).await
+            let on_connect = |result| record_connect(shared, &to, result);
+            upstream
+                .send(Destination::from(&to), req, reuse, on_connect)
+                .await
         });
         PendingSend {
             server: server.clone(),
@@ -421,3 +426,13 @@
             .keep_idle(&server.id, response, metadata.keep_alive, max_idle as usize);
     }
 }
+
+fn record_connect(shared: &Shared, server: &Server, result: ConnectResult) {
+    shared.metrics.connections.inc();
+    match result {
+        ConnectResult::Connected => shared.record_connect(&server.id, true),
+        ConnectResult::Failed => shared.record_connect(&server.id, false),
+        // The server is at its connection limit, or about to end.
+        ConnectResult::ClosedAtOnce => {}
+    }
+}
--- a/crates/carawayrill-gateway/src/front.rs
+++ b/crates/carawayrill-gateway/src/front.rs
@@ -43,6 +43,7 @@
 use crate::forward::AcceptedRequest;
 use crate::forward::Forwarder;
 use crate::forward::Reply;
+use crate::forward::peer;
 use crate::port::HeaderCodec;
 use crate::port::Key;
 use crate::port::RequestMetadata;
@@ -95,6 +96,7 @@
 pub struct Front {
     shared: Arc<Shared>,
     upstream: Arc<Upstream>,
+    peers: Arc<Upstream>,
     header_codec: Arc<dyn HeaderCodec>,
     phase: watch::Receiver<Phase>,
     open_connections: AtomicUsize,
@@ -118,17 +120,20 @@
 }
 
 impl Front {
-    /// Creates a front that accepts no connections yet.
+    /// Creates a front that accepts no connections yet. `upstream` has the connections to servers
+    /// and `peers` those to other fronts.
     #[must_use]
     pub fn new(
         shared: Arc<Shared>,
         upstream: Arc<Upstream>,
+        peers: Arc<Upstream>,
         header_codec: Arc<dyn HeaderCodec>,
         phase: watch::Receiver<Phase>,
     ) -> Self {
         Self {
             shared,
             upstream,
+            peers,
             header_codec,
             phase,
             open_connections: AtomicUsize::new(0),
@@ -270,8 +275,13 @@
         };
         let servers_age = self.count_accepted(&request);
         log_entry.record.servers_age_ms = servers_age.map(millis);
-        let mut forwarder =
-            Forwarder::new(&self.shared, &self.upstream, &*self.header_codec, &request);
+        let mut forwarder = Forwarder::new(
+            &self.shared,
+            &self.upstream,
+            &self.peers,
+            &*self.header_codec,
+            &request,
+        );
         let mut phase = self.phase.clone();
         let ended = tokio::select! {
             reply = forwarder.run() => Some(reply),
@@ -288,6 +298,10 @@
     fn count_accepted(&self, request: &AcceptedRequest) -> Option<Duration> {
         let service = &request.matched.service;
         let mut tables = self.shared.tables();
+        if tables.reach.is_cut_off() {
+            // The front that the request is passed on to counts it.
+            return Some(clock::now().since(tables.servers_confirmed?));
+        }
         tables
             .budget(service, &self.shared.cfg)
             .record_request(request.received);
@@ -345,10 +359,11 @@
             keyed,
             key,
             fingerprints: Fingerprints::default(),
+            was_forwarded: parts.headers.contains_key(peer::FORWARDED),
             manifest: manifest.version.0,
             method: parts.method.clone(),
             uri: origin_form(&parts.uri),
-            headers: end_to_end_headers(&parts.headers),
+            headers: forwarded_headers(&parts.headers),
             body: Bytes::new(),
             received,
             deadline: received + timeout,
@@ -470,6 +485,13 @@
     "content-length",
 ];
 
+/// Copies the headers of a request that are sent to the server.
+fn forwarded_headers(headers: &HeaderMap) -> HeaderMap {
+    let mut copy = end_to_end_headers(headers);
+    copy.remove(peer::FORWARDED);
+    copy
+}
+
 /// Copies the headers that a proxy forwards.
 fn end_to_end_headers(headers: &HeaderMap) -> HeaderMap {
     let named: Vec<String> = headers
--- a/crates/carawayrill-gateway/src/granter_runtime/mod.rs
+++ b/crates/carawayrill-gateway/src/granter_runtime/mod.rs
@@ -27,8 +27,11 @@
 use carawayrill_core::direct::limit::FrontShare;
 use carawayrill_core::direct::limit::LimitReport;
 use carawayrill_core::direct::quarantine::Scope;
+use carawayrill_core::direct::reach::Peer;
+use carawayrill_core::direct::reach::choose_peers;
 use carawayrill_core::direct::spans::SpanRecord;
 use carawayrill_core::event::EventKind;
+use carawayrill_core::id::DataCentreId;
 use carawayrill_core::id::Era;
 use carawayrill_core::id::ServerId;
 use carawayrill_core::id::ServiceId;
@@ -90,6 +93,10 @@
     pub leaving: Vec<LeavingServer>,
     /// The limits that servers have named.
     pub limits: Vec<LimitReport>,
+    /// How other fronts reach this one; `None` if it is the same as in the report before.
+    pub peer: Option<Peer>,
+    /// Whether the front is cut off from all servers.
+    pub is_cut_off: bool,
 }
 
 /// An update to the fronts.
@@ -190,6 +197,24 @@
         self.state().shares_of(front, now)
     }
 
+    /// Returns the fronts that take the requests of a front if it is cut off, unless they are the
+    /// same as at change number `known`, which is advanced.
+    #[must_use]
+    pub fn peers_of(
+        &self,
+        front: &str,
+        data_centre: &DataCentreId,
+        known: &mut u64,
+    ) -> Option<Vec<Peer>> {
+        let state = self.state();
+        if state.peer_changes == *known {
+            return None;
+        }
+        *known = state.peer_changes;
+        let distance = |to: &DataCentreId| self.shared.distance_between(data_centre, to);
+        Some(choose_peers(front, state.reaching_fronts(), distance))
+    }
+
     /// Runs rounds of decisions until this front is no longer the granter.
     pub async fn run(self: Arc<Self>) {
         while self.is_current() {
@@ -359,6 +384,13 @@
             OrderResult::NotSent
         };
         let now = clock::now();
+        match result {
+            OrderResult::Done(_) | OrderResult::Fenced => {
+                self.shared.record_connect(&order.to.server, true);
+            }
+            OrderResult::NotSent => self.shared.record_connect(&order.to.server, false),
+            OrderResult::Unknown => {}
+        }
         self.record_order(&order, &result, now.since(sent));
         if let Some(granter) = self.state().granters.get_mut(&service) {
             granter.order_ended(order.id, &result, now);
--- a/crates/carawayrill-gateway/src/granter_runtime/state.rs
+++ b/crates/carawayrill-gateway/src/granter_runtime/state.rs
@@ -13,6 +13,7 @@
 use carawayrill_core::direct::knowledge::StoredVersion;
 use carawayrill_core::direct::limit::FrontShare;
 use carawayrill_core::direct::limit::LimitDivision;
+use carawayrill_core::direct::reach::Peer;
 use carawayrill_core::direct::rebalance::Capacities;
 use carawayrill_core::id::ServerId;
 use carawayrill_core::id::ServiceId;
@@ -43,6 +44,8 @@
 pub(super) struct ReportingFront {
     last_report: Time,
     pub(super) cores: f64,
+    peer: Option<Peer>,
+    is_cut_off: bool,
 }
 
 /// What a granter has decided, and what it decides by.
@@ -57,6 +60,8 @@
     /// The service time of each server in milliseconds, by reporting front.
     service_times: HashMap<ServerId, HashMap<CompactString, f64>>,
     pub(super) fronts: HashMap<CompactString, ReportingFront>,
+    /// The number of changes of the fronts that reach the servers.
+    pub(super) peer_changes: u64,
     /// The limits of servers, and what the fronts want to send them.
     limits: LimitDivision,
     /// The capacity of the servers of each keyed service.
@@ -82,6 +87,7 @@
             demand: BTreeMap::new(),
             service_times: HashMap::new(),
             fronts: HashMap::new(),
+            peer_changes: 0,
             limits: LimitDivision::default(),
             capacities: BTreeMap::new(),
             demand_advanced_at: Time::default(),
@@ -95,11 +101,7 @@
 
     /// Adds the report of a front.
     pub(super) fn add_report(&mut self, report: Report, now: Time) {
-        let front = ReportingFront {
-            last_report: now,
-            cores: report.cores,
-        };
-        self.fronts.insert(report.front.clone(), front);
+        self.add_front(&report, now);
         for (service, keys) in report.demand {
             let demand = self
                 .demand
@@ -118,6 +120,29 @@
         }
     }
 
+    fn add_front(&mut self, report: &Report, now: Time) {
+        let known = self.fronts.get(&report.front);
+        let was_cut_off = known.is_some_and(|known| known.is_cut_off);
+        let known_peer = known.and_then(|known| known.peer.clone());
+        let peer = report.peer.clone().or_else(|| known_peer.clone());
+        if peer != known_peer || report.is_cut_off != was_cut_off {
+            self.peer_changes += 1;
+        }
+        let front = ReportingFront {
+            last_report: now,
+            cores: report.cores,
+            peer,
+            is_cut_off: report.is_cut_off,
+        };
+        self.fronts.insert(report.front.clone(), front);
+    }
+
+    /// Returns the fronts that reach the servers.
+    pub(super) fn reaching_fronts(&self) -> impl Iterator<Item = &Peer> {
+        let fronts = self.fronts.values().filter(|front| !front.is_cut_off);
+        fronts.filter_map(|front| front.peer.as_ref())
+    }
+
     /// Returns the shares of a front in the limits of servers.
     pub(super) fn shares_of(&self, front: &str, now: Time) -> Vec<FrontShare> {
         let fronts = u32::try_from(self.fronts.len()).unwrap_or(u32::MAX);
@@ -126,8 +151,12 @@
 
     /// Removes the fronts that have stopped sending reports.
     pub(super) fn remove_silent_fronts(&mut self, now: Time) {
+        let before = self.fronts.len();
         self.fronts
             .retain(|_, front| now.since(front.last_report) < FRONT_TTL);
+        if self.fronts.len() < before {
+            self.peer_changes += 1;
+        }
         self.limits.expire(now);
     }
 
--- a/crates/carawayrill-gateway/src/granter_stream/convert.rs
+++ b/crates/carawayrill-gateway/src/granter_stream/convert.rs
@@ -15,6 +15,7 @@
 use carawayrill_core::direct::limit::LimitStatement;
 use carawayrill_core::direct::limit::RequestRate;
 use carawayrill_core::direct::quarantine::CrashReport;
+use carawayrill_core::direct::reach::Peer;
 use carawayrill_core::id::Era;
 use carawayrill_core::id::Revision;
 use carawayrill_core::id::ServerId;
@@ -27,6 +28,7 @@
 use carawayrill_store::port::Object;
 
 use super::crashes;
+use super::peers;
 use crate::granter_runtime::LeavingServer;
 use crate::granter_runtime::Report;
 use crate::granter_runtime::Update;
@@ -77,6 +79,14 @@
         leaving: leaving.collect(),
         limits: report.limits.iter().map(encode_limit_report).collect(),
         crashes: Vec::new(),
+        address: report
+            .peer
+            .as_ref()
+            .map_or_else(String::new, |peer| peer.address.to_string()),
+        data_centre: report
+            .peer
+            .map_or_else(String::new, |peer| peer.data_centre.to_string()),
+        is_cut_off: report.is_cut_off,
     }
 }
 
@@ -226,7 +236,10 @@
         })
     });
     let limits = report.limits.iter().filter_map(decode_limit_report);
+    let peer = peers::decode_peer(&report.front, &report.address, &report.data_centre);
     Report {
+        peer,
+        is_cut_off: report.is_cut_off,
         front: report.front.into(),
         leaving: leaving.collect(),
         limits: limits.collect(),
@@ -260,6 +273,7 @@
         echo_ms: 0,
         limits: Vec::new(),
         crashes: Vec::new(),
+        peers: None,
     }
 }
 
@@ -375,6 +389,8 @@
     pub(super) limits: Vec<FrontShare>,
     /// The requests under which servers crashed.
     pub(super) crashes: Vec<CrashReport>,
+    /// The fronts that take the requests of this one if it is cut off; `None` if unchanged.
+    pub(super) peers: Option<Vec<Peer>>,
 }
 
 /// Decodes an update. Invalid parts are logged and skipped.
@@ -404,6 +420,7 @@
         deltas: deltas.collect(),
         limits: update.limits.iter().filter_map(decode_share).collect(),
         crashes: crashes::decode(&update.crashes),
+        peers: update.peers.as_ref().map(peers::decode),
     }
 }
 
@@ -412,6 +429,7 @@
     update: &Update,
     known: &KnownPositions,
     limits: Vec<FrontShare>,
+    peers: Option<Vec<Peer>>,
 ) -> ReceivedUpdate {
     let deltas = update.tables.iter().filter_map(|(service, table)| {
         let delta = table.delta_since(known.get(service).copied())?;
@@ -425,6 +443,7 @@
         deltas: deltas.collect(),
         limits,
         crashes: Vec::new(),
+        peers,
     }
 }
 
--- a/crates/carawayrill-gateway/src/granter_stream/mod.rs
+++ b/crates/carawayrill-gateway/src/granter_stream/mod.rs
@@ -4,6 +4,7 @@
 
 mod convert;
 mod crashes;
+mod peers;
 mod service;
 
 use std::collections::BTreeMap;
@@ -14,6 +15,7 @@
 
 use carawayrill_core::direct::limit::FrontShare;
 use carawayrill_core::direct::quarantine::Scope;
+use carawayrill_core::direct::reach::Peer;
 use carawayrill_core::event::EventKind;
 use carawayrill_core::id::ServerId;
 use carawayrill_core::id::ServiceId;
@@ -64,6 +66,7 @@
 /// Keeps this front connected to the current granter. Never returns.
 pub async fn run(lease_manager: Arc<LeaseManager>) {
     let mut dependency = Dependency::new("granter");
+    let mut peers_known = 0;
     loop {
         if let Some(granter_runtime) = lease_manager.granter_runtime() {
             dependency.record_success();
@@ -72,13 +75,17 @@
             let update = {
                 let shared = lease_manager.shared();
                 let known = known_positions(&shared.tables());
-                let limits = granter_runtime.shares_of(&shared.cfg.front, clock::now());
-                convert::local_update(&granter_runtime.updates().borrow(), &known, limits)
+                let cfg = &shared.cfg;
+                let limits = granter_runtime.shares_of(&cfg.front, clock::now());
+                let peers =
+                    granter_runtime.peers_of(&cfg.front, &cfg.data_centre, &mut peers_known);
+                convert::local_update(&granter_runtime.updates().borrow(), &known, limits, peers)
             };
             apply_update(&lease_manager, &update);
             wait_for_update(&granter_runtime).await;
             continue;
         }
+        peers_known = 0;
         let lease = lease_manager.current().filter(|lease| !lease.released);
         let Some(lease) = lease.filter(|lease| lease.address != lease_manager.shared().cfg.peer)
         else {
@@ -155,10 +162,12 @@
                     return Err(tonic::Status::deadline_exceeded("silent"));
                 }
                 if tx.capacity() > 0 {
-                    let report = convert::encode_report(
-                        take_report(shared),
-                        convert::KnownPositions::new()
-                    );
+                    // The granter knows from the first report where this front is.
+                    let report = Report {
+                        peer: None,
+                        ..take_report(shared)
+                    };
+                    let report = convert::encode_report(report, convert::KnownPositions::new());
                     let report =
                         add_crashes(report, shared, Scope::Observed, &mut crashes_reported);
                     let report = convert::add_positions(report, knowledge, clock::now());
@@ -201,7 +210,14 @@
         });
     let leaving = leaving.collect();
     let limits = tables.limits.take_reports(clock::now());
+    let peer = Peer {
+        front: shared.cfg.front.clone(),
+        address: shared.cfg.listen,
+        data_centre: shared.cfg.data_centre.clone(),
+    };
     Report {
+        peer: Some(peer),
+        is_cut_off: tables.reach.is_cut_off(),
         leaving,
         limits,
         front: shared.cfg.front.clone(),
@@ -257,6 +273,9 @@
         tables.fronts.update(update.fronts, clock::now());
         tables.strongest_cores = update.strongest_cores;
         apply_limits(shared, &mut tables, &update.limits);
+        if let Some(peers) = &update.peers {
+            tables.peers.set(peers.clone());
+        }
         for (service, delta) in &update.deltas {
             apply_delta(&mut tables, service, delta);
         }
--- a/crates/carawayrill-gateway/src/granter_stream/service.rs
+++ b/crates/carawayrill-gateway/src/granter_stream/service.rs
@@ -25,6 +25,7 @@
 use crate::granter_runtime::GranterRuntime;
 use crate::granter_stream::convert;
 use crate::granter_stream::crashes;
+use crate::granter_stream::peers;
 use crate::lease_manager::LeaseManager;
 use crate::quarantine;
 use crate::state::Shared;
@@ -96,7 +97,10 @@
     let shared = Arc::clone(lease_manager.shared());
     let mut crashes_told = 0;
     quarantine::merge_reports(&shared, &crashes::decode(&first.crashes), &front);
-    granter_runtime.add_report(convert::decode_report(first));
+    let first = convert::decode_report(first);
+    let data_centre = first.peer.as_ref().map(|peer| peer.data_centre.clone());
+    let mut peers_told = 0;
+    granter_runtime.add_report(first);
     let mut updates = granter_runtime.updates();
     updates.mark_changed();
     loop {
@@ -124,7 +128,11 @@
                 let now = clock::now();
                 let update = convert::add_changes(update, &knowledge, &mut positions, echo, now);
                 let update = convert::add_shares(update, &granter_runtime.shares_of(&front, now));
-                let update = add_crashes(update, &shared, &mut crashes_told, now);
+                let mut update = add_crashes(update, &shared, &mut crashes_told, now);
+                if let Some(data_centre) = &data_centre {
+                    let peers = granter_runtime.peers_of(&front, data_centre, &mut peers_told);
+                    update.peers = peers.as_deref().map(peers::encode);
+                }
                 // Queued updates would become stale, so the stream is closed if the channel is
                 // full. The front then joins again.
                 if tx.try_send(Ok(update)).is_err() {
--- a/crates/carawayrill-gateway/src/lib.rs
+++ b/crates/carawayrill-gateway/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod metrics;
 pub mod port;
 mod quarantine;
+pub mod reach;
 pub mod ready;
 pub mod run;
 mod shared_stream;
--- a/crates/carawayrill-gateway/src/run.rs
+++ b/crates/carawayrill-gateway/src/run.rs
@@ -29,9 +29,11 @@
 use crate::port::ServerConnector;
 use crate::port::SpanOrderSender;
 use crate::port::StoreSchema;
+use crate::reach;
 use crate::ready;
 use crate::ready::Readiness;
 use crate::state::Shared;
+use crate::upstream::TcpConnector;
 use crate::upstream::Upstream;
 use crate::watcher;
 
@@ -97,9 +99,14 @@
         Arc::clone(&ports.connector),
         shared.cfg.max_buffered_bytes,
     ));
+    let peers = Arc::new(Upstream::new(
+        Arc::new(TcpConnector),
+        shared.cfg.max_buffered_bytes,
+    ));
     let front = Arc::new(Front::new(
         Arc::clone(&shared),
         Arc::clone(&upstream),
+        Arc::clone(&peers),
         Arc::clone(&ports.header_codec),
         phases.clone(),
     ));
@@ -112,6 +119,7 @@
     ));
     let readiness = Arc::new(Readiness::new(Arc::clone(&shared), phases));
     spawn_watchers(&lease_manager, &ports, &upstream);
+    tokio::spawn(reach::run_probes(Arc::clone(&shared), upstream, peers));
     spawn_granter(&lease_manager, &ports, listeners.peer);
     tokio::spawn(readiness.serve(listeners.ready));
     tokio::spawn(ready::serve_metrics(Arc::clone(&shared), listeners.metrics));
--- a/crates/carawayrill-gateway/src/state.rs
+++ b/crates/carawayrill-gateway/src/state.rs
@@ -22,6 +22,9 @@
 use carawayrill_core::direct::load::ServerLoad;
 use carawayrill_core::direct::manifest::Manifest;
 use carawayrill_core::direct::quarantine::CrashTable;
+use carawayrill_core::direct::reach::PeerTable;
+use carawayrill_core::direct::reach::ReachChange;
+use carawayrill_core::direct::reach::ServerReach;
 use carawayrill_core::direct::routes::RouteMatch;
 use carawayrill_core::direct::routes::Routes;
 use carawayrill_core::direct::servers::Server;
@@ -77,6 +80,10 @@
     pub limits: ServerLimits,
     /// The requests under which servers crashed.
     pub crashes: CrashTable,
+    /// Whether this front opens connections to servers.
+    pub reach: ServerReach,
+    /// The fronts that take this front's requests while it is cut off from the servers.
+    pub peers: PeerTable,
     /// The spans of each keyed service.
     pub spans: HashMap<ServiceId, SpanTable>,
     /// The retry budget of each service.
@@ -125,6 +132,8 @@
                 loads: HashMap::new(),
                 limits: ServerLimits::default(),
                 crashes: CrashTable::default(),
+                reach: ServerReach::default(),
+                peers: PeerTable::default(),
                 spans: HashMap::new(),
                 retry_budgets: HashMap::new(),
                 route_sizes_kib: HashMap::new(),
@@ -156,6 +165,39 @@
         self.changed.send_modify(|count| *count += 1);
     }
 
+    /// Returns whether this front is cut off from the servers.
+    pub fn is_cut_off(&self) -> bool {
+        self.tables().reach.is_cut_off()
+    }
+
+    /// Returns whether another front has to be the granter, because this one is cut off from the
+    /// servers and others are not.
+    pub fn hands_over_when_cut_off(&self) -> bool {
+        let tables = self.tables();
+        tables.reach.is_cut_off() && !tables.peers.is_empty()
+    }
+
+    /// Records whether a connection to a server could be opened.
+    pub fn record_connect(&self, server: &ServerId, connected: bool) {
+        let now = clock::now();
+        let change = {
+            let mut tables = self.tables();
+            let listed = tables.servers.iter().count();
+            if connected {
+                tables.reach.record_connected(now)
+            } else {
+                tables.reach.record_failed(server, listed, now)
+            }
+        };
+        match change {
+            Some(ReachChange::Lost(servers)) => emit(EventKind::ServersUnreachable { servers }),
+            Some(ReachChange::Regained(after)) => emit(EventKind::ServersReachable {
+                after_ms: millis(after),
+            }),
+            None => {}
+        }
+    }
+
     /// Reports to the granter without delay that a server crashed under a request, or that such a
     /// request was answered.
     pub fn notify_crash_observed(&self) {
@@ -186,12 +228,17 @@
     /// Returns the distance between a data centre and this front.
     #[must_use]
     pub fn distance(&self, to: &DataCentreId) -> Distance {
-        let here = &self.cfg.data_centre;
-        if here == to {
+        self.distance_between(&self.cfg.data_centre, to)
+    }
+
+    /// Returns the distance between two data centres.
+    #[must_use]
+    pub fn distance_between(&self, from: &DataCentreId, to: &DataCentreId) -> Distance {
+        if from == to {
             return Distance::SameDataCentre;
         }
         let region = |of: &DataCentreId| self.cfg.regions.get(of);
-        if region(here).is_some() && region(here) == region(to) {
+        if region(from).is_some() && region(from) == region(to) {
             return Distance::SameRegion;
         }
         Distance::OtherRegion
--- a/crates/carawayrill-gateway/src/upstream.rs
+++ b/crates/carawayrill-gateway/src/upstream.rs
@@ -125,6 +125,35 @@
     Fresh,
 }
 
+/// The server or front that a request is sent to.
+#[derive(Debug, Clone, Copy)]
+pub struct Destination<'a> {
+    /// Its id, by which connections are reused.
+    pub id: &'a ServerId,
+    /// Its address.
+    pub address: SocketAddr,
+}
+
+impl<'a> From<&'a Server> for Destination<'a> {
+    fn from(server: &'a Server) -> Self {
+        Self {
+            id: &server.id,
+            address: server.address,
+        }
+    }
+}
+
+/// The result of opening a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConnectResult {
+    /// The connection is open.
+    Connected,
+    /// The connection was opened and closed at once, as by a server at its connection limit.
+    ClosedAtOnce,
+    /// No connection could be opened.
+    Failed,
+}
+
 /// The connections to all servers.
 #[derive(Debug)]
 pub struct Upstream {
@@ -209,13 +238,13 @@
     /// request.
     pub async fn send(
         &self,
-        server: &Server,
+        to: Destination<'_>,
         mut req: Request<Full<Bytes>>,
         reuse: Reuse,
-        on_open: impl FnOnce(),
+        on_connect: impl FnOnce(ConnectResult),
     ) -> Result<ServerResponse, SendError> {
         if reuse == Reuse::Allowed
-            && let Some(mut connection) = self.take_idle(&server.id)
+            && let Some(mut connection) = self.take_idle(to.id)
         {
             match connection.sender.try_send_request(req).await {
                 Ok(resp) => return self.receive(resp, connection).await,
@@ -226,8 +255,7 @@
                 },
             }
         }
-        on_open();
-        let mut connection = open(&*self.connector, server.address).await?;
+        let mut connection = self.open(to.address, on_connect).await?;
         match connection.sender.try_send_request(req).await {
             Ok(resp) => self.receive(resp, connection).await,
             Err(mut err) => {
@@ -241,6 +269,52 @@
         }
     }
 
+    /// Opens a connection and waits for an early reset.
+    async fn open(
+        &self,
+        address: SocketAddr,
+        on_connect: impl FnOnce(ConnectResult),
+    ) -> Result<Connection, SendError> {
+        let not_sent = |err: &dyn std::fmt::Display| SendError::NotSent(format_compact!("{err}"));
+        let started = clock::now();
+        let stream = match self.connector.connect(address, CONNECT_TIMEOUT).await {
+            Ok(stream) => stream,
+            Err(err) => {
+                on_connect(ConnectResult::Failed);
+                return Err(not_sent(&err));
+            }
+        };
+        // A server sends nothing before it receives a request, so the stream only becomes readable
+        // if the server has closed or reset it.
+        let reset_wait = (clock::now().since(started) + RESET_WAIT_MARGIN).min(MAX_RESET_WAIT);
+        let ended = tokio::time::timeout(reset_wait, stream.readable()).await;
+        if ended.is_ok() {
+            on_connect(ConnectResult::ClosedAtOnce);
+            return Err(not_sent(&"closed right after the connect"));
+        }
+        on_connect(ConnectResult::Connected);
+        let (sender, driver) = http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(|err| not_sent(&err))?;
+        let task = tokio::spawn(async move {
+            if let Err(err) = driver.await {
+                log::debug!("connection to {address} failed: {err}");
+            }
+        });
+        Ok(Connection {
+            sender,
+            task: task.abort_handle(),
+        })
+    }
+
+    /// Returns whether a connection to a server can be opened, and closes it again.
+    pub async fn can_connect(&self, address: SocketAddr) -> bool {
+        let connected = self.connector.connect(address, CONNECT_TIMEOUT).await;
+        connected.is_ok()
+    }
+
     /// Returns whether nothing listens at an address, as after the crash of a server. An address that
     /// does not respond is no evidence of that: the network may be at fault.
     pub async fn is_refused(&self, address: SocketAddr) -> bool {
@@ -353,40 +427,6 @@
     }
 }
 
-/// Opens a connection and waits for an early reset.
-async fn open(
-    connector: &dyn ServerConnector,
-    address: SocketAddr,
-) -> Result<Connection, SendError> {
-    let not_sent = |err: &dyn std::fmt::Display| SendError::NotSent(format_compact!("{err}"));
-    let started = clock::now();
-    let stream = connector
-        .connect(address, CONNECT_TIMEOUT)
-        .await
-        .map_err(|err| not_sent(&err))?;
-    // A server sends nothing before it receives a request, so the stream only becomes readable if
-    // the server has closed or reset it.
-    let reset_wait = (clock::now().since(started) + RESET_WAIT_MARGIN).min(MAX_RESET_WAIT);
-    let ended = tokio::time::timeout(reset_wait, stream.readable()).await;
-    if ended.is_ok() {
-        return Err(not_sent(&"closed right after the connect"));
-    }
-    let (sender, driver) = http1::Builder::new()
-        .max_buf_size(MAX_HEAD_BYTES)
-        .handshake(TokioIo::new(stream))
-        .await
-        .map_err(|err| not_sent(&err))?;
-    let task = tokio::spawn(async move {
-        if let Err(err) = driver.await {
-            log::debug!("connection to {address} failed: {err}");
-        }
-    });
-    Ok(Connection {
-        sender,
-        task: task.abort_handle(),
-    })
-}
-
 /// Opens TCP connections to servers.
 #[derive(Debug, Clone, Copy)]
 pub struct TcpConnector;
