Hand the lease over if the granter reaches no server

Class: the right to act is kept by whoever can't act.

A granter that is cut off and knows fronts that are not releases its lease, and no front that is cut off claims it. Results of orders count for whether servers are reached. If all fronts are cut off they wait for one to reach a server.

Looked for elsewhere: a granter that can't reach the store loses its lease by itself. Homes of the own interface were not looked at.

--- a/crates/carawayrill-gateway/src/lease_manager.rs
+++ b/crates/carawayrill-gateway/src/lease_manager.rs
@@ -205,6 +205,9 @@
         loop {
             let now = clock::now();
             self.stop_if_lease_lost(now);
+            if self.granter_runtime().is_some() && self.shared.hands_over_when_cut_off() {
+                self.give_up("this front reaches no server").await;
+            }
             let wait = if self.granter_runtime().is_some() && self.may_renew(now) {
                 self.renew(&mut dependency).await
             } else if self.has_recent_contact() || now < next_read {
@@ -364,7 +367,8 @@
             }
         }
         let claim = self.view().claim(clock::now());
-        let Some(claim) = claim.filter(|_| !*self.stopping.borrow()) else {
+        let may_claim = !*self.stopping.borrow() && !self.shared.hands_over_when_cut_off();
+        let Some(claim) = claim.filter(|_| may_claim) else {
             return FOLLOWER_POLL_INTERVAL;
         };
         match self.write_claim(claim).await {
@@ -424,7 +428,12 @@
             return;
         };
         granter_runtime.finish_moves(HANDOVER_TIMEOUT).await;
-        self.stop_runtime("given_up", "this front stops");
+        self.give_up("this front stops").await;
+    }
+
+    /// Stops to be the granter, and releases the lease.
+    async fn give_up(&self, reason: &'static str) {
+        self.stop_runtime("given_up", reason);
         for _attempt in 0..MAX_RELEASE_ATTEMPTS {
             let claim = self.view().release();
             let Some(claim) = claim else {
