--- a/crates/carawayrill-core/tests/crash_fleet/mod.rs
+++ b/crates/carawayrill-core/tests/crash_fleet/mod.rs
@@ -132,7 +132,8 @@
     next_content: u64,
 }
 
-fn content(path: &str, query: &str) -> Fingerprints {
+/// Returns the fingerprints of a request.
+pub fn content(path: &str, query: &str) -> Fingerprints {
     let content = RequestContent {
         host: "forms.example",
         method: "GET",
--- a/crates/carawayrill-core/tests/direct_quarantine.rs
+++ b/crates/carawayrill-core/tests/direct_quarantine.rs
@@ -8,27 +8,15 @@
 use carawayrill_core::direct::quarantine::Crash;
 use carawayrill_core::direct::quarantine::CrashTable;
 use carawayrill_core::direct::quarantine::Fingerprints;
-use carawayrill_core::direct::quarantine::RequestContent;
 use carawayrill_core::direct::quarantine::Scope;
 use carawayrill_core::time::Time;
 use crash_fleet::Fleet;
 use crash_fleet::MAX_LATE_ARRIVALS;
 use crash_fleet::Outcome;
 use crash_fleet::Play;
+use crash_fleet::content;
 use rstest::rstest;
 
-fn content(path: &str, query: &str) -> Fingerprints {
-    let content = RequestContent {
-        host: "forms.example",
-        method: "GET",
-        path,
-        query,
-        key: None,
-        body: b"",
-    };
-    content.fingerprints()
-}
-
 fn crash(server: u64, sent: u64, ended: u64) -> Crash {
     Crash {
         server: format!("i-{server}").parse().expect("a name"),
--- a/crates/carawayrill-core/tests/reach_fleet/mod.rs
+++ b/crates/carawayrill-core/tests/reach_fleet/mod.rs
@@ -25,7 +25,7 @@
 const MIN_UPDATE_INTERVAL: Duration = Duration::from_millis(300);
 const UPDATE_INTERVAL_PER_FRONT: Duration = Duration::from_micros(700);
 /// The time until another front is the granter once one has handed over.
-const HANDOVER_TIME: Duration = Duration::from_millis(1_000);
+const HANDOVER_TIME: Duration = Duration::from_secs(1);
 const SERVERS: usize = 54;
 const DATA_CENTRES: usize = 6;
 /// When the cut begins and ends, from when callers have to be served, and the end of the play.
--- a/crates/carawayrill-gateway/src/granter_stream/convert.rs
+++ b/crates/carawayrill-gateway/src/granter_stream/convert.rs
@@ -11,9 +11,6 @@
 use carawayrill_core::direct::knowledge::StorePosition;
 use carawayrill_core::direct::knowledge::StoredVersion;
 use carawayrill_core::direct::limit::FrontShare;
-use carawayrill_core::direct::limit::LimitReport;
-use carawayrill_core::direct::limit::LimitStatement;
-use carawayrill_core::direct::limit::RequestRate;
 use carawayrill_core::direct::quarantine::CrashReport;
 use carawayrill_core::direct::reach::Peer;
 use carawayrill_core::id::Era;
@@ -28,6 +25,7 @@
 use carawayrill_store::port::Object;
 
 use super::crashes;
+use super::limits;
 use super::peers;
 use crate::granter_runtime::LeavingServer;
 use crate::granter_runtime::Report;
@@ -77,7 +75,7 @@
         kinds: Vec::new(),
         sent_ms: 0,
         leaving: leaving.collect(),
-        limits: report.limits.iter().map(encode_limit_report).collect(),
+        limits: report.limits.iter().map(limits::encode_report).collect(),
         crashes: Vec::new(),
         address: report
             .peer
@@ -90,60 +88,6 @@
     }
 }
 
-fn encode_limit_report(report: &LimitReport) -> wire::LimitReport {
-    wire::LimitReport {
-        statement: Some(encode_statement(&report.statement)),
-        wanted: report.wanted,
-    }
-}
-
-fn decode_limit_report(report: &wire::LimitReport) -> Option<LimitReport> {
-    Some(LimitReport {
-        statement: decode_statement(report.statement.as_ref()?)?,
-        wanted: report.wanted,
-    })
-}
-
-fn encode_statement(statement: &LimitStatement) -> wire::LimitStatement {
-    wire::LimitStatement {
-        server: statement.server.as_str().to_owned(),
-        born: statement.born.0,
-        milli_rate: statement.limit.map(|limit| limit.0),
-        age_ms: millis(statement.age),
-    }
-}
-
-fn decode_statement(statement: &wire::LimitStatement) -> Option<LimitStatement> {
-    Some(LimitStatement {
-        server: parse_id(ServerId::try_from(statement.server.as_str()))?,
-        born: Born(statement.born),
-        limit: statement.milli_rate.map(RequestRate),
-        age: Duration::from_millis(statement.age_ms),
-    })
-}
-
-/// Adds the front's shares in the limits of servers.
-pub(super) fn add_shares(
-    update: wire::GranterUpdate,
-    shares: &[FrontShare],
-) -> wire::GranterUpdate {
-    let limits = shares.iter().map(|share| wire::LimitShare {
-        statement: Some(encode_statement(&share.statement)),
-        milli_rate: share.share.0,
-    });
-    wire::GranterUpdate {
-        limits: limits.collect(),
-        ..update
-    }
-}
-
-fn decode_share(share: &wire::LimitShare) -> Option<FrontShare> {
-    Some(FrontShare {
-        statement: decode_statement(share.statement.as_ref()?)?,
-        share: RequestRate(share.milli_rate),
-    })
-}
-
 /// Adds what the front knows of the store, and when the report is sent.
 pub(super) fn add_positions(
     report: wire::FrontReport,
@@ -235,7 +179,7 @@
             born: Born(leaving.born),
         })
     });
-    let limits = report.limits.iter().filter_map(decode_limit_report);
+    let limits = report.limits.iter().filter_map(limits::decode_report);
     let peer = peers::decode_peer(&report.front, &report.address, &report.data_centre);
     Report {
         peer,
@@ -418,7 +362,11 @@
         fronts: update.fronts,
         strongest_cores: f64::from(update.strongest_milli_cores) / 1_000.0,
         deltas: deltas.collect(),
-        limits: update.limits.iter().filter_map(decode_share).collect(),
+        limits: update
+            .limits
+            .iter()
+            .filter_map(limits::decode_share)
+            .collect(),
         crashes: crashes::decode(&update.crashes),
         peers: update.peers.as_ref().map(peers::decode),
     }
--- a/crates/carawayrill-gateway/src/granter_stream/mod.rs
+++ b/crates/carawayrill-gateway/src/granter_stream/mod.rs
@@ -4,6 +4,7 @@
 
 mod convert;
 mod crashes;
+mod limits;
 mod peers;
 mod service;
 
--- a/crates/carawayrill-gateway/src/granter_stream/service.rs
+++ b/crates/carawayrill-gateway/src/granter_stream/service.rs
@@ -25,6 +25,7 @@
 use crate::granter_runtime::GranterRuntime;
 use crate::granter_stream::convert;
 use crate::granter_stream::crashes;
+use crate::granter_stream::limits;
 use crate::granter_stream::peers;
 use crate::lease_manager::LeaseManager;
 use crate::quarantine;
@@ -127,7 +128,7 @@
                 let update = convert::encode_update(&updates.borrow_and_update(), &mut known);
                 let now = clock::now();
                 let update = convert::add_changes(update, &knowledge, &mut positions, echo, now);
-                let update = convert::add_shares(update, &granter_runtime.shares_of(&front, now));
+                let update = limits::add_shares(update, &granter_runtime.shares_of(&front, now));
                 let mut update = add_crashes(update, &shared, &mut crashes_told, now);
                 if let Some(data_centre) = &data_centre {
                     let peers = granter_runtime.peers_of(&front, data_centre, &mut peers_told);
--- a/crates/carawayrill-gateway/src/lib.rs
+++ b/crates/carawayrill-gateway/src/lib.rs
@@ -6,7 +6,9 @@
 //!
 //! - [`front`]: accepts requests from callers and responds to them,
 //! - [`forward`]: forwards one request, with retries and hedging,
-//! - [`upstream`]: connections to servers,
+//! - [`upstream`]: connections to servers and to other fronts,
+//! - `quarantine`: records which requests crash servers,
+//! - [`reach`]: finds out when a front that was cut off reaches the servers again,
 //! - [`knowledge`] and [`watcher`]: what is known of the manifest and the servers, and reading it
 //!   from the store,
 //! - [`lease_manager`] and [`granter_runtime`]: the granter's lease, and the execution of its
@@ -23,6 +25,8 @@
 pub mod front;
 pub mod granter_runtime;
 pub mod granter_stream;
+mod head;
+mod in_flight;
 pub mod knowledge;
 pub mod lease_manager;
 pub mod metrics;
--- a/crates/carawayrill-gateway/src/state.rs
+++ b/crates/carawayrill-gateway/src/state.rs
@@ -17,8 +17,6 @@
 use carawayrill_core::direct::limit::RequestRate;
 use carawayrill_core::direct::limit::ServerLimits;
 use carawayrill_core::direct::load;
-use carawayrill_core::direct::load::AttemptResult;
-use carawayrill_core::direct::load::LoadReport;
 use carawayrill_core::direct::load::ServerLoad;
 use carawayrill_core::direct::manifest::Manifest;
 use carawayrill_core::direct::quarantine::CrashTable;
@@ -435,66 +433,3 @@
         usable: within_limit && load.in_flight() < connections && load.accepts(now),
     }
 }
-
-/// A request that counts towards the load of a server until it is ended or dropped.
-#[derive(Debug)]
-pub struct InFlight {
-    shared: Arc<Shared>,
-    server: ServerId,
-    sent: Time,
-    total_at_send: f64,
-    ended: bool,
-}
-
-impl InFlight {
-    /// Counts a request that is about to be sent to a server.
-    #[must_use]
-    pub fn begin(shared: &Arc<Shared>, server: &Server) -> Self {
-        let now = clock::now();
-        let mut tables = shared.tables();
-        let load = tables.load(server, now);
-        let total_at_send = load.expected_total(now);
-        load.begin_request();
-        tables.limits.record_sent(&server.id, now);
-        drop(tables);
-        Self {
-            shared: Arc::clone(shared),
-            server: server.id.clone(),
-            sent: now,
-            total_at_send,
-            ended: false,
-        }
-    }
-
-    /// Returns the expected number of requests at the server before this one was sent.
-    #[must_use]
-    pub fn total_at_send(&self) -> f64 {
-        self.total_at_send
-    }
-
-    /// Records the outcome of the request.
-    pub fn end(mut self, outcome: AttemptResult, report: Option<LoadReport>) {
-        self.finish(outcome, report);
-    }
-
-    fn finish(&mut self, outcome: AttemptResult, report: Option<LoadReport>) {
-        self.ended = true;
-        let now = clock::now();
-        let took = Duration::from_millis(millis(now.since(self.sent)));
-        let mut tables = self.shared.tables();
-        if let Some(load) = tables.loads.get_mut(&self.server) {
-            load.end_request(now, outcome, took, self.total_at_send);
-            if let Some(report) = report {
-                load.apply_report(now, report);
-            }
-        }
-    }
-}
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        if !self.ended {
-            self.finish(AttemptResult::Unknown, None);
-        }
-    }
-}
