A refusal of a peer says nothing of what this front had sent before

A peer whose name is no id no longer changes the record of the try before.

a_request_that_may_have_run_...: 503 before, 502 now.

--- a/crates/carawayrill-gateway/src/forward/peer.rs
+++ b/crates/carawayrill-gateway/src/forward/peer.rs
@@ -30,6 +30,13 @@
 pub(crate) const FORWARDED: HeaderName = HeaderName::from_static("carawayrill-forwarded");
 /// Marks the refusal of such a request by a front that is cut off as well.
 const CUT_OFF: HeaderName = HeaderName::from_static("carawayrill-cut-off");
+/// The statuses that promise that a request has not run.
+const NOT_RUN_STATUSES: [StatusCode; 4] = [
+    StatusCode::REQUEST_TIMEOUT,
+    StatusCode::MISDIRECTED_REQUEST,
+    StatusCode::TOO_MANY_REQUESTS,
+    StatusCode::SERVICE_UNAVAILABLE,
+];
 /// The number of idle connections that are kept to a peer.
 const MAX_IDLE_CONNECTIONS: usize = 16;
 /// How long an idle connection to a peer is kept.
@@ -64,7 +71,12 @@
             match result {
                 Ok(response) if outcome == "answered" => {
                     self.may_have_run = may_have_run_before;
-                    return Some(self.peer_reply(&peer, response));
+                    let reply = self.peer_reply(&peer, response);
+                    if self.may_have_run && NOT_RUN_STATUSES.contains(&reply.status) {
+                        // It holds for the peer's sends only.
+                        return Some(self.give_up("answer-lost", DEFAULT_RETRY_AFTER));
+                    }
+                    return Some(reply);
                 }
                 Err(SendError::Closed(_) | SendError::Lost(_)) => {
                     if self.request.matched.route.repeat == Repeat::AtMostOnce {
@@ -81,7 +93,6 @@
     }
 
     async fn send_to_peer(&mut self, peer: &Peer, now: Time) -> Result<ServerResponse, SendError> {
-        let id = peer_id(peer)?;
         self.tries.push(TryRecord {
             server: peer.front.clone(),
             at_ms: millis(now.since(self.request.received)),
@@ -92,6 +103,7 @@
             error: CompactString::default(),
             took_ms: 0,
         });
+        let id = peer_id(peer)?;
         // Until the outcome is known, a server may have run the request.
         self.may_have_run = true;
         let mut req = Request::new(Full::new(self.request.body.clone()));
