Two servers of a small service are enough to notice a cut

Trace: with two servers a service, requests that use connections that live on open no new ones, so only two servers were ever found unreachable where three were asked for; whether a third was tried was chance.

--- a/crates/carawayrill-core/src/direct/reach/servers.rs
+++ b/crates/carawayrill-core/src/direct/reach/servers.rs
@@ -7,8 +7,11 @@
 use crate::time::Time;
 
 /// The number of servers to which no connection could be opened, one after the other, from which on
-/// the front counts as cut off. If fewer are listed, all of them.
-const MIN_UNREACHED: usize = 3;
+/// the front counts as cut off.
+const MAX_UNREACHED: usize = 3;
+/// The same if the service has fewer servers. Requests of one service may open no connections but to
+/// these, while those of other services use connections that live on.
+const MAX_UNREACHED_OF_SMALL_SERVICE: usize = 2;
 /// How long a failure counts.
 const FAILURE_TTL: Duration = Duration::from_secs(3);
 
@@ -39,16 +42,17 @@
         Some(ReachChange::Regained(now.since(since)))
     }
 
-    /// Records that no connection to a server could be opened, of `listed` servers.
+    /// Records that no connection to a server could be opened, of a service with `of_service` servers.
     pub fn record_failed(
         &mut self,
         server: &ServerId,
-        listed: usize,
+        of_service: usize,
         now: Time,
     ) -> Option<ReachChange> {
         self.unreached.retain(|_, at| now.since(*at) < FAILURE_TTL);
         self.unreached.insert(server.clone(), now);
-        let is_cut = self.unreached.len() >= MIN_UNREACHED.min(listed.max(1));
+        let limit = of_service.clamp(MAX_UNREACHED_OF_SMALL_SERVICE, MAX_UNREACHED);
+        let is_cut = self.unreached.len() >= limit;
         if !is_cut || self.cut_since.is_some() {
             return None;
         }
--- a/crates/carawayrill-gateway/src/state.rs
+++ b/crates/carawayrill-gateway/src/state.rs
@@ -180,11 +180,13 @@
         let now = clock::now();
         let change = {
             let mut tables = self.tables();
-            let listed = tables.servers.iter().count();
             if connected {
                 tables.reach.record_connected(now)
             } else {
-                tables.reach.record_failed(server, listed, now)
+                let of_service = tables.servers.get(server).map_or(0, |server| {
+                    tables.servers.ready_servers(&server.service).count()
+                });
+                tables.reach.record_failed(server, of_service, now)
             }
         };
         match change {
