A restored store that lists a former incarnation replaces no server

The store came back from a copy that listed the incarnation of a server before its restart; the granter took it for a new one that holds nothing, and granted its keys elsewhere while the present incarnation went on.

After a restore, an entry with an earlier start than the known one is held back, as that of a removed server is: unused for four heartbeats unless it changes, and the present incarnation is retained as a missing entry is. Only after a restore: otherwise a server whose clock was set back would not be known after a restart.

--- a/crates/carawayrill-core/src/direct/servers.rs
+++ b/crates/carawayrill-core/src/direct/servers.rs
@@ -290,8 +290,9 @@
     /// restored from an older copy.
     ///
     /// Entries of running servers may be missing until these write them again, as after an outage.
-    /// Entries of servers that were removed may be listed again; these are not used for
-    /// `suspect_for`, unless their entries change before.
+    /// Entries of servers that were removed may be listed again, and entries of former incarnations
+    /// in place of the present ones, which go on and may hold keys. These are not used for
+    /// `suspect_for`, unless they change before.
     pub fn replace_all_restored(
         &mut self,
         listed: Vec<Server>,
@@ -303,7 +304,10 @@
         let (suspects, listed): (Vec<Server>, Vec<Server>) =
             listed.into_iter().partition(|server| {
                 let removed = self.removed.get(&server.id);
-                removed.is_some_and(|removed| removed.born == server.born)
+                let was_removed = removed.is_some_and(|removed| removed.born == server.born);
+                let present = self.rows.get(&server.id);
+                let is_former = present.is_some_and(|present| server.born < present.born);
+                was_removed || is_former
             });
         let changes = self.replace_all(listed, now, complete_at);
         let until = now + suspect_for;
