--- a/crates/carawayrill-core/src/direct/granter/mod.rs
+++ b/crates/carawayrill-core/src/direct/granter/mod.rs
@@ -13,6 +13,7 @@
 mod row;
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use self::row::Row;
@@ -27,6 +28,7 @@
 use crate::direct::spans::Holder;
 use crate::direct::spans::Span;
 use crate::direct::spans::SpanRecord;
+use crate::id::DataCentreId;
 use crate::id::Era;
 use crate::id::ServiceId;
 use crate::id::Version;
@@ -196,6 +198,9 @@
     pub demand: &'a KeyDemand,
     /// The capacity of each server.
     pub capacities: &'a Capacities,
+    /// The data centres whose servers may not hold keys of the service. Keys that they hold are
+    /// moved to servers elsewhere, as far as there are any.
+    pub excluded: &'a BTreeSet<DataCentreId>,
     /// Whether the granter's lease currently can't be renewed in the store.
     pub store_unreachable: bool,
     /// Whether the granter is stopping: it completes the moves in progress and plans no others.
--- a/crates/carawayrill-core/src/direct/granter/plan.rs
+++ b/crates/carawayrill-core/src/direct/granter/plan.rs
@@ -149,6 +149,7 @@
         .servers
         .iter()
         .filter(|server| !server.draining && inputs.capacities.has(&server.id))
+        .filter(|server| !inputs.excluded.contains(&server.data_centre))
         .collect()
 }
 
@@ -157,7 +158,10 @@
     let holder = &row.span.holder;
     match inputs.servers.get(&holder.server) {
         None => true,
-        Some(server) => server.draining || server.born != holder.born || row.is_lost(),
+        Some(server) => {
+            let is_excluded = inputs.excluded.contains(&server.data_centre);
+            is_excluded || server.draining || server.born != holder.born || row.is_lost()
+        }
     }
 }
 
--- a/crates/carawayrill-core/src/direct/load.rs
+++ b/crates/carawayrill-core/src/direct/load.rs
@@ -49,6 +49,9 @@
     pub waiting: u32,
     /// The number of requests that the server can run concurrently; 0 if it is not reported.
     pub slots: u32,
+    /// How long work takes on the server's machine at this moment, in percent of the usual time;
+    /// `None` if it is not reported.
+    pub pace_percent: Option<u32>,
 }
 
 /// The result of one attempt to send a request to a server.
--- a/crates/carawayrill-core/src/direct/manifest.rs
+++ b/crates/carawayrill-core/src/direct/manifest.rs
@@ -5,6 +5,8 @@
 use compact_str::CompactString;
 
 use crate::counter;
+use crate::direct::homes::Homes;
+use crate::direct::limit::RequestRate;
 use crate::id::ServiceId;
 
 counter! {
@@ -51,6 +53,8 @@
     pub max_tries: u32,
     /// The priority of the requests; 0 is the most urgent.
     pub priority: u32,
+    /// The regions to which the requests are restricted.
+    pub homes: Homes,
 }
 
 /// A group of servers that serve the same requests.
@@ -62,6 +66,9 @@
     pub max_connections: u32,
     /// Whether each key has exactly one server that may serve it.
     pub keyed: bool,
+    /// The requests a second that a cold server takes from all fronts together; `None` if that is
+    /// not limited.
+    pub cold_limit: Option<RequestRate>,
 }
 
 /// The limits of callers' requests and connections.
--- a/crates/carawayrill-core/src/direct/mod.rs
+++ b/crates/carawayrill-core/src/direct/mod.rs
@@ -11,6 +11,7 @@
 pub mod demand;
 pub mod fronts;
 pub mod granter;
+pub mod homes;
 pub mod keys;
 pub mod knowledge;
 pub mod lease;
--- a/crates/carawayrill-core/tests/direct_decisions.rs
+++ b/crates/carawayrill-core/tests/direct_decisions.rs
@@ -9,6 +9,7 @@
 use carawayrill_core::direct::admission::choose;
 use carawayrill_core::direct::budget::Allowance;
 use carawayrill_core::direct::budget::RetryWindow;
+use carawayrill_core::direct::homes::Homes;
 use carawayrill_core::direct::load::AttemptResult;
 use carawayrill_core::direct::load::LoadReport;
 use carawayrill_core::direct::load::ServerLoad;
@@ -39,6 +40,7 @@
         objective: Duration::from_millis(400),
         max_tries: 2,
         priority: 0,
+        homes: Homes::default(),
     }
 }
 
@@ -191,6 +193,7 @@
         running: 6,
         waiting: 24,
         slots: 6,
+        pace_percent: None,
     };
     load.apply_report(Time(0), report);
     assert!(load.service_rounds(Time(0)) > 5.0);
--- a/crates/carawayrill-core/tests/direct_granter.rs
+++ b/crates/carawayrill-core/tests/direct_granter.rs
@@ -1,5 +1,6 @@
 //! A granter against servers and a store that do what they are told at once.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use carawayrill_core::direct::demand::KeyDemand;
@@ -123,6 +124,7 @@
                 servers: &self.servers,
                 demand: &KeyDemand::new(Duration::from_secs(1)),
                 capacities: &capacities,
+                excluded: &BTreeSet::new(),
                 store_unreachable: false,
                 stopping: false,
             });
--- a/crates/carawayrill-core/tests/direct_simulation/front.rs
+++ b/crates/carawayrill-core/tests/direct_simulation/front.rs
@@ -1,6 +1,7 @@
 //! A simulated front that may be the granter. It drives the decisions as a gateway does, without
 //! I/O.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use carawayrill_core::direct::demand::KeyDemand;
@@ -267,6 +268,7 @@
             servers,
             demand: &self.demand,
             capacities: &capacities,
+            excluded: &BTreeSet::new(),
             store_unreachable: self.store_unreachable,
             stopping: false,
         });
--- a/crates/carawayrill-gateway/src/config.rs
+++ b/crates/carawayrill-gateway/src/config.rs
@@ -49,6 +49,9 @@
     pub min_lapse: Duration,
     /// How long requests may still be sent to a server after it started to drain.
     pub drain: Duration,
+    /// The time within which no request reaches a data centre any more after its evacuation was
+    /// requested; `None` if the deployment has no evacuations.
+    pub evacuation_bound: Option<Duration>,
     /// The settings of the granter's decision logic.
     pub granter: granter::Config,
     /// The validity of the granter's lease after a renewal.
--- a/crates/carawayrill-gateway/src/forward/choose.rs
+++ b/crates/carawayrill-gateway/src/forward/choose.rs
@@ -9,6 +9,7 @@
 use carawayrill_core::direct::keys::Fence;
 use carawayrill_core::direct::servers::Server;
 use carawayrill_core::event::LoadEstimateRecord;
+use carawayrill_core::id::DataCentreId;
 use carawayrill_core::time::Time;
 use carawayrill_core::time::floor_to_u64;
 use carawayrill_core::time::millis;
@@ -68,12 +69,19 @@
         }
     }
 
+    /// Returns whether the request may be sent to servers in a data centre.
+    fn may_send_to(&self, data_centre: &DataCentreId) -> bool {
+        let region = self.shared.cfg.regions.get(data_centre);
+        self.request.matched.route.homes.allows(region)
+    }
+
     /// Chooses among all servers of the service.
     fn next_server(&self, tables: &mut Tables, now: Time) -> NextStep {
         let service = &self.request.matched.service;
         let mean_ms = tables.mean_service_ms(service, now);
+        let is_allowed = |to: &_| self.may_send_to(to);
         let distance = |to: &_| self.shared.distance(to);
-        let mut candidates = tables.candidates(service, distance, mean_ms, now);
+        let mut candidates = tables.candidates(service, is_allowed, distance, mean_ms, now);
         candidates.retain(|candidate| !self.excluded.contains(&candidate.server));
         let request_profile = self.request_profile(tables, now);
         let idle_ms = mean_ms.unwrap_or(ASSUMED_IDLE_MS);
--- a/crates/carawayrill-gateway/src/granter_runtime/state.rs
+++ b/crates/carawayrill-gateway/src/granter_runtime/state.rs
@@ -217,7 +217,8 @@
         }
         self.demand_advanced_at = now;
         for service in self.granters.keys() {
-            let capacities = capacities(service, tables, &self.service_times);
+            let excluded = tables.excluded_from_keys(service);
+            let capacities = capacities(service, tables, &excluded, &self.service_times);
             self.capacities.insert(service.clone(), capacities);
         }
         for demand in self.demand.values_mut() {
@@ -229,6 +230,7 @@
     pub(super) fn decide(&mut self, tables: &Tables, now: Time) -> Vec<(ServiceId, Action)> {
         let mut actions = Vec::new();
         for (service, granter) in &mut self.granters {
+            let excluded = tables.excluded_from_keys(service);
             let Some(demand) = self.demand.get(service) else {
                 continue;
             };
@@ -240,6 +242,7 @@
                 servers: &tables.servers,
                 demand,
                 capacities,
+                excluded: &excluded,
                 store_unreachable: self.store_unreachable,
                 stopping: self.stopping,
             };
--- a/crates/carawayrill-gateway/src/granter_stream/convert.rs
+++ b/crates/carawayrill-gateway/src/granter_stream/convert.rs
@@ -85,6 +85,9 @@
             .peer
             .map_or_else(String::new, |peer| peer.data_centre.to_string()),
         is_cut_off: report.is_cut_off,
+        class_loads: Vec::new(),
+        region_loads: Vec::new(),
+        proof: bytes::Bytes::new(),
     }
 }
 
@@ -218,6 +221,9 @@
         limits: Vec::new(),
         crashes: Vec::new(),
         peers: None,
+        peer_key: bytes::Bytes::new(),
+        room: Vec::new(),
+        egress: Vec::new(),
     }
 }
 
--- a/crates/carawayrill-gateway/src/state.rs
+++ b/crates/carawayrill-gateway/src/state.rs
@@ -1,6 +1,7 @@
 //! The state that all tasks of a gateway share, and notifications of its changes.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -269,6 +270,12 @@
         keyed.any(|service| !self.spans.contains_key(&service.name))
     }
 
+    /// Returns the data centres whose servers may not hold keys of a service.
+    #[must_use]
+    pub fn excluded_from_keys(&self, _service: &ServiceId) -> BTreeSet<DataCentreId> {
+        BTreeSet::new()
+    }
+
     /// Finds the route of a request.
     pub fn find_route(&mut self, host: &str, path: &str) -> Option<RouteMatch> {
         self.routes.find(host, path)
@@ -326,10 +333,12 @@
         make_candidate(server, load, distance, share, within_limit, now)
     }
 
-    /// Returns the servers of a service that accept requests as candidates for a request.
+    /// Returns the servers of a service that accept requests as candidates for a request, as far as
+    /// it may be sent to their data centres.
     pub fn candidates(
         &mut self,
         service: &ServiceId,
+        is_allowed: impl Fn(&DataCentreId) -> bool,
         distance: impl Fn(&DataCentreId) -> Distance,
         mean_ms: Option<f64>,
         now: Time,
@@ -340,6 +349,7 @@
         let loads = &mut self.loads;
         let ready = self.servers.ready_servers(service);
         ready
+            .filter(|server| is_allowed(&server.data_centre))
             .map(|server| {
                 // Clones the id only for a server without a load estimate.
                 if !loads.contains_key(&server.id) {
