Send a request again at once that a server declines although it has free slots

Cause: a refusal without a run counted as overload whatever load the server reported with it. The server was left alone for 60 ms and longer, and the owner of a key has no substitute, so the request was refused (owner-busy); requests without a key gave up after the route's number of servers (no-more-tries). Ruled out: a used-up retry budget, since nearly none of these requests was sent twice. Change: core::direct::decline tells the two apart by the report of the same response.

--- a/crates/carawayrill-core/src/direct/load.rs
+++ b/crates/carawayrill-core/src/direct/load.rs
@@ -63,6 +63,8 @@
     Failed,
     /// The server refused the request without running it, because it is overloaded.
     Shed,
+    /// The server refused the request without running it, although it has free slots.
+    Declined,
     /// No connection could be opened.
     Unreachable,
     /// The attempt ended in a way that says nothing about the server.
@@ -256,7 +258,9 @@
                 self.update_failure_rate(now, 0.0);
                 self.consecutive_failures = 0;
             }
-            AttemptResult::Failed => self.update_failure_rate(now, 1.0),
+            AttemptResult::Failed | AttemptResult::Declined => {
+                self.update_failure_rate(now, 1.0);
+            }
             AttemptResult::Shed | AttemptResult::Unreachable => {
                 self.update_failure_rate(now, 1.0);
                 self.start_backoff(now);
--- a/crates/carawayrill-gateway/src/forward/choose.rs
+++ b/crates/carawayrill-gateway/src/forward/choose.rs
@@ -1,5 +1,6 @@
 //! Chooses the server for the next send, and decides whether a retry is allowed.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use carawayrill_core::direct::admission;
@@ -10,6 +11,7 @@
 use carawayrill_core::direct::servers::Server;
 use carawayrill_core::event::LoadEstimateRecord;
 use carawayrill_core::id::DataCentreId;
+use carawayrill_core::id::ServerId;
 use carawayrill_core::time::Time;
 use carawayrill_core::time::floor_to_u64;
 use carawayrill_core::time::millis;
@@ -17,6 +19,7 @@
 
 use super::DEFAULT_RETRY_AFTER;
 use super::Forwarder;
+use super::send::NOT_SENT;
 use crate::clock;
 use crate::state::Tables;
 
@@ -83,6 +86,8 @@
         let distance = |to: &_| self.shared.distance(to);
         let mut candidates = tables.candidates(service, is_allowed, distance, mean_ms, now);
         candidates.retain(|candidate| !self.excluded.contains(&candidate.server));
+        let may_use_others = self.servers_tried() < self.max_servers();
+        self.declines.restrict(&mut candidates, may_use_others);
         let request_profile = self.request_profile(tables, now);
         let idle_ms = mean_ms.unwrap_or(ASSUMED_IDLE_MS);
         let fronts = tables.fronts.get();
@@ -177,20 +182,43 @@
         })
     }
 
-    /// Returns whether one more send is within the route's limit of tries and the retry budget. A
-    /// retry is charged to the budget.
-    pub(super) fn try_acquire_send(&self) -> bool {
+    /// Returns the maximum number of servers to which the request may be sent.
+    fn max_servers(&self) -> usize {
+        usize::try_from(self.request.matched.route.max_tries).unwrap_or(usize::MAX)
+    }
+
+    /// Returns the number of servers to which the request has been sent.
+    fn servers_tried(&self) -> usize {
+        let sent = self.tries.iter().filter(|one| one.outcome != NOT_SENT);
+        let servers: BTreeSet<&str> = sent.map(|one| one.server.as_str()).collect();
+        servers.len()
+    }
+
+    fn was_sent_to(&self, server: &ServerId) -> bool {
+        let mut sent = self.tries.iter().filter(|one| one.outcome != NOT_SENT);
+        sent.any(|one| one.server == server.as_str())
+    }
+
+    /// Returns whether one more send, to `server`, is within the route's limit of servers and the
+    /// retry budget. A retry is charged to the budget. Sends that servers have declined don't count
+    /// as long as no further server is involved.
+    pub(super) fn try_acquire_send(&self, server: &ServerId) -> bool {
         let sent = self.tries.len().saturating_sub(self.unsent_tries as usize);
         if sent == 0 {
             return true;
         }
+        let counted = sent.saturating_sub(self.declines.count());
+        let is_within_servers =
+            self.was_sent_to(server) || self.servers_tried() < self.max_servers();
+        if counted >= self.max_servers() || !is_within_servers || !self.declines.may_repeat() {
+            return false;
+        }
         let now = clock::now();
         let mut tables = self.shared.tables();
         let fronts = tables.fronts.get();
-        (sent as u64) < u64::from(self.request.matched.route.max_tries)
-            && tables
-                .budget(&self.request.matched.service, &self.shared.cfg)
-                .try_acquire(now, fronts)
+        tables
+            .budget(&self.request.matched.service, &self.shared.cfg)
+            .try_acquire(now, fronts)
     }
 }
 
--- a/crates/carawayrill-gateway/src/forward/mod.rs
+++ b/crates/carawayrill-gateway/src/forward/mod.rs
@@ -10,6 +10,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use carawayrill_core::direct::decline;
+use carawayrill_core::direct::decline::Declines;
 use carawayrill_core::direct::keys::Fence;
 use carawayrill_core::direct::manifest::Repeat;
 use carawayrill_core::direct::quarantine::Fingerprints;
@@ -26,6 +28,7 @@
 use http::Uri;
 
 use self::choose::NextStep;
+use self::send::NotRunReason;
 use self::send::Outcome;
 use self::send::ResponseClass;
 use crate::clock;
@@ -125,6 +128,8 @@
     /// The load estimates at the time of a refusal for lack of capacity.
     pub load_estimate: Option<LoadEstimateRecord>,
     excluded: Vec<ServerId>,
+    /// The servers that refused the request although they have free slots.
+    declines: Declines,
     /// The server address and fence of the last send that was rejected because the server does not
     /// hold the key.
     misdirected_at: Option<(SocketAddr, Fence)>,
@@ -158,6 +163,7 @@
             waited: Duration::ZERO,
             load_estimate: None,
             excluded: Vec::new(),
+            declines: Declines::default(),
             misdirected_at: None,
             unsent_tries: 0,
             may_have_run: false,
@@ -267,8 +273,13 @@
 
     /// Sends the request to a server. Returns a reply if no further send follows.
     async fn attempt(&mut self, server: &Server, fence: Option<Fence>) -> Option<Reply> {
-        if !self.try_acquire_send() {
-            return Some(self.give_up("no-more-tries", DEFAULT_RETRY_AFTER));
+        if !self.try_acquire_send(&server.id) {
+            let retry_after = if self.declines.count() > 0 {
+                decline::retry_after(&mut self.shared.tables().rng)
+            } else {
+                DEFAULT_RETRY_AFTER
+            };
+            return Some(self.give_up("no-more-tries", retry_after));
         }
         if let Some(reply) = self.begin_send() {
             return Some(reply);
@@ -285,11 +296,15 @@
                 self.may_have_run = true;
                 self.after_possible_run(server)
             }
-            Outcome::NotRun { misdirected } => {
-                if misdirected && self.request.keyed {
-                    self.misdirected_at = fence.map(|fence| (server.address, fence));
-                } else {
-                    self.excluded.push(server.id.clone());
+            Outcome::NotRun(reason) => {
+                match reason {
+                    NotRunReason::Misdirected if self.request.keyed => {
+                        self.misdirected_at = fence.map(|fence| (server.address, fence));
+                    }
+                    NotRunReason::Misdirected | NotRunReason::Overloaded => {
+                        self.excluded.push(server.id.clone());
+                    }
+                    NotRunReason::Declined => self.declines.record(server.id.clone()),
                 }
                 None
             }
--- a/crates/carawayrill-gateway/src/forward/send.rs
+++ b/crates/carawayrill-gateway/src/forward/send.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use carawayrill_core::direct::decline;
 use carawayrill_core::direct::keys::Fence;
 use carawayrill_core::direct::limit::LimitStatement;
 use carawayrill_core::direct::load::AttemptResult;
@@ -47,19 +48,33 @@
 /// How often a server with free capacity is looked for while the first one is late.
 const HEDGE_POLL_INTERVAL: Duration = Duration::from_millis(200);
 
+/// The outcome of a try of which no byte was sent, in logs and metrics.
+pub(super) const NOT_SENT: &str = "not-sent";
+
 /// The outcome of one send.
 #[derive(Debug)]
 pub(super) enum Outcome {
     /// The server sent a response that can be passed on.
     Response(Box<Reply>, ResponseClass),
     /// The server did not run the request.
-    NotRun { misdirected: bool },
+    NotRun(NotRunReason),
     /// No byte of the request was sent.
     NotSent,
     /// No usable response arrived; the server may have run the request.
     Lost,
 }
 
+/// Why a server did not run a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum NotRunReason {
+    /// It is not the intended server, or does not hold the key.
+    Misdirected,
+    /// It is overloaded.
+    Overloaded,
+    /// It has free slots and refuses all the same.
+    Declined,
+}
+
 /// The class of a response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum ResponseClass {
@@ -77,9 +92,7 @@
                 Self::Response(reply, class)
             }
             (Self::Lost, _) | (_, Self::Lost) => Self::Lost,
-            (Self::NotRun { misdirected }, _) | (_, Self::NotRun { misdirected }) => {
-                Self::NotRun { misdirected }
-            }
+            (Self::NotRun(reason), _) | (_, Self::NotRun(reason)) => Self::NotRun(reason),
             (Self::NotSent, Self::NotSent) => Self::NotSent,
         }
     }
@@ -168,7 +181,9 @@
             return None;
         }
         match self.choose_next(clock::now()) {
-            NextStep::Send(server, fence) if server.id != first.id && self.try_acquire_send() => {
+            NextStep::Send(server, fence)
+                if server.id != first.id && self.try_acquire_send(&server.id) =>
+            {
                 Some((*server, fence))
             }
             _ => None,
@@ -270,7 +285,7 @@
             Err(SendError::NotSent(reason)) => {
                 log::debug!("could not send a request to {}: {reason}", server.id);
                 in_flight.end(AttemptResult::Unreachable, None);
-                return (Outcome::NotSent, "not-sent");
+                return (Outcome::NotSent, NOT_SENT);
             }
             Err(SendError::Closed(reason) | SendError::Lost(reason)) => {
                 log::debug!("no response from {}: {reason}", server.id);
@@ -297,16 +312,20 @@
             self.note_server_state(server, metadata);
         }
         if let Some(refusal) = metadata.refusal.filter(|_| is_own || is_unnamed) {
-            let misdirected = refusal == ServerRefusal::Misdirected;
-            let ended = if misdirected {
-                AttemptResult::Unknown
-            } else {
-                AttemptResult::Shed
+            let (reason, ended, label) = match refusal {
+                ServerRefusal::Misdirected => (
+                    NotRunReason::Misdirected,
+                    AttemptResult::Unknown,
+                    "misdirected",
+                ),
+                ServerRefusal::NotRun if decline::has_free_slot(metadata.load) => {
+                    (NotRunReason::Declined, AttemptResult::Declined, "declined")
+                }
+                ServerRefusal::NotRun => (NotRunReason::Overloaded, AttemptResult::Shed, "shed"),
             };
             in_flight.end(ended, metadata.load);
             self.reuse_connection(server, response, metadata);
-            let label = if misdirected { "misdirected" } else { "shed" };
-            return (Outcome::NotRun { misdirected }, label);
+            return (Outcome::NotRun(reason), label);
         }
         if !is_own {
             // The response belongs to another request. That of this request may still follow, but
