Evacuation of a data centre: decision, kind of object, choice and moves of keys

Cause: nothing kept requests from a data centre that is about to fail or to be switched off.

Ruled out: a time in the object itself (clocks differ, and the content is not used); counting the time for owners from when a front learns of the evacuation (it would start anew at a front that was cut off).

Change: core::direct::evacuation decides what a front still sends to an evacuated data centre. The objects evacuations/NAME are a third kind of knowledge, watched only with bounds.evacuate. The granter moves keys by the usual replacement of holders, those without a usable holder first, then the busiest.

--- a/crates/carawayrill-core/src/direct/granter/mod.rs
+++ b/crates/carawayrill-core/src/direct/granter/mod.rs
@@ -12,6 +12,7 @@
 mod plan;
 mod row;
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -33,6 +34,7 @@
 use crate::id::ServiceId;
 use crate::id::Version;
 use crate::time::Time;
+use crate::time::floor_to_u64;
 
 counter! {
     /// Identifies one order of a granter.
@@ -416,8 +418,18 @@
             .values_mut()
             .filter(|row| row.in_flight.is_none() && row.due <= inputs.now)
             .collect();
-        // Moving spans come first, because callers wait for them; then the longest overdue.
-        due.sort_by_key(|row| (!row.is_moving(), row.due));
+        // Moving spans come first, because callers wait for them; then the longest overdue. Of those
+        // that began to move together, the busiest comes first.
+        due.sort_by_cached_key(|row| {
+            let is_moving = row.is_moving();
+            let rate = if is_moving {
+                inputs.demand.range_rate(row.span.range)
+            } else {
+                0.0
+            };
+            let rate = Reverse(floor_to_u64(rate * 1_000.0));
+            (!is_moving, row.due, rate)
+        });
         for row in due {
             if actions.len() >= self.cfg.orders_per_tick {
                 break;
--- a/crates/carawayrill-core/src/direct/granter/plan.rs
+++ b/crates/carawayrill-core/src/direct/granter/plan.rs
@@ -155,14 +155,39 @@
 
 /// Returns whether the holder of a row has to be replaced.
 fn needs_new_holder(row: &Row, inputs: &Inputs<'_>) -> bool {
+    !has_usable_holder(row, inputs) || is_excluded(row, inputs)
+}
+
+/// Returns whether the holder of a row is listed, and neither draining, restarted nor lost.
+fn has_usable_holder(row: &Row, inputs: &Inputs<'_>) -> bool {
     let holder = &row.span.holder;
-    match inputs.servers.get(&holder.server) {
-        None => true,
-        Some(server) => {
-            let is_excluded = inputs.excluded.contains(&server.data_centre);
-            is_excluded || server.draining || server.born != holder.born || row.is_lost()
-        }
-    }
+    let server = inputs.servers.get(&holder.server);
+    server.is_some_and(|server| !server.draining && server.born == holder.born && !row.is_lost())
+}
+
+/// Returns whether the holder of a row is in a data centre that may not hold the keys.
+fn is_excluded(row: &Row, inputs: &Inputs<'_>) -> bool {
+    let server = inputs.servers.get(&row.span.holder.server);
+    server.is_some_and(|server| inputs.excluded.contains(&server.data_centre))
+}
+
+/// Returns the ranges whose holder has to be replaced, in the order in which others take them over.
+///
+/// Keys that nobody serves come first. Those of an excluded data centre follow, the busiest first,
+/// so that the busiest ones get the least used servers.
+fn ranges_to_replace(rows: &BTreeMap<KeyRange, Row>, inputs: &Inputs<'_>) -> Vec<KeyRange> {
+    let replaceable = rows
+        .values()
+        .filter(|row| needs_new_holder(row, inputs) && row.is_replaceable());
+    let (excluded, mut ranges): (Vec<&Row>, Vec<&Row>) =
+        replaceable.partition(|row| has_usable_holder(row, inputs));
+    let mut excluded: Vec<(f64, &Row)> = excluded
+        .into_iter()
+        .map(|row| (inputs.demand.range_rate(row.span.range), row))
+        .collect();
+    excluded.sort_by(|one, other| other.0.total_cmp(&one.0));
+    ranges.extend(excluded.into_iter().map(|(_, row)| row));
+    ranges.into_iter().map(|row| row.span.range).collect()
 }
 
 /// Plans new holders for all rows whose holder has to be replaced.
@@ -182,11 +207,7 @@
         .map(|server| server.id.clone())
         .filter(|id| !lost.contains(id))
         .collect();
-    let to_replace: Vec<KeyRange> = rows
-        .values()
-        .filter(|row| needs_new_holder(row, inputs) && row.is_replaceable())
-        .map(|row| row.span.range)
-        .collect();
+    let to_replace = ranges_to_replace(rows, inputs);
     if to_replace.is_empty() || targets.is_empty() {
         return Vec::new();
     }
--- a/crates/carawayrill-core/src/direct/mod.rs
+++ b/crates/carawayrill-core/src/direct/mod.rs
@@ -9,6 +9,7 @@
 pub mod admission;
 pub mod budget;
 pub mod demand;
+pub mod evacuation;
 pub mod fronts;
 pub mod granter;
 pub mod homes;
--- a/crates/carawayrill-core/src/event.rs
+++ b/crates/carawayrill-core/src/event.rs
@@ -268,6 +268,15 @@
             /// The revision of the store that was read.
             revision: u64,
         },
+        /// The evacuation of a data centre began or ended at this front.
+        EvacuationChanged {
+            /// The data centre.
+            data_centre: CompactString,
+            /// Whether it began; otherwise it ended.
+            began: bool,
+            /// The longest time since it was requested, or how long it was in force, in milliseconds.
+            age_ms: u64,
+        },
         /// A server said in a response that it is leaving.
         ServerLeaving {
             /// The id of the server.
--- a/crates/carawayrill-gateway/src/forward/choose.rs
+++ b/crates/carawayrill-gateway/src/forward/choose.rs
@@ -6,6 +6,8 @@
 use carawayrill_core::direct::admission::Candidate;
 use carawayrill_core::direct::admission::Choice;
 use carawayrill_core::direct::admission::RequestProfile;
+use carawayrill_core::direct::evacuation;
+use carawayrill_core::direct::evacuation::Evacuations;
 use carawayrill_core::direct::keys::Fence;
 use carawayrill_core::direct::servers::Server;
 use carawayrill_core::event::LoadEstimateRecord;
@@ -14,6 +16,7 @@
 use carawayrill_core::time::floor_to_u64;
 use carawayrill_core::time::millis;
 use compact_str::ToCompactString;
+use rand::RngExt;
 
 use super::DEFAULT_RETRY_AFTER;
 use super::Forwarder;
@@ -54,6 +57,9 @@
     /// Chooses the next step.
     pub(super) fn choose_next(&self, now: Time) -> NextStep {
         let mut tables = self.shared.tables();
+        if !tables.evacuations.is_read() {
+            return NextStep::Refuse(Refusal::new("no-evacuations", DEFAULT_RETRY_AFTER));
+        }
         if self.request.keyed {
             return self.next_owner(&mut tables, now);
         }
@@ -70,16 +76,35 @@
     }
 
     /// Returns whether the request may be sent to servers in a data centre.
-    fn may_send_to(&self, data_centre: &DataCentreId) -> bool {
+    fn may_send_to(&self, data_centre: &DataCentreId, evacuations: &Evacuations) -> bool {
+        self.is_home(data_centre) && evacuations.allows(data_centre)
+    }
+
+    /// Returns whether a data centre is in a home region of the request.
+    fn is_home(&self, data_centre: &DataCentreId) -> bool {
         let region = self.shared.cfg.regions.get(data_centre);
         self.request.matched.route.homes.allows(region)
     }
 
+    /// Returns whether the service has servers for the request, but only in evacuated data centres.
+    fn is_evacuated(&self, tables: &Tables) -> bool {
+        let ready = tables.servers.ready_servers(&self.request.matched.service);
+        let mut homes = ready
+            .map(|server| &server.data_centre)
+            .filter(|data_centre| self.is_home(data_centre))
+            .peekable();
+        homes.peek().is_some() && homes.all(|home| tables.evacuations.contains(home))
+    }
+
     /// Chooses among all servers of the service.
     fn next_server(&self, tables: &mut Tables, now: Time) -> NextStep {
         let service = &self.request.matched.service;
+        if self.is_evacuated(tables) {
+            return NextStep::Refuse(refuse_evacuated(tables));
+        }
         let mean_ms = tables.mean_service_ms(service, now);
-        let is_allowed = |to: &_| self.may_send_to(to);
+        let evacuations = tables.evacuations.clone();
+        let is_allowed = |to: &_| self.may_send_to(to, &evacuations);
         let distance = |to: &_| self.shared.distance(to);
         let mut candidates = tables.candidates(service, is_allowed, distance, mean_ms, now);
         candidates.retain(|candidate| !self.excluded.contains(&candidate.server));
@@ -139,6 +164,9 @@
         if self.misdirected_at == Some((server.address, span.fence)) {
             return NextStep::WaitForOwner;
         }
+        if !tables.evacuations.allows_owner(&server.data_centre, now) {
+            return NextStep::Refuse(refuse_evacuated(tables));
+        }
         let distance = self.shared.distance(&server.data_centre);
         let mean_ms = tables.mean_service_ms(service, now);
         let candidate = tables.candidate(&server, distance, mean_ms, now);
@@ -194,6 +222,12 @@
     }
 }
 
+/// Returns the refusal of a request that only servers in evacuated data centres could serve.
+fn refuse_evacuated(tables: &mut Tables) -> Refusal {
+    let spread = tables.rng.random_range(0.0..=1.0);
+    Refusal::new("evacuated", evacuation::retry_after(spread))
+}
+
 /// Returns the refusal of a request for which only the limits of servers leave none.
 fn refuse_limited(
     tables: &mut Tables,
--- a/crates/carawayrill-gateway/src/granter_runtime/state.rs
+++ b/crates/carawayrill-gateway/src/granter_runtime/state.rs
@@ -168,7 +168,8 @@
         now: Time,
         started: Time,
     ) {
-        let Some(manifest) = tables.manifest.as_ref().filter(|_| tables.servers_read) else {
+        let is_read = tables.servers_read && tables.evacuations.is_read();
+        let Some(manifest) = tables.manifest.as_ref().filter(|_| is_read) else {
             return;
         };
         let keyed = |service: &ServiceId| manifest.service(service).is_some_and(|one| one.keyed);
--- a/crates/carawayrill-gateway/src/knowledge/mod.rs
+++ b/crates/carawayrill-gateway/src/knowledge/mod.rs
@@ -1,9 +1,10 @@
-//! What this front knows of the store's objects: the manifest and the servers.
+//! What this front knows of the store's objects: the manifest, the servers and the evacuations.
 //!
 //! Changes come from this front's own watches or from the granter, which relays those that its own
 //! watches return. Both ways lead through [`KnownKind`], which keeps the order of the store's
 //! history: late and repeated changes have no effect.
 
+mod evacuations;
 mod handler;
 mod manifest;
 mod servers;
@@ -15,6 +16,7 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use carawayrill_core::direct::evacuation;
 use carawayrill_core::direct::knowledge::ChangeLog;
 use carawayrill_core::direct::knowledge::Delta;
 use carawayrill_core::direct::knowledge::Freshness;
@@ -31,6 +33,7 @@
 use compact_str::CompactString;
 use rand::RngExt;
 
+use self::evacuations::EvacuationHandler;
 use self::handler::ChangeHandler;
 use self::handler::Snapshot;
 use self::manifest::ManifestHandler;
@@ -78,6 +81,8 @@
     pub manifest: Arc<KnownKind>,
     /// The servers.
     pub servers: Arc<KnownKind>,
+    /// The evacuations, if the deployment has any.
+    pub evacuations: Option<Arc<KnownKind>>,
 }
 
 impl Knowledge {
@@ -91,16 +96,29 @@
         let manifest = ManifestHandler::new(Arc::clone(shared), Arc::clone(schema));
         let servers =
             ServerHandler::new(Arc::clone(shared), Arc::clone(schema), Arc::clone(upstream));
-        let known = |kind, handler| Arc::new(KnownKind::new(Arc::clone(shared), kind, handler));
+        let cfg = &shared.cfg;
+        let known = |kind, handler, known_within| {
+            let shared = Arc::clone(shared);
+            Arc::new(KnownKind::new(shared, kind, handler, known_within))
+        };
+        let evacuations = cfg.evacuation_bound.map(|bound| {
+            let handler = EvacuationHandler::new(Arc::clone(shared));
+            let known_within = evacuation::known_within(bound).min(cfg.drain);
+            known(schema.evacuation_kind(), Box::new(handler), known_within)
+        });
         Self {
-            manifest: known(schema.manifest_kind(), Box::new(manifest)),
-            servers: known(schema.server_kind(), Box::new(servers)),
+            manifest: known(schema.manifest_kind(), Box::new(manifest), cfg.drain),
+            servers: known(schema.server_kind(), Box::new(servers), cfg.drain),
+            evacuations,
         }
     }
 
     /// Iterates over all kinds.
     pub fn kinds(&self) -> impl Iterator<Item = &KnownKind> {
-        [&*self.manifest, &*self.servers].into_iter()
+        let evacuations = self.evacuations.as_deref();
+        [&*self.manifest, &*self.servers]
+            .into_iter()
+            .chain(evacuations)
     }
 
     /// Returns the kind with this name.
@@ -115,6 +133,8 @@
 pub struct KnownKind {
     shared: Arc<Shared>,
     kind: &'static str,
+    /// The time within which a change has to be known.
+    known_within: Duration,
     state: Mutex<State>,
 }
 
@@ -131,10 +151,16 @@
 }
 
 impl KnownKind {
-    fn new(shared: Arc<Shared>, kind: &'static str, handler: Box<dyn ChangeHandler>) -> Self {
+    fn new(
+        shared: Arc<Shared>,
+        kind: &'static str,
+        handler: Box<dyn ChangeHandler>,
+        known_within: Duration,
+    ) -> Self {
         Self {
             shared,
             kind,
+            known_within,
             state: Mutex::new(State {
                 handler,
                 log: None,
@@ -189,7 +215,7 @@
             return;
         };
         let kind = CompactString::from(self.kind);
-        match (age > self.shared.cfg.drain, state.stale_since) {
+        match (age > self.known_within, state.stale_since) {
             (true, None) => {
                 state.stale_since = Some(now);
                 let age_ms = millis(age);
@@ -213,7 +239,7 @@
     /// Returns how the knowledge is kept current from now on.
     #[must_use]
     pub fn next_read(&self, now: Time, is_granter: bool) -> NextRead {
-        let limits = Limits::for_drain(self.shared.cfg.drain);
+        let limits = Limits::for_drain(self.known_within);
         let spread = self.shared.tables().rng.random_range(0.0..=1.0);
         let state = self.state();
         state.freshness.next_read(now, is_granter, &limits, spread)
@@ -282,7 +308,7 @@
     /// Returns whether this front could not ask the store either, so that there was an outage. While
     /// only the granter is cut off from the store, the other fronts ask it in time.
     fn is_overdue(&self, now: Time) -> bool {
-        let limits = Limits::for_drain(self.shared.cfg.drain);
+        let limits = Limits::for_drain(self.known_within);
         let age = self.state().freshness.age(now);
         age.is_some_and(|age| age >= self.shared.cfg.min_lapse && limits.is_overdue(age))
     }
--- a/crates/carawayrill-gateway/src/lib.rs
+++ b/crates/carawayrill-gateway/src/lib.rs
@@ -19,8 +19,10 @@
 mod access_log;
 pub mod clock;
 pub mod config;
+mod connections;
 mod counting_store;
 mod error;
+mod evacuation;
 pub mod forward;
 pub mod front;
 pub mod granter_runtime;
--- a/crates/carawayrill-gateway/src/metrics.rs
+++ b/crates/carawayrill-gateway/src/metrics.rs
@@ -46,6 +46,10 @@
     pub orders: IntCounterVec,
     /// Request log lines dropped by the rate limit.
     pub dropped_log_lines: IntCounter,
+    /// The data centres that are being evacuated.
+    pub evacuated_data_centres: IntGauge,
+    /// The keys whose owner is in an evacuated data centre.
+    pub evacuated_keys: IntGauge,
     /// Requests in flight.
     pub in_flight: IntGauge,
     /// 1 while this front is the granter, otherwise 0.
@@ -120,6 +124,12 @@
             bad_entries: counter(r, "bad_entries_total", "Unreadable entries of the store")?,
             orders: counters(r, "orders_total", "Orders to servers by how they ended")?,
             dropped_log_lines: counter(r, "log_lines_left_out_total", "Request lines left out")?,
+            evacuated_data_centres: gauge(
+                r,
+                "evacuated_data_centres",
+                "Data centres being evacuated",
+            )?,
+            evacuated_keys: gauge(r, "evacuated_keys", "Keys owned in evacuated data centres")?,
             in_flight: gauge(r, "in_flight", "Requests in flight")?,
             granter: gauge(r, "granter", "1 while this front is the granter")?,
             knowledge_age: gauges(r, "knowledge_age_seconds", "Age of what is known")?,
--- a/crates/carawayrill-gateway/src/port.rs
+++ b/crates/carawayrill-gateway/src/port.rs
@@ -113,6 +113,9 @@
     /// Returns the kind of object that holds server entries.
     fn server_kind(&self) -> &'static str;
 
+    /// Returns the kind of object whose names are the data centres to evacuate.
+    fn evacuation_kind(&self) -> &'static str;
+
     /// Decodes a manifest.
     ///
     /// # Errors
--- a/crates/carawayrill-gateway/src/ready.rs
+++ b/crates/carawayrill-gateway/src/ready.rs
@@ -51,6 +51,9 @@
         if !tables.servers_read {
             return Err("no-servers");
         }
+        if !tables.evacuations.is_read() {
+            return Err("no-evacuations");
+        }
         if tables.lacks_spans() {
             return Err("no-spans");
         }
--- a/crates/carawayrill-gateway/src/run.rs
+++ b/crates/carawayrill-gateway/src/run.rs
@@ -150,10 +150,14 @@
 fn spawn_watchers(lease_manager: &Arc<LeaseManager>, ports: &Ports, upstream: &Arc<Upstream>) {
     let knowledge = lease_manager.knowledge();
     let kinds = [
-        (&knowledge.manifest, "store-manifest"),
-        (&knowledge.servers, "store-servers"),
+        (Some(&knowledge.manifest), "store-manifest"),
+        (Some(&knowledge.servers), "store-servers"),
+        (knowledge.evacuations.as_ref(), "store-evacuations"),
     ];
-    for (known, name) in kinds {
+    let watched = kinds
+        .into_iter()
+        .filter_map(|(known, name)| Some((known?, name)));
+    for (known, name) in watched {
         tokio::spawn(watcher::watch_kind(
             Arc::clone(lease_manager),
             Arc::clone(&ports.store),
--- a/crates/carawayrill-gateway/src/state.rs
+++ b/crates/carawayrill-gateway/src/state.rs
@@ -12,6 +12,7 @@
 use carawayrill_core::direct::admission::Candidate;
 use carawayrill_core::direct::admission::Distance;
 use carawayrill_core::direct::budget::RetryWindow;
+use carawayrill_core::direct::evacuation::Evacuations;
 use carawayrill_core::direct::fronts;
 use carawayrill_core::direct::fronts::DEFAULT_FRONT_COUNT;
 use carawayrill_core::direct::fronts::FrontCount;
@@ -53,10 +54,6 @@
 const DEFAULT_SIZE_KIB: f64 = 4.0;
 /// The assumed processor time of the strongest front before the granter reports it, in cores.
 const DEFAULT_STRONGEST_CORES: f64 = 0.5;
-/// A front keeps at most 1/`IDLE_CONNECTION_DIVISOR` of its connections to a server idle.
-const IDLE_CONNECTION_DIVISOR: u32 = 3;
-/// The minimum number of connections that a front may open to a server.
-const MIN_CONNECTIONS: u32 = 2;
 /// The maximum time for which a server counts as cold after its start; longer reports are clamped.
 const MAX_COLD_PERIOD: Duration = Duration::from_mins(1);
 
@@ -73,6 +70,8 @@
     pub servers_read: bool,
     /// When the list of servers was last known to be complete.
     pub servers_confirmed: Option<Time>,
+    /// The data centres that are being evacuated.
+    pub evacuations: Evacuations,
     /// The estimated load of each server.
     pub loads: HashMap<ServerId, ServerLoad>,
     /// The limits that servers have named.
@@ -119,6 +118,7 @@
     pub fn new(cfg: Config, metrics: Metrics) -> Self {
         let seed = cfg.incarnation;
         let min_lapse = cfg.min_lapse;
+        let evacuations = Evacuations::new(cfg.evacuation_bound);
         Self {
             cfg,
             metrics,
@@ -128,6 +128,7 @@
                 servers: Servers::new(min_lapse),
                 servers_read: false,
                 servers_confirmed: None,
+                evacuations,
                 loads: HashMap::new(),
                 limits: ServerLimits::default(),
                 crashes: CrashTable::default(),
@@ -273,7 +274,7 @@
     /// Returns the data centres whose servers may not hold keys of a service.
     #[must_use]
     pub fn excluded_from_keys(&self, _service: &ServiceId) -> BTreeSet<DataCentreId> {
-        BTreeSet::new()
+        self.evacuated_data_centres()
     }
 
     /// Finds the route of a request.
@@ -369,24 +370,6 @@
             .collect()
     }
 
-    /// Returns this front's share of the connections that each server of a service accepts.
-    #[must_use]
-    pub fn connection_share(&self, service: &ServiceId) -> u32 {
-        let max = self
-            .manifest
-            .as_ref()
-            .and_then(|manifest| manifest.service(service))
-            .map_or(u32::MAX, |service| service.max_connections);
-        (max / self.fronts.get()).max(MIN_CONNECTIONS)
-    }
-
-    /// Returns the maximum number of idle connections that this front keeps to each server of a
-    /// service.
-    #[must_use]
-    pub fn max_idle_connections(&self, service: &ServiceId) -> u32 {
-        (self.connection_share(service) / IDLE_CONNECTION_DIVISOR).max(1)
-    }
-
     /// Returns the expected size of request plus response of a route, in KiB.
     #[must_use]
     pub fn size_kib(&self, route: &str) -> f64 {
--- a/crates/carawayrill-gateway/src/watcher.rs
+++ b/crates/carawayrill-gateway/src/watcher.rs
@@ -1,4 +1,4 @@
-//! Keeps the manifest and the server list current.
+//! Keeps the manifest, the server list and the evacuations current.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -205,6 +205,7 @@
         for known in knowledge.kinds() {
             known.update_metrics(now);
         }
+        shared.update_evacuation_metrics();
         let removed = {
             let mut tables = shared.tables();
             let fronts = tables.fronts.get();
