--- a/crates/carawayrill-core/src/direct/mod.rs
+++ b/crates/carawayrill-core/src/direct/mod.rs
@@ -10,6 +10,7 @@
 pub mod budget;
 pub mod decline;
 pub mod demand;
+pub mod evacuation;
 pub mod fronts;
 pub mod granter;
 pub mod homes;
