Home regions: splits, key placement, room for restricted routes, refusals

Cause: a route's homes restricted only the candidates of unkeyed services.

Ruled out: computing the key placement once per manifest, since it depends on the listed servers.

Change: core::direct::homes::services decides the data centres excluded from keys, core::direct::homes::room leaves room on servers in homes, and the split of a route skips destinations without a server in its homes. Reasons no-home-server and owner-outside-homes. Invalid entries are kept in Manifest::ignored and logged once, when the manifest comes into force.

--- a/crates/carawayrill-core/src/direct/homes.rs
+++ b/crates/carawayrill-core/src/direct/homes/mod.rs
@@ -1,4 +1,11 @@
 //! The regions to which the requests of a route are restricted.
+//!
+//! It is designed for the loss of all servers of a region and for servers in home regions that are
+//! nearly full: a request of a route with homes has no other servers, so requests of routes without
+//! homes leave it room, and keys are placed where every route to their service may send.
+
+pub mod room;
+pub mod services;
 
 use std::collections::BTreeSet;
 
@@ -35,6 +42,14 @@
         !self.is_restricted() || region.is_some_and(|region| self.regions.contains(region))
     }
 
+    /// Removes the regions that are not known, and returns them.
+    pub fn remove_unknown(&mut self, is_known: impl Fn(&RegionId) -> bool) -> BTreeSet<RegionId> {
+        let regions = std::mem::take(&mut self.regions);
+        let (known, unknown) = regions.into_iter().partition(is_known);
+        self.regions = known;
+        unknown
+    }
+
     /// Iterates over the home regions.
     pub fn iter(&self) -> impl Iterator<Item = &RegionId> {
         self.regions.iter()
--- a/crates/carawayrill-core/src/direct/manifest.rs
+++ b/crates/carawayrill-core/src/direct/manifest.rs
@@ -106,6 +106,8 @@
     pub services: Vec<Service>,
     /// The limits of callers' requests.
     pub limits: CallerLimits,
+    /// The invalid entries that were ignored when the manifest was decoded, each with its reason.
+    pub ignored: Vec<CompactString>,
 }
 
 impl Manifest {
--- a/crates/carawayrill-core/src/direct/routes.rs
+++ b/crates/carawayrill-core/src/direct/routes.rs
@@ -1,10 +1,14 @@
 //! Route lookup by host and path prefix, with a weighted split between destinations.
+//!
+//! It is designed for a region that is lost under load: a destination without a server in the homes
+//! of the route gets no requests, and the others share them.
 
 use std::collections::HashMap;
 use std::sync::Arc;
 
 use compact_str::CompactString;
 
+use crate::direct::homes::Homes;
 use crate::direct::manifest::Manifest;
 use crate::direct::manifest::Route;
 use crate::id::ServiceId;
@@ -25,24 +29,47 @@
         }
     }
 
-    /// Returns the next destination, by smooth weighted round robin.
+    /// Returns the next destination for which `has_server` holds, by smooth weighted round robin;
+    /// `None` if it holds for none.
     ///
     /// In each cycle of as many requests as the sum of the weights, each destination is chosen
     /// exactly as often as its weight, so that the split is exact over short periods too.
-    fn next_destination(&mut self) -> ServiceId {
+    fn next_destination(&mut self, has_server: impl Fn(&ServiceId) -> bool) -> Option<ServiceId> {
         let destinations = &self.route.destinations;
         let mut total = 0;
-        let mut best = 0;
+        let mut best: Option<usize> = None;
         for (index, destination) in destinations.iter().enumerate() {
+            if !has_server(&destination.service) {
+                continue;
+            }
             let weight = i64::from(destination.weight);
             total += weight;
             self.credit[index] += weight;
-            if self.credit[index] > self.credit[best] {
-                best = index;
+            if best.is_none_or(|best| self.credit[index] > self.credit[best]) {
+                best = Some(index);
             }
         }
+        let best = best?;
         self.credit[best] -= total;
-        destinations[best].service.clone()
+        Some(destinations[best].service.clone())
+    }
+
+    /// Returns the match for the next request.
+    fn next_match(
+        &mut self,
+        has_server: impl Fn(&Homes, &ServiceId) -> bool,
+    ) -> Option<RouteMatch> {
+        let route = Arc::clone(&self.route);
+        let is_checked = route.homes.is_restricted() && route.destinations.len() > 1;
+        let in_home =
+            self.next_destination(|service| !is_checked || has_server(&route.homes, service));
+        let has_home_server = in_home.is_some();
+        let service = in_home.or_else(|| self.next_destination(|_service| true))?;
+        Some(RouteMatch {
+            route,
+            service,
+            has_home_server,
+        })
     }
 }
 
@@ -55,7 +82,8 @@
 /// use carawayrill_core::direct::routes::Routes;
 ///
 /// let mut routes = Routes::new(&Manifest::default());
-/// assert!(routes.find("forms.example", "/a/1").is_none());
+/// let has_server = |_homes: &_, _service: &_| true;
+/// assert!(routes.find("forms.example", "/a/1", has_server).is_none());
 /// ```
 #[derive(Debug, Default)]
 pub struct Routes {
@@ -70,6 +98,9 @@
     pub route: Arc<Route>,
     /// The destination that the split chose for this request.
     pub service: ServiceId,
+    /// Whether a destination of the split has a server in the homes of the route. It is not checked,
+    /// and `true`, for a route without homes or without a split.
+    pub has_home_server: bool,
 }
 
 impl Routes {
@@ -91,18 +122,20 @@
 
     /// Finds the route of a request and the next destination of its split.
     ///
-    /// A port in `host` is ignored.
-    pub fn find(&mut self, host: &str, path: &str) -> Option<RouteMatch> {
+    /// A port in `host` is ignored. `has_server` returns whether a service has a server in the given
+    /// homes; a destination without one receives no share of a split.
+    pub fn find(
+        &mut self,
+        host: &str,
+        path: &str,
+        has_server: impl Fn(&Homes, &ServiceId) -> bool,
+    ) -> Option<RouteMatch> {
         let name = host.split(':').next().unwrap_or(host);
         let lower = CompactString::from(name.to_ascii_lowercase());
         let entries = self.hosts.get_mut(&lower)?;
         let entry = entries
             .iter_mut()
             .find(|entry| path.starts_with(entry.route.prefix.as_str()))?;
-        let service = entry.next_destination();
-        Some(RouteMatch {
-            route: Arc::clone(&entry.route),
-            service,
-        })
+        entry.next_match(has_server)
     }
 }
--- a/crates/carawayrill-core/src/event.rs
+++ b/crates/carawayrill-core/src/event.rs
@@ -393,6 +393,25 @@
             /// The number of spans whose former holder has not released them yet.
             moving: usize,
         },
+        /// Homes of routes restrict the servers that hold keys of a service otherwise than before.
+        KeysRestricted {
+            /// The service.
+            service: ServiceId,
+            /// Where keys are placed: `homes` if only outside of the excluded data centres. On all
+            /// servers otherwise: `unrestricted`, `no-common-home` or `no-server`.
+            placement: CompactString,
+            /// The data centres whose servers hold no keys because they are not in a home.
+            excluded: Vec<CompactString>,
+        },
+        /// A destination of a route with homes has no server there, or has one again.
+        HomeServers {
+            /// The route.
+            route: CompactString,
+            /// The destination.
+            service: ServiceId,
+            /// Whether a server that is not draining is listed there.
+            listed: bool,
+        },
         /// An order of a granter to a server ended. Successful grants are not logged.
         SpanOrderEnded {
             /// The receiving server.
--- a/crates/carawayrill-core/tests/direct_decisions.rs
+++ b/crates/carawayrill-core/tests/direct_decisions.rs
@@ -73,7 +73,7 @@
     #[case] path: &str,
     #[case] expected: Option<&str>,
 ) {
-    let found = routes().find(host, path);
+    let found = routes().find(host, path, |_homes, _service| true);
     assert_eq!(
         found.map(|found| found.route.name.to_string()).as_deref(),
         expected
@@ -86,7 +86,7 @@
     for _round in 0..5 {
         let chosen = (0..100).map(|_| {
             routes
-                .find("forms.example", "/s/x")
+                .find("forms.example", "/s/x", |_homes, _service| true)
                 .expect("route exists")
                 .service
         });
--- a/crates/carawayrill-gateway/src/forward/choose.rs
+++ b/crates/carawayrill-gateway/src/forward/choose.rs
@@ -6,6 +6,7 @@
 use carawayrill_core::direct::admission::Candidate;
 use carawayrill_core::direct::admission::Choice;
 use carawayrill_core::direct::admission::RequestProfile;
+use carawayrill_core::direct::homes::room;
 use carawayrill_core::direct::keys::Fence;
 use carawayrill_core::direct::servers::Server;
 use carawayrill_core::event::LoadEstimateRecord;
@@ -22,6 +23,10 @@
 
 /// The assumed response time of an idle server before any was measured, in milliseconds.
 const ASSUMED_IDLE_MS: f64 = 50.0;
+/// The reason of a refusal because no server in the homes of the route may be used.
+const NO_HOME_SERVER: &str = "no-home-server";
+/// The reason of a refusal because the owner of the key is outside of the homes of the route.
+const OWNER_OUTSIDE_HOMES: &str = "owner-outside-homes";
 
 /// The next step of a request.
 #[derive(Debug)]
@@ -54,6 +59,11 @@
     /// Chooses the next step.
     pub(super) fn choose_next(&self, now: Time) -> NextStep {
         let mut tables = self.shared.tables();
+        if !self.request.matched.has_home_server {
+            let profile = self.request_profile(&tables, now);
+            let refusal = refuse_for_homes(&mut tables, NO_HOME_SERVER, &profile, ASSUMED_IDLE_MS);
+            return NextStep::Refuse(refusal);
+        }
         if self.request.keyed {
             return self.next_owner(&mut tables, now);
         }
@@ -71,10 +81,46 @@
 
     /// Returns whether the request may be sent to servers in a data centre.
     fn may_send_to(&self, data_centre: &DataCentreId) -> bool {
+        self.is_home(data_centre)
+    }
+
+    /// Returns whether a data centre is in the homes of the request's route.
+    fn is_home(&self, data_centre: &DataCentreId) -> bool {
         let region = self.shared.cfg.regions.get(data_centre);
         self.request.matched.route.homes.allows(region)
     }
 
+    /// Chooses among the candidates. A request of a route without homes leaves room on servers in
+    /// the homes of other routes to the service.
+    fn choose_candidate(
+        &self,
+        tables: &mut Tables,
+        candidates: &[Candidate],
+        profile: &RequestProfile,
+        idle_ms: f64,
+    ) -> Choice {
+        let matched = &self.request.matched;
+        let fronts = tables.fronts.get();
+        let Tables {
+            homes,
+            servers,
+            rng,
+            ..
+        } = tables;
+        if matched.route.homes.is_restricted() || !homes.is_restricted(&matched.service) {
+            return admission::choose(candidates, profile, idle_ms, fronts, rng);
+        }
+        let is_reserved = |candidate: &Candidate| {
+            let server = servers.get(&candidate.server);
+            server.is_some_and(|one| homes.is_reserved(&matched.service, &one.data_centre))
+        };
+        let chosen = room::choose(candidates, is_reserved, profile, idle_ms, fronts, rng);
+        if chosen.left_room {
+            self.shared.metrics.left_home_room.inc();
+        }
+        chosen.choice
+    }
+
     /// Chooses among all servers of the service.
     fn next_server(&self, tables: &mut Tables, now: Time) -> NextStep {
         let service = &self.request.matched.service;
@@ -85,14 +131,7 @@
         candidates.retain(|candidate| !self.excluded.contains(&candidate.server));
         let request_profile = self.request_profile(tables, now);
         let idle_ms = mean_ms.unwrap_or(ASSUMED_IDLE_MS);
-        let fronts = tables.fronts.get();
-        let refusal = match admission::choose(
-            &candidates,
-            &request_profile,
-            idle_ms,
-            fronts,
-            &mut tables.rng,
-        ) {
+        let refusal = match self.choose_candidate(tables, &candidates, &request_profile, idle_ms) {
             Choice::Send(id) => match tables.servers.get(&id) {
                 Some(server) => return NextStep::Send(Box::new(server.clone()), None),
                 None => Refusal::new("no-server", DEFAULT_RETRY_AFTER),
@@ -101,6 +140,9 @@
             Choice::NoServer => {
                 match refuse_limited(tables, &candidates, &request_profile, idle_ms, now) {
                     Some(refusal) => refusal,
+                    None if self.request.matched.route.homes.is_restricted() => {
+                        refuse_for_homes(tables, NO_HOME_SERVER, &request_profile, idle_ms)
+                    }
                     None => Refusal::new("no-server", DEFAULT_RETRY_AFTER),
                 }
             }
@@ -129,6 +171,11 @@
         let Some(server) = tables.servers.get(&span.server).cloned() else {
             return NextStep::WaitForOwner;
         };
+        if !self.is_home(&server.data_centre) {
+            let profile = self.request_profile(tables, now);
+            let refusal = refuse_for_homes(tables, OWNER_OUTSIDE_HOMES, &profile, ASSUMED_IDLE_MS);
+            return NextStep::Refuse(refusal);
+        }
         let draining = tables.servers.draining_since(&server.id);
         if draining.is_some_and(|since| now.since(since) > self.shared.cfg.drain) {
             return NextStep::WaitForOwner;
@@ -194,6 +241,19 @@
     }
 }
 
+/// Returns the refusal of a request that no server in its homes can serve. It should return as late
+/// as still meets its objective, and not together with others.
+fn refuse_for_homes(
+    tables: &mut Tables,
+    reason: &'static str,
+    profile: &RequestProfile,
+    idle_ms: f64,
+) -> Refusal {
+    let rng = &mut tables.rng;
+    let after = admission::owner_retry_after(profile, idle_ms, Duration::ZERO, rng);
+    Refusal::new(reason, after)
+}
+
 /// Returns the refusal of a request for which only the limits of servers leave none.
 fn refuse_limited(
     tables: &mut Tables,
--- a/crates/carawayrill-gateway/src/forward/send.rs
+++ b/crates/carawayrill-gateway/src/forward/send.rs
@@ -362,6 +362,7 @@
                 server: server.id.to_compact_string(),
                 source: self.shared.cfg.front.clone(),
             });
+            self.shared.record_homes();
             self.shared.notify_changed();
         }
     }
--- a/crates/carawayrill-gateway/src/granter_runtime/mod.rs
+++ b/crates/carawayrill-gateway/src/granter_runtime/mod.rs
@@ -177,18 +177,24 @@
     /// Marks the servers that another front knows to be leaving, so that their keys are moved.
     fn mark_leaving(&self, report: &Report) {
         let now = clock::now();
+        let mut has_changed = false;
         let mut tables = self.shared.tables();
         for leaving in &report.leaving {
             let changed = tables
                 .servers
                 .mark_leaving(&leaving.server, leaving.born, now);
             if changed.is_some() {
+                has_changed = true;
                 emit(EventKind::ServerLeaving {
                     server: leaving.server.to_compact_string(),
                     source: report.front.clone(),
                 });
             }
         }
+        drop(tables);
+        if has_changed {
+            self.shared.record_homes();
+        }
     }
 
     /// Returns the shares of a front in the limits of servers.
--- /dev/null
+++ b/crates/carawayrill-gateway/src/homes.rs
@@ -0,0 +1,140 @@
+//! Applies the homes of routes to what this front knows of the servers, and logs changes.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use carawayrill_core::direct::homes::Homes;
+use carawayrill_core::direct::homes::services;
+use carawayrill_core::direct::homes::services::KeyPlacement;
+use carawayrill_core::direct::homes::services::Regions;
+use carawayrill_core::direct::homes::services::RouteDestination;
+use carawayrill_core::direct::homes::services::ServiceHomes;
+use carawayrill_core::direct::manifest::Manifest;
+use carawayrill_core::event::EventKind;
+use carawayrill_core::id::DataCentreId;
+use carawayrill_core::id::ServiceId;
+use carawayrill_telemetry::emit;
+use compact_str::ToCompactString;
+
+use crate::state::Shared;
+use crate::state::Tables;
+
+/// The homes of the routes in force.
+#[derive(Debug)]
+pub struct HomeTable {
+    regions: Regions,
+    services: ServiceHomes,
+    /// The destinations of routes with homes that were last logged to have no server there.
+    without_server: BTreeSet<RouteDestination>,
+    /// The placement of the keys of each keyed service that was last logged.
+    placements: BTreeMap<ServiceId, KeyPlacement>,
+}
+
+impl HomeTable {
+    /// Creates the table of a front without a manifest.
+    #[must_use]
+    pub fn new(regions: Regions) -> Self {
+        Self {
+            regions,
+            services: ServiceHomes::default(),
+            without_server: BTreeSet::new(),
+            placements: BTreeMap::new(),
+        }
+    }
+
+    /// Applies the homes of a manifest.
+    pub fn put_manifest(&mut self, manifest: &Manifest) {
+        self.services = ServiceHomes::new(manifest);
+    }
+
+    /// Returns whether a data centre is in one of the homes.
+    #[must_use]
+    pub fn is_home(&self, homes: &Homes, data_centre: &DataCentreId) -> bool {
+        homes.allows(self.regions.get(data_centre))
+    }
+
+    /// Returns whether a route with homes sends to the service.
+    #[must_use]
+    pub fn is_restricted(&self, service: &ServiceId) -> bool {
+        self.services.is_restricted(service)
+    }
+
+    /// Returns whether a data centre is in a home of a route to the service.
+    #[must_use]
+    pub fn is_reserved(&self, service: &ServiceId, data_centre: &DataCentreId) -> bool {
+        self.services
+            .is_reserved(service, self.regions.get(data_centre))
+    }
+}
+
+impl Tables {
+    /// Decides where homes of routes allow the keys of a service to be placed.
+    #[must_use]
+    pub fn key_placement_by_homes(&self, service: &ServiceId) -> KeyPlacement {
+        let ready = self.servers.ready_servers(service);
+        let usable = ready.map(|server| &server.data_centre);
+        self.homes
+            .services
+            .key_placement(service, &self.homes.regions, usable)
+    }
+}
+
+impl Shared {
+    /// Logs where the servers or the manifest have changed what homes of routes mean for services.
+    pub fn record_homes(&self) {
+        let mut tables = self.tables();
+        let Some(manifest) = tables.manifest.clone().filter(|_| tables.servers_read) else {
+            return;
+        };
+        let without = services::destinations_without_server(
+            &manifest,
+            &tables.homes.regions,
+            &tables.servers,
+        );
+        let previous = std::mem::replace(&mut tables.homes.without_server, without.clone());
+        let keyed = manifest.services.iter().filter(|service| service.keyed);
+        let placements: BTreeMap<ServiceId, KeyPlacement> = keyed
+            .map(|service| {
+                let placement = tables.key_placement_by_homes(&service.name);
+                (service.name.clone(), placement)
+            })
+            .collect();
+        let placed = std::mem::replace(&mut tables.homes.placements, placements.clone());
+        drop(tables);
+        let restricted = placements
+            .values()
+            .filter(|placement| placement.is_restricted());
+        let count = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
+        self.metrics.keys_restricted.set(count(restricted.count()));
+        self.metrics.without_home_server.set(count(without.len()));
+        emit_home_servers(without.difference(&previous), false);
+        emit_home_servers(previous.difference(&without), true);
+        for (service, placement) in placements {
+            if placed.get(&service).cloned().unwrap_or_default() != placement {
+                emit_placement(service, placement);
+            }
+        }
+    }
+}
+
+fn emit_home_servers<'a>(changed: impl Iterator<Item = &'a RouteDestination>, listed: bool) {
+    for destination in changed {
+        emit(EventKind::HomeServers {
+            route: destination.route.clone(),
+            service: destination.service.clone(),
+            listed,
+        });
+    }
+}
+
+fn emit_placement(service: ServiceId, placement: KeyPlacement) {
+    emit(EventKind::KeysRestricted {
+        service,
+        placement: placement.name().into(),
+        excluded: placement
+            .excluded()
+            .iter()
+            .map(|data_centre| data_centre.to_compact_string())
+            .collect(),
+    });
+}
--- a/crates/carawayrill-gateway/src/knowledge/manifest.rs
+++ b/crates/carawayrill-gateway/src/knowledge/manifest.rs
@@ -3,11 +3,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use carawayrill_core::direct::homes::services;
+use carawayrill_core::direct::manifest::Manifest;
 use carawayrill_core::event::EventKind;
 use carawayrill_core::id::Revision;
 use carawayrill_core::time::Time;
 use carawayrill_store::port::Object;
 use carawayrill_telemetry::emit;
+use compact_str::CompactString;
+use compact_str::format_compact;
 
 use super::handler::ChangeHandler;
 use super::handler::Snapshot;
@@ -39,7 +43,7 @@
     }
 
     fn apply_manifest(&self, object: &Object) {
-        let manifest = match self.schema.decode_manifest(object) {
+        let mut manifest = match self.schema.decode_manifest(object) {
             Ok(manifest) => manifest,
             Err(err) => {
                 self.shared.metrics.bad_entries.inc();
@@ -49,11 +53,32 @@
         };
         let version = manifest.version.0;
         let routes = manifest.routes.len();
+        let ignored = self.ignore_invalid(&mut manifest);
         if self.shared.tables().put_manifest(manifest) {
             emit(EventKind::ManifestInForce { version, routes });
+            for entry in ignored {
+                self.shared.metrics.bad_entries.inc();
+                log::warn!("ignored in manifest r{version}: {entry}");
+            }
+            self.shared.record_homes();
             self.shared.notify_changed();
         }
     }
+
+    /// Removes entries that refer to what this deployment doesn't have. Returns all entries that are
+    /// ignored, with those that could not be decoded.
+    fn ignore_invalid(&self, manifest: &mut Manifest) -> Vec<CompactString> {
+        let mut ignored = std::mem::take(&mut manifest.ignored);
+        let unknown = services::remove_unknown_homes(manifest, &self.shared.cfg.regions);
+        ignored.extend(unknown.iter().map(|home| {
+            format_compact!(
+                "route {}: no data centre has the home region {}",
+                home.route,
+                home.region
+            )
+        }));
+        ignored
+    }
 }
 
 impl ChangeHandler for ManifestHandler {
--- a/crates/carawayrill-gateway/src/knowledge/servers.rs
+++ b/crates/carawayrill-gateway/src/knowledge/servers.rs
@@ -81,6 +81,7 @@
             return;
         }
         self.discard_stale_state(changes);
+        self.shared.record_homes();
         self.shared.notify_changed();
     }
 
--- a/crates/carawayrill-gateway/src/lib.rs
+++ b/crates/carawayrill-gateway/src/lib.rs
@@ -6,6 +6,7 @@
 //!
 //! - [`front`]: accepts requests from callers and responds to them,
 //! - [`forward`]: forwards one request, with retries and hedging,
+//! - [`homes`]: what the homes of routes mean for the known servers,
 //! - [`upstream`]: connections to servers and to other fronts,
 //! - `quarantine`: records which requests crash servers,
 //! - [`reach`]: finds out when a front that was cut off reaches the servers again,
@@ -26,6 +27,7 @@
 pub mod granter_runtime;
 pub mod granter_stream;
 mod head;
+pub mod homes;
 mod in_flight;
 pub mod knowledge;
 pub mod lease_manager;
--- a/crates/carawayrill-gateway/src/metrics.rs
+++ b/crates/carawayrill-gateway/src/metrics.rs
@@ -42,6 +42,13 @@
     pub limit_changes: IntCounter,
     /// The crashes of servers while they had a request of this front.
     pub request_crashes: IntCounter,
+    /// The requests of routes without homes that were sent elsewhere, because a server in a home
+    /// region of another route had no spare capacity.
+    pub left_home_room: IntCounter,
+    /// The destinations of routes with homes that have no server there.
+    pub without_home_server: IntGauge,
+    /// The services whose keys this front, as the granter, places only on servers in homes.
+    pub keys_restricted: IntGauge,
     /// Orders to servers by outcome.
     pub orders: IntCounterVec,
     /// Request log lines dropped by the rate limit.
@@ -118,6 +125,13 @@
             limit_changes: counter(r, "limit_changes_total", "Changes of the limits of servers")?,
             request_crashes: counter(r, "request_crashes_total", "Crashes under a request")?,
             bad_entries: counter(r, "bad_entries_total", "Unreadable entries of the store")?,
+            left_home_room: counter(
+                r,
+                "left_home_room_total",
+                "Requests that left room in homes",
+            )?,
+            without_home_server: gauge(r, "without_home_server", "Destinations without a server")?,
+            keys_restricted: gauge(r, "keys_restricted", "Services whose keys stay in homes")?,
             orders: counters(r, "orders_total", "Orders to servers by how they ended")?,
             dropped_log_lines: counter(r, "log_lines_left_out_total", "Request lines left out")?,
             in_flight: gauge(r, "in_flight", "Requests in flight")?,
--- a/crates/carawayrill-gateway/src/state.rs
+++ b/crates/carawayrill-gateway/src/state.rs
@@ -44,6 +44,7 @@
 
 use crate::clock;
 use crate::config::Config;
+use crate::homes::HomeTable;
 use crate::metrics::Metrics;
 use crate::spans::SpanTable;
 
@@ -67,6 +68,8 @@
     pub manifest: Option<Arc<Manifest>>,
     /// The routes of that manifest.
     pub routes: Routes,
+    /// The homes of those routes.
+    pub homes: HomeTable,
     /// The servers in the store.
     pub servers: Servers,
     /// Whether the list of servers has been read.
@@ -119,12 +122,14 @@
     pub fn new(cfg: Config, metrics: Metrics) -> Self {
         let seed = cfg.incarnation;
         let min_lapse = cfg.min_lapse;
+        let homes = HomeTable::new(cfg.regions.clone());
         Self {
             cfg,
             metrics,
             tables: Mutex::new(Tables {
                 manifest: None,
                 routes: Routes::default(),
+                homes,
                 servers: Servers::new(min_lapse),
                 servers_read: false,
                 servers_confirmed: None,
@@ -255,6 +260,7 @@
             .is_none_or(|present| present.version < manifest.version);
         if newer {
             self.routes = Routes::new(&manifest);
+            self.homes.put_manifest(&manifest);
             self.manifest = Some(Arc::new(manifest));
         }
         newer
@@ -272,13 +278,17 @@
 
     /// Returns the data centres whose servers may not hold keys of a service.
     #[must_use]
-    pub fn excluded_from_keys(&self, _service: &ServiceId) -> BTreeSet<DataCentreId> {
-        BTreeSet::new()
+    pub fn excluded_from_keys(&self, service: &ServiceId) -> BTreeSet<DataCentreId> {
+        self.key_placement_by_homes(service).excluded()
     }
 
     /// Finds the route of a request.
     pub fn find_route(&mut self, host: &str, path: &str) -> Option<RouteMatch> {
-        self.routes.find(host, path)
+        let (homes, servers) = (&self.homes, &self.servers);
+        self.routes.find(host, path, |allowed, service| {
+            let mut ready = servers.ready_servers(service);
+            ready.any(|server| homes.is_home(allowed, &server.data_centre))
+        })
     }
 
     /// Returns the mean service time of a service's servers, in milliseconds.
--- a/crates/carawayrill-gateway/src/watcher.rs
+++ b/crates/carawayrill-gateway/src/watcher.rs
@@ -216,6 +216,7 @@
             log::info!("server entry did not reappear after the store outage: {change:?}");
         }
         if !removed.is_empty() {
+            shared.record_homes();
             shared.notify_changed();
         }
         upstream.evict_idle(|id| {
