--- a/crates/carawayrill-core/tests/direct_granter.rs
+++ b/crates/carawayrill-core/tests/direct_granter.rs
@@ -22,6 +22,7 @@
 use carawayrill_core::direct::spans::Holder;
 use carawayrill_core::direct::spans::Span;
 use carawayrill_core::direct::spans::SpanRecord;
+use carawayrill_core::id::DataCentreId;
 use carawayrill_core::id::Era;
 use carawayrill_core::id::ServerId;
 use carawayrill_core::id::Version;
@@ -43,12 +44,20 @@
 }
 
 fn servers(count: u16) -> Servers {
-    let listed = (0..count).map(|number| Server {
+    servers_in(0..count, |_number| "a")
+}
+
+/// Returns servers in the data centres that `data_centre` names.
+fn servers_in(
+    numbers: impl IntoIterator<Item = u16>,
+    data_centre: impl Fn(u16) -> &'static str,
+) -> Servers {
+    let listed = numbers.into_iter().map(|number| Server {
         id: id(number),
         born: Born(1),
         service: "forms".parse().expect("a name"),
         address: holder(number).address,
-        data_centre: "a".parse().expect("a name"),
+        data_centre: data_centre(number).parse().expect("a name"),
         slots: 6,
         draining: false,
         cold_for: Duration::ZERO,
@@ -93,6 +102,7 @@
     now: Time,
     granter: Granter,
     servers: Servers,
+    excluded: BTreeSet<DataCentreId>,
     orders: Vec<(Time, SpanOrder)>,
     records: Vec<(Time, SpanRecord)>,
 }
@@ -105,6 +115,7 @@
             now: Time(0),
             granter,
             servers,
+            excluded: BTreeSet::new(),
             orders: Vec::new(),
             records: Vec::new(),
         }
@@ -117,14 +128,16 @@
             self.now = self.now + TICK;
             let mut capacities = Capacities::default();
             for server in self.servers.iter() {
-                capacities.set(server.id.clone(), 60.0);
+                if !self.excluded.contains(&server.data_centre) {
+                    capacities.set(server.id.clone(), 60.0);
+                }
             }
             let actions = self.granter.tick(&Inputs {
                 now: self.now,
                 servers: &self.servers,
                 demand: &KeyDemand::new(Duration::from_secs(1)),
                 capacities: &capacities,
-                excluded: &BTreeSet::new(),
+                excluded: &self.excluded,
                 store_unreachable: false,
                 stopping: false,
             });
@@ -255,3 +268,70 @@
     let next_era = Fence::first_after(version(3, 0));
     assert!(next_era > Fence::first_after(version(2, (1 << 28) - 1)));
 }
+
+/// Returns whether servers with numbers below 2, in data centre `a`, hold all keys, or none.
+fn held_in_a(granter: &Granter) -> (bool, bool) {
+    let in_a = |span: &Span| [id(0), id(1)].contains(&span.holder.server);
+    let spans = granter.spans();
+    (spans.iter().all(in_a), !spans.iter().any(in_a))
+}
+
+fn run_in_two_data_centres() -> Run {
+    let stored = StoredSpans {
+        version: version(0, 5),
+        record: Some(record(8, |at| at % 4, 0)),
+        ..StoredSpans::default()
+    };
+    let data_centre = |number| if number < 2 { "a" } else { "b" };
+    let mut run = Run::new(stored, servers_in(0..4, data_centre));
+    run.run(Duration::from_secs(3), |_granter| {});
+    run
+}
+
+/// A change of the homes of a keyed service moves the keys out of the data centre that is excluded
+/// now. A grant before the former holder's release would give a key two owners.
+#[test]
+fn keys_leave_an_excluded_data_centre_by_handover_and_may_return() {
+    let mut run = run_in_two_data_centres();
+    assert_eq!(held_in_a(&run.granter), (false, false));
+    for (excluded, expected) in [("b", (true, false)), ("a", (false, true))] {
+        let before = run.granter.spans();
+        run.orders.clear();
+        run.excluded = BTreeSet::from([excluded.parse().expect("a name")]);
+        run.run(Duration::from_secs(10), |_granter| {});
+        assert_eq!(held_in_a(&run.granter), expected, "without {excluded}");
+        let spans = run.granter.spans();
+        assert!(spans.iter().all(|span| span.former.is_none()));
+        for (at, order) in &run.orders {
+            let former = before
+                .iter()
+                .find(|span| span.range.contains(order.range.first))
+                .expect("all keys were held");
+            let is_grant = matches!(order.command, Command::Grant { .. });
+            if !is_grant || former.holder == order.to {
+                continue;
+            }
+            let is_release = |(released, earlier): &(Time, SpanOrder)| {
+                earlier.command == Command::Release
+                    && earlier.to == former.holder
+                    && earlier.range.contains(order.range.first)
+                    && released <= at
+            };
+            assert!(run.orders.iter().any(is_release), "{order:?}");
+        }
+    }
+}
+
+/// When all servers of a home region are lost, the granter's caller excludes no data centre any more,
+/// and the keys must find owners elsewhere instead of staying without one.
+#[test]
+fn keys_are_placed_elsewhere_when_their_home_region_is_lost() {
+    let mut run = run_in_two_data_centres();
+    run.excluded = BTreeSet::from(["b".parse().expect("a name")]);
+    run.run(Duration::from_secs(10), |_granter| {});
+    assert_eq!(held_in_a(&run.granter), (true, false));
+    run.servers = servers_in(2..4, |_number| "b");
+    run.excluded.clear();
+    run.run(Duration::from_secs(15), |_granter| {});
+    assert_eq!(held_in_a(&run.granter), (false, true));
+}
