--- a/crates/carawayrill-gateway/src/state.rs
+++ b/crates/carawayrill-gateway/src/state.rs
@@ -45,6 +45,7 @@
 
 use crate::clock;
 use crate::config::Config;
+use crate::homes::HomeTable;
 use crate::metrics::Metrics;
 use crate::spans::SpanTable;
 
@@ -64,6 +65,8 @@
     pub manifest: Option<Arc<Manifest>>,
     /// The routes of that manifest.
     pub routes: Routes,
+    /// The homes of those routes.
+    pub homes: HomeTable,
     /// The servers in the store.
     pub servers: Servers,
     /// Whether the list of servers has been read.
@@ -119,12 +122,14 @@
         let seed = cfg.incarnation;
         let min_lapse = cfg.min_lapse;
         let evacuations = Evacuations::new(cfg.evacuation_bound);
+        let homes = HomeTable::new(cfg.regions.clone());
         Self {
             cfg,
             metrics,
             tables: Mutex::new(Tables {
                 manifest: None,
                 routes: Routes::default(),
+                homes,
                 servers: Servers::new(min_lapse),
                 servers_read: false,
                 servers_confirmed: None,
@@ -256,6 +261,7 @@
             .is_none_or(|present| present.version < manifest.version);
         if newer {
             self.routes = Routes::new(&manifest);
+            self.homes.put_manifest(&manifest);
             self.manifest = Some(Arc::new(manifest));
         }
         newer
@@ -273,13 +279,19 @@
 
     /// Returns the data centres whose servers may not hold keys of a service.
     #[must_use]
-    pub fn excluded_from_keys(&self, _service: &ServiceId) -> BTreeSet<DataCentreId> {
-        self.evacuated_data_centres()
+    pub fn excluded_from_keys(&self, service: &ServiceId) -> BTreeSet<DataCentreId> {
+        let mut excluded = self.key_placement_by_homes(service).excluded();
+        excluded.extend(self.evacuated_data_centres());
+        excluded
     }
 
     /// Finds the route of a request.
     pub fn find_route(&mut self, host: &str, path: &str) -> Option<RouteMatch> {
-        self.routes.find(host, path)
+        let (homes, servers) = (&self.homes, &self.servers);
+        self.routes.find(host, path, |allowed, service| {
+            let mut ready = servers.ready_servers(service);
+            ready.any(|server| homes.is_home(allowed, &server.data_centre))
+        })
     }
 
     /// Returns the mean service time of a service's servers, in milliseconds.
