Keys follow the homes of routes only if these carry more than a few requests

Cause: the keys of a service were placed in the homes that all routes with homes share, also beside routes without homes. A route that is hardly used would have crowded all keys into its regions: on one deployment 70 requests in 30 s had such a route, of 45,255 to the service. Change: fronts report the requests of each service and those of routes with homes (RegionLoad.with_homes); below 3% (10% to begin with) the homes don't bind the keys if a route without homes sends to the service, and no room is kept for them. Servers in evacuated data centres don't count as usable in homes, so that their keys leave.

--- a/crates/carawayrill-core/src/direct/evacuation.rs
+++ b/crates/carawayrill-core/src/direct/evacuation.rs
@@ -157,6 +157,12 @@
         self.is_read() && evacuation.is_none_or(|evacuation| now < evacuation.owners_until)
     }
 
+    /// Returns whether no data centre is evacuated.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.evacuated.is_empty()
+    }
+
     /// Returns whether a data centre is evacuated.
     #[must_use]
     pub fn contains(&self, data_centre: &DataCentreId) -> bool {
--- a/crates/carawayrill-core/src/direct/homes/mod.rs
+++ b/crates/carawayrill-core/src/direct/homes/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod room;
 pub mod services;
+pub mod share;
 
 use std::collections::BTreeSet;
 
--- a/crates/carawayrill-core/src/direct/homes/services.rs
+++ b/crates/carawayrill-core/src/direct/homes/services.rs
@@ -46,6 +46,8 @@
     /// On all servers, as no route to the service has homes.
     #[default]
     Unrestricted,
+    /// On all servers, as few requests are of routes with homes and others may be sent anywhere.
+    FewRequests,
     /// Only on servers outside of these data centres.
     Excluded(BTreeSet<DataCentreId>),
     /// On all servers, as no region is a home of all routes to the service.
@@ -60,7 +62,9 @@
     pub fn excluded(self) -> BTreeSet<DataCentreId> {
         match self {
             Self::Excluded(data_centres) => data_centres,
-            Self::Unrestricted | Self::NoCommonHome | Self::NoServer => BTreeSet::new(),
+            Self::Unrestricted | Self::FewRequests | Self::NoCommonHome | Self::NoServer => {
+                BTreeSet::new()
+            }
         }
     }
 
@@ -75,6 +79,7 @@
     pub fn name(&self) -> &'static str {
         match self {
             Self::Unrestricted => "unrestricted",
+            Self::FewRequests => "few-requests",
             Self::Excluded(_) => "homes",
             Self::NoCommonHome => "no-common-home",
             Self::NoServer => "no-server",
@@ -89,6 +94,8 @@
     common: BTreeSet<RegionId>,
     /// The regions that are a home of any route.
     any: BTreeSet<RegionId>,
+    /// Whether a route without homes sends to the service too.
+    has_unrestricted: bool,
 }
 
 /// The home regions of the routes to each service.
@@ -115,11 +122,21 @@
                     .or_insert_with(|| RegionSets {
                         common: regions.clone(),
                         any: BTreeSet::new(),
+                        has_unrestricted: false,
                     });
                 sets.common.retain(|region| regions.contains(region));
                 sets.any.extend(regions.iter().cloned());
             }
         }
+        let unrestricted = manifest
+            .routes
+            .iter()
+            .filter(|one| !one.homes.is_restricted());
+        for destination in unrestricted.flat_map(|route| &route.destinations) {
+            if let Some(sets) = services.get_mut(&destination.service) {
+                sets.has_unrestricted = true;
+            }
+        }
         Self { services }
     }
 
@@ -138,16 +155,22 @@
     }
 
     /// Decides where the keys of a service may be placed. `usable` has the data centres of the
-    /// servers that could hold them; one whose region is not known is no home.
+    /// servers that could hold them; one whose region is not known is no home. `is_significant` says
+    /// whether more than a few of the service's requests are of routes with homes; otherwise these
+    /// don't keep the keys from servers that all other requests may use.
     pub fn key_placement<'a>(
         &self,
         service: &ServiceId,
         regions: &Regions,
         usable: impl IntoIterator<Item = &'a DataCentreId>,
+        is_significant: bool,
     ) -> KeyPlacement {
         let Some(sets) = self.services.get(service) else {
             return KeyPlacement::Unrestricted;
         };
+        if sets.has_unrestricted && !is_significant {
+            return KeyPlacement::FewRequests;
+        }
         if sets.common.is_empty() {
             return KeyPlacement::NoCommonHome;
         }
--- a/crates/carawayrill-core/src/direct/mod.rs
+++ b/crates/carawayrill-core/src/direct/mod.rs
@@ -25,4 +25,5 @@
 pub mod rebalance;
 pub mod routes;
 pub mod servers;
+pub mod service_load;
 pub mod spans;
--- a/crates/carawayrill-core/tests/direct_homes.rs
+++ b/crates/carawayrill-core/tests/direct_homes.rs
@@ -13,6 +13,7 @@
 use carawayrill_core::direct::homes::services::Regions;
 use carawayrill_core::direct::homes::services::ServiceHomes;
 use carawayrill_core::direct::homes::services::remove_unknown_homes;
+use carawayrill_core::direct::homes::share::HomedShare;
 use carawayrill_core::direct::manifest::Destination;
 use carawayrill_core::direct::manifest::Manifest;
 use carawayrill_core::direct::manifest::Repeat;
@@ -20,6 +21,7 @@
 use carawayrill_core::direct::routes::Routes;
 use carawayrill_core::id::DataCentreId;
 use carawayrill_core::id::ServiceId;
+use carawayrill_core::time::Time;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
@@ -101,13 +103,55 @@
     let homes = ServiceHomes::new(&manifest(homes, &[("forms", 1)]));
     let service: ServiceId = "forms".parse().expect("a name");
     let usable = data_centres(usable);
-    let placement = homes.key_placement(&service, &regions(), &usable);
+    let placement = homes.key_placement(&service, &regions(), &usable, true);
     assert_eq!(placement, expected);
     let other: ServiceId = "signs".parse().expect("a name");
-    let placement = homes.key_placement(&other, &regions(), &usable);
+    let placement = homes.key_placement(&other, &regions(), &usable, true);
     assert_eq!(placement, KeyPlacement::Unrestricted);
 }
 
+/// Guards against crowding all keys of a service into the homes of a route that is hardly used.
+#[rstest]
+#[case::beside_a_route_without_homes(&["east", ""], KeyPlacement::FewRequests)]
+#[case::all_routes_have_homes(&["east", "east west"], excluded("c d"))]
+fn a_few_requests_with_homes_do_not_move_the_keys_of_all_others(
+    #[case] homes: &[&str],
+    #[case] expected: KeyPlacement,
+) {
+    let homes = ServiceHomes::new(&manifest(homes, &[("forms", 1)]));
+    let service: ServiceId = "forms".parse().expect("a name");
+    let usable = data_centres("a b c d");
+    let placement = homes.key_placement(&service, &regions(), &usable, false);
+    assert_eq!(placement, expected);
+}
+
+/// Guards against keys that move back and forth while the share is near the bound.
+#[test]
+fn the_share_of_requests_with_homes_has_to_fall_well_below_the_bound() {
+    let mut share = HomedShare::default();
+    let mut second = 0;
+    let mut play = |with_homes, seconds| {
+        for _second in 0..seconds {
+            second += 1;
+            share.record(with_homes, 100, Time(second * 1_000));
+        }
+        share.is_significant()
+    };
+    assert!(!play(2, 20), "a few requests");
+    assert!(play(20, 20), "a fifth of the requests");
+    assert!(play(6, 20), "near the bound");
+    assert!(play(0, 1), "one second without any");
+    assert!(!play(0, 20), "none for long");
+}
+
+/// Guards against a placement that depends on the first few requests.
+#[test]
+fn a_share_of_next_to_no_requests_is_not_known() {
+    let mut share = HomedShare::default();
+    share.record(4, 4, Time(1_000));
+    assert!(!share.is_significant());
+}
+
 /// An unknown region must not make the known homes of the route, or those of others, ineffective.
 #[test]
 fn an_unknown_home_is_removed_and_the_others_stay() {
--- a/crates/carawayrill-gateway/src/forward/choose.rs
+++ b/crates/carawayrill-gateway/src/forward/choose.rs
@@ -143,7 +143,7 @@
     /// Chooses among all servers of the service.
     fn next_server(&self, tables: &mut Tables, now: Time) -> NextStep {
         let service = &self.request.matched.service;
-        if self.is_evacuated(tables) {
+        if !tables.evacuations.is_empty() && self.is_evacuated(tables) {
             return NextStep::Refuse(refuse_evacuated(tables));
         }
         let mean_ms = tables.mean_service_ms(service, now);
--- a/crates/carawayrill-gateway/src/front.rs
+++ b/crates/carawayrill-gateway/src/front.rs
@@ -306,6 +306,7 @@
         tables
             .budget(service, &self.shared.cfg)
             .record_request(request.received);
+        tables.count_request(service, request.matched.route.homes.is_restricted());
         if let Some(key) = request.key.filter(|_| request.keyed) {
             tables.record_key(service, key);
         }
--- a/crates/carawayrill-gateway/src/granter_runtime/mod.rs
+++ b/crates/carawayrill-gateway/src/granter_runtime/mod.rs
@@ -29,6 +29,7 @@
 use carawayrill_core::direct::quarantine::Scope;
 use carawayrill_core::direct::reach::Peer;
 use carawayrill_core::direct::reach::choose_peers;
+use carawayrill_core::direct::service_load::ServiceLoad;
 use carawayrill_core::direct::spans::SpanRecord;
 use carawayrill_core::event::EventKind;
 use carawayrill_core::id::DataCentreId;
@@ -85,6 +86,8 @@
     pub front: CompactString,
     /// The number of requests by service and key.
     pub demand: HashMap<ServiceId, BTreeMap<u16, u32>>,
+    /// The requests of each service.
+    pub service_loads: HashMap<ServiceId, ServiceLoad>,
     /// The mean service time of each server, in milliseconds.
     pub service_times: Vec<(ServerId, f64)>,
     /// The processor time of the front, in cores.
@@ -171,9 +174,23 @@
     /// Adds the report of a front.
     pub fn add_report(&self, report: Report) {
         self.mark_leaving(&report);
+        self.record_service_loads(&report);
         self.state().add_report(report, clock::now());
     }
 
+    /// Counts the requests of services that another front has accepted. This front has counted its
+    /// own.
+    fn record_service_loads(&self, report: &Report) {
+        if report.front == self.shared.cfg.front {
+            return;
+        }
+        let now = clock::now();
+        let mut tables = self.shared.tables();
+        for (service, load) in &report.service_loads {
+            tables.homes.record_load(service, load, now);
+        }
+    }
+
     /// Marks the servers that another front knows to be leaving, so that their keys are moved.
     fn mark_leaving(&self, report: &Report) {
         let now = clock::now();
--- a/crates/carawayrill-gateway/src/granter_stream/convert.rs
+++ b/crates/carawayrill-gateway/src/granter_stream/convert.rs
@@ -26,6 +26,7 @@
 
 use super::crashes;
 use super::limits;
+use super::loads;
 use super::peers;
 use crate::granter_runtime::LeavingServer;
 use crate::granter_runtime::Report;
@@ -86,7 +87,7 @@
             .map_or_else(String::new, |peer| peer.data_centre.to_string()),
         is_cut_off: report.is_cut_off,
         class_loads: Vec::new(),
-        region_loads: Vec::new(),
+        region_loads: loads::encode(&report.service_loads),
         proof: bytes::Bytes::new(),
     }
 }
@@ -191,6 +192,7 @@
         leaving: leaving.collect(),
         limits: limits.collect(),
         demand: demand.collect::<HashMap<_, _>>(),
+        service_loads: loads::decode(&report.region_loads),
         service_times: service_times.collect(),
         cores: f64::from(report.milli_cores) / 1_000.0,
     }
--- a/crates/carawayrill-gateway/src/granter_stream/mod.rs
+++ b/crates/carawayrill-gateway/src/granter_stream/mod.rs
@@ -5,6 +5,7 @@
 mod convert;
 mod crashes;
 mod limits;
+mod loads;
 mod peers;
 mod service;
 
@@ -17,6 +18,7 @@
 use carawayrill_core::direct::limit::FrontShare;
 use carawayrill_core::direct::quarantine::Scope;
 use carawayrill_core::direct::reach::Peer;
+use carawayrill_core::direct::service_load::ServiceLoad;
 use carawayrill_core::event::EventKind;
 use carawayrill_core::id::ServerId;
 use carawayrill_core::id::ServiceId;
@@ -201,6 +203,7 @@
     let mut tables = shared.tables();
 
     let demand: HashMap<ServiceId, BTreeMap<u16, u32>> = std::mem::take(&mut tables.demand);
+    let service_loads = take_service_loads(&mut tables);
     let service_times = changed_service_times(&mut tables);
     let leaving = tables
         .servers
@@ -223,11 +226,23 @@
         limits,
         front: shared.cfg.front.clone(),
         demand,
+        service_loads,
         service_times,
         cores: shared.cfg.cores,
     }
 }
 
+/// Takes the requests of each service since the last report. They count at this front too, which
+/// knows only its own.
+fn take_service_loads(tables: &mut Tables) -> HashMap<ServiceId, ServiceLoad> {
+    let now = clock::now();
+    let loads = std::mem::take(&mut tables.service_loads);
+    for (service, load) in &loads {
+        tables.homes.record_load(service, load, now);
+    }
+    loads
+}
+
 /// Returns the positions up to which this front has the granter's changes.
 fn known_positions(tables: &Tables) -> convert::KnownPositions {
     let positions = tables
--- a/crates/carawayrill-gateway/src/homes.rs
+++ b/crates/carawayrill-gateway/src/homes.rs
@@ -9,10 +9,13 @@
 use carawayrill_core::direct::homes::services::Regions;
 use carawayrill_core::direct::homes::services::RouteDestination;
 use carawayrill_core::direct::homes::services::ServiceHomes;
+use carawayrill_core::direct::homes::share::HomedShare;
 use carawayrill_core::direct::manifest::Manifest;
+use carawayrill_core::direct::service_load::ServiceLoad;
 use carawayrill_core::event::EventKind;
 use carawayrill_core::id::DataCentreId;
 use carawayrill_core::id::ServiceId;
+use carawayrill_core::time::Time;
 use carawayrill_telemetry::emit;
 use compact_str::ToCompactString;
 
@@ -26,6 +29,8 @@
     services: ServiceHomes,
     /// The destinations of routes with homes that were last logged to have no server there.
     without_server: BTreeSet<RouteDestination>,
+    /// The share of requests with homes at this front, and at all fronts if it is the granter.
+    shares: BTreeMap<ServiceId, HomedShare>,
     /// The placement of the keys of each keyed service that was last logged.
     placements: BTreeMap<ServiceId, KeyPlacement>,
 }
@@ -38,6 +43,7 @@
             regions,
             services: ServiceHomes::default(),
             without_server: BTreeSet::new(),
+            shares: BTreeMap::new(),
             placements: BTreeMap::new(),
         }
     }
@@ -53,10 +59,23 @@
         homes.allows(self.regions.get(data_centre))
     }
 
-    /// Returns whether a route with homes sends to the service.
+    /// Returns whether routes with homes send more than a few requests to the service.
     #[must_use]
     pub fn is_restricted(&self, service: &ServiceId) -> bool {
-        self.services.is_restricted(service)
+        self.services.is_restricted(service) && self.is_significant(service)
+    }
+
+    fn is_significant(&self, service: &ServiceId) -> bool {
+        let share = self.shares.get(service);
+        share.is_some_and(HomedShare::is_significant)
+    }
+
+    /// Counts requests of a service that fronts have reported.
+    pub fn record_load(&mut self, service: &ServiceId, load: &ServiceLoad, now: Time) {
+        if self.services.is_restricted(service) {
+            let share = self.shares.entry(service.clone()).or_default();
+            share.record(load.with_homes, load.offered, now);
+        }
     }
 
     /// Returns whether a data centre is in a home of a route to the service.
@@ -68,14 +87,26 @@
 }
 
 impl Tables {
+    /// Counts a request of a service, if routes with homes send to it.
+    pub fn count_request(&mut self, service: &ServiceId, has_homes: bool) {
+        if self.homes.services.is_restricted(service) {
+            let load = self.service_loads.entry(service.clone()).or_default();
+            load.offered += 1;
+            load.with_homes += u32::from(has_homes);
+        }
+    }
+
     /// Decides where homes of routes allow the keys of a service to be placed.
     #[must_use]
     pub fn key_placement_by_homes(&self, service: &ServiceId) -> KeyPlacement {
         let ready = self.servers.ready_servers(service);
-        let usable = ready.map(|server| &server.data_centre);
+        let usable = ready
+            .map(|server| &server.data_centre)
+            .filter(|data_centre| !self.evacuations.contains(data_centre));
+        let is_significant = self.homes.is_significant(service);
         self.homes
             .services
-            .key_placement(service, &self.homes.regions, usable)
+            .key_placement(service, &self.homes.regions, usable, is_significant)
     }
 }
 
--- a/crates/carawayrill-gateway/src/state.rs
+++ b/crates/carawayrill-gateway/src/state.rs
@@ -29,6 +29,7 @@
 use carawayrill_core::direct::routes::Routes;
 use carawayrill_core::direct::servers::Server;
 use carawayrill_core::direct::servers::Servers;
+use carawayrill_core::direct::service_load::ServiceLoad;
 use carawayrill_core::event::EventKind;
 use carawayrill_core::id::DataCentreId;
 use carawayrill_core::id::ServerId;
@@ -91,6 +92,8 @@
     pub retry_budgets: HashMap<ServiceId, RetryWindow>,
     /// The mean size of request plus response of each route, in KiB.
     pub route_sizes_kib: HashMap<compact_str::CompactString, f64>,
+    /// The requests of each service since the last report to the granter.
+    pub service_loads: HashMap<ServiceId, ServiceLoad>,
     /// The number of requests by key since the last report to the granter.
     pub demand: HashMap<ServiceId, BTreeMap<u16, u32>>,
     /// The service time of each server as last reported to the granter, in milliseconds.
@@ -142,6 +145,7 @@
                 spans: HashMap::new(),
                 retry_budgets: HashMap::new(),
                 route_sizes_kib: HashMap::new(),
+                service_loads: HashMap::new(),
                 demand: HashMap::new(),
                 reported_service_times: HashMap::new(),
                 fronts: FrontCount::new(DEFAULT_FRONT_COUNT, clock::now()),
