--- a/crates/carawayrill-gateway/src/homes.rs
+++ b/crates/carawayrill-gateway/src/homes.rs
@@ -10,6 +10,7 @@
 use carawayrill_core::direct::homes::services::RouteDestination;
 use carawayrill_core::direct::homes::services::ServiceHomes;
 use carawayrill_core::direct::manifest::Manifest;
+use carawayrill_core::direct::routes::RouteMatch;
 use carawayrill_core::event::EventKind;
 use carawayrill_core::id::DataCentreId;
 use carawayrill_core::id::ServiceId;
@@ -68,6 +69,16 @@
 }
 
 impl Tables {
+    /// Finds the route of a request. A destination of a split gets a share only if it has a server in
+    /// the homes of the route.
+    pub fn find_route(&mut self, host: &str, path: &str) -> Option<RouteMatch> {
+        let (homes, servers) = (&self.homes, &self.servers);
+        self.routes.find(host, path, |allowed, service| {
+            let mut ready = servers.ready_servers(service);
+            ready.any(|server| homes.is_home(allowed, &server.data_centre))
+        })
+    }
+
     /// Decides where homes of routes allow the keys of a service to be placed.
     #[must_use]
     pub fn key_placement_by_homes(&self, service: &ServiceId) -> KeyPlacement {
--- a/crates/carawayrill-gateway/src/state.rs
+++ b/crates/carawayrill-gateway/src/state.rs
@@ -24,7 +24,6 @@
 use carawayrill_core::direct::reach::PeerTable;
 use carawayrill_core::direct::reach::ReachChange;
 use carawayrill_core::direct::reach::ServerReach;
-use carawayrill_core::direct::routes::RouteMatch;
 use carawayrill_core::direct::routes::Routes;
 use carawayrill_core::direct::servers::Server;
 use carawayrill_core::direct::servers::Servers;
@@ -282,15 +281,6 @@
         self.key_placement_by_homes(service).excluded()
     }
 
-    /// Finds the route of a request.
-    pub fn find_route(&mut self, host: &str, path: &str) -> Option<RouteMatch> {
-        let (homes, servers) = (&self.homes, &self.servers);
-        self.routes.find(host, path, |allowed, service| {
-            let mut ready = servers.ready_servers(service);
-            ready.any(|server| homes.is_home(allowed, &server.data_centre))
-        })
-    }
-
     /// Returns the mean service time of a service's servers, in milliseconds.
     #[must_use]
     pub fn mean_service_ms(&self, service: &ServiceId, now: Time) -> Option<f64> {
