A front counts as cut off only if it reaches servers of no other service

Cause: all servers of one service had crashed at once.

Ruled out: to trust answers on open connections, since a cut may refuse new connections only (cut_from_servers, RefuseNew).

Change: a front is cut off only if the outage of no single service explains its failures. While one does, the front opens connections to three servers of other services, at most once a second. With one service the former rule applies. Event service_unreachable, metrics cut_offs_total and reach_probes_total.

--- a/crates/carawayrill-core/src/direct/reach/mod.rs
+++ b/crates/carawayrill-core/src/direct/reach/mod.rs
@@ -4,10 +4,14 @@
 //! It then passes its callers' requests on to a front that reaches the servers.
 
 mod peers;
+mod probe;
 mod servers;
 
 pub use self::peers::Peer;
 pub use self::peers::PeerTable;
 pub use self::peers::choose_peers;
+pub use self::probe::choose_probes;
+pub use self::servers::PROBES;
 pub use self::servers::ReachChange;
 pub use self::servers::ServerReach;
+pub use self::servers::ServiceSizes;
--- a/crates/carawayrill-core/src/event.rs
+++ b/crates/carawayrill-core/src/event.rs
@@ -317,6 +317,11 @@
             /// The server that answered it.
             server: CompactString,
         },
+        /// Servers of one service are not reached, but others are: the front is not cut off.
+        ServiceUnreachable {
+            /// The service.
+            service: ServiceId,
+        },
         /// A front opens no connection to any server, and passes its requests on to other fronts.
         ServersUnreachable {
             /// The number of servers that it did not reach, one after the other.
--- a/crates/carawayrill-gateway/src/metrics.rs
+++ b/crates/carawayrill-gateway/src/metrics.rs
@@ -42,6 +42,10 @@
     pub limit_changes: IntCounter,
     /// The crashes of servers while they had a request of this front.
     pub request_crashes: IntCounter,
+    /// The times that this front has counted as cut off from the servers.
+    pub cut_offs: IntCounter,
+    /// The connections that were opened to find out whether this front is cut off, by outcome.
+    pub reach_probes: IntCounterVec,
     /// Orders to servers by outcome.
     pub orders: IntCounterVec,
     /// Request log lines dropped by the rate limit.
@@ -117,6 +121,12 @@
             store_calls: counters(r, "store_calls_total", "Store calls by how they ended")?,
             limit_changes: counter(r, "limit_changes_total", "Changes of the limits of servers")?,
             request_crashes: counter(r, "request_crashes_total", "Crashes under a request")?,
+            cut_offs: counter(r, "cut_offs_total", "Times cut off from the servers")?,
+            reach_probes: counters(
+                r,
+                "reach_probes_total",
+                "Probes of servers by how they ended",
+            )?,
             bad_entries: counter(r, "bad_entries_total", "Unreadable entries of the store")?,
             orders: counters(r, "orders_total", "Orders to servers by how they ended")?,
             dropped_log_lines: counter(r, "log_lines_left_out_total", "Request lines left out")?,
--- a/crates/carawayrill-gateway/src/state.rs
+++ b/crates/carawayrill-gateway/src/state.rs
@@ -22,7 +22,6 @@
 use carawayrill_core::direct::manifest::Manifest;
 use carawayrill_core::direct::quarantine::CrashTable;
 use carawayrill_core::direct::reach::PeerTable;
-use carawayrill_core::direct::reach::ReachChange;
 use carawayrill_core::direct::reach::ServerReach;
 use carawayrill_core::direct::routes::RouteMatch;
 use carawayrill_core::direct::routes::Routes;
@@ -33,7 +32,6 @@
 use carawayrill_core::id::ServerId;
 use carawayrill_core::id::ServiceId;
 use carawayrill_core::time::Time;
-use carawayrill_core::time::millis;
 use carawayrill_telemetry::emit;
 use compact_str::CompactString;
 use compact_str::ToCompactString;
@@ -111,6 +109,8 @@
     tables: Mutex<Tables>,
     changed: watch::Sender<u64>,
     crash_observed: Notify,
+    /// Notified when servers of one service are not reached.
+    pub(crate) reach_suspected: Notify,
 }
 
 impl Shared {
@@ -144,6 +144,7 @@
             }),
             changed: watch::Sender::new(0),
             crash_observed: Notify::new(),
+            reach_suspected: Notify::new(),
         }
     }
 
@@ -176,29 +177,6 @@
         tables.reach.is_cut_off() && !tables.peers.is_empty()
     }
 
-    /// Records whether a connection to a server could be opened.
-    pub fn record_connect(&self, server: &ServerId, connected: bool) {
-        let now = clock::now();
-        let change = {
-            let mut tables = self.tables();
-            if connected {
-                tables.reach.record_connected(now)
-            } else {
-                let of_service = tables.servers.get(server).map_or(0, |server| {
-                    tables.servers.ready_servers(&server.service).count()
-                });
-                tables.reach.record_failed(server, of_service, now)
-            }
-        };
-        match change {
-            Some(ReachChange::Lost(servers)) => emit(EventKind::ServersUnreachable { servers }),
-            Some(ReachChange::Regained(after)) => emit(EventKind::ServersReachable {
-                after_ms: millis(after),
-            }),
-            None => {}
-        }
-    }
-
     /// Reports to the granter without delay that a server crashed under a request, or that such a
     /// request was answered.
     pub fn notify_crash_observed(&self) {
