Fronts prove to each other that they are fronts

Cause: a front trusted the header carawayrill-forwarded from any caller, and the granter named every process that joined its stream as a peer.

Change: a granter makes a key when it acquires the lease and keeps it in the lease record (peer_key). Fronts learn it from the record and from updates, and accept the last two. A front that joins without a proof is served, but neither named as a peer nor told the key. Only the first report of a stream can give an address, since only that one is proved. Metric unproven_total.

--- a/crates/carawayrill-core/src/direct/lease.rs
+++ b/crates/carawayrill-core/src/direct/lease.rs
@@ -9,6 +9,8 @@
 
 use crate::data;
 use crate::direct::knowledge::StoredVersion;
+use crate::direct::reach::PeerKey;
+use crate::direct::reach::deserialize_key;
 use crate::id::Era;
 use crate::id::Version;
 use crate::time::Time;
@@ -32,6 +34,14 @@
         /// copy of the store says, and another front may hold the lease.
         #[serde(default)]
         pub era: Era,
+        /// The key with which fronts prove to each other that they are fronts. Records of older
+        /// builds have none, and an older build that renews the lease drops it.
+        #[serde(
+            default,
+            skip_serializing_if = "Option::is_none",
+            deserialize_with = "deserialize_key"
+        )]
+        pub peer_key: Option<PeerKey>,
     }
 }
 
@@ -84,6 +94,18 @@
         }
     }
 
+    /// Sets the key that this front stores with its claims from now on.
+    pub fn set_peer_key(&mut self, key: PeerKey) {
+        self.own.peer_key = Some(key);
+    }
+
+    /// Returns the key of the last known lease and the version of that lease.
+    #[must_use]
+    pub fn peer_key(&self) -> Option<(&PeerKey, StoredVersion)> {
+        let key = self.current()?.peer_key.as_ref()?;
+        Some((key, self.version()))
+    }
+
     /// Records a version that was read; `sent` is the time at which the read was sent.
     pub fn observe(&mut self, version: StoredVersion, lease: Option<Lease>, sent: Time) {
         self.first_era.get_or_insert(version.era);
--- a/crates/carawayrill-core/tests/direct_lease.rs
+++ b/crates/carawayrill-core/tests/direct_lease.rs
@@ -18,6 +18,7 @@
         renewals: 0,
         released: false,
         era: Era(era),
+        peer_key: None,
     }
 }
 
--- a/crates/carawayrill-core/tests/direct_simulation/front.rs
+++ b/crates/carawayrill-core/tests/direct_simulation/front.rs
@@ -64,6 +64,7 @@
         renewals: 0,
         released: false,
         era: Era::default(),
+        peer_key: None,
     };
     LeaseView::new(own, false)
 }
--- a/crates/carawayrill-gateway/src/forward/peer.rs
+++ b/crates/carawayrill-gateway/src/forward/peer.rs
@@ -11,6 +11,7 @@
 use carawayrill_core::time::Time;
 use carawayrill_core::time::millis;
 use compact_str::CompactString;
+use http::HeaderMap;
 use http::HeaderName;
 use http::HeaderValue;
 use http::Request;
@@ -23,12 +24,14 @@
 use super::Reply;
 use crate::clock;
 use crate::port::SendMetadata;
+use crate::state::Shared;
 use crate::upstream::Destination;
 use crate::upstream::Reuse;
 use crate::upstream::SendError;
 use crate::upstream::ServerResponse;
 
-/// Marks a request that a front has passed on. It is not passed on again.
+/// Marks a request that a front has passed on, with the name of that front and a proof. It is not
+/// passed on again.
 pub(crate) const FORWARDED: HeaderName = HeaderName::from_static("carawayrill-forwarded");
 /// Marks the refusal of such a request by a front that is cut off as well.
 const CUT_OFF: HeaderName = HeaderName::from_static("carawayrill-cut-off");
@@ -94,11 +97,7 @@
         }
     }
 
-    fn choose_peer(
-        &self,
-        tried: &[CompactString],
-        now: Time,
-    ) -> Result<Option<Peer>, NoHomePeer> {
+    fn choose_peer(&self, tried: &[CompactString], now: Time) -> Result<Option<Peer>, NoHomePeer> {
         let place = Place {
             data_centre: &self.shared.cfg.data_centre,
             regions: &self.shared.cfg.regions,
@@ -134,8 +133,7 @@
         };
         self.header_codec
             .write_request(req.headers_mut(), &metadata);
-        let mark = HeaderValue::from_static("1");
-        req.headers_mut().insert(FORWARDED, mark);
+        req.headers_mut().insert(FORWARDED, self.mark());
         let reuse = match self.request.matched.route.repeat {
             Repeat::Idempotent => Reuse::Allowed,
             Repeat::AtMostOnce => Reuse::Fresh,
@@ -147,6 +145,17 @@
         self.peers.send(to, req, reuse, |_result| {}).await
     }
 
+    /// Returns the value of the header that marks the request. Without a key, older builds still
+    /// recognize it by the name of the header.
+    fn mark(&self) -> HeaderValue {
+        let front = &self.shared.cfg.front;
+        let tables = self.shared.tables();
+        let signed = tables.peer_keys.sign_request(front, &self.request.id);
+        signed
+            .and_then(|value| HeaderValue::try_from(value).ok())
+            .unwrap_or(HeaderValue::from_static("1"))
+    }
+
     fn end_peer_try(&mut self, started: Time, outcome: &'static str, error: Option<&SendError>) {
         let took = clock::now().since(started);
         self.shared.metrics.record_try(outcome, took);
@@ -175,6 +184,27 @@
     }
 }
 
+/// Returns whether a front has passed the request on, as its headers prove.
+pub(crate) fn is_forwarded(shared: &Shared, headers: &HeaderMap, id: &str) -> bool {
+    let Some(value) = headers.get(FORWARDED) else {
+        return false;
+    };
+    let value = value.to_str().unwrap_or_default();
+    let is_proven = shared
+        .tables()
+        .peer_keys
+        .verify_request(value, id)
+        .is_some();
+    if !is_proven {
+        shared
+            .metrics
+            .unproven
+            .with_label_values(&["request"])
+            .inc();
+    }
+    is_proven
+}
+
 /// Returns the id by which connections to a peer are reused.
 fn peer_id(peer: &Peer) -> Result<ServerId, SendError> {
     ServerId::try_from(peer.front.as_str())
--- a/crates/carawayrill-gateway/src/front.rs
+++ b/crates/carawayrill-gateway/src/front.rs
@@ -356,11 +356,11 @@
         let elapsed = matched.route.timeout.saturating_sub(timeout);
         let objective = matched.route.objective.saturating_sub(elapsed);
         Ok(AcceptedRequest {
+            was_forwarded: peer::is_forwarded(&self.shared, &parts.headers, &id),
             id,
             keyed,
             key,
             fingerprints: Fingerprints::default(),
-            was_forwarded: parts.headers.contains_key(peer::FORWARDED),
             manifest: manifest.version.0,
             method: parts.method.clone(),
             uri: origin_form(&parts.uri),
--- a/crates/carawayrill-gateway/src/granter_stream/convert.rs
+++ b/crates/carawayrill-gateway/src/granter_stream/convert.rs
@@ -13,6 +13,7 @@
 use carawayrill_core::direct::limit::FrontShare;
 use carawayrill_core::direct::quarantine::CrashReport;
 use carawayrill_core::direct::reach::Peer;
+use carawayrill_core::direct::reach::PeerKey;
 use carawayrill_core::id::Era;
 use carawayrill_core::id::Revision;
 use carawayrill_core::id::ServerId;
@@ -32,6 +33,7 @@
 use crate::granter_runtime::Update;
 use crate::knowledge::Knowledge;
 use crate::knowledge::RelayedChanges;
+use crate::peer_keys;
 use crate::spans::SpanDelta;
 use crate::spans::SpanEntry;
 use crate::spans::TablePosition;
@@ -341,6 +343,8 @@
     pub(super) crashes: Vec<CrashReport>,
     /// The fronts that take the requests of this one if it is cut off; `None` if unchanged.
     pub(super) peers: Option<Vec<Peer>>,
+    /// The key that the fronts share, and the version of the lease it is of.
+    pub(super) peer_key: Option<(PeerKey, StoredVersion)>,
 }
 
 /// Decodes an update. Invalid parts are logged and skipped.
@@ -375,6 +379,10 @@
             .collect(),
         crashes: crashes::decode(&update.crashes),
         peers: update.peers.as_ref().map(peers::decode),
+        peer_key: peer_keys::decode(
+            &update.peer_key,
+            stored_version(update.lease_era, update.lease_version),
+        ),
     }
 }
 
@@ -398,6 +406,8 @@
         limits,
         crashes: Vec::new(),
         peers,
+        // The granter has it from its own lease.
+        peer_key: None,
     }
 }
 
--- a/crates/carawayrill-gateway/src/granter_stream/mod.rs
+++ b/crates/carawayrill-gateway/src/granter_stream/mod.rs
@@ -138,6 +138,7 @@
     let knowledge = lease_manager.knowledge();
     let mut crashes_reported = 0;
     let first = add_crashes(first, shared, Scope::All, &mut crashes_reported);
+    let first = add_proof(first, shared);
     let _sent = tx.try_send(convert::add_positions(first, knowledge, clock::now()));
     let mut client = GranterClient::new(channel);
     let call = client.join(ReceiverStream::new(rx));
@@ -196,6 +197,15 @@
     }
 }
 
+/// Adds the proof that the sender is a front, if it knows a key.
+fn add_proof(report: wire::FrontReport, shared: &Shared) -> wire::FrontReport {
+    let proof = shared.tables().peer_keys.sign_join(&report.front);
+    wire::FrontReport {
+        proof: proof.unwrap_or_default().into(),
+        ..report
+    }
+}
+
 /// Takes the observations since the last report.
 fn take_report(shared: &Shared) -> Report {
     let mut tables = shared.tables();
@@ -274,6 +284,9 @@
         tables.fronts.update(update.fronts, clock::now());
         tables.strongest_cores = update.strongest_cores;
         apply_limits(shared, &mut tables, &update.limits);
+        if let Some((key, version)) = &update.peer_key {
+            tables.peer_keys.set(key, *version);
+        }
         if let Some(peers) = &update.peers {
             tables.peers.set(peers.clone());
         }
--- a/crates/carawayrill-gateway/src/granter_stream/service.rs
+++ b/crates/carawayrill-gateway/src/granter_stream/service.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use carawayrill_core::direct::quarantine::Scope;
 use carawayrill_core::time::Time;
 use carawayrill_proto::granter as wire;
@@ -23,6 +24,7 @@
 
 use crate::clock;
 use crate::granter_runtime::GranterRuntime;
+use crate::granter_runtime::Report;
 use crate::granter_stream::convert;
 use crate::granter_stream::crashes;
 use crate::granter_stream::limits;
@@ -98,8 +100,13 @@
     let shared = Arc::clone(lease_manager.shared());
     let mut crashes_told = 0;
     quarantine::merge_reports(&shared, &crashes::decode(&first.crashes), &front);
-    let first = convert::decode_report(first);
+    let is_proven = shared.verify_join(&first.front, &first.proof);
+    let mut first = convert::decode_report(first);
     let data_centre = first.peer.as_ref().map(|peer| peer.data_centre.clone());
+    if !is_proven {
+        // A front without an address is not named to others.
+        first.peer = None;
+    }
     let mut peers_told = 0;
     granter_runtime.add_report(first);
     let mut updates = granter_runtime.updates();
@@ -117,7 +124,12 @@
                     echo = Time(report.sent_ms);
                     advance(&mut positions, convert::decode_positions(&report));
                     quarantine::merge_reports(&shared, &crashes::decode(&report.crashes), &front);
-                    granter_runtime.add_report(convert::decode_report(report));
+                    granter_runtime.add_report(Report {
+                        // Only the first report was proved.
+                        front: front.clone(),
+                        peer: None,
+                        ..convert::decode_report(report)
+                    });
                 }
                 Ok(Ok(None) | Err(_)) | Err(_) => return,
             },
@@ -134,6 +146,9 @@
                     let peers = granter_runtime.peers_of(&front, data_centre, &mut peers_told);
                     update.peers = peers.as_deref().map(peers::encode);
                 }
+                if is_proven {
+                    update.peer_key = current_key(&shared);
+                }
                 // Queued updates would become stale, so the stream is closed if the channel is
                 // full. The front then joins again.
                 if tx.try_send(Ok(update)).is_err() {
@@ -161,6 +176,13 @@
     }
 }
 
+/// Returns the key that the fronts share, or no bytes if there is none.
+fn current_key(shared: &Shared) -> Bytes {
+    let tables = shared.tables();
+    let key = tables.peer_keys.current();
+    key.map_or_else(Bytes::new, |key| Bytes::copy_from_slice(key.as_bytes()))
+}
+
 /// Applies the positions that a front has reported. It may have read on in the store by itself.
 fn advance(positions: &mut convert::StorePositions, reported: convert::StorePositions) {
     for (kind, position) in reported {
--- a/crates/carawayrill-gateway/src/lease_manager.rs
+++ b/crates/carawayrill-gateway/src/lease_manager.rs
@@ -25,6 +25,7 @@
 use crate::clock;
 use crate::granter_runtime::GranterRuntime;
 use crate::knowledge::Knowledge;
+use crate::peer_keys;
 use crate::port::SpanOrderSender;
 use crate::state::Shared;
 use crate::watcher::Dependency;
@@ -96,6 +97,7 @@
             renewals: 0,
             released: false,
             era: store.era(),
+            peer_key: None,
         };
         let first_start = shared.cfg.first_start;
         Self {
@@ -110,7 +112,7 @@
         }
     }
 
-    fn view(&self) -> MutexGuard<'_, LeaseView> {
+    pub(crate) fn view(&self) -> MutexGuard<'_, LeaseView> {
         self.view.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -325,6 +327,7 @@
             Err(err) => return Err(err),
         };
         self.view().claim_stored(claim, version, sent_at);
+        self.learn_peer_key();
         Ok(())
     }
 
@@ -343,7 +346,7 @@
     async fn read_lease(&self) -> Result<(StoredVersion, Option<Lease>), Error> {
         let found = self.store.get(LEASE_OBJECT).await?;
         let era = self.store.era();
-        let (version, lease) = decode_lease(found);
+        let (version, lease) = peer_keys::decode_lease(found);
         Ok((StoredVersion { era, version }, lease))
     }
 
@@ -354,6 +357,7 @@
             Ok((version, lease)) => {
                 dependency.record_success();
                 self.view().observe(version, lease, read_at);
+                self.learn_peer_key();
             }
             Err(err) => return dependency.record_failure(&self.shared, &err),
         }
@@ -366,6 +370,9 @@
                 self.view().observe(version, lease, read_at);
             }
         }
+        if let Some(key) = peer_keys::generate() {
+            self.view().set_peer_key(key);
+        }
         let claim = self.view().claim(clock::now());
         let may_claim = !*self.stopping.borrow() && !self.shared.hands_over_when_cut_off();
         let Some(claim) = claim.filter(|_| may_claim) else {
@@ -447,17 +454,3 @@
         }
     }
 }
-
-/// Decodes a stored lease. One that can't be decoded counts as held by another front.
-fn decode_lease(found: Option<carawayrill_store::port::Object>) -> (Version, Option<Lease>) {
-    let Some(object) = found else {
-        return (Version(0), None);
-    };
-    match serde_json::from_slice(&object.value) {
-        Ok(lease) => (object.version, Some(lease)),
-        Err(err) => {
-            log::error!("could not decode the stored lease: {err}");
-            (object.version, None)
-        }
-    }
-}
--- a/crates/carawayrill-gateway/src/lib.rs
+++ b/crates/carawayrill-gateway/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod knowledge;
 pub mod lease_manager;
 pub mod metrics;
+mod peer_keys;
 pub mod port;
 mod quarantine;
 pub mod reach;
--- a/crates/carawayrill-gateway/src/metrics.rs
+++ b/crates/carawayrill-gateway/src/metrics.rs
@@ -46,6 +46,8 @@
     pub cut_offs: IntCounter,
     /// The connections that were opened to find out whether this front is cut off, by outcome.
     pub reach_probes: IntCounterVec,
+    /// Messages of fronts without a valid proof: `request` or `join`.
+    pub unproven: IntCounterVec,
     /// Orders to servers by outcome.
     pub orders: IntCounterVec,
     /// Request log lines dropped by the rate limit.
@@ -127,6 +129,7 @@
                 "reach_probes_total",
                 "Probes of servers by how they ended",
             )?,
+            unproven: counters(r, "unproven_total", "Messages without a valid proof")?,
             bad_entries: counter(r, "bad_entries_total", "Unreadable entries of the store")?,
             orders: counters(r, "orders_total", "Orders to servers by how they ended")?,
             dropped_log_lines: counter(r, "log_lines_left_out_total", "Request lines left out")?,
--- a/crates/carawayrill-gateway/src/state.rs
+++ b/crates/carawayrill-gateway/src/state.rs
@@ -21,6 +21,7 @@
 use carawayrill_core::direct::load::ServerLoad;
 use carawayrill_core::direct::manifest::Manifest;
 use carawayrill_core::direct::quarantine::CrashTable;
+use carawayrill_core::direct::reach::PeerKeys;
 use carawayrill_core::direct::reach::PeerTable;
 use carawayrill_core::direct::reach::ServerReach;
 use carawayrill_core::direct::routes::RouteMatch;
@@ -81,6 +82,8 @@
     pub reach: ServerReach,
     /// The fronts that take this front's requests while it is cut off from the servers.
     pub peers: PeerTable,
+    /// The keys with which fronts prove to each other that they are fronts.
+    pub peer_keys: PeerKeys,
     /// The spans of each keyed service.
     pub spans: HashMap<ServiceId, SpanTable>,
     /// The retry budget of each service.
@@ -133,6 +136,7 @@
                 crashes: CrashTable::default(),
                 reach: ServerReach::default(),
                 peers: PeerTable::default(),
+                peer_keys: PeerKeys::default(),
                 spans: HashMap::new(),
                 retry_budgets: HashMap::new(),
                 route_sizes_kib: HashMap::new(),
