--- a/crates/carawayrill-gateway/src/metrics.rs
+++ b/crates/carawayrill-gateway/src/metrics.rs
@@ -49,6 +49,12 @@
     pub without_home_server: IntGauge,
     /// The services whose keys this front, as the granter, places only on servers in homes.
     pub keys_restricted: IntGauge,
+    /// The times that this front has counted as cut off from the servers.
+    pub cut_offs: IntCounter,
+    /// The connections that were opened to find out whether this front is cut off, by outcome.
+    pub reach_probes: IntCounterVec,
+    /// Messages of fronts without a valid proof: `request` or `join`.
+    pub unproven: IntCounterVec,
     /// Orders to servers by outcome.
     pub orders: IntCounterVec,
     /// Request log lines dropped by the rate limit.
@@ -128,6 +134,13 @@
             store_calls: counters(r, "store_calls_total", "Store calls by how they ended")?,
             limit_changes: counter(r, "limit_changes_total", "Changes of the limits of servers")?,
             request_crashes: counter(r, "request_crashes_total", "Crashes under a request")?,
+            cut_offs: counter(r, "cut_offs_total", "Times cut off from the servers")?,
+            reach_probes: counters(
+                r,
+                "reach_probes_total",
+                "Probes of servers by how they ended",
+            )?,
+            unproven: counters(r, "unproven_total", "Messages without a valid proof")?,
             bad_entries: counter(r, "bad_entries_total", "Unreadable entries of the store")?,
             left_home_room: counter(
                 r,
