A cold server's rate is one more source of its limit

Ruled out: a second limiter beside core::direct::limit; a full equal share for a front that doesn't know how many fronts there are; permits saved up as for named limits (1.5 s and 3 requests), which by computation alone reach the bound in one second.

Change: ServerLimits and LimitDivision take the lower of the named limit and that of a cold server. core::direct::cold keeps who is cold and lets the capacity grow back within 2 s. Entries, also of a server that was warm, and X-Cold-Ms tell of it; the granter relays it in two optional fields of LimitStatement. A relayed end counts only if it is 0.3 s later, so that echoes don't move it on. A new granter divides equally among the fronts that it knew of for 2.5 s.

--- a/crates/carawayrill-core/src/direct/limit/mod.rs
+++ b/crates/carawayrill-core/src/direct/limit/mod.rs
@@ -5,7 +5,13 @@
 //! limit from a response or from the granter. The granter divides the limit among the fronts by what
 //! they want to send; without its word each front takes an equal part. A front spends its share in
 //! permits that expire soon, so that many fronts that were idle can't send all at once.
+//!
+//! A cold server is limited too, by the rate that its service declares. It crashes above that rate, so
+//! up to a thousand fronts together must stay near it in every second, while the granter is lost and
+//! while fronts join. A front that doesn't know the number of fronts therefore sends it nothing, and
+//! fewer permits are saved up.
 
+mod cold;
 mod division;
 mod permits;
 mod table;
@@ -23,6 +29,7 @@
 use crate::direct::keys::Born;
 use crate::id::ServerId;
 use crate::number;
+use crate::time::Time;
 use crate::time::floor_to_u64;
 
 /// The least limit that is kept, in requests a second. With less, no front would learn that a server
@@ -45,8 +52,42 @@
     pub born: Born,
     /// The limit; `None` if the server named one before and no longer does.
     pub limit: Option<RequestRate>,
-    /// The time since the response.
+    /// The time since the response; [`Duration::MAX`] if there was none.
     pub age: Duration,
+    /// What is known of the time for which the server is cold; `None` if it is warm.
+    pub cold: Option<ColdStatement>,
+}
+
+/// The limit of a cold server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ColdStatement {
+    /// The requests a second that the server takes until it is warm.
+    pub rate: RequestRate,
+    /// The time until it is warm.
+    pub left: Duration,
+}
+
+impl LimitStatement {
+    /// Returns the lower of the limit that the server names and that of a cold server.
+    #[must_use]
+    pub fn effective(&self) -> Option<RequestRate> {
+        let cold = self.cold.map(|cold| cold.rate);
+        lower(self.limit, cold)
+    }
+}
+
+/// Returns the age of what a response said of a limit. It is endless if none said anything, so that
+/// no process takes it for a later statement.
+fn age_of(named_at: Time, now: Time) -> Duration {
+    if named_at == Time::default() {
+        return Duration::MAX;
+    }
+    now.since(named_at)
+}
+
+/// Returns the lower of two limits.
+fn lower(one: Option<RequestRate>, other: Option<RequestRate>) -> Option<RequestRate> {
+    one.into_iter().chain(other).min()
 }
 
 impl RequestRate {
--- a/crates/carawayrill-core/src/direct/limit/permits.rs
+++ b/crates/carawayrill-core/src/direct/limit/permits.rs
@@ -9,6 +9,9 @@
 /// The number of permits that all fronts together can save up besides, so that those of a low limit
 /// don't expire before there is a request.
 const BURST_REQUESTS: f64 = 3.0;
+/// The number of permits for a cold server that all fronts together can save up. With those of a
+/// second at a thousand random phases, they must stay well below 1.5 times the rate plus 8.
+const COLD_BURST_REQUESTS: f64 = 2.0;
 
 /// Permits that come at a steady rate and expire.
 #[derive(Debug, Clone)]
@@ -42,11 +45,26 @@
     /// Changes the rate of this front's permits from `now` on, and the limit for all fronts. Both are
     /// in requests a second.
     pub fn set_rate(&mut self, rate: f64, limit: f64, now: Time) {
+        let ttl = BURST_TIME.as_secs_f64() + BURST_REQUESTS / limit;
+        self.change(rate, ttl, now);
+    }
+
+    /// Changes the rate as [`Self::set_rate`] does, for a cold server: fewer permits are saved up.
+    pub fn set_cold_rate(&mut self, rate: f64, limit: f64, now: Time) {
+        self.change(rate, COLD_BURST_REQUESTS / limit, now);
+    }
+
+    fn change(&mut self, rate: f64, ttl: f64, now: Time) {
         self.spent = self.spent_at(now);
         self.position = self.position_at(now);
         self.at = self.at.max(now);
         self.rate = rate;
-        self.ttl = BURST_TIME.as_secs_f64() + BURST_REQUESTS / limit;
+        self.ttl = ttl;
+    }
+
+    /// Discards the permits that were saved up.
+    pub fn discard(&mut self, now: Time) {
+        self.spent = self.spent.max(self.position_at(now).floor());
     }
 
     /// Returns whether there is a permit.
--- a/crates/carawayrill-core/src/direct/limit/table.rs
+++ b/crates/carawayrill-core/src/direct/limit/table.rs
@@ -3,10 +3,15 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use super::ColdStatement;
 use super::FrontShare;
 use super::LimitStatement;
 use super::Permits;
 use super::RequestRate;
+use super::age_of;
+use super::cold::ColdPeriod;
+use super::lower;
+use crate::direct::cold::Origin;
 use crate::direct::keys::Born;
 use crate::id::ServerId;
 use crate::time::Time;
@@ -29,8 +34,11 @@
 struct NamedLimit {
     born: Born,
     limit: Option<RequestRate>,
-    /// When a response said so.
+    /// When a response said so; 0 if none did.
     named_at: Time,
+    cold: Option<ColdPeriod>,
+    /// The limit to which the permits were last brought up to date.
+    applied: Option<RequestRate>,
     /// The share that the granter has assigned, and when.
     share: Option<(RequestRate, Time)>,
     permits: Permits,
@@ -38,29 +46,55 @@
 }
 
 impl NamedLimit {
-    fn new(statement: &LimitStatement, named_at: Time, fronts: u32, phase: f64) -> Self {
-        let mut named = Self {
-            born: statement.born,
-            limit: statement.limit,
-            named_at,
+    fn new(born: Born, phase: f64, at: Time) -> Self {
+        Self {
+            born,
+            limit: None,
+            named_at: Time::default(),
+            cold: None,
+            applied: None,
             share: None,
-            permits: Permits::new(phase, named_at),
+            permits: Permits::new(phase, at),
             wanted: 0,
-        };
-        named.refresh(fronts, named_at);
-        named
+        }
+    }
+
+    /// Returns the limit at `now`.
+    fn effective(&self, now: Time) -> Option<RequestRate> {
+        lower(self.limit, self.cold_rate(now))
+    }
+
+    fn cold_rate(&self, now: Time) -> Option<RequestRate> {
+        self.cold.and_then(|cold| cold.rate_at(now))
     }
 
     /// Brings the rate of the permits up to date: to the share that the granter has assigned, or to
-    /// an equal share.
-    fn refresh(&mut self, fronts: u32, now: Time) {
-        let limit = self.limit.unwrap_or_default().kept();
+    /// an equal share of `fronts` fronts. Without a number of fronts a cold server gets nothing.
+    /// Returns whether the limit has changed.
+    fn refresh(&mut self, fronts: u32, knows_fronts: bool, now: Time) -> bool {
+        let effective = self.effective(now);
+        let is_cold = self.cold_rate(now).is_some();
+        let has_changed = effective != self.applied;
+        if has_changed {
+            self.share = None;
+            if is_cold {
+                self.permits.discard(now);
+            }
+        }
+        self.applied = effective;
+        let limit = effective.unwrap_or_default().kept();
         let share = self.share.filter(|(_, at)| now.since(*at) < SHARE_TTL);
         let rate = match share {
             Some((share, _)) => share.per_second(),
+            None if is_cold && !knows_fronts => 0.0,
             None => limit / f64::from(fronts.max(1)),
         };
-        self.permits.set_rate(rate, limit, now);
+        if is_cold {
+            self.permits.set_cold_rate(rate, limit, now);
+        } else {
+            self.permits.set_rate(rate, limit, now);
+        }
+        has_changed
     }
 }
 
@@ -68,38 +102,84 @@
 #[derive(Debug, Default)]
 pub struct ServerLimits {
     named: BTreeMap<ServerId, NamedLimit>,
+    /// Whether the granter has said how many fronts there are.
+    knows_fronts: bool,
 }
 
 impl ServerLimits {
-    /// Records what a response said at `now` or before. `phase`, between 0 and 1, differs from front to
-    /// front. Returns whether the limit has changed.
+    /// Records that the granter has said how many fronts there are.
+    pub fn confirm_fronts(&mut self) {
+        self.knows_fronts = true;
+    }
+
+    /// Records what was said at `now` or before, by a response or by the granter. `phase`, between 0
+    /// and 1, differs from front to front. Returns whether the limit has changed.
     pub fn record(
         &mut self,
         statement: &LimitStatement,
         fronts: u32,
         phase: f64,
         now: Time,
+    ) -> bool {
+        self.record_from(statement, Origin::Relayed, fronts, phase, now)
+    }
+
+    fn record_from(
+        &mut self,
+        statement: &LimitStatement,
+        origin: Origin,
+        fronts: u32,
+        phase: f64,
+        now: Time,
     ) -> bool {
         let named_at = now - statement.age;
-        let known = self.named.get_mut(&statement.server);
-        let Some(known) = known.filter(|known| known.born == statement.born) else {
-            if statement.limit.is_some() {
-                let named = NamedLimit::new(statement, named_at, fronts, phase);
-                self.named.insert(statement.server.clone(), named);
+        let known = self.named.get(&statement.server).map(|known| known.born);
+        if known != Some(statement.born) {
+            let is_former = known.is_some_and(|born| statement.born < born);
+            if is_former || statement.effective().is_none() {
+                return false;
             }
-            return statement.limit.is_some();
-        };
-        if named_at < known.named_at {
-            return false;
+            let started = if statement.limit.is_some() {
+                named_at
+            } else {
+                now
+            };
+            let named = NamedLimit::new(statement.born, phase, started);
+            self.named.insert(statement.server.clone(), named);
         }
-        known.named_at = named_at;
-        let has_changed = known.limit != statement.limit;
-        known.limit = statement.limit;
-        if has_changed {
-            known.share = None;
-            known.refresh(fronts, now);
+        let Some(known) = self.named.get_mut(&statement.server) else {
+            return false;
+        };
+        if named_at >= known.named_at {
+            known.named_at = named_at;
+            known.limit = statement.limit;
         }
-        has_changed
+        let cold = statement.cold.map(|cold| ColdPeriod::new(cold, now));
+        known.cold = ColdPeriod::merge(known.cold, cold, origin);
+        let is_unchanged = known.applied == known.effective(now);
+        !is_unchanged && known.refresh(fronts, self.knows_fronts, now)
+    }
+
+    /// Records that an incarnation of a server is cold from `now` on, as its entry or a response
+    /// says. Returns whether the limit has changed.
+    pub fn record_cold(
+        &mut self,
+        server: &ServerId,
+        born: Born,
+        cold: ColdStatement,
+        fronts: u32,
+        phase: f64,
+        now: Time,
+    ) -> bool {
+        let known = self.named.get(server).filter(|known| known.born == born);
+        let statement = LimitStatement {
+            server: server.clone(),
+            born,
+            limit: known.and_then(|known| known.limit),
+            age: known.map_or(Duration::MAX, |known| age_of(known.named_at, now)),
+            cold: Some(cold),
+        };
+        self.record_from(&statement, Origin::Server, fronts, phase, now)
     }
 
     /// Returns whether a response has named a limit of the server.
@@ -108,30 +188,30 @@
         self.named.contains_key(server)
     }
 
-    /// Returns the limit of a server.
+    /// Returns the limit of a server: the lower of the one it names and that of a cold server.
     #[must_use]
-    pub fn get(&self, server: &ServerId) -> Option<RequestRate> {
-        self.named.get(server)?.limit
+    pub fn get(&self, server: &ServerId, now: Time) -> Option<RequestRate> {
+        self.named.get(server)?.effective(now)
     }
 
     /// Returns whether a request may be sent to a server as far as its limit is concerned.
     #[must_use]
     pub fn allows(&self, server: &ServerId, now: Time) -> bool {
-        self.limited(server)
+        self.limited(server, now)
             .is_none_or(|named| named.permits.is_available(now))
     }
 
     /// Returns the time until a request may be sent to a server; zero if it may be sent now.
     #[must_use]
     pub fn wait(&self, server: &ServerId, now: Time) -> Duration {
-        self.limited(server).map_or(Duration::ZERO, |named| {
+        self.limited(server, now).map_or(Duration::ZERO, |named| {
             named.permits.wait(now).unwrap_or(LONGEST_WAIT)
         })
     }
 
-    fn limited(&self, server: &ServerId) -> Option<&NamedLimit> {
+    fn limited(&self, server: &ServerId, now: Time) -> Option<&NamedLimit> {
         let named = self.named.get(server)?;
-        named.limit.is_some().then_some(named)
+        named.effective(now).map(|_| named)
     }
 
     /// Counts a request that is sent to a server.
@@ -156,19 +236,29 @@
         let has_changed = self.record(statement, fronts, phase, now);
         if let Some(named) = self.named.get_mut(&statement.server)
             && named.born == statement.born
-            && named.limit == statement.limit
+            && named.effective(now) == statement.effective()
         {
             named.share = Some((share.share, now));
         }
         has_changed
     }
 
-    /// Brings this front's shares up to date. A limit counts until the server names none: a front
-    /// that has not sent to it for long has had no permit.
-    pub fn refresh(&mut self, fronts: u32, now: Time) {
-        for named in self.named.values_mut() {
-            named.refresh(fronts, now);
+    /// Brings this front's shares up to date, and forgets the limits of servers that were cold and
+    /// have named none. A named limit counts until the server names none: a front that has not sent
+    /// to it for long has had no permit. Returns the servers that are no longer cold and what limits
+    /// them from now on.
+    pub fn refresh(&mut self, fronts: u32, now: Time) -> Vec<(ServerId, Option<RequestRate>)> {
+        let mut changed = Vec::new();
+        for (server, named) in &mut self.named {
+            if named.refresh(fronts, self.knows_fronts, now) {
+                changed.push((server.clone(), named.applied));
+            }
         }
+        self.named.retain(|_, named| {
+            let is_named = named.limit.is_some() || named.named_at > Time::default();
+            is_named || named.cold_rate(now).is_some()
+        });
+        changed
     }
 
     /// Forgets what was said of a server, because it has restarted.
@@ -188,7 +278,8 @@
                 server: server.clone(),
                 born: named.born,
                 limit: named.limit,
-                age: now.since(named.named_at),
+                age: age_of(named.named_at, now),
+                cold: named.cold.and_then(|cold| cold.statement(now)),
             },
             wanted: std::mem::take(&mut named.wanted),
         });
--- a/crates/carawayrill-core/src/direct/load.rs
+++ b/crates/carawayrill-core/src/direct/load.rs
@@ -135,6 +135,18 @@
         self.mean_half_life_ms = f64::from(fronts.max(1)) * MEAN_HALF_LIFE_PER_FRONT_MS;
     }
 
+    /// Records that the server is cold until `until`. An earlier end than the known one changes
+    /// nothing, because entries and responses arrive late and out of order.
+    pub fn extend_cold(&mut self, until: Time) {
+        self.cold_until = self.cold_until.max(until);
+    }
+
+    /// Returns whether the server is cold.
+    #[must_use]
+    pub fn is_cold(&self, now: Time) -> bool {
+        now < self.cold_until
+    }
+
     /// Returns the number of this front's requests that are at the server.
     #[must_use]
     pub fn in_flight(&self) -> u32 {
@@ -214,11 +226,7 @@
     #[must_use]
     pub fn response_ms(&self, now: Time) -> f64 {
         let service_rounds = self.service_rounds(now);
-        let cold = if now < self.cold_until {
-            COLD_FACTOR
-        } else {
-            1.0
-        };
+        let cold = if self.is_cold(now) { COLD_FACTOR } else { 1.0 };
         self.expected_service_ms(now) * cold * service_rounds
     }
 
--- a/crates/carawayrill-core/src/direct/mod.rs
+++ b/crates/carawayrill-core/src/direct/mod.rs
@@ -8,6 +8,7 @@
 
 pub mod admission;
 pub mod budget;
+pub mod cold;
 pub mod demand;
 pub mod fronts;
 pub mod granter;
--- a/crates/carawayrill-core/tests/direct_limit.rs
+++ b/crates/carawayrill-core/tests/direct_limit.rs
@@ -169,6 +169,7 @@
         born: Born(1),
         limit,
         age: Duration::ZERO,
+        cold: None,
     }
 }
 
@@ -232,7 +233,7 @@
         for share in granter.shares_of("front-2", 2, now) {
             let _changed = other.apply_share(&share, 2, 0.0, now);
         }
-        assert_eq!(other.get(&server), limit);
+        assert_eq!(other.get(&server, now), limit);
         assert_eq!(other.allows(&server, now), limit.is_none());
     }
 }
@@ -245,7 +246,7 @@
     let limit = |rate| Some(RequestRate(rate));
     assert!(limits.record(&said(limit(2_000)), 2, 0.0, Time(1_000)));
     assert!(!limits.record(&said(None), 2, 0.0, Time(900)));
-    assert_eq!(limits.get(&server), limit(2_000));
+    assert_eq!(limits.get(&server, Time(1_000)), limit(2_000));
 }
 
 /// The next incarnation of a server is not bound by what the one before said.
@@ -255,7 +256,7 @@
     let mut limits = ServerLimits::default();
     assert!(limits.record(&said(Some(RequestRate(2_000))), 2, 0.0, Time(0)));
     limits.remove(&server);
-    assert_eq!(limits.get(&server), None);
+    assert_eq!(limits.get(&server, Time(100)), None);
     assert!(limits.allows(&server, Time(100)));
 }
 
--- a/crates/carawayrill-gateway/src/forward/send.rs
+++ b/crates/carawayrill-gateway/src/forward/send.rs
@@ -351,6 +351,10 @@
         }
         if metadata.request.is_some() {
             self.note_limit(&mut tables, server, metadata.limit, now);
+            if let Some(cold) = metadata.cold {
+                self.shared
+                    .note_cold(&mut tables, &server.id, server.born, cold, "response");
+            }
         }
         if !metadata.leaving {
             return;
@@ -381,10 +385,12 @@
             born: server.born,
             limit,
             age: Duration::ZERO,
+            cold: None,
         };
         let fronts = tables.fronts.get();
         let phase = tables.rng.random_range(0.0..1.0);
         if tables.limits.record(&statement, fronts, phase, now) {
+            let limit = tables.limits.get(&server.id, now);
             self.shared.emit_limit(&server.id, limit, "response");
         }
     }
--- a/crates/carawayrill-gateway/src/granter_runtime/capacity.rs
+++ b/crates/carawayrill-gateway/src/granter_runtime/capacity.rs
@@ -3,12 +3,14 @@
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 
+use carawayrill_core::direct::limit::RequestRate;
 use carawayrill_core::direct::load;
 use carawayrill_core::direct::rebalance::Capacities;
 use carawayrill_core::direct::servers::Server;
 use carawayrill_core::id::DataCentreId;
 use carawayrill_core::id::ServerId;
 use carawayrill_core::id::ServiceId;
+use carawayrill_core::time::Time;
 use compact_str::CompactString;
 
 use crate::state::Tables;
@@ -25,21 +27,22 @@
     tables: &Tables,
     excluded: &BTreeSet<DataCentreId>,
     service_times: &HashMap<ServerId, HashMap<CompactString, f64>>,
+    now: Time,
 ) -> Capacities {
     let measured = |server: &Server| load::mean(service_times.get(&server.id)?.values().copied());
     let known = tables.servers.ready_servers(service).filter_map(measured);
     let assumed = load::mean(known).unwrap_or(DEFAULT_SERVICE_MS);
+    let cold_rate = tables.cold_rate(service);
     let mut capacities = Capacities::default();
     let ready = tables.servers.ready_servers(service);
     for server in ready.filter(|server| !excluded.contains(&server.data_centre)) {
         let service_ms = measured(server).unwrap_or(assumed).max(1.0);
-        let cold = if server.cold_for.is_zero() {
-            1.0
-        } else {
-            COLD_SHARE
-        };
-        let rate = f64::from(server.slots) * 1_000.0 / service_ms * cold;
-        let limit = tables.limits.get(&server.id);
+        let full = f64::from(server.slots) * 1_000.0 / service_ms;
+        let cold = cold_rate.map_or(f64::INFINITY, RequestRate::per_second);
+        let cold = cold.min(full * COLD_SHARE);
+        let born = server.born;
+        let rate = tables.cold.capacity(&server.id, born, full, cold, now);
+        let limit = tables.limits.get(&server.id, now);
         let rate = limit.map_or(rate, |limit| rate.min(limit.per_second()));
         capacities.set(server.id.clone(), rate);
     }
--- a/crates/carawayrill-gateway/src/granter_runtime/mod.rs
+++ b/crates/carawayrill-gateway/src/granter_runtime/mod.rs
@@ -141,6 +141,7 @@
         let now = clock::now();
         let shared = Arc::clone(lease_manager.shared());
         let lease = lease_manager.version();
+        let known_fronts = shared.tables().fronts.get();
         Ok(Arc::new(Self {
             lease,
             lease_manager,
@@ -148,7 +149,7 @@
             store,
             orders,
             started: now,
-            state: Mutex::new(State::new(stored, now)),
+            state: Mutex::new(State::new(stored, known_fronts, now)),
             updates: watch::Sender::new(Arc::default()),
         }))
     }
--- a/crates/carawayrill-gateway/src/granter_runtime/state.rs
+++ b/crates/carawayrill-gateway/src/granter_runtime/state.rs
@@ -77,8 +77,9 @@
 }
 
 impl State {
-    /// Creates the state of a granter that has decided nothing.
-    pub(super) fn new(stored: StoredRecords, now: Time) -> Self {
+    /// Creates the state of a granter that has decided nothing. `known_fronts` is the number of fronts
+    /// that this front knew before it became the granter.
+    pub(super) fn new(stored: StoredRecords, known_fronts: u32, now: Time) -> Self {
         Self {
             stored,
             quarantine: StoredState::default(),
@@ -88,7 +89,7 @@
             service_times: HashMap::new(),
             fronts: HashMap::new(),
             peer_changes: 0,
-            limits: LimitDivision::default(),
+            limits: LimitDivision::new(known_fronts, now),
             capacities: BTreeMap::new(),
             demand_advanced_at: Time::default(),
             published_at: now,
@@ -218,7 +219,7 @@
         self.demand_advanced_at = now;
         for service in self.granters.keys() {
             let excluded = tables.excluded_from_keys(service);
-            let capacities = capacities(service, tables, &excluded, &self.service_times);
+            let capacities = capacities(service, tables, &excluded, &self.service_times, now);
             self.capacities.insert(service.clone(), capacities);
         }
         for demand in self.demand.values_mut() {
--- a/crates/carawayrill-gateway/src/granter_stream/limits.rs
+++ b/crates/carawayrill-gateway/src/granter_stream/limits.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use carawayrill_core::direct::keys::Born;
+use carawayrill_core::direct::limit::ColdStatement;
 use carawayrill_core::direct::limit::FrontShare;
 use carawayrill_core::direct::limit::LimitReport;
 use carawayrill_core::direct::limit::LimitStatement;
@@ -35,6 +36,8 @@
         born: statement.born.0,
         milli_rate: statement.limit.map(|limit| limit.0),
         age_ms: millis(statement.age),
+        cold_milli_rate: statement.cold.map(|cold| cold.rate.0),
+        cold_left_ms: statement.cold.map(|cold| millis(cold.left)),
     }
 }
 
@@ -44,6 +47,14 @@
         born: Born(statement.born),
         limit: statement.milli_rate.map(RequestRate),
         age: Duration::from_millis(statement.age_ms),
+        cold: decode_cold(statement),
+    })
+}
+
+fn decode_cold(statement: &wire::LimitStatement) -> Option<ColdStatement> {
+    Some(ColdStatement {
+        rate: RequestRate(statement.cold_milli_rate?),
+        left: Duration::from_millis(statement.cold_left_ms?),
     })
 }
 
--- a/crates/carawayrill-gateway/src/granter_stream/mod.rs
+++ b/crates/carawayrill-gateway/src/granter_stream/mod.rs
@@ -33,6 +33,7 @@
 use self::convert::ReceivedUpdate;
 pub use self::service::serve;
 use crate::clock;
+use crate::cold;
 use crate::granter_runtime;
 use crate::granter_runtime::LeavingServer;
 use crate::granter_runtime::Report;
@@ -272,6 +273,7 @@
     {
         let mut tables = shared.tables();
         tables.fronts.update(update.fronts, clock::now());
+        tables.limits.confirm_fronts();
         tables.strongest_cores = update.strongest_cores;
         apply_limits(shared, &mut tables, &update.limits);
         if let Some(peers) = &update.peers {
@@ -298,8 +300,13 @@
             continue;
         }
         let phase = tables.rng.random_range(0.0..1.0);
+        if let Some(cold) = statement.cold {
+            let born = statement.born;
+            shared.note_cold(tables, &statement.server, born, cold.left, cold::GRANTER);
+        }
         if tables.limits.apply_share(share, fronts, phase, now) {
-            shared.emit_limit(&statement.server, statement.limit, "granter");
+            let limit = tables.limits.get(&statement.server, now);
+            shared.emit_limit(&statement.server, limit, "granter");
         }
     }
 }
--- a/crates/carawayrill-gateway/src/knowledge/manifest.rs
+++ b/crates/carawayrill-gateway/src/knowledge/manifest.rs
@@ -51,6 +51,7 @@
         let routes = manifest.routes.len();
         if self.shared.tables().put_manifest(manifest) {
             emit(EventKind::ManifestInForce { version, routes });
+            self.shared.apply_cold_rates();
             self.shared.notify_changed();
         }
     }
--- a/crates/carawayrill-gateway/src/knowledge/servers.rs
+++ b/crates/carawayrill-gateway/src/knowledge/servers.rs
@@ -1,5 +1,6 @@
 //! Applies the platform's server entries.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,6 +10,7 @@
 use carawayrill_core::event::EventKind;
 use carawayrill_core::id::Revision;
 use carawayrill_core::id::ServerId;
+use carawayrill_core::id::Version;
 use carawayrill_core::time::Time;
 use carawayrill_store::port::Object;
 use carawayrill_telemetry::emit;
@@ -38,6 +40,9 @@
     /// The servers whose retention was logged already.
     retained: BTreeSet<ServerId>,
     started: Time,
+    /// The version of the last entry of each server that said how long the server is cold. The time
+    /// counts once for each entry, also if the entry is read again.
+    cold_entries: BTreeMap<ServerId, Version>,
 }
 
 impl ServerHandler {
@@ -53,6 +58,7 @@
             unreadable: BTreeSet::new(),
             retained: BTreeSet::new(),
             started: clock::now(),
+            cold_entries: BTreeMap::new(),
         }
     }
 
@@ -94,6 +100,30 @@
         self.retained = retained;
     }
 
+    /// Records which servers are cold by their entries.
+    fn note_cold(&mut self, objects: &[Object]) {
+        for object in objects.iter().filter(|object| object.version.0 > 0) {
+            let Ok(server) = self.schema.decode_server(object) else {
+                continue;
+            };
+            let previous = self.cold_entries.insert(server.id.clone(), object.version);
+            if previous == Some(object.version) || server.cold_for.is_zero() {
+                continue;
+            }
+            let mut tables = self.shared.tables();
+            self.shared.note_cold(
+                &mut tables,
+                &server.id,
+                server.born,
+                server.cold_for,
+                "entry",
+            );
+        }
+        let tables = self.shared.tables();
+        self.cold_entries
+            .retain(|id, _| tables.servers.get(id).is_some());
+    }
+
     /// Discards connections and load estimates of servers that restarted or were removed.
     fn discard_stale_state(&self, changes: &[ServerChange]) {
         let removed: Vec<&ServerId> = changes
@@ -137,6 +167,7 @@
             }
         };
         self.publish(&applied, snapshot.revision);
+        self.note_cold(snapshot.objects);
     }
 
     fn on_changes(&mut self, objects: &[Object], revision: Revision, complete_at: Time) {
@@ -164,6 +195,7 @@
             }
         }
         self.publish(&applied, revision);
+        self.note_cold(objects);
     }
 
     fn on_failure(&mut self, sent: Time) {
--- a/crates/carawayrill-gateway/src/lib.rs
+++ b/crates/carawayrill-gateway/src/lib.rs
@@ -18,6 +18,7 @@
 
 mod access_log;
 pub mod clock;
+mod cold;
 pub mod config;
 mod counting_store;
 mod error;
--- a/crates/carawayrill-gateway/src/metrics.rs
+++ b/crates/carawayrill-gateway/src/metrics.rs
@@ -40,6 +40,8 @@
     pub bad_entries: IntCounter,
     /// The changes of the limits that servers name.
     pub limit_changes: IntCounter,
+    /// How often a server became cold, as this front learned from its entry or a response.
+    pub cold_periods: IntCounter,
     /// The crashes of servers while they had a request of this front.
     pub request_crashes: IntCounter,
     /// Orders to servers by outcome.
@@ -116,6 +118,7 @@
             connections: counter(r, "connections_total", "Connections opened to servers")?,
             store_calls: counters(r, "store_calls_total", "Store calls by how they ended")?,
             limit_changes: counter(r, "limit_changes_total", "Changes of the limits of servers")?,
+            cold_periods: counter(r, "cold_periods_total", "Servers that became cold")?,
             request_crashes: counter(r, "request_crashes_total", "Crashes under a request")?,
             bad_entries: counter(r, "bad_entries_total", "Unreadable entries of the store")?,
             orders: counters(r, "orders_total", "Orders to servers by how they ended")?,
--- a/crates/carawayrill-gateway/src/port.rs
+++ b/crates/carawayrill-gateway/src/port.rs
@@ -76,6 +76,8 @@
     pub pause: Option<Duration>,
     /// The limit on the requests that the server takes.
     pub limit: LimitHeader,
+    /// The time until the server is warm, if it says that it is cold.
+    pub cold: Option<Duration>,
 }
 
 /// What a response says of the requests a second that its server takes from all fronts together.
--- a/crates/carawayrill-gateway/src/state.rs
+++ b/crates/carawayrill-gateway/src/state.rs
@@ -7,11 +7,11 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
-use std::time::Duration;
 
 use carawayrill_core::direct::admission::Candidate;
 use carawayrill_core::direct::admission::Distance;
 use carawayrill_core::direct::budget::RetryWindow;
+use carawayrill_core::direct::cold::ColdServers;
 use carawayrill_core::direct::fronts;
 use carawayrill_core::direct::fronts::DEFAULT_FRONT_COUNT;
 use carawayrill_core::direct::fronts::FrontCount;
@@ -57,9 +57,6 @@
 const IDLE_CONNECTION_DIVISOR: u32 = 3;
 /// The minimum number of connections that a front may open to a server.
 const MIN_CONNECTIONS: u32 = 2;
-/// The maximum time for which a server counts as cold after its start; longer reports are clamped.
-const MAX_COLD_PERIOD: Duration = Duration::from_mins(1);
-
 /// The routing state and load state of a gateway.
 #[derive(Debug)]
 pub struct Tables {
@@ -75,8 +72,10 @@
     pub servers_confirmed: Option<Time>,
     /// The estimated load of each server.
     pub loads: HashMap<ServerId, ServerLoad>,
-    /// The limits that servers have named.
+    /// The limits that servers have named, and those of cold servers.
     pub limits: ServerLimits,
+    /// The servers that are cold.
+    pub cold: ColdServers,
     /// The requests under which servers crashed.
     pub crashes: CrashTable,
     /// Whether this front opens connections to servers.
@@ -130,6 +129,7 @@
                 servers_confirmed: None,
                 loads: HashMap::new(),
                 limits: ServerLimits::default(),
+                cold: ColdServers::default(),
                 crashes: CrashTable::default(),
                 reach: ServerReach::default(),
                 peers: PeerTable::default(),
@@ -295,7 +295,8 @@
     pub fn load(&mut self, server: &Server, now: Time) -> &mut ServerLoad {
         if !self.loads.contains_key(&server.id) {
             let service_ms = self.mean_service_ms(&server.service, now);
-            let load = new_load(server, service_ms, now);
+            let cold = self.cold_left(server, now);
+            let load = ServerLoad::new(server.slots, cold, service_ms, now);
             self.loads.insert(server.id.clone(), load);
         }
         let fronts = self.fronts.get();
@@ -346,6 +347,7 @@
         let share = self.connection_share(service);
         let fronts = self.fronts.get();
         let limits = &self.limits;
+        let cold = &self.cold;
         let loads = &mut self.loads;
         let ready = self.servers.ready_servers(service);
         ready
@@ -353,7 +355,9 @@
             .map(|server| {
                 // Clones the id only for a server without a load estimate.
                 if !loads.contains_key(&server.id) {
-                    loads.insert(server.id.clone(), new_load(server, mean_ms, now));
+                    let cold = cold.left(&server.id, server.born, now);
+                    let load = ServerLoad::new(server.slots, cold, mean_ms, now);
+                    loads.insert(server.id.clone(), load);
                 }
                 let load = loads
                     .get_mut(&server.id)
@@ -421,12 +425,6 @@
     }
 }
 
-/// Creates the load estimate of a server without measurements.
-fn new_load(server: &Server, service_ms: Option<f64>, now: Time) -> ServerLoad {
-    let cold = server.cold_for.min(MAX_COLD_PERIOD);
-    ServerLoad::new(server.slots, cold, service_ms, now)
-}
-
 /// Collects the inputs for the choice of a server.
 fn make_candidate(
     server: &Server,
--- a/crates/carawayrill-gateway/src/watcher.rs
+++ b/crates/carawayrill-gateway/src/watcher.rs
@@ -205,13 +205,17 @@
         for known in knowledge.kinds() {
             known.update_metrics(now);
         }
-        let removed = {
+        let (limits, removed) = {
             let mut tables = shared.tables();
             let fronts = tables.fronts.get();
-            tables.limits.refresh(fronts, now);
+            let limits = tables.limits.refresh(fronts, now);
+            tables.cold.expire(now);
             tables.crashes.expire(now);
-            tables.servers.expire(now)
+            (limits, tables.servers.expire(now))
         };
+        for (server, limit) in &limits {
+            shared.emit_limit(server, *limit, "warm");
+        }
         for change in &removed {
             log::info!("server entry did not reappear after the store outage: {change:?}");
         }
