--- a/crates/carawayrill-core/tests/direct_cold.rs
+++ b/crates/carawayrill-core/tests/direct_cold.rs
@@ -198,3 +198,22 @@
         );
     }
 }
+
+/// Guards against a granter of an older build, which takes a cold server without a named limit for
+/// one whose limit has ended, and assigns a share of nothing.
+#[test]
+fn the_share_of_a_granter_that_knows_of_no_cold_servers_is_not_applied() {
+    let mut limits = ServerLimits::default();
+    limits.confirm_fronts();
+    assert!(limits.record_cold(&server(), Born(1), cold(4_900, 9_000), 1, 0.9, Time(5_000)));
+    let mut report = limits.take_reports(Time(5_000)).remove(0);
+    report.statement.cold = None;
+    let mut granter = LimitDivision::default();
+    granter.add_report(&"front-1".into(), &report, Time(5_000));
+    for share in granter.shares_of("front-1", 1, Time(5_000)) {
+        assert!(!limits.apply_share(&share, 1, 0.9, Time(5_000)));
+    }
+    limits.refresh(1, Time(5_000));
+    assert!(limits.allows(&server(), Time(5_100)));
+    assert_eq!(limits.get(&server(), Time(5_100)), Some(RequestRate(4_900)));
+}
