Services without coldPerS keep the capacity of cold servers as before

Cause: their capacity grew back over 2 s too, although a part may only take effect if it is declared.

--- a/crates/carawayrill-gateway/src/granter_runtime/capacity.rs
+++ b/crates/carawayrill-gateway/src/granter_runtime/capacity.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 
-use carawayrill_core::direct::limit::RequestRate;
 use carawayrill_core::direct::load;
 use carawayrill_core::direct::rebalance::Capacities;
 use carawayrill_core::direct::servers::Server;
@@ -38,10 +37,16 @@
     for server in ready.filter(|server| !excluded.contains(&server.data_centre)) {
         let service_ms = measured(server).unwrap_or(assumed).max(1.0);
         let full = f64::from(server.slots) * 1_000.0 / service_ms;
-        let cold = cold_rate.map_or(f64::INFINITY, RequestRate::per_second);
-        let cold = cold.min(full * COLD_SHARE);
-        let born = server.born;
-        let rate = tables.cold.capacity(&server.id, born, full, cold, now);
+        let rate = match cold_rate {
+            Some(cold) => {
+                let cold = cold.per_second().min(full * COLD_SHARE);
+                tables
+                    .cold
+                    .capacity(&server.id, server.born, full, cold, now)
+            }
+            None if server.cold_for.is_zero() => full,
+            None => full * COLD_SHARE,
+        };
         let limit = tables.limits.get(&server.id, now);
         let rate = limit.map_or(rate, |limit| rate.min(limit.per_second()));
         capacities.set(server.id.clone(), rate);
