--- a/crates/carawayrill-gateway/src/granter_runtime/mod.rs
+++ b/crates/carawayrill-gateway/src/granter_runtime/mod.rs
@@ -144,6 +144,7 @@
         let now = clock::now();
         let shared = Arc::clone(lease_manager.shared());
         let lease = lease_manager.version();
+        let known_fronts = shared.tables().fronts.get();
         Ok(Arc::new(Self {
             lease,
             lease_manager,
@@ -151,7 +152,7 @@
             store,
             orders,
             started: now,
-            state: Mutex::new(State::new(stored, now)),
+            state: Mutex::new(State::new(stored, known_fronts, now)),
             updates: watch::Sender::new(Arc::default()),
         }))
     }
--- a/crates/carawayrill-gateway/src/knowledge/manifest.rs
+++ b/crates/carawayrill-gateway/src/knowledge/manifest.rs
@@ -61,6 +61,7 @@
                 log::warn!("ignored in manifest r{version}: {entry}");
             }
             self.shared.record_homes();
+            self.shared.apply_cold_rates();
             self.shared.notify_changed();
         }
     }
--- a/crates/carawayrill-gateway/src/lib.rs
+++ b/crates/carawayrill-gateway/src/lib.rs
@@ -19,6 +19,7 @@
 
 mod access_log;
 pub mod clock;
+mod cold;
 pub mod config;
 mod connections;
 mod counting_store;
