Reserve servers for urgent requests of shared services

Cause: no decision used the priority of a route. In bursts, the less urgent requests of a service filled the queues of its servers up to what their own, longer objective allows, and urgent ones were late.

Ruled out: fewer service rounds for all requests, as it also takes room from a service that only routes of one priority use.

It applies to unkeyed services and to owners of keys; refusals are named 'reserved'. choose() is choose_with_reserve() without a reserve, so that other services are served as before. Candidate has requests_ahead and slots; the literal in direct_decisions got these fields.

--- a/crates/carawayrill-core/src/direct/admission.rs
+++ b/crates/carawayrill-core/src/direct/admission.rs
@@ -9,6 +9,7 @@
 use rand::Rng;
 use rand::RngExt;
 
+use crate::direct::priority::reserve::Reserve;
 use crate::id::ServerId;
 
 /// The fraction of the remaining objective within which a response has to be expected.
@@ -17,7 +18,7 @@
 const DEADLINE_SHARE: f64 = 0.7;
 /// The maximum number of requests per slot of a server. A longer queue makes no response faster,
 /// and the server's own queue is bounded: a request beyond its bound may never be answered.
-const MAX_SERVICE_ROUNDS: f64 = 3.0;
+pub(crate) const MAX_SERVICE_ROUNDS: f64 = 3.0;
 /// The network round trip to another data centre of the same region, in milliseconds.
 const SAME_REGION_ROUND_TRIP_MS: f64 = 1.0;
 /// The network round trip to another region, in milliseconds.
@@ -39,7 +40,7 @@
 /// The shortest retry-after time of a refusal, in milliseconds.
 const MIN_RETRY_AFTER_MS: f64 = 50.0;
 /// The longest retry-after time of a refusal, in milliseconds.
-const MAX_RETRY_AFTER_MS: f64 = 2_000.0;
+pub(crate) const MAX_RETRY_AFTER_MS: f64 = 2_000.0;
 
 /// The network distance between a front and a server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -85,6 +86,10 @@
     /// The expected number of requests per slot of the server, including this one; the response
     /// takes about as many service times.
     pub service_rounds: f64,
+    /// The expected number of requests at the server, without this one.
+    pub requests_ahead: f64,
+    /// The number of requests that the server can run concurrently.
+    pub slots: u32,
     /// The cost of its failure rate, as additional response time in milliseconds.
     pub failure_cost_ms: f64,
     /// Whether it may be used now: it is not in backoff, and this front is below its share of the
@@ -111,6 +116,9 @@
     /// Refuse the request: no server is expected to answer in time. It may be retried after this
     /// time.
     Full(Duration),
+    /// Refuse the request: all servers that are expected to answer it in time are reserved for more
+    /// urgent requests. It may be retried after this time.
+    Reserved(Duration),
     /// Refuse the request: there is no server, or none may be used now.
     NoServer,
 }
@@ -153,16 +161,40 @@
     idle_ms: f64,
     fronts: u32,
     rng: &mut impl Rng,
+) -> Choice {
+    choose_with_reserve(
+        candidates,
+        profile,
+        &Reserve::default(),
+        idle_ms,
+        fronts,
+        rng,
+    )
+}
+
+/// Chooses a server like [`choose`] for a request of a service that more urgent requests use too.
+pub fn choose_with_reserve(
+    candidates: &[Candidate],
+    profile: &RequestProfile,
+    reserve: &Reserve<'_>,
+    idle_ms: f64,
+    fronts: u32,
+    rng: &mut impl Rng,
 ) -> Choice {
     let samples = usize::try_from(TOTAL_SAMPLES / fronts.max(1)).unwrap_or(usize::MAX);
     let samples = samples.max(MIN_SAMPLES);
     let limit = limit_ms(profile, idle_ms);
     let mut earliest = f64::INFINITY;
+    let mut is_reserved = false;
     let mut eligible_candidates: Vec<EligibleCandidate<'_>> = Vec::with_capacity(candidates.len());
     for candidate in candidates.iter().filter(|candidate| candidate.usable) {
         let expected_ms = candidate.response_ms + candidate.distance.round_trip_ms();
         earliest = earliest.min(expected_ms);
         if expected_ms <= limit && candidate.service_rounds <= MAX_SERVICE_ROUNDS {
+            if !reserve.allows(candidate) {
+                is_reserved = true;
+                continue;
+            }
             let bytes = candidate.distance.byte_cost_ms(profile.size_kib);
             eligible_candidates.push(EligibleCandidate {
                 candidate,
@@ -182,6 +214,9 @@
     if let Some(eligible) = cheapest {
         return Choice::Send(eligible.candidate.server.clone());
     }
+    if is_reserved {
+        return Choice::Reserved(reserve.retry_after(idle_ms, rng));
+    }
     if earliest.is_infinite() {
         return Choice::NoServer;
     }
--- a/crates/carawayrill-core/src/direct/load.rs
+++ b/crates/carawayrill-core/src/direct/load.rs
@@ -135,6 +135,12 @@
         self.mean_half_life_ms = f64::from(fronts.max(1)) * MEAN_HALF_LIFE_PER_FRONT_MS;
     }
 
+    /// Returns the number of requests that the server can run concurrently.
+    #[must_use]
+    pub fn slots(&self) -> u32 {
+        self.slots
+    }
+
     /// Returns the number of this front's requests that are at the server.
     #[must_use]
     pub fn in_flight(&self) -> u32 {
--- a/crates/carawayrill-core/src/direct/mod.rs
+++ b/crates/carawayrill-core/src/direct/mod.rs
@@ -18,6 +18,7 @@
 pub mod limit;
 pub mod load;
 pub mod manifest;
+pub mod priority;
 pub mod quarantine;
 pub mod reach;
 pub mod rebalance;
--- a/crates/carawayrill-core/src/direct/routes.rs
+++ b/crates/carawayrill-core/src/direct/routes.rs
@@ -7,6 +7,7 @@
 
 use crate::direct::manifest::Manifest;
 use crate::direct::manifest::Route;
+use crate::direct::priority::classes::SharedServices;
 use crate::id::ServiceId;
 
 /// A route and the state of its weighted split.
@@ -61,6 +62,7 @@
 pub struct Routes {
     /// The routes by host, longest prefix first.
     hosts: HashMap<CompactString, Vec<RouteEntry>>,
+    shared_services: SharedServices,
 }
 
 /// The route and destination of one request.
@@ -86,7 +88,16 @@
         for entries in hosts.values_mut() {
             entries.sort_by_key(|entry| std::cmp::Reverse(entry.route.prefix.len()));
         }
-        Self { hosts }
+        Self {
+            hosts,
+            shared_services: SharedServices::new(manifest),
+        }
+    }
+
+    /// Returns the services that routes of different priority share.
+    #[must_use]
+    pub fn shared_services(&self) -> &SharedServices {
+        &self.shared_services
     }
 
     /// Finds the route of a request and the next destination of its split.
--- a/crates/carawayrill-core/tests/direct_decisions.rs
+++ b/crates/carawayrill-core/tests/direct_decisions.rs
@@ -101,6 +101,8 @@
         distance,
         response_ms,
         service_rounds: 1.0,
+        requests_ahead: 0.0,
+        slots: 6,
         failure_cost_ms: 0.0,
         usable: true,
     }
--- a/crates/carawayrill-gateway/src/forward/choose.rs
+++ b/crates/carawayrill-gateway/src/forward/choose.rs
@@ -7,6 +7,8 @@
 use carawayrill_core::direct::admission::Choice;
 use carawayrill_core::direct::admission::RequestProfile;
 use carawayrill_core::direct::keys::Fence;
+use carawayrill_core::direct::priority::reserve::Reserve;
+use carawayrill_core::direct::routes::Routes;
 use carawayrill_core::direct::servers::Server;
 use carawayrill_core::event::LoadEstimateRecord;
 use carawayrill_core::id::DataCentreId;
@@ -75,6 +77,13 @@
         self.request.matched.route.homes.allows(region)
     }
 
+    /// Returns what is reserved for requests that are more urgent than this one.
+    fn reserve<'t>(&self, routes: &'t Routes) -> Reserve<'t> {
+        let matched = &self.request.matched;
+        let shared_services = routes.shared_services();
+        Reserve::new(shared_services.more_urgent(&matched.service, matched.route.priority))
+    }
+
     /// Chooses among all servers of the service.
     fn next_server(&self, tables: &mut Tables, now: Time) -> NextStep {
         let service = &self.request.matched.service;
@@ -86,9 +95,11 @@
         let request_profile = self.request_profile(tables, now);
         let idle_ms = mean_ms.unwrap_or(ASSUMED_IDLE_MS);
         let fronts = tables.fronts.get();
-        let refusal = match admission::choose(
+        let reserve = self.reserve(&tables.routes);
+        let refusal = match admission::choose_with_reserve(
             &candidates,
             &request_profile,
+            &reserve,
             idle_ms,
             fronts,
             &mut tables.rng,
@@ -98,6 +109,7 @@
                 None => Refusal::new("no-server", DEFAULT_RETRY_AFTER),
             },
             Choice::Full(after) => Refusal::new("full", after),
+            Choice::Reserved(after) => Refusal::new("reserved", after),
             Choice::NoServer => {
                 match refuse_limited(tables, &candidates, &request_profile, idle_ms, now) {
                     Some(refusal) => refusal,
@@ -156,15 +168,18 @@
             load.paused_until().max(load.backoff_until()).since(now)
         });
         let busy = busy.max(limited);
-        let (reason, busy) = match admission::choose(
+        let reserve = self.reserve(&tables.routes);
+        let (reason, busy) = match admission::choose_with_reserve(
             &candidates,
             &request_profile,
+            &reserve,
             idle_ms,
             fronts,
             &mut tables.rng,
         ) {
             Choice::Send(_) => return NextStep::Send(Box::new(server), Some(span.fence)),
             Choice::Full(after) => ("full", after),
+            Choice::Reserved(after) => ("reserved", after),
             Choice::NoServer if !limited.is_zero() => ("owner-limited", busy),
             Choice::NoServer => ("owner-busy", busy),
         };
--- a/crates/carawayrill-gateway/src/state.rs
+++ b/crates/carawayrill-gateway/src/state.rs
@@ -441,6 +441,8 @@
         distance,
         response_ms: load.response_ms(now),
         service_rounds: load.service_rounds(now),
+        requests_ahead: load.expected_total(now),
+        slots: load.slots(),
         failure_cost_ms: load.failure_cost_ms(now),
         usable: within_limit && load.in_flight() < connections && load.accepts(now),
     }
