--- a/crates/carawayrill-core/tests/direct_priority.rs
+++ b/crates/carawayrill-core/tests/direct_priority.rs
@@ -219,6 +219,7 @@
     let (urgent, other) = shares(&with);
     assert!(urgent >= other, "{with:?}");
     assert!(urgent > shares(&without).0, "{without:?} {with:?}");
+    assert!(urgent > 0.8 && other > 0.7, "{with:?}");
 }
 
 /// Guards against a class that starves: the urgent requests alone need more than all servers.
