Merge the queue and the reserve for urgent requests

A class counts as sharing a service only if it sends more than a few of its requests to this front: routes that are hardly used must not reserve room. The share of requests with homes uses the same code (core::direct::request_share).

--- a/crates/carawayrill-core/src/direct/homes/mod.rs
+++ b/crates/carawayrill-core/src/direct/homes/mod.rs
@@ -6,7 +6,6 @@
 
 pub mod room;
 pub mod services;
-pub mod share;
 
 use std::collections::BTreeSet;
 
--- a/crates/carawayrill-core/src/direct/homes/room.rs
+++ b/crates/carawayrill-core/src/direct/homes/room.rs
@@ -10,6 +10,7 @@
 use crate::direct::admission::Candidate;
 use crate::direct::admission::Choice;
 use crate::direct::admission::RequestProfile;
+use crate::direct::priority::reserve::Reserve;
 
 /// The share of the usual limit within which a server in a home region has to be expected to answer
 /// a request of a route without homes.
@@ -25,7 +26,8 @@
     pub left_room: bool,
 }
 
-/// Chooses a server for a request of a route without homes, as [`admission::choose`] does.
+/// Chooses a server for a request of a route without homes, as
+/// [`admission::choose_with_reserve`] does.
 ///
 /// A server for which `is_reserved` holds, because it is in a home region of another route to the
 /// same service, is used only while it has spare capacity. If no server elsewhere may be used, the
@@ -34,6 +36,7 @@
     candidates: &[Candidate],
     is_reserved: impl Fn(&Candidate) -> bool,
     profile: &RequestProfile,
+    reserve: &Reserve,
     idle_ms: f64,
     fronts: u32,
     rng: &mut impl Rng,
@@ -44,7 +47,7 @@
             || !is_reserved(candidate)
     };
     let (roomy, scarce): (Vec<_>, Vec<_>) = candidates.iter().cloned().partition(has_room);
-    let choice = admission::choose(&roomy, profile, idle_ms, fronts, rng);
+    let choice = admission::choose_with_reserve(&roomy, profile, reserve, idle_ms, fronts, rng);
     if matches!(choice, Choice::Send(_)) || scarce.is_empty() {
         return RoomChoice {
             left_room: scarce.iter().any(|candidate| candidate.usable),
@@ -52,7 +55,7 @@
         };
     }
     RoomChoice {
-        choice: admission::choose(candidates, profile, idle_ms, fronts, rng),
+        choice: admission::choose_with_reserve(candidates, profile, reserve, idle_ms, fronts, rng),
         left_room: false,
     }
 }
--- a/crates/carawayrill-core/src/direct/load.rs
+++ b/crates/carawayrill-core/src/direct/load.rs
@@ -149,6 +149,12 @@
         now < self.cold_until
     }
 
+    /// Returns the number of requests that the server can run concurrently.
+    #[must_use]
+    pub fn slots(&self) -> u32 {
+        self.slots
+    }
+
     /// Returns the number of this front's requests that are at the server.
     #[must_use]
     pub fn in_flight(&self) -> u32 {
--- a/crates/carawayrill-core/tests/direct_decline.rs
+++ b/crates/carawayrill-core/tests/direct_decline.rs
@@ -33,6 +33,8 @@
         distance: Distance::SameDataCentre,
         response_ms: 100.0,
         service_rounds: 1.0,
+        requests_ahead: 0.0,
+        slots: 4,
         failure_cost_ms: 0.0,
         usable,
     }
--- a/crates/carawayrill-core/tests/direct_homes.rs
+++ b/crates/carawayrill-core/tests/direct_homes.rs
@@ -13,11 +13,12 @@
 use carawayrill_core::direct::homes::services::Regions;
 use carawayrill_core::direct::homes::services::ServiceHomes;
 use carawayrill_core::direct::homes::services::remove_unknown_homes;
-use carawayrill_core::direct::homes::share::HomedShare;
 use carawayrill_core::direct::manifest::Destination;
 use carawayrill_core::direct::manifest::Manifest;
 use carawayrill_core::direct::manifest::Repeat;
 use carawayrill_core::direct::manifest::Route;
+use carawayrill_core::direct::priority::reserve::Reserve;
+use carawayrill_core::direct::request_share::RequestShare;
 use carawayrill_core::direct::routes::Routes;
 use carawayrill_core::id::DataCentreId;
 use carawayrill_core::id::ServiceId;
@@ -128,7 +129,7 @@
 /// Guards against keys that move back and forth while the share is near the bound.
 #[test]
 fn the_share_of_requests_with_homes_has_to_fall_well_below_the_bound() {
-    let mut share = HomedShare::default();
+    let mut share = RequestShare::default();
     let mut second = 0;
     let mut play = |with_homes, seconds| {
         for _second in 0..seconds {
@@ -147,7 +148,7 @@
 /// Guards against a placement that depends on the first few requests.
 #[test]
 fn a_share_of_next_to_no_requests_is_not_known() {
-    let mut share = HomedShare::default();
+    let mut share = RequestShare::default();
     share.record(4, 4, Time(1_000));
     assert!(!share.is_significant());
 }
@@ -277,6 +278,8 @@
                     },
                     response_ms: service_rounds * IDLE_MS,
                     service_rounds,
+                    requests_ahead: *requests,
+                    slots: 6,
                     failure_cost_ms: 0.0,
                     usable: true,
                 }
@@ -301,7 +304,8 @@
         let choice = if restricted || rule == Rule::NoRoom {
             admission::choose(&candidates, &profile, IDLE_MS, 70, rng)
         } else {
-            room::choose(&candidates, is_home, &profile, IDLE_MS, 70, rng).choice
+            let none = Reserve::default();
+            room::choose(&candidates, is_home, &profile, &none, IDLE_MS, 70, rng).choice
         };
         let Choice::Send(server) = choice else {
             return None;
--- a/crates/carawayrill-gateway/src/forward/choose.rs
+++ b/crates/carawayrill-gateway/src/forward/choose.rs
@@ -11,6 +11,9 @@
 use carawayrill_core::direct::evacuation::Evacuations;
 use carawayrill_core::direct::homes::room;
 use carawayrill_core::direct::keys::Fence;
+use carawayrill_core::direct::priority::queue::Waiter;
+use carawayrill_core::direct::priority::reserve::Reserve;
+use carawayrill_core::direct::priority::waiting::may_wait;
 use carawayrill_core::direct::servers::Server;
 use carawayrill_core::event::LoadEstimateRecord;
 use carawayrill_core::id::DataCentreId;
@@ -24,6 +27,7 @@
 use super::DEFAULT_RETRY_AFTER;
 use super::Forwarder;
 use super::send::NOT_SENT;
+use super::wait::next_usable;
 use crate::clock;
 use crate::state::Tables;
 
@@ -39,6 +43,8 @@
 pub(super) enum NextStep {
     Send(Box<Server>, Option<Fence>),
     WaitForOwner,
+    /// Wait in the queue of the service, or refuse the request if it has no room.
+    WaitForRoom(Refusal, Waiter),
     Refuse(Refusal),
 }
 
@@ -52,7 +58,7 @@
 }
 
 impl Refusal {
-    fn new(reason: &'static str, retry_after: Duration) -> Self {
+    pub(super) fn new(reason: &'static str, retry_after: Duration) -> Self {
         Self {
             reason,
             retry_after,
@@ -116,6 +122,7 @@
         tables: &mut Tables,
         candidates: &[Candidate],
         profile: &RequestProfile,
+        reserve: &Reserve,
         idle_ms: f64,
     ) -> Choice {
         let matched = &self.request.matched;
@@ -127,19 +134,43 @@
             ..
         } = tables;
         if matched.route.homes.is_restricted() || !homes.is_restricted(&matched.service) {
-            return admission::choose(candidates, profile, idle_ms, fronts, rng);
+            return admission::choose_with_reserve(
+                candidates, profile, reserve, idle_ms, fronts, rng,
+            );
         }
         let is_reserved = |candidate: &Candidate| {
             let server = servers.get(&candidate.server);
             server.is_some_and(|one| homes.is_reserved(&matched.service, &one.data_centre))
         };
-        let chosen = room::choose(candidates, is_reserved, profile, idle_ms, fronts, rng);
+        let chosen = room::choose(
+            candidates,
+            is_reserved,
+            profile,
+            reserve,
+            idle_ms,
+            fronts,
+            rng,
+        );
         if chosen.left_room {
             self.shared.metrics.left_home_room.inc();
         }
         chosen.choice
     }
 
+    /// Returns what is reserved for requests that are more urgent than `priority`.
+    pub(super) fn reserve(&self, tables: &Tables, priority: u32) -> Reserve {
+        let classes = tables.shared_classes(&self.request.matched.service);
+        let count = classes.partition_point(|class| class.priority < priority);
+        Reserve::new(&classes[..count])
+    }
+
+    /// Returns the response time of an idle server of the service, in milliseconds.
+    pub(super) fn idle_ms(&self, tables: &Tables, now: Time) -> f64 {
+        let service = &self.request.matched.service;
+        let mean_ms = tables.mean_service_ms(service, now);
+        mean_ms.unwrap_or(ASSUMED_IDLE_MS)
+    }
+
     /// Chooses among all servers of the service.
     fn next_server(&self, tables: &mut Tables, now: Time) -> NextStep {
         let service = &self.request.matched.service;
@@ -156,12 +187,14 @@
         self.declines.restrict(&mut candidates, may_use_others);
         let request_profile = self.request_profile(tables, now);
         let idle_ms = mean_ms.unwrap_or(ASSUMED_IDLE_MS);
-        let refusal = match self.choose_candidate(tables, &candidates, &request_profile, idle_ms) {
-            Choice::Send(id) => match tables.servers.get(&id) {
+        let choice = self.choose_server(tables, &candidates, &request_profile, idle_ms, now);
+        let refusal = match &choice {
+            Choice::Send(id) => match tables.servers.get(id) {
                 Some(server) => return NextStep::Send(Box::new(server.clone()), None),
                 None => Refusal::new("no-server", DEFAULT_RETRY_AFTER),
             },
-            Choice::Full(after) => Refusal::new("full", after),
+            Choice::Full(after) => Refusal::new("full", *after),
+            Choice::Reserved(after) => Refusal::new("reserved", *after),
             Choice::NoServer => {
                 match refuse_limited(tables, &candidates, &request_profile, idle_ms, now) {
                     Some(refusal) => refusal,
@@ -173,10 +206,52 @@
             }
         };
         let limit_ms = admission::limit_ms(&request_profile, idle_ms);
-        NextStep::Refuse(Refusal {
+        let refusal = Refusal {
             load_estimate: load_estimate(tables, &candidates, limit_ms, now),
             ..refusal
-        })
+        };
+        let waiter = self.waiter(idle_ms);
+        let reserve = self.reserve(tables, waiter.priority);
+        let usable_after = next_usable(tables, &candidates, now);
+        let time_left = waiter.send_by.since(now);
+        if self.may_queue(tables) && may_wait(&choice, &reserve, usable_after, time_left) {
+            return NextStep::WaitForRoom(refusal, waiter);
+        }
+        NextStep::Refuse(refusal)
+    }
+
+    /// Chooses among candidates, with regard to what is reserved for more urgent requests. A request
+    /// that has gained urgency by waiting may use the part of the reserve that no class is denied.
+    fn choose_server(
+        &self,
+        tables: &mut Tables,
+        candidates: &[Candidate],
+        profile: &RequestProfile,
+        idle_ms: f64,
+        now: Time,
+    ) -> Choice {
+        let service = &self.request.matched.service;
+        let priority = self.request.matched.route.priority;
+        let waiting = &self.shared.waiting;
+        let reserve = self.reserve(tables, priority);
+        let choice = self.choose_candidate(tables, candidates, profile, &reserve, idle_ms);
+        if reserve.is_empty() && matches!(choice, Choice::Send(_)) {
+            if !tables.shared_classes(service).is_empty() {
+                waiting.record_urgent_sent(service);
+            }
+            return choice;
+        }
+        let gained = self.waiter(idle_ms).priority_at(now);
+        let is_reserved = matches!(choice, Choice::Reserved(_));
+        if !is_reserved || gained >= priority || !waiting.has_floor_credit(service) {
+            return choice;
+        }
+        let reserve = self.reserve(tables, gained);
+        let gained_choice = self.choose_candidate(tables, candidates, profile, &reserve, idle_ms);
+        if matches!(gained_choice, Choice::Send(_)) {
+            waiting.use_floor_credit(service);
+        }
+        gained_choice
     }
 
     /// Chooses the owner of the key.
@@ -231,15 +306,18 @@
             load.paused_until().max(load.backoff_until()).since(now)
         });
         let busy = busy.max(limited);
-        let (reason, busy) = match admission::choose(
+        let reserve = self.reserve(tables, self.request.matched.route.priority);
+        let (reason, busy) = match admission::choose_with_reserve(
             &candidates,
             &request_profile,
+            &reserve,
             idle_ms,
             fronts,
             &mut tables.rng,
         ) {
             Choice::Send(_) => return NextStep::Send(Box::new(server), Some(span.fence)),
             Choice::Full(after) => ("full", after),
+            Choice::Reserved(after) => ("reserved", after),
             Choice::NoServer if !limited.is_zero() => ("owner-limited", busy),
             Choice::NoServer => ("owner-busy", busy),
         };
--- a/crates/carawayrill-gateway/src/front.rs
+++ b/crates/carawayrill-gateway/src/front.rs
@@ -307,6 +307,7 @@
             .budget(service, &self.shared.cfg)
             .record_request(request.received);
         tables.count_request(service, request.matched.route.homes.is_restricted());
+        tables.count_class(service, request.matched.route.priority, request.received);
         if let Some(key) = request.key.filter(|_| request.keyed) {
             tables.record_key(service, key);
         }
--- a/crates/carawayrill-gateway/src/homes.rs
+++ b/crates/carawayrill-gateway/src/homes.rs
@@ -9,8 +9,8 @@
 use carawayrill_core::direct::homes::services::Regions;
 use carawayrill_core::direct::homes::services::RouteDestination;
 use carawayrill_core::direct::homes::services::ServiceHomes;
-use carawayrill_core::direct::homes::share::HomedShare;
 use carawayrill_core::direct::manifest::Manifest;
+use carawayrill_core::direct::request_share::RequestShare;
 use carawayrill_core::direct::routes::RouteMatch;
 use carawayrill_core::direct::service_load::ServiceLoad;
 use carawayrill_core::event::EventKind;
@@ -31,7 +31,7 @@
     /// The destinations of routes with homes that were last logged to have no server there.
     without_server: BTreeSet<RouteDestination>,
     /// The share of requests with homes at this front, and at all fronts if it is the granter.
-    shares: BTreeMap<ServiceId, HomedShare>,
+    shares: BTreeMap<ServiceId, RequestShare>,
     /// The placement of the keys of each keyed service that was last logged.
     placements: BTreeMap<ServiceId, KeyPlacement>,
 }
@@ -68,7 +68,7 @@
 
     fn is_significant(&self, service: &ServiceId) -> bool {
         let share = self.shares.get(service);
-        share.is_some_and(HomedShare::is_significant)
+        share.is_some_and(RequestShare::is_significant)
     }
 
     /// Counts requests of a service that fronts have reported.
--- a/crates/carawayrill-gateway/src/lib.rs
+++ b/crates/carawayrill-gateway/src/lib.rs
@@ -8,6 +8,8 @@
 //! - [`forward`]: forwards one request, with retries and hedging,
 //! - [`homes`]: what the homes of routes mean for the known servers,
 //! - [`upstream`]: connections to servers and to other fronts,
+//! - `waiting`: the requests that wait for a server of a service that routes of different priority
+//!   share,
 //! - `quarantine`: records which requests crash servers,
 //! - [`reach`]: finds out when a front that was cut off reaches the servers again,
 //! - [`knowledge`] and [`watcher`]: what is known of the manifest, the servers and the evacuations,
@@ -18,6 +20,7 @@
 //! - [`ready`]: the readiness and metrics endpoints.
 
 mod access_log;
+mod classes;
 pub mod clock;
 mod cold;
 pub mod config;
@@ -45,6 +48,7 @@
 pub mod spans;
 pub mod state;
 pub mod upstream;
+mod waiting;
 pub mod watcher;
 
 pub use crate::error::Error;
--- a/crates/carawayrill-gateway/src/state.rs
+++ b/crates/carawayrill-gateway/src/state.rs
@@ -42,11 +42,13 @@
 use tokio::sync::Notify;
 use tokio::sync::watch;
 
+use crate::classes::ClassShares;
 use crate::clock;
 use crate::config::Config;
 use crate::homes::HomeTable;
 use crate::metrics::Metrics;
 use crate::spans::SpanTable;
+use crate::waiting::WaitingRequests;
 
 /// The weight of a new request in the moving average of a route's request sizes.
 const SIZE_EWMA_WEIGHT: f64 = 0.05;
@@ -92,6 +94,8 @@
     pub retry_budgets: HashMap<ServiceId, RetryWindow>,
     /// The mean size of request plus response of each route, in KiB.
     pub route_sizes_kib: HashMap<compact_str::CompactString, f64>,
+    /// The share of each class in the requests of the services that classes share.
+    pub class_shares: ClassShares,
     /// The requests of each service since the last report to the granter.
     pub service_loads: HashMap<ServiceId, ServiceLoad>,
     /// The number of requests by key since the last report to the granter.
@@ -113,6 +117,8 @@
     pub cfg: Config,
     /// The metrics.
     pub metrics: Metrics,
+    /// The requests that wait for a server.
+    pub waiting: WaitingRequests,
     tables: Mutex<Tables>,
     changed: watch::Sender<u64>,
     crash_observed: Notify,
@@ -131,6 +137,7 @@
         Self {
             cfg,
             metrics,
+            waiting: WaitingRequests::default(),
             tables: Mutex::new(Tables {
                 manifest: None,
                 routes: Routes::default(),
@@ -149,6 +156,7 @@
                 spans: HashMap::new(),
                 retry_budgets: HashMap::new(),
                 route_sizes_kib: HashMap::new(),
+                class_shares: ClassShares::default(),
                 service_loads: HashMap::new(),
                 demand: HashMap::new(),
                 reported_service_times: HashMap::new(),
@@ -177,6 +185,7 @@
     /// Wakes requests that wait for a change of the tables.
     pub fn notify_changed(&self) {
         self.changed.send_modify(|count| *count += 1);
+        self.waiting.wake_up();
     }
 
     /// Returns whether this front is cut off from the servers.
@@ -411,6 +420,8 @@
         distance,
         response_ms: load.response_ms(now),
         service_rounds: load.service_rounds(now),
+        requests_ahead: load.expected_total(now),
+        slots: load.slots(),
         failure_cost_ms: load.failure_cost_ms(now),
         usable: within_limit && load.in_flight() < connections && load.accepts(now),
     }
--- a/crates/carawayrill-gateway/src/watcher.rs
+++ b/crates/carawayrill-gateway/src/watcher.rs
@@ -212,6 +212,9 @@
             let limits = tables.limits.refresh(fronts, now);
             tables.cold.expire(now);
             tables.crashes.expire(now);
+            let shared_services = tables.routes.shared_services();
+            let is_shared = |service: &_| !shared_services.classes(service).is_empty();
+            shared.waiting.retain_services(is_shared);
             (limits, tables.servers.expire(now))
         };
         for (server, limit) in &limits {
