Classes give way only if they can wait, declines by the queues that servers bear, room by size

Change: a class gives way only if its objective is three times as long as the urgent one's; a refusal with less than half of a queue that servers of the service have borne is a decline; requests above 32 KiB leave no room in home regions.

--- a/crates/carawayrill-core/src/direct/decline.rs
+++ b/crates/carawayrill-core/src/direct/decline.rs
@@ -1,10 +1,12 @@
-//! Servers that refuse a request although they have free slots.
+//! Servers that refuse a request although they have room for it.
 //!
 //! It is designed for servers that turn away a share of their requests by chance, up to more than
-//! half of them, while they could run them. Such a refusal says nothing about the next request, so
+//! half of them, while they could take them. Such a refusal says nothing about the next request, so
 //! the server stays in use and the request may be sent to it again at once. A server that is full
-//! refuses for another reason and is given time to process its queue.
+//! refuses for another reason and is given time to process its queue. The two are told apart by the
+//! load that comes with the refusal, and by the queues that servers of the service have borne.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
 use rand::Rng;
@@ -13,6 +15,7 @@
 use crate::direct::admission::Candidate;
 use crate::direct::load::LoadReport;
 use crate::id::ServerId;
+use crate::id::ServiceId;
 
 /// The maximum number of times that one request is sent again after servers have declined it. With
 /// it, a request passes a server that declines half of its requests 31 times in 32.
@@ -23,10 +26,38 @@
 /// The longest retry-after time of such a request, in milliseconds.
 const MAX_RETRY_AFTER_MS: f64 = 100.0;
 
-/// Returns whether a server that refused a request with this report of its load had a free slot.
-#[must_use]
-pub fn has_free_slot(report: Option<LoadReport>) -> bool {
-    report.is_some_and(|report| report.waiting == 0 && report.running < report.slots)
+/// The longest queues that servers of each service have reported with a successful response.
+#[derive(Debug, Clone, Default)]
+pub struct BorneQueues {
+    services: HashMap<ServiceId, u32>,
+}
+
+impl BorneQueues {
+    /// Records the load that a server of a service reported with a successful response.
+    pub fn record(&mut self, service: &ServiceId, report: LoadReport) {
+        match self.services.get_mut(service) {
+            Some(longest) => *longest = report.waiting.max(*longest),
+            None => {
+                self.services.insert(service.clone(), report.waiting);
+            }
+        }
+    }
+
+    /// Returns whether a server of a service that refused a request with this report of its load had
+    /// room for it: a free slot, or less than half of a queue that others have borne.
+    #[must_use]
+    pub fn had_room(&self, service: &ServiceId, report: Option<LoadReport>) -> bool {
+        let longest = self.services.get(service).copied().unwrap_or(0);
+        report.is_some_and(|report| {
+            let has_free_slot = report.waiting == 0 && report.running < report.slots;
+            has_free_slot || report.waiting.saturating_mul(2) < longest
+        })
+    }
+
+    /// Forgets the services for which `keep` returns `false`.
+    pub fn retain(&mut self, keep: impl Fn(&ServiceId) -> bool) {
+        self.services.retain(|service, _| keep(service));
+    }
 }
 
 /// Returns the retry-after time of a request that is not sent again after servers have declined it.
--- a/crates/carawayrill-core/src/direct/homes/room.rs
+++ b/crates/carawayrill-core/src/direct/homes/room.rs
@@ -16,6 +16,10 @@
 /// a request of a route without homes.
 const UNRESTRICTED_SHARE: f64 = 0.5;
 
+/// The size of request and response together up to which a request leaves room, in KiB. A larger one
+/// would take the link between regions, and that of a weak front, for longer than it takes a slot.
+const MAX_LEAVING_SIZE_KIB: f64 = 32.0;
+
 /// The decision on a request of a route without homes.
 #[derive(Debug, Clone, PartialEq)]
 pub struct RoomChoice {
@@ -31,7 +35,7 @@
 ///
 /// A server for which `is_reserved` holds, because it is in a home region of another route to the
 /// same service, is used only while it has spare capacity. If no server elsewhere may be used, the
-/// usual limit applies to all.
+/// usual limit applies to all. A large request leaves no room.
 pub fn choose(
     candidates: &[Candidate],
     is_reserved: impl Fn(&Candidate) -> bool,
@@ -41,6 +45,14 @@
     fronts: u32,
     rng: &mut impl Rng,
 ) -> RoomChoice {
+    if profile.size_kib > MAX_LEAVING_SIZE_KIB {
+        return RoomChoice {
+            choice: admission::choose_with_reserve(
+                candidates, profile, reserve, idle_ms, fronts, rng,
+            ),
+            left_room: false,
+        };
+    }
     let limit = admission::limit_ms(profile, idle_ms) * UNRESTRICTED_SHARE;
     let has_room = |candidate: &Candidate| {
         candidate.response_ms + candidate.distance.round_trip_ms() <= limit
--- a/crates/carawayrill-core/src/direct/priority/classes.rs
+++ b/crates/carawayrill-core/src/direct/priority/classes.rs
@@ -8,6 +8,11 @@
 use crate::direct::manifest::Route;
 use crate::id::ServiceId;
 
+/// The least ratio of a class's objective to that of a more urgent one with which it gives way. A
+/// request with a shorter objective can't wait for room and still be in time, so it would only be
+/// refused in the place of the urgent one.
+const MIN_OBJECTIVE_RATIO: u32 = 3;
+
 /// The requests of all routes of one priority to one service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Class {
@@ -28,6 +33,13 @@
         }
     }
 
+    /// Returns whether requests of this class give way to those of a more urgent one.
+    #[must_use]
+    pub fn gives_way_to(&self, urgent: &Self) -> bool {
+        let is_less_urgent = urgent.priority < self.priority;
+        is_less_urgent && self.objective >= urgent.objective * MIN_OBJECTIVE_RATIO
+    }
+
     /// Returns the profile of a request of this class that has just arrived.
     #[must_use]
     pub fn new_request(&self) -> RequestProfile {
@@ -98,6 +110,16 @@
     }
 }
 
+/// Returns those of the classes that give way to another one, or to which another one gives way.
+#[must_use]
+pub fn contending(classes: &[Class]) -> Vec<Class> {
+    let contends = |one: &&Class| {
+        let mut others = classes.iter();
+        others.any(|other| one.gives_way_to(other) || other.gives_way_to(one))
+    };
+    classes.iter().filter(contends).copied().collect()
+}
+
 fn add_route(classes: &mut Vec<Class>, route: &Route) {
     let present = classes
         .iter_mut()
--- a/crates/carawayrill-core/tests/direct_homes.rs
+++ b/crates/carawayrill-core/tests/direct_homes.rs
@@ -389,3 +389,39 @@
     );
     assert!(served.unrestricted > 0.6, "{served:?}");
 }
+
+/// Guards against filling the links between regions with large responses for the sake of a few slots.
+#[rstest]
+#[case::small(4.0, true)]
+#[case::large(90.0, false)]
+fn large_requests_leave_no_room(#[case] size_kib: f64, #[case] leaves: bool) {
+    let candidate = |name: &str, distance: Distance, response_ms: f64| Candidate {
+        server: name.parse().expect("a name"),
+        distance,
+        response_ms,
+        service_rounds: response_ms / IDLE_MS,
+        requests_ahead: 0.0,
+        slots: 6,
+        failure_cost_ms: 0.0,
+        usable: true,
+    };
+    let candidates = [
+        candidate("home", Distance::SameRegion, 300.0),
+        candidate("elsewhere", Distance::OtherRegion, 100.0),
+    ];
+    let profile = RequestProfile {
+        objective_left: Duration::from_millis(400),
+        deadline_left: Duration::from_secs(1),
+        size_kib,
+    };
+    let is_home = |one: &Candidate| one.distance == Distance::SameRegion;
+    let none = Reserve::default();
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let chosen = room::choose(&candidates, is_home, &profile, &none, IDLE_MS, 70, &mut rng);
+    assert_eq!(chosen.left_room, leaves);
+    let expected = if leaves { "elsewhere" } else { "home" };
+    assert_eq!(
+        chosen.choice,
+        Choice::Send(expected.parse().expect("a name"))
+    );
+}
--- a/crates/carawayrill-core/tests/direct_priority.rs
+++ b/crates/carawayrill-core/tests/direct_priority.rs
@@ -17,6 +17,7 @@
 use carawayrill_core::direct::manifest::Route;
 use carawayrill_core::direct::priority::classes::Class;
 use carawayrill_core::direct::priority::classes::SharedServices;
+use carawayrill_core::direct::priority::classes::contending;
 use carawayrill_core::direct::priority::queue::NoRoom;
 use carawayrill_core::direct::priority::queue::WaitQueue;
 use carawayrill_core::direct::priority::queue::Waiter;
@@ -97,6 +98,25 @@
     assert_eq!(shared.more_urgent(&service, 2), [class(0, 300)]);
 }
 
+/// Guards against refusing requests that can't wait either, for the sake of slightly more urgent ones.
+#[rstest]
+#[case::can_wait(&[(0, 500), (2, 2_000)], &[0, 2])]
+#[case::objectives_are_near(&[(0, 500), (1, 800)], &[])]
+#[case::one_of_three_can_wait(&[(0, 500), (1, 800), (2, 2_000)], &[0, 2])]
+#[case::the_urgent_one_can_wait_longer(&[(0, 2_000), (2, 500)], &[])]
+fn a_class_gives_way_only_if_its_objective_is_much_longer(
+    #[case] objectives: &[(u32, u64)],
+    #[case] expected: &[u32],
+) {
+    let classes: Vec<Class> = objectives
+        .iter()
+        .map(|(priority, objective_ms)| class(*priority, *objective_ms))
+        .collect();
+    let contending = contending(&classes);
+    let priorities: Vec<u32> = contending.iter().map(|class| class.priority).collect();
+    assert_eq!(priorities, expected);
+}
+
 fn candidate(slots: u32, ahead: f64, service_ms: f64) -> Candidate {
     let service_rounds = ((ahead + 1.0) / f64::from(slots)).max(1.0);
     Candidate {
--- a/crates/carawayrill-gateway/src/classes.rs
+++ b/crates/carawayrill-gateway/src/classes.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 
+use carawayrill_core::direct::priority::classes;
 use carawayrill_core::direct::priority::classes::Class;
 use carawayrill_core::direct::request_share::RequestShare;
 use carawayrill_core::id::ServiceId;
@@ -32,8 +33,8 @@
         }
     }
 
-    /// Returns the classes that share a service and send it more than a few requests, the most urgent
-    /// first. There are none unless at least two do.
+    /// Returns the classes that share a service, send it more than a few requests and give way to one
+    /// another, the most urgent first.
     #[must_use]
     pub fn shared_classes(&self, service: &ServiceId) -> Vec<Class> {
         let Some(shares) = self.class_shares.services.get(service) else {
@@ -44,10 +45,7 @@
             let share = shares.get(&class.priority);
             share.is_some_and(RequestShare::is_significant)
         };
-        let classes: Vec<Class> = classes.iter().filter(is_significant).copied().collect();
-        if classes.len() < 2 {
-            return Vec::new();
-        }
-        classes
+        let significant: Vec<Class> = classes.iter().filter(is_significant).copied().collect();
+        classes::contending(&significant)
     }
 }
--- a/crates/carawayrill-gateway/src/forward/choose.rs
+++ b/crates/carawayrill-gateway/src/forward/choose.rs
@@ -11,6 +11,7 @@
 use carawayrill_core::direct::evacuation::Evacuations;
 use carawayrill_core::direct::homes::room;
 use carawayrill_core::direct::keys::Fence;
+use carawayrill_core::direct::priority::classes::Class;
 use carawayrill_core::direct::priority::queue::Waiter;
 use carawayrill_core::direct::priority::reserve::Reserve;
 use carawayrill_core::direct::priority::waiting::may_wait;
@@ -160,8 +161,19 @@
     /// Returns what is reserved for requests that are more urgent than `priority`.
     pub(super) fn reserve(&self, tables: &Tables, priority: u32) -> Reserve {
         let classes = tables.shared_classes(&self.request.matched.service);
-        let count = classes.partition_point(|class| class.priority < priority);
-        Reserve::new(&classes[..count])
+        let route = &self.request.matched.route;
+        let own = classes
+            .iter()
+            .find(|class| class.priority == route.priority);
+        let Some(own) = own else {
+            return Reserve::default();
+        };
+        let more_urgent: Vec<Class> = classes
+            .iter()
+            .filter(|urgent| urgent.priority < priority && own.gives_way_to(urgent))
+            .copied()
+            .collect();
+        Reserve::new(&more_urgent)
     }
 
     /// Returns the response time of an idle server of the service, in milliseconds.
--- a/crates/carawayrill-gateway/src/forward/send.rs
+++ b/crates/carawayrill-gateway/src/forward/send.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use carawayrill_core::direct::decline;
 use carawayrill_core::direct::keys::Fence;
 use carawayrill_core::direct::limit::LimitStatement;
 use carawayrill_core::direct::load::AttemptResult;
@@ -71,7 +70,7 @@
     Misdirected,
     /// It is overloaded.
     Overloaded,
-    /// It has free slots and refuses all the same.
+    /// It has room and refuses all the same.
     Declined,
 }
 
@@ -318,7 +317,7 @@
                     AttemptResult::Unknown,
                     "misdirected",
                 ),
-                ServerRefusal::NotRun if decline::has_free_slot(metadata.load) => {
+                ServerRefusal::NotRun if self.had_room(metadata) => {
                     (NotRunReason::Declined, AttemptResult::Declined, "declined")
                 }
                 ServerRefusal::NotRun => (NotRunReason::Overloaded, AttemptResult::Shed, "shed"),
@@ -356,6 +355,13 @@
         (Outcome::Response(Box::new(reply), class), label)
     }
 
+    /// Returns whether a server that refused the request had room for it.
+    fn had_room(&self, metadata: &ResponseMetadata) -> bool {
+        let service = &self.request.matched.service;
+        let tables = self.shared.tables();
+        tables.borne_queues.had_room(service, metadata.load)
+    }
+
     /// Records what a server says of itself besides its response: that it leaves, or wants no
     /// further request for some time.
     fn note_server_state(&self, server: &Server, metadata: &ResponseMetadata) {
--- a/crates/carawayrill-gateway/src/forward/wait.rs
+++ b/crates/carawayrill-gateway/src/forward/wait.rs
@@ -38,9 +38,15 @@
         !self.request.keyed
             && !self.may_have_run
             && self.server_error.is_none()
-            && !tables
-                .shared_classes(&self.request.matched.service)
-                .is_empty()
+            && self.contends(tables)
+    }
+
+    /// Returns whether the request's class gives way to another one of its service, or another one to
+    /// it.
+    fn contends(&self, tables: &Tables) -> bool {
+        let classes = tables.shared_classes(&self.request.matched.service);
+        let priority = self.request.matched.route.priority;
+        classes.iter().any(|class| class.priority == priority)
     }
 
     /// Returns the request as one that waits. `idle_ms` is the response time of an idle server.
@@ -134,12 +140,7 @@
     /// Returns the reply to a request that is refused for lack of capacity, and counts it.
     pub(super) fn refuse(&mut self, refusal: Refusal) -> Reply {
         let priority = self.request.matched.route.priority;
-        let is_shared = {
-            let tables = self.shared.tables();
-            !tables
-                .shared_classes(&self.request.matched.service)
-                .is_empty()
-        };
+        let is_shared = self.contends(&self.shared.tables());
         if is_shared {
             let label = priority.to_compact_string();
             let refused = &self.shared.metrics.refused;
--- a/crates/carawayrill-gateway/src/in_flight.rs
+++ b/crates/carawayrill-gateway/src/in_flight.rs
@@ -7,6 +7,7 @@
 use carawayrill_core::direct::load::LoadReport;
 use carawayrill_core::direct::servers::Server;
 use carawayrill_core::id::ServerId;
+use carawayrill_core::id::ServiceId;
 use carawayrill_core::time::Time;
 use carawayrill_core::time::millis;
 
@@ -18,6 +19,7 @@
 pub struct InFlight {
     shared: Arc<Shared>,
     server: ServerId,
+    service: ServiceId,
     sent: Time,
     total_at_send: f64,
     ended: bool,
@@ -37,6 +39,7 @@
         Self {
             shared: Arc::clone(shared),
             server: server.id.clone(),
+            service: server.service.clone(),
             sent: now,
             total_at_send,
             ended: false,
@@ -65,6 +68,9 @@
                 load.apply_report(now, report);
             }
         }
+        if let Some(report) = report.filter(|_| outcome == AttemptResult::Served) {
+            tables.borne_queues.record(&self.service, report);
+        }
         drop(tables);
         self.shared.waiting.wake_up();
     }
--- a/crates/carawayrill-gateway/src/knowledge/mod.rs
+++ b/crates/carawayrill-gateway/src/knowledge/mod.rs
@@ -103,7 +103,7 @@
         };
         let evacuations = cfg.evacuation_bound.map(|bound| {
             let handler = EvacuationHandler::new(Arc::clone(shared));
-            let known_within = evacuation::known_within(bound).min(cfg.drain);
+            let known_within = evacuation::known_within(bound);
             known(schema.evacuation_kind(), Box::new(handler), known_within)
         });
         Self {
--- a/crates/carawayrill-gateway/src/state.rs
+++ b/crates/carawayrill-gateway/src/state.rs
@@ -12,6 +12,7 @@
 use carawayrill_core::direct::admission::Distance;
 use carawayrill_core::direct::budget::RetryWindow;
 use carawayrill_core::direct::cold::ColdServers;
+use carawayrill_core::direct::decline::BorneQueues;
 use carawayrill_core::direct::evacuation::Evacuations;
 use carawayrill_core::direct::fronts;
 use carawayrill_core::direct::fronts::DEFAULT_FRONT_COUNT;
@@ -76,6 +77,8 @@
     pub evacuations: Evacuations,
     /// The estimated load of each server.
     pub loads: HashMap<ServerId, ServerLoad>,
+    /// The longest queues that servers of each service have borne.
+    pub borne_queues: BorneQueues,
     /// The limits that servers have named, and those of cold servers.
     pub limits: ServerLimits,
     /// The servers that are cold.
@@ -147,6 +150,7 @@
                 servers_confirmed: None,
                 evacuations,
                 loads: HashMap::new(),
+                borne_queues: BorneQueues::default(),
                 limits: ServerLimits::default(),
                 cold: ColdServers::default(),
                 crashes: CrashTable::default(),
@@ -255,6 +259,8 @@
             .as_ref()
             .is_none_or(|present| present.version < manifest.version);
         if newer {
+            let is_listed = |service: &_| manifest.service(service).is_some();
+            self.borne_queues.retain(is_listed);
             self.routes = Routes::new(&manifest);
             self.homes.put_manifest(&manifest);
             self.manifest = Some(Arc::new(manifest));
