Decide how many requests leave their region

Cause: each front adds a fixed cost for each KiB, so that all fronts leave together as soon as their own servers look slow. Change: core::direct::egress derives, for each unkeyed service and region, the share that leaves and the receiving regions, and applies it to one request. Nothing uses it yet.

--- a/crates/carawayrill-core/src/direct/admission.rs
+++ b/crates/carawayrill-core/src/direct/admission.rs
@@ -27,7 +27,7 @@
 /// response time.
 const SAME_REGION_COST_PER_KIB_MS: f64 = 1.5;
 /// The cost of each KiB to or from another region, as milliseconds of response time.
-const OTHER_REGION_COST_PER_KIB_MS: f64 = 16.0;
+pub(crate) const OTHER_REGION_COST_PER_KIB_MS: f64 = 16.0;
 /// The number of servers that all fronts together sample at each distance.
 const TOTAL_SAMPLES: u32 = 66;
 /// The least number of servers that one front samples at each distance.
--- a/crates/carawayrill-core/src/direct/mod.rs
+++ b/crates/carawayrill-core/src/direct/mod.rs
@@ -11,6 +11,7 @@
 pub mod cold;
 pub mod decline;
 pub mod demand;
+pub mod egress;
 pub mod evacuation;
 pub mod fronts;
 pub mod granter;
--- a/crates/carawayrill-core/src/direct/service_load.rs
+++ b/crates/carawayrill-core/src/direct/service_load.rs
@@ -1,6 +1,6 @@
 //! The requests of a service that one front has accepted since its last report.
 
-/// A number of requests.
+/// Counts of requests and their bytes.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct ServiceLoad {
     /// The requests that callers have sent.
@@ -11,4 +11,6 @@
     pub sent_away: u32,
     /// The bytes of all requests and responses together.
     pub bytes: u64,
+    /// The responses that these bytes are of.
+    pub responses: u32,
 }
