Estimates of response times follow the current speed of servers

Cause: servers that share machines are 3 times slower about a fifth of the time, for 400 ms. The fourth figure of X-Server-Load, which says so, was decoded but used by nothing, so that slow moments counted in the average service time for seconds.

Change: core::direct::pace keeps the last figure of a server. Its deviation from 100 halves in 200 ms, before and after the report. A measured service time is divided by the expected mean of the figure over the time of the request, an expected response time is multiplied by that over the time ahead. Without a figure, or with 100, the factor is exactly 1. Figures that are no number or outside of 10 to 1,000 are ignored; the first one is logged.

--- a/crates/carawayrill-core/src/direct/load.rs
+++ b/crates/carawayrill-core/src/direct/load.rs
@@ -6,6 +6,8 @@
 use std::time::Duration;
 
 use crate::direct::fronts::DEFAULT_FRONT_COUNT;
+use crate::direct::pace::LastPace;
+use crate::direct::pace::Pace;
 use crate::time::Time;
 use crate::time::millis;
 
@@ -49,9 +51,8 @@
     pub waiting: u32,
     /// The number of requests that the server can run concurrently; 0 if it is not reported.
     pub slots: u32,
-    /// How long work takes on the server's machine at this moment, in percent of the usual time;
-    /// `None` if it is not reported.
-    pub pace_percent: Option<u32>,
+    /// How long work takes on the server's machine at this moment; `None` if it is not reported.
+    pub pace: Option<Pace>,
 }
 
 /// The result of one attempt to send a request to a server.
@@ -83,7 +84,9 @@
     mean_other_load: f64,
     /// When the server last reported its load.
     reported_at: Option<Time>,
-    /// The moving average of the measured service times.
+    /// The server's current speed.
+    pace: LastPace,
+    /// The moving average of the measured service times at the usual speed.
     service_ms: f64,
     /// When a service time was last measured.
     measured_at: Option<Time>,
@@ -112,6 +115,7 @@
             other_load: 0.0,
             mean_other_load: 0.0,
             reported_at: None,
+            pace: LastPace::default(),
             service_ms: 0.0,
             measured_at: None,
             assumed_service_ms: service_ms.unwrap_or(DEFAULT_SERVICE_MS),
@@ -161,7 +165,8 @@
         self.in_flight
     }
 
-    /// Returns the expected service time, or `None` before the first measurement.
+    /// Returns the expected service time at the server's usual speed, or `None` before the first
+    /// measurement.
     #[must_use]
     pub fn service_ms(&self, now: Time) -> Option<f64> {
         self.measured_at.map(|_| self.expected_service_ms(now))
@@ -235,7 +240,8 @@
     pub fn response_ms(&self, now: Time) -> f64 {
         let service_rounds = self.service_rounds(now);
         let cold = if self.is_cold(now) { COLD_FACTOR } else { 1.0 };
-        self.expected_service_ms(now) * cold * service_rounds
+        let usual_ms = self.expected_service_ms(now) * cold * service_rounds;
+        usual_ms * self.pace.factor_ahead(now, usual_ms)
     }
 
     /// Returns the cost of the server's failure rate, as additional response time in milliseconds.
@@ -251,6 +257,12 @@
         self.last_failure_rate * (-age_ms / FAILURE_HALF_LIFE_MS).exp2()
     }
 
+    /// Records the speed that the server reported with a response. To be called before
+    /// [`Self::end_request`], which measures the service time at that speed.
+    pub fn record_pace(&mut self, now: Time, pace: Pace) {
+        self.pace.record(pace, now);
+    }
+
     /// Records that a request is about to be sent.
     pub fn begin_request(&mut self) {
         self.in_flight += 1;
@@ -283,7 +295,7 @@
         }
     }
 
-    /// Applies a load report that came with a response.
+    /// Applies the load of a report that came with a response, other than its speed.
     pub fn apply_report(&mut self, now: Time, report: LoadReport) {
         if report.slots > 0 {
             self.slots = report.slots;
@@ -296,7 +308,7 @@
 
     fn update_service_time(&mut self, now: Time, took: Duration, total_at_send: f64) {
         let service_rounds = ((total_at_send + 1.0) / f64::from(self.slots)).max(1.0);
-        let service = millis(took) as f64 / service_rounds;
+        let service = millis(took) as f64 / service_rounds / self.pace.factor_behind(now, took);
         let gain = if self.measured_at.is_some() {
             SERVICE_GAIN
         } else {
--- a/crates/carawayrill-core/src/direct/mod.rs
+++ b/crates/carawayrill-core/src/direct/mod.rs
@@ -21,6 +21,7 @@
 pub mod limit;
 pub mod load;
 pub mod manifest;
+pub mod pace;
 pub mod priority;
 pub mod quarantine;
 pub mod reach;
--- a/crates/carawayrill-core/tests/direct_decisions.rs
+++ b/crates/carawayrill-core/tests/direct_decisions.rs
@@ -195,7 +195,7 @@
         running: 6,
         waiting: 24,
         slots: 6,
-        pace_percent: None,
+        pace: None,
     };
     load.apply_report(Time(0), report);
     assert!(load.service_rounds(Time(0)) > 5.0);
--- a/crates/carawayrill-core/tests/direct_decline.rs
+++ b/crates/carawayrill-core/tests/direct_decline.rs
@@ -45,7 +45,7 @@
         running,
         waiting,
         slots: 4,
-        pace_percent: None,
+        pace: None,
     }
 }
 
--- a/crates/carawayrill-core/tests/priority_fleet/mod.rs
+++ b/crates/carawayrill-core/tests/priority_fleet/mod.rs
@@ -554,7 +554,7 @@
                 running,
                 waiting,
                 slots: self.settings.slots,
-                pace_percent: None,
+                pace: None,
             },
         );
         let objective = self.settings.routes[request.route].class.objective;
--- a/crates/carawayrill-gateway/src/in_flight.rs
+++ b/crates/carawayrill-gateway/src/in_flight.rs
@@ -60,6 +60,9 @@
         let took = Duration::from_millis(millis(now.since(self.sent)));
         let mut tables = self.shared.tables();
         if let Some(load) = tables.loads.get_mut(&self.server) {
+            if let Some(pace) = report.and_then(|report| report.pace) {
+                load.record_pace(now, pace);
+            }
             load.end_request(now, outcome, took, self.total_at_send);
             if let Some(report) = report {
                 load.apply_report(now, report);
