Log the decision on each retry and the state of the budget

A request that ended with no-more-tries did not say whether the route's limit, declines or the retry budget forbade the retry, and no log or metric showed what a front believed it might send.

The request's line now has the last decision with the requests and retries of the window, what is allowed and the number of fronts that divide the constant; retries_total counts the decisions. No decision changes.

--- a/crates/carawayrill-core/src/direct/budget.rs
+++ b/crates/carawayrill-core/src/direct/budget.rs
@@ -33,6 +33,25 @@
     retries: u32,
 }
 
+/// The state of a front's retry budget of a service.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Usage {
+    /// The requests in the window.
+    pub requests: u32,
+    /// The retries in the window.
+    pub retries: u32,
+    /// The number of retries that are allowed in the window.
+    pub allowed: f64,
+}
+
+impl Usage {
+    /// Returns whether one more retry is allowed.
+    #[must_use]
+    pub fn has_room(&self) -> bool {
+        f64::from(self.retries) + 1.0 <= self.allowed
+    }
+}
+
 /// Counts the requests and retries of one service at one front over a sliding window.
 #[derive(Debug, Clone)]
 pub struct RetryWindow {
@@ -73,20 +92,29 @@
         self.bucket(now).requests += 1;
     }
 
-    /// Records a retry and returns true if this front, one of `fronts`, is within its share of the
-    /// budget; otherwise returns false.
-    pub fn try_acquire(&mut self, now: Time, fronts: u32) -> bool {
+    /// Returns what this front, one of `fronts`, has used of its share of the budget.
+    #[must_use]
+    pub fn usage(&self, now: Time, fronts: u32) -> Usage {
         let oldest = (self.index(now) + 1).saturating_sub(BUCKETS as u64);
         let recent = self.buckets.iter().filter(|bucket| bucket.index >= oldest);
         let (requests, retries) = recent.fold((0, 0), |(requests, retries), bucket| {
             (requests + bucket.requests, retries + bucket.retries)
         });
         let slack_share = self.allowance.slack / f64::from(fronts.max(1));
-        let allowed = (f64::from(requests) * self.allowance.ratio + slack_share) * SAFETY_FACTOR;
-        let allowed_now = f64::from(retries) + 1.0 <= allowed;
-        if allowed_now {
+        Usage {
+            requests,
+            retries,
+            allowed: (f64::from(requests) * self.allowance.ratio + slack_share) * SAFETY_FACTOR,
+        }
+    }
+
+    /// Records a retry and returns true if this front, one of `fronts`, is within its share of the
+    /// budget; otherwise returns false.
+    pub fn try_acquire(&mut self, now: Time, fronts: u32) -> bool {
+        let has_room = self.usage(now, fronts).has_room();
+        if has_room {
             self.bucket(now).retries += 1;
         }
-        allowed_now
+        has_room
     }
 }
--- a/crates/carawayrill-core/src/event.rs
+++ b/crates/carawayrill-core/src/event.rs
@@ -63,6 +63,24 @@
         /// The load estimates behind a refusal for overload.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         pub believed: Option<LoadEstimateRecord>,
+        /// The last decision on one more send; absent if one send was enough.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub retry: Option<RetryRecord>,
+    }
+
+    /// A front's decision on a retry, and its retry budget of the service at that time.
+    pub struct RetryRecord {
+        /// `sent`, or what forbids the retry: `route-limit`, `declines` or `budget`.
+        pub decision: CompactString,
+        /// The requests for the service in the window.
+        pub requests: u32,
+        /// The retries in the window.
+        pub retries: u32,
+        /// The retries that are allowed in the window, in tenths.
+        pub allowed_tenths: u64,
+        /// The number of fronts by which the constant part of the budget is divided.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub fronts: Option<u32>,
     }
 
     /// A front's load estimates of the candidate servers when it refused a request.
--- a/crates/carawayrill-gateway/src/access_log.rs
+++ b/crates/carawayrill-gateway/src/access_log.rs
@@ -74,6 +74,7 @@
                 retry_after_ms: None,
                 tries: Vec::new(),
                 believed: None,
+                retry: None,
             },
             ended: false,
         }
--- a/crates/carawayrill-gateway/src/forward/choose.rs
+++ b/crates/carawayrill-gateway/src/forward/choose.rs
@@ -18,6 +18,7 @@
 use carawayrill_core::direct::priority::waiting::may_wait;
 use carawayrill_core::direct::servers::Server;
 use carawayrill_core::event::LoadEstimateRecord;
+use carawayrill_core::event::RetryRecord;
 use carawayrill_core::id::DataCentreId;
 use carawayrill_core::id::ServerId;
 use carawayrill_core::time::Time;
@@ -50,6 +51,30 @@
     Refuse(Refusal),
 }
 
+/// The decision on one more send of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum RetryDecision {
+    Sent,
+    /// The route allows no further server or send.
+    RouteLimit,
+    /// Servers have declined the request too often.
+    Declines,
+    /// This front's share of the retry budget is used up.
+    Budget,
+}
+
+impl RetryDecision {
+    /// Returns the name in logs and metrics.
+    fn label(self) -> &'static str {
+        match self {
+            Self::Sent => "sent",
+            Self::RouteLimit => "route-limit",
+            Self::Declines => "declines",
+            Self::Budget => "budget",
+        }
+    }
+}
+
 /// The reason why a request is not sent.
 #[derive(Debug)]
 pub(super) struct Refusal {
@@ -369,23 +394,44 @@
     /// Returns whether one more send, to `server`, is within the route's limit of servers and the
     /// retry budget. A retry is charged to the budget. Sends that servers have declined don't count
     /// as long as no further server is involved.
-    pub(super) fn try_acquire_send(&self, server: &ServerId) -> bool {
+    pub(super) fn try_acquire_send(&mut self, server: &ServerId) -> bool {
         let sent = self.tries.len().saturating_sub(self.unsent_tries as usize);
         if sent == 0 {
             return true;
         }
+        let decision = self.decide_retry(sent, server);
+        let retries = &self.shared.metrics.retries;
+        retries.with_label_values(&[decision.label()]).inc();
+        decision == RetryDecision::Sent
+    }
+
+    /// Decides on one more send after `sent` sends, and records the decision.
+    fn decide_retry(&mut self, sent: usize, server: &ServerId) -> RetryDecision {
         let counted = sent.saturating_sub(self.declines.count());
         let is_within_servers =
             self.was_sent_to(server) || self.servers_tried() < self.max_servers();
-        if counted >= self.max_servers() || !is_within_servers || !self.declines.may_repeat() {
-            return false;
-        }
         let now = clock::now();
         let mut tables = self.shared.tables();
         let fronts = tables.fronts.get();
-        tables
-            .budget(&self.request.matched.service, &self.shared.cfg)
-            .try_acquire(now, fronts)
+        let budget = tables.budget(&self.request.matched.service, &self.shared.cfg);
+        let usage = budget.usage(now, fronts);
+        let decision = if counted >= self.max_servers() || !is_within_servers {
+            RetryDecision::RouteLimit
+        } else if !self.declines.may_repeat() {
+            RetryDecision::Declines
+        } else if budget.try_acquire(now, fronts) {
+            RetryDecision::Sent
+        } else {
+            RetryDecision::Budget
+        };
+        self.retry = Some(RetryRecord {
+            decision: decision.label().into(),
+            requests: usage.requests,
+            retries: usage.retries,
+            allowed_tenths: floor_to_u64(usage.allowed * 10.0),
+            fronts: Some(fronts),
+        });
+        decision
     }
 }
 
--- a/crates/carawayrill-gateway/src/forward/mod.rs
+++ b/crates/carawayrill-gateway/src/forward/mod.rs
@@ -20,6 +20,7 @@
 use carawayrill_core::direct::routes::RouteMatch;
 use carawayrill_core::direct::servers::Server;
 use carawayrill_core::event::LoadEstimateRecord;
+use carawayrill_core::event::RetryRecord;
 use carawayrill_core::event::TryRecord;
 use carawayrill_core::id::ServerId;
 use carawayrill_core::time::Time;
@@ -130,6 +131,8 @@
     pub waited: Duration,
     /// The load estimates at the time of a refusal for lack of capacity.
     pub load_estimate: Option<LoadEstimateRecord>,
+    /// The last decision on one more send.
+    pub retry: Option<RetryRecord>,
     excluded: Vec<ServerId>,
     /// The servers that refused the request although they have free slots.
     declines: Declines,
@@ -165,6 +168,7 @@
             tries: Vec::new(),
             waited: Duration::ZERO,
             load_estimate: None,
+            retry: None,
             excluded: Vec::new(),
             declines: Declines::default(),
             misdirected_at: None,
--- a/crates/carawayrill-gateway/src/forward/send.rs
+++ b/crates/carawayrill-gateway/src/forward/send.rs
@@ -175,7 +175,7 @@
     }
 
     /// Chooses a server other than `first` for the hedged send.
-    fn choose_hedge_server(&self, first: &Server) -> Option<(Server, Option<Fence>)> {
+    fn choose_hedge_server(&mut self, first: &Server) -> Option<(Server, Option<Fence>)> {
         if self.is_suspicious() {
             return None;
         }
--- a/crates/carawayrill-gateway/src/front.rs
+++ b/crates/carawayrill-gateway/src/front.rs
@@ -292,6 +292,7 @@
         log_entry.record.waited_ms = millis(forwarder.waited);
         log_entry.record.tries = std::mem::take(&mut forwarder.tries);
         log_entry.record.believed = forwarder.load_estimate.take();
+        log_entry.record.retry = forwarder.retry.take();
         reply
     }
 
--- a/crates/carawayrill-gateway/src/metrics.rs
+++ b/crates/carawayrill-gateway/src/metrics.rs
@@ -33,6 +33,8 @@
     pub try_seconds: Histogram,
     /// Sends to servers by outcome.
     pub tries: IntCounterVec,
+    /// Decisions on retries, by decision.
+    pub retries: IntCounterVec,
     /// Connections opened to servers.
     pub connections: IntCounter,
     /// Calls to the store by outcome.
@@ -163,6 +165,7 @@
             request_seconds: histogram(r, "request_seconds", "Time from receipt to answer")?,
             try_seconds: histogram(r, "try_seconds", "Time of one send to a server")?,
             tries: counters(r, "tries_total", "Sends to servers by how they ended")?,
+            retries: counters(r, "retries_total", "Decisions on retries")?,
             connections: counter(r, "connections_total", "Connections opened to servers")?,
             store_calls: counters(r, "store_calls_total", "Store calls by how they ended")?,
             limit_changes: counter(r, "limit_changes_total", "Changes of the limits of servers")?,
