A front takes its share of the retry constant only once a window has passed since its start

Cause: the budget's constant is divided by the number of fronts, and each process counted its share from zero. A process that took the place of a killed one spent a second share within the same window, and a third. The same held for a front that had no granter to tell it how many there are (it took itself for one of 12), and for one that the granter had lost and counted out.

Change: FrontCount decides whether a front may take a share of a limit on what all fronts send in a window: not in the first window of its life, and only while the granter reports to it. The delay of a lower number follows from the window. The part in proportion to its own requests stays.

--- a/crates/carawayrill-core/src/direct/budget.rs
+++ b/crates/carawayrill-core/src/direct/budget.rs
@@ -2,7 +2,8 @@
 //!
 //! Over a sliding window, all fronts together may send a service as many retries as a fixed ratio
 //! of its requests plus a constant. The fronts do not share counters: each applies the ratio to its
-//! own requests and takes an equal share of the constant.
+//! own requests and takes an equal share of the constant, if it may take one (see
+//! [`FrontCount::sharing`](super::fronts::FrontCount::sharing)).
 
 use std::time::Duration;
 
@@ -92,15 +93,18 @@
         self.bucket(now).requests += 1;
     }
 
-    /// Returns what this front, one of `fronts`, has used of its share of the budget.
+    /// Returns what this front has used of its share of the budget. It takes a share of the constant
+    /// if it is one of `fronts`, and none without a number.
     #[must_use]
-    pub fn usage(&self, now: Time, fronts: u32) -> Usage {
+    pub fn usage(&self, now: Time, fronts: Option<u32>) -> Usage {
         let oldest = (self.index(now) + 1).saturating_sub(BUCKETS as u64);
         let recent = self.buckets.iter().filter(|bucket| bucket.index >= oldest);
         let (requests, retries) = recent.fold((0, 0), |(requests, retries), bucket| {
             (requests + bucket.requests, retries + bucket.retries)
         });
-        let slack_share = self.allowance.slack / f64::from(fronts.max(1));
+        let slack_share = fronts.map_or(0.0, |fronts| {
+            self.allowance.slack / f64::from(fronts.max(1))
+        });
         Usage {
             requests,
             retries,
@@ -108,9 +112,9 @@
         }
     }
 
-    /// Records a retry and returns true if this front, one of `fronts`, is within its share of the
-    /// budget; otherwise returns false.
-    pub fn try_acquire(&mut self, now: Time, fronts: u32) -> bool {
+    /// Records a retry and returns true if this front is within its share of the budget; otherwise
+    /// returns false. `fronts` is as in [`Self::usage`].
+    pub fn try_acquire(&mut self, now: Time, fronts: Option<u32>) -> bool {
         let has_room = self.usage(now, fronts).has_room();
         if has_room {
             self.bucket(now).retries += 1;
--- a/crates/carawayrill-core/src/direct/fronts.rs
+++ b/crates/carawayrill-core/src/direct/fronts.rs
@@ -6,9 +6,9 @@
 
 /// The number of fronts that is assumed until the granter reports it.
 pub const DEFAULT_FRONT_COUNT: u32 = 12;
-/// How long lower numbers have to be reported before one is applied. A new granter knows only the
-/// fronts that have connected to it; dividing the limits by that number would exceed them in total.
-const LOWER_COUNT_DELAY: Duration = Duration::from_secs(12);
+/// How long a report of the granter counts as current. The granter forgets a front that it has not
+/// heard of for as long.
+const REPORT_TTL: Duration = Duration::from_secs(2);
 
 /// The least number of fronts of which only the strong ones call the store often during an outage.
 const MIN_LARGE_FLEET: u32 = 30;
@@ -28,42 +28,77 @@
 }
 
 /// The number of fronts as reported by the granter.
+///
+/// The fronts divide limits on what they send in a window of time. As a process remembers nothing of
+/// the one before it, and knows nothing of fronts that the granter doesn't hear of, two rules keep the
+/// sum within such a limit:
+///
+/// - A front takes a share only while the granter reports to it, and not within a window of its start
+///   if another process may have been in its place.
+/// - A lower number is applied only when what the missing fronts have sent is older than the window.
 #[derive(Debug, Clone, Copy)]
 pub struct FrontCount {
     count: u32,
+    /// Until when a process that was in the place of this one may have used a share.
+    predecessor_until: Time,
+    window: Duration,
     /// When the granter last reported a number at least as large as `count`.
     confirmed_at: Time,
-    is_reported: bool,
+    reported_at: Option<Time>,
 }
 
 impl FrontCount {
-    /// Creates a count with an assumed number of fronts.
+    /// Creates the count of a front that starts at `now`, with an assumed number of fronts. `window`
+    /// is the longest window of time of a limit that the fronts divide.
     #[must_use]
-    pub fn new(count: u32, now: Time) -> Self {
+    pub fn new(count: u32, window: Duration, now: Time) -> Self {
         Self {
             count: count.max(1),
+            predecessor_until: now + window,
+            window,
             confirmed_at: now,
-            is_reported: false,
+            reported_at: None,
+        }
+    }
+
+    /// Marks the count as that of a front that has no predecessor, as the whole system starts for the
+    /// first time.
+    #[must_use]
+    pub fn without_predecessor(self) -> Self {
+        Self {
+            predecessor_until: Time(0),
+            ..self
         }
     }
 
     /// Returns the number of fronts, or `None` before the granter has reported it.
     #[must_use]
     pub fn reported(&self) -> Option<u32> {
-        self.is_reported.then_some(self.count)
+        self.reported_at.map(|_| self.count)
     }
 
-    /// Returns the number of fronts to divide shared limits by.
+    /// Returns the number of fronts, assumed or reported.
     #[must_use]
     pub fn get(&self) -> u32 {
         self.count
     }
 
+    /// Returns the number of fronts by which this front divides a limit on what all fronts send in a
+    /// window, or `None` while it may take no share.
+    #[must_use]
+    pub fn sharing(&self, now: Time) -> Option<u32> {
+        let is_current = self
+            .reported_at
+            .is_some_and(|at| now.since(at) <= REPORT_TTL);
+        (is_current && now >= self.predecessor_until).then_some(self.count)
+    }
+
     /// Applies a number that the granter reported at `now`.
     pub fn update(&mut self, count: u32, now: Time) {
         let count = count.max(1);
-        self.is_reported = true;
-        if count >= self.count || now.since(self.confirmed_at) > LOWER_COUNT_DELAY {
+        self.reported_at = Some(now);
+        let lower_delay = self.window + REPORT_TTL;
+        if count >= self.count || now.since(self.confirmed_at) > lower_delay {
             self.count = count;
             self.confirmed_at = now;
         }
--- a/crates/carawayrill-core/src/event.rs
+++ b/crates/carawayrill-core/src/event.rs
@@ -78,7 +78,8 @@
         pub retries: u32,
         /// The retries that are allowed in the window, in tenths.
         pub allowed_tenths: u64,
-        /// The number of fronts by which the constant part of the budget is divided.
+        /// The number of fronts by which the constant part of the budget is divided; absent while this
+        /// front may take no share of it.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         pub fronts: Option<u32>,
     }
--- a/crates/carawayrill-core/tests/direct_decisions.rs
+++ b/crates/carawayrill-core/tests/direct_decisions.rs
@@ -275,7 +275,7 @@
             front.record_request(Time(ms));
             requests += 1;
             for _attempt in 0..3 {
-                repeats += u32::from(front.try_acquire(Time(ms), 11));
+                repeats += u32::from(front.try_acquire(Time(ms), Some(11)));
             }
         }
     }
--- a/crates/carawayrill-core/tests/direct_fronts.rs
+++ b/crates/carawayrill-core/tests/direct_fronts.rs
@@ -1,5 +1,7 @@
 //! The number of fronts, by which shared limits are divided, and what depends on it.
 
+use std::time::Duration;
+
 use carawayrill_core::direct::fronts::FrontCount;
 use carawayrill_core::direct::fronts::waits_longer;
 use carawayrill_core::time::Time;
@@ -7,7 +9,7 @@
 
 #[test]
 fn a_lower_front_count_from_a_new_granter_is_applied_only_after_a_delay() {
-    let mut fronts = FrontCount::new(12, Time(0));
+    let mut fronts = FrontCount::new(12, Duration::from_secs(10), Time(0));
     fronts.update(10, Time(1_000));
     assert_eq!(fronts.get(), 12);
     fronts.update(10, Time(13_000));
--- a/crates/carawayrill-gateway/src/forward/choose.rs
+++ b/crates/carawayrill-gateway/src/forward/choose.rs
@@ -412,7 +412,7 @@
             self.was_sent_to(server) || self.servers_tried() < self.max_servers();
         let now = clock::now();
         let mut tables = self.shared.tables();
-        let fronts = tables.fronts.get();
+        let fronts = tables.fronts.sharing(now);
         let budget = tables.budget(&self.request.matched.service, &self.shared.cfg);
         let usage = budget.usage(now, fronts);
         let decision = if counted >= self.max_servers() || !is_within_servers {
@@ -429,7 +429,7 @@
             requests: usage.requests,
             retries: usage.retries,
             allowed_tenths: floor_to_u64(usage.allowed * 10.0),
-            fronts: Some(fronts),
+            fronts,
         });
         decision
     }
--- a/crates/carawayrill-gateway/src/state.rs
+++ b/crates/carawayrill-gateway/src/state.rs
@@ -138,6 +138,12 @@
     pub fn new(cfg: Config, metrics: Metrics) -> Self {
         let seed = cfg.incarnation;
         let min_lapse = cfg.min_lapse;
+        let fronts = FrontCount::new(DEFAULT_FRONT_COUNT, cfg.retry_budget.window, clock::now());
+        let fronts = if cfg.first_start {
+            fronts.without_predecessor()
+        } else {
+            fronts
+        };
         let evacuations = Evacuations::new(cfg.evacuation_bound);
         let egress = EgressState::new(cfg.region_egress.is_some());
         let homes = HomeTable::new(cfg.regions.clone());
@@ -169,7 +175,7 @@
                 service_loads: HashMap::new(),
                 demand: HashMap::new(),
                 reported_service_times: HashMap::new(),
-                fronts: FrontCount::new(DEFAULT_FRONT_COUNT, clock::now()),
+                fronts,
                 strongest_cores: DEFAULT_STRONGEST_CORES,
                 rng: ChaCha8Rng::seed_from_u64(seed),
             }),
