Crashes at the same time don't crowd out those that follow in the memory of a crashing request

Callers of other requests of the service lost their servers.

Cause: a request is refused after three crashes that followed each other. Eight crashes are remembered; when there was no room, the last one made place for the new one. If the request is popular, the first eight end within 200 ms and count once, so that the memory held one event and the count stayed at two for ever.

Change: the crash that is forgotten is one that does not count. The memory stays at eight.

Test on the code before: 8, 9 and 40 servers at once are never refused; with 2 it held.

--- a/crates/carawayrill-core/src/direct/quarantine/history.rs
+++ b/crates/carawayrill-core/src/direct/quarantine/history.rs
@@ -56,13 +56,23 @@
             known.sent = known.sent.max(crash.sent);
             return false;
         }
-        if self.crashes.len() >= MAX_REMEMBERED {
-            // The first crashes say how many there were, the last one says when.
-            self.crashes.pop();
-        }
         self.crashes.push(crash.clone());
         self.crashes.sort_by_key(|crash| crash.ended);
-        true
+        self.forget_one()
+            .is_none_or(|forgotten| forgotten != *crash)
+    }
+
+    /// Forgets a crash if there are too many. Those that followed each other say how many count, and
+    /// the last one says when.
+    fn forget_one(&mut self) -> Option<Crash> {
+        let last = self.crashes.len().checked_sub(1)?;
+        if last < MAX_REMEMBERED {
+            return None;
+        }
+        let successive = self.successive_indices();
+        let is_spare = |index: &usize| !successive.contains(index);
+        let spare = (0..last).rev().find(is_spare).unwrap_or(last - 1);
+        Some(self.crashes.remove(spare))
     }
 
     /// Records that a server answered the request at `at`. Returns whether that ends a suspicion.
@@ -84,17 +94,22 @@
     /// Returns the number of crashes that followed each other: the request was sent to each of these
     /// servers after the one before had crashed, and some time passed between.
     pub(super) fn successive(&self) -> usize {
-        let mut count = 0;
+        self.successive_indices().len()
+    }
+
+    /// Returns the positions of the crashes that followed each other.
+    fn successive_indices(&self) -> Vec<usize> {
+        let mut indices = Vec::new();
         let mut last: Option<Time> = None;
-        for crash in &self.crashes {
+        for (index, crash) in self.crashes.iter().enumerate() {
             let follows =
                 |last: Time| crash.sent >= last && crash.ended.since(last) >= SAME_EVENT_TIME;
             if last.is_none_or(follows) {
-                count += 1;
+                indices.push(index);
                 last = Some(crash.ended);
             }
         }
-        count
+        indices
     }
 
     /// Returns when the refused request may be tried once.
--- a/crates/carawayrill-core/tests/direct_quarantine.rs
+++ b/crates/carawayrill-core/tests/direct_quarantine.rs
@@ -67,6 +67,26 @@
     assert_eq!(record(&mut table, &content("/a", ""), crashes), expected);
 }
 
+/// Returns crashes of so many servers at once, under copies of a request that were sent at `sent`.
+fn burst(first_server: u64, servers: u64, sent: u64) -> Vec<Crash> {
+    (0..servers)
+        .map(|number| crash(first_server + number, sent + number, sent + 100 + number))
+        .collect()
+}
+
+#[rstest]
+fn crashes_at_the_same_time_do_not_crowd_out_those_that_follow(
+    #[values(2, 8, 9, 40)] servers: u64,
+) {
+    let request = content("/a", "");
+    let mut table = CrashTable::default();
+    for (number, sent) in [0, 500, 1_000].into_iter().enumerate() {
+        let first = u64::try_from(number).expect("fits") * servers;
+        record(&mut table, &request, &burst(first, servers, sent));
+    }
+    assert!(table.refused_for(&request, Time(1_200)).is_some());
+}
+
 #[test]
 fn an_answer_ends_all_suspicion() {
     let request = content("/a", "");
