A request that is passed on keeps count of its sends

Callers saw nothing; servers got more of one request than its route allows, and repeats that no front charged to the retry budget: a front that lost a send to a cut and passed the request on left the next front to begin anew, with the full number of servers and a first send that is free.

Change: the front that passes a request on says after how many sends a server may have received it (carawayrill-sends; believed only with the proof of a front, not sent to servers). The next front counts these for the route's limit, charges its first send if there were any, and doesn't count the request a second time. Older builds neither send nor read the header.

--- a/crates/carawayrill-gateway/src/forward/choose.rs
+++ b/crates/carawayrill-gateway/src/forward/choose.rs
@@ -19,6 +19,7 @@
 use carawayrill_core::direct::servers::Server;
 use carawayrill_core::event::LoadEstimateRecord;
 use carawayrill_core::event::RetryRecord;
+use carawayrill_core::event::TryRecord;
 use carawayrill_core::id::DataCentreId;
 use carawayrill_core::id::ServerId;
 use carawayrill_core::time::Time;
@@ -29,6 +30,7 @@
 
 use super::DEFAULT_RETRY_AFTER;
 use super::Forwarder;
+use super::peer::PEER_CUT_OFF;
 use super::send::NOT_SENT;
 use super::wait::next_usable;
 use crate::clock;
@@ -383,7 +385,23 @@
     fn servers_tried(&self) -> usize {
         let sent = self.tries.iter().filter(|one| one.outcome != NOT_SENT);
         let servers: BTreeSet<&str> = sent.map(|one| one.server.as_str()).collect();
-        servers.len()
+        self.earlier_sends() as usize + servers.len()
+    }
+
+    /// Returns the number of sends after which a server may have received the request, by all fronts.
+    pub(super) fn sends_to_servers(&self) -> u32 {
+        let may_have_arrived =
+            |one: &&TryRecord| one.outcome != NOT_SENT && one.outcome != PEER_CUT_OFF;
+        let own = self.tries.iter().filter(may_have_arrived).count();
+        let own = u32::try_from(own).unwrap_or(u32::MAX);
+        self.earlier_sends().saturating_add(own)
+    }
+
+    /// Returns the number of such sends before the request was passed on to this front.
+    fn earlier_sends(&self) -> u32 {
+        self.request
+            .forwarded
+            .map_or(0, |forwarded| forwarded.sends)
     }
 
     fn was_sent_to(&self, server: &ServerId) -> bool {
@@ -395,7 +413,7 @@
     /// retry budget. A retry is charged to the budget. Sends that servers have declined don't count
     /// as long as no further server is involved.
     pub(super) fn try_acquire_send(&mut self, server: &ServerId) -> bool {
-        let sent = self.tries.len().saturating_sub(self.unsent_tries as usize);
+        let sent = self.sends_to_servers() as usize;
         if sent == 0 {
             return true;
         }
--- a/crates/carawayrill-gateway/src/forward/mod.rs
+++ b/crates/carawayrill-gateway/src/forward/mod.rs
@@ -55,6 +55,13 @@
 /// The retry-after time of a refusal without a better estimate.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(250);
 
+/// What a front that passes a request on says of it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Forwarded {
+    /// The sends after which a server may have received the request.
+    pub sends: u32,
+}
+
 /// A request that was read completely.
 #[derive(Debug)]
 pub struct AcceptedRequest {
@@ -68,8 +75,8 @@
     pub key: Option<u16>,
     /// The fingerprints of its content.
     pub fingerprints: Fingerprints,
-    /// Whether another front has passed the request on to this one.
-    pub was_forwarded: bool,
+    /// What another front says that has passed the request on to this one.
+    pub forwarded: Option<Forwarded>,
     /// The version of the manifest that the route is from.
     pub manifest: u64,
     /// The method.
--- a/crates/carawayrill-gateway/src/forward/peer.rs
+++ b/crates/carawayrill-gateway/src/forward/peer.rs
@@ -19,6 +19,7 @@
 use http_body_util::Full;
 
 use super::DEFAULT_RETRY_AFTER;
+use super::Forwarded;
 use super::Forwarder;
 use super::MIN_SEND_TIME;
 use super::Reply;
@@ -33,6 +34,11 @@
 /// Marks a request that a front has passed on, with the name of that front and a proof. It is not
 /// passed on again.
 pub(crate) const FORWARDED: HeaderName = HeaderName::from_static("carawayrill-forwarded");
+/// The number of sends after which a server may have received such a request. Older builds don't name
+/// it.
+pub(crate) const SENDS: HeaderName = HeaderName::from_static("carawayrill-sends");
+/// The outcome of passing a request on to a front that is cut off as well.
+pub(super) const PEER_CUT_OFF: &str = "cut-off";
 /// Marks the refusal of such a request by a front that is cut off as well.
 const CUT_OFF: HeaderName = HeaderName::from_static("carawayrill-cut-off");
 /// The statuses that promise that a request has not run.
@@ -51,7 +57,7 @@
     /// Passes the request on to other fronts until one replies. Returns `None` if there is none to
     /// pass it on to.
     pub(super) async fn forward_to_peer(&mut self) -> Option<Reply> {
-        if self.request.was_forwarded {
+        if self.request.forwarded.is_some() {
             return Some(refuse_cut_off());
         }
         let mut tried = Vec::new();
@@ -67,7 +73,7 @@
             let may_have_run_before = self.may_have_run;
             let result = self.send_to_peer(&peer, now).await;
             let outcome = match &result {
-                Ok(response) if response.headers.contains_key(CUT_OFF) => "cut-off",
+                Ok(response) if response.headers.contains_key(CUT_OFF) => PEER_CUT_OFF,
                 Ok(_) => "answered",
                 Err(SendError::NotSent(_)) => "not-sent",
                 Err(SendError::Closed(_) | SendError::Lost(_)) => "lost",
@@ -110,6 +116,7 @@
     }
 
     async fn send_to_peer(&mut self, peer: &Peer, now: Time) -> Result<ServerResponse, SendError> {
+        let sends = self.sends_to_servers();
         self.tries.push(TryRecord {
             server: peer.front.clone(),
             at_ms: millis(now.since(self.request.received)),
@@ -134,6 +141,7 @@
         self.header_codec
             .write_request(req.headers_mut(), &metadata);
         req.headers_mut().insert(FORWARDED, self.mark());
+        req.headers_mut().insert(SENDS, HeaderValue::from(sends));
         let reuse = match self.request.matched.route.repeat {
             Repeat::Idempotent => Reuse::Allowed,
             Repeat::AtMostOnce => Reuse::Fresh,
@@ -184,25 +192,23 @@
     }
 }
 
-/// Returns whether a front has passed the request on, as its headers prove.
-pub(crate) fn is_forwarded(shared: &Shared, headers: &HeaderMap, id: &str) -> bool {
-    let Some(value) = headers.get(FORWARDED) else {
-        return false;
-    };
-    let value = value.to_str().unwrap_or_default();
+/// Returns what the front says that has passed the request on, if the headers prove that one has.
+pub(crate) fn parse_forwarded(shared: &Shared, headers: &HeaderMap, id: &str) -> Option<Forwarded> {
+    let value = headers.get(FORWARDED)?.to_str().unwrap_or_default();
     let is_proven = shared
         .tables()
         .peer_keys
         .verify_request(value, id)
         .is_some();
     if !is_proven {
-        shared
-            .metrics
-            .unproven
-            .with_label_values(&["request"])
-            .inc();
+        let unproven = &shared.metrics.unproven;
+        unproven.with_label_values(&["request"]).inc();
+        return None;
     }
-    is_proven
+    let sends = headers.get(SENDS).and_then(|value| value.to_str().ok());
+    Some(Forwarded {
+        sends: sends.and_then(|sends| sends.parse().ok()).unwrap_or(0),
+    })
 }
 
 /// Returns the id by which connections to a peer are reused.
--- a/crates/carawayrill-gateway/src/front.rs
+++ b/crates/carawayrill-gateway/src/front.rs
@@ -304,9 +304,11 @@
             // The front that the request is passed on to counts it.
             return Some(clock::now().since(tables.servers_confirmed?));
         }
-        tables
-            .budget(service, &self.shared.cfg)
-            .record_request(request.received);
+        // A front that has sent it before has counted it.
+        if request.forwarded.is_none_or(|earlier| earlier.sends == 0) {
+            let budget = tables.budget(service, &self.shared.cfg);
+            budget.record_request(request.received);
+        }
         tables.count_request(service, request.matched.route.homes.is_restricted());
         tables.count_class(service, request.matched.route.priority, request.received);
         if let Some(key) = request.key.filter(|_| request.keyed) {
@@ -359,7 +361,7 @@
         let elapsed = matched.route.timeout.saturating_sub(timeout);
         let objective = matched.route.objective.saturating_sub(elapsed);
         Ok(AcceptedRequest {
-            was_forwarded: peer::is_forwarded(&self.shared, &parts.headers, &id),
+            forwarded: peer::parse_forwarded(&self.shared, &parts.headers, &id),
             id,
             keyed,
             key,
--- a/crates/carawayrill-gateway/src/head.rs
+++ b/crates/carawayrill-gateway/src/head.rs
@@ -52,6 +52,7 @@
 pub(crate) fn forwarded_headers(headers: &HeaderMap) -> HeaderMap {
     let mut copy = end_to_end_headers(headers);
     copy.remove(peer::FORWARDED);
+    copy.remove(peer::SENDS);
     copy
 }
 
