A refusal that a server writes once more is believed of no other request

Reported by another operator, and shown here: callers got 503, a promise that their request has not run, for requests that a server had run (REFUSED). For requests that may run once at most it did not show, as each of their sends has a connection of its own.

Cause, two ways: a refusal without an id was taken for that of the current request also on a kept connection, where it may be that of an earlier one; and a request that was sent again to the same server could use the connection that had carried it before, where a repeated refusal names it.

Change: on a connection that has carried another request, only a response with the request's id counts; a request goes to a server that may have it already on a new connection only. Ruled out: orders to servers, each of which has its own connection.

--- a/crates/carawayrill-gateway/src/forward/choose.rs
+++ b/crates/carawayrill-gateway/src/forward/choose.rs
@@ -404,7 +404,8 @@
             .map_or(0, |forwarded| forwarded.sends)
     }
 
-    fn was_sent_to(&self, server: &ServerId) -> bool {
+    /// Returns whether a server may have received the request from this front.
+    pub(super) fn was_sent_to(&self, server: &ServerId) -> bool {
         let mut sent = self.tries.iter().filter(|one| one.outcome != NOT_SENT);
         sent.any(|one| one.server == server.as_str())
     }
--- a/crates/carawayrill-gateway/src/forward/send.rs
+++ b/crates/carawayrill-gateway/src/forward/send.rs
@@ -194,11 +194,12 @@
         let started = clock::now();
         let timeout = self.request.deadline.since(started);
         let in_flight = InFlight::begin(self.shared, server);
-        self.record_try(server, fence, &in_flight, started);
+        // On a connection that has carried the request before, a server may repeat its response.
         let reuse = match self.request.matched.route.repeat {
-            Repeat::Idempotent => Reuse::Allowed,
-            Repeat::AtMostOnce => Reuse::Fresh,
+            Repeat::Idempotent if !self.was_sent_to(&server.id) => Reuse::Allowed,
+            Repeat::Idempotent | Repeat::AtMostOnce => Reuse::Fresh,
         };
+        self.record_try(server, fence, &in_flight, started);
         let req = self.build_request(server, timeout);
         // Until the outcome is known, the server may have run the request.
         self.may_have_run = true;
@@ -309,7 +310,8 @@
         in_flight: InFlight,
     ) -> (Outcome, &'static str) {
         let is_own = metadata.request.as_ref() == Some(&self.request.id);
-        let is_unnamed = metadata.request.is_none();
+        // On a kept connection it may belong to an earlier request.
+        let is_unnamed = metadata.request.is_none() && !response.is_reused;
         if is_own || is_unnamed {
             self.note_server_state(server, metadata);
         }
--- a/crates/carawayrill-gateway/src/upstream.rs
+++ b/crates/carawayrill-gateway/src/upstream.rs
@@ -72,6 +72,8 @@
     pub headers: HeaderMap,
     /// The body.
     pub body: Bytes,
+    /// Whether the connection has carried another request before.
+    pub is_reused: bool,
     connection: Connection,
 }
 
@@ -247,7 +249,7 @@
             && let Some(mut connection) = self.take_idle(to.id)
         {
             match connection.sender.try_send_request(req).await {
-                Ok(resp) => return self.receive(resp, connection).await,
+                Ok(resp) => return self.receive(resp, connection, true).await,
                 Err(mut err) => match err.take_message() {
                     // The connection was already closed; nothing was written to it.
                     Some(unsent) => req = unsent,
@@ -257,7 +259,7 @@
         }
         let mut connection = self.open(to.address, on_connect).await?;
         match connection.sender.try_send_request(req).await {
-            Ok(resp) => self.receive(resp, connection).await,
+            Ok(resp) => self.receive(resp, connection, false).await,
             Err(mut err) => {
                 let unsent = err.take_message().is_some();
                 let err = err.into_error();
@@ -332,6 +334,7 @@
         &self,
         resp: http::Response<Incoming>,
         connection: Connection,
+        is_reused: bool,
     ) -> Result<ServerResponse, SendError> {
         let (parts, mut body) = resp.into_parts();
         let mut buffered = BufferedBytes {
@@ -343,6 +346,7 @@
             status: parts.status,
             headers: parts.headers,
             body,
+            is_reused,
             connection,
         })
     }
