A front that was never told how many there are takes no share of a server's limit

A server that named a limit got more than that from fronts that had just started and had not heard of a granter: each took itself for one of 12.

Change: without a reported number such a server gets nothing from this front, as it was already for cold servers. A server that has named no limit, and a front that was told once, are as before.

The fleet of the older tests is told its number now, as fronts are; their bounds stay.

Ruled out elsewhere: evacuations (a front's first list allows nothing), drain times, connections to a server (one that is full resets them before a request is sent).

--- a/crates/carawayrill-core/src/direct/limit/mod.rs
+++ b/crates/carawayrill-core/src/direct/limit/mod.rs
@@ -3,13 +3,13 @@
 //! It is designed for a server in need that most requests must be kept from, with between two and a
 //! thousand fronts that send to it and know nothing of each other's requests. A front learns of the
 //! limit from a response or from the granter. The granter divides the limit among the fronts by what
-//! they want to send; without its word each front takes an equal part. A front spends its share in
-//! permits that expire soon, so that many fronts that were idle can't send all at once.
+//! they want to send; without its word each front takes an equal part, or nothing if it was never told
+//! how many fronts there are. A front spends its share in permits that expire soon, so that many
+//! fronts that were idle can't send all at once.
 //!
 //! A cold server is limited too, by the rate that its service declares. It crashes above that rate, so
 //! up to a thousand fronts together must stay near it in every second, while the granter is lost and
-//! while fronts join. A front that doesn't know the number of fronts therefore sends it nothing, and
-//! fewer permits are saved up.
+//! while fronts join. Therefore fewer permits are saved up.
 
 mod cold;
 mod division;
--- a/crates/carawayrill-core/src/direct/limit/table.rs
+++ b/crates/carawayrill-core/src/direct/limit/table.rs
@@ -69,7 +69,7 @@
     }
 
     /// Brings the rate of the permits up to date: to the share that the granter has assigned, or to
-    /// an equal share of `fronts` fronts. Without a number of fronts a cold server gets nothing.
+    /// an equal share of `fronts` fronts. Without a number of fronts the server gets nothing.
     /// Returns whether the limit has changed.
     fn refresh(&mut self, fronts: u32, knows_fronts: bool, now: Time) -> bool {
         let effective = self.effective(now);
@@ -86,7 +86,7 @@
         let share = self.share.filter(|(_, at)| now.since(*at) < SHARE_TTL);
         let rate = match share {
             Some((share, _)) => share.per_second(),
-            None if is_cold && !knows_fronts => 0.0,
+            None if !knows_fronts => 0.0,
             None => limit / f64::from(fronts.max(1)),
         };
         if is_cold {
--- a/crates/carawayrill-core/tests/direct_limit.rs
+++ b/crates/carawayrill-core/tests/direct_limit.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use carawayrill_core::direct::fronts::DEFAULT_FRONT_COUNT;
 use carawayrill_core::direct::keys::Born;
 use carawayrill_core::direct::limit::LimitDivision;
 use carawayrill_core::direct::limit::LimitStatement;
@@ -56,6 +57,8 @@
 struct Fleet {
     server: ServerId,
     limit: RequestRate,
+    /// The number of fronts that each front assumes, unless it knows it.
+    assumed: Option<u32>,
     fronts: Vec<ServerLimits>,
     granter: Option<LimitDivision>,
     rng: ChaCha8Rng,
@@ -67,10 +70,21 @@
 }
 
 impl Fleet {
+    /// Creates a fleet whose fronts were told their number.
     fn new(fronts: usize, limit: RequestRate, has_granter: bool) -> Self {
+        let mut fleet = Self::new_uncounted(fronts, limit, has_granter);
+        for front in &mut fleet.fronts {
+            front.confirm_fronts();
+        }
+        fleet
+    }
+
+    /// Creates a fleet whose fronts assume a number.
+    fn new_uncounted(fronts: usize, limit: RequestRate, has_granter: bool) -> Self {
         Self {
             server: "s-1".parse().expect("a name"),
             limit,
+            assumed: None,
             fronts: (0..fronts).map(|_| ServerLimits::default()).collect(),
             granter: has_granter.then(LimitDivision::default),
             rng: ChaCha8Rng::seed_from_u64(11),
@@ -81,7 +95,8 @@
     }
 
     fn count(&self) -> u32 {
-        u32::try_from(self.fronts.len()).expect("fits")
+        let fronts = u32::try_from(self.fronts.len()).expect("fits");
+        self.assumed.unwrap_or(fronts)
     }
 
     fn run(mut self, load: Load) -> Self {
@@ -216,6 +231,19 @@
     assert!(fleet.refused > 0);
 }
 
+/// Guards against fronts that start while no granter is reached, and take themselves for a few.
+#[rstest]
+fn fronts_that_were_not_told_their_number_do_not_guess_their_share_of_a_limit(
+    #[values(31, 300)] fronts: usize,
+    #[values(9_100, 60_000)] milli_rate: u64,
+) {
+    let limit = RequestRate(milli_rate);
+    let mut fleet = Fleet::new_uncounted(fronts, limit, false);
+    fleet.assumed = Some(DEFAULT_FRONT_COUNT);
+    let most = fleet.run(Load::Even).most_in_window();
+    assert!(most <= allowed(limit), "{most} in a window");
+}
+
 /// A limit that is no longer named ends at all fronts, also at those that got no response.
 #[test]
 fn a_limit_ends_everywhere_once_a_response_names_none() {
