--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -2,4 +2,5 @@
 # Case 1: a request that may run once only is answered 503 although a server has run it.
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
+[ -x target/review/standins ] || exit 2
 exec target/review/standins refused review/1
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -18,6 +18,8 @@
 mod store;
 mod sys;
 
+use std::panic::AssertUnwindSafe;
+use std::panic::catch_unwind;
 use std::path::Path;
 use std::process::exit;
 
@@ -39,12 +41,14 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     front::limit_length();
     let record = Record::new();
-    let verdict = match case.as_str() {
+    let run = || match case.as_str() {
         "entry" => entry::run(&record, trouble),
         "memory" => memory::run(&record, trouble),
         "refused" => refused::run(&record, trouble),
         _ => Verdict::CouldNotRun(format!("no case {case}")),
     };
+    let verdict = catch_unwind(AssertUnwindSafe(run))
+        .unwrap_or_else(|_| Verdict::CouldNotRun("a stand-in failed".into()));
     let (code, text) = match verdict {
         Verdict::Held(text) => (0, format!("the rule held: {text}")),
         Verdict::Broken(text) => (1, format!("the rule was broken: {text}")),
