Log how many servers a front refuses a request for because it did not reach them

A refusal with no-server or owner-busy looked alike for servers in backoff after failed connections, servers that shed, that asked for a pause, or whose limit was used up. No change of logic.

--- a/crates/carawayrill-core/src/direct/load.rs
+++ b/crates/carawayrill-core/src/direct/load.rs
@@ -97,6 +97,8 @@
     failure_rate_at: Time,
     consecutive_failures: u32,
     backoff_until: Time,
+    /// Whether the last attempt to open a connection failed.
+    unreached: bool,
     /// The time until which the server wants no request from this front.
     paused_until: Time,
     /// The end of the warm-up.
@@ -123,6 +125,7 @@
             failure_rate_at: now,
             consecutive_failures: 0,
             backoff_until: Time::default(),
+            unreached: false,
             paused_until: Time::default(),
             cold_until: now + cold_for,
             mean_half_life_ms: f64::from(DEFAULT_FRONT_COUNT) * MEAN_HALF_LIFE_PER_FRONT_MS,
@@ -190,6 +193,12 @@
         self.backoff_until
     }
 
+    /// Returns whether the server was not reached when this front last sent it a request.
+    #[must_use]
+    pub fn is_unreached(&self) -> bool {
+        self.unreached
+    }
+
     /// Returns the time until which the server wants no request from this front.
     #[must_use]
     pub fn paused_until(&self) -> Time {
@@ -278,6 +287,12 @@
         total_at_send: f64,
     ) {
         self.in_flight = self.in_flight.saturating_sub(1);
+        self.unreached = match result {
+            AttemptResult::Unreachable => true,
+            AttemptResult::Served | AttemptResult::Shed | AttemptResult::Declined => false,
+            // The connection may have been an old one, or the attempt may have ended early.
+            AttemptResult::Failed | AttemptResult::Unknown => self.unreached,
+        };
         match result {
             AttemptResult::Served => {
                 self.update_service_time(now, took, total_at_send);
--- a/crates/carawayrill-core/src/event.rs
+++ b/crates/carawayrill-core/src/event.rs
@@ -91,6 +91,9 @@
         /// The number of candidates that were neither in backoff nor at this front's share of
         /// connections.
         pub usable: usize,
+        /// The number of candidates to which this front last opened no connection.
+        #[serde(default)]
+        pub unreached: usize,
         /// The longest acceptable expected response time, in milliseconds.
         pub limit_ms: u64,
         /// The candidate with the lowest expected response time, usable or not.
--- a/crates/carawayrill-gateway/src/forward/choose.rs
+++ b/crates/carawayrill-gateway/src/forward/choose.rs
@@ -503,9 +503,14 @@
         .iter()
         .min_by(|one, other| one.response_ms.total_cmp(&other.response_ms))?;
     let load = tables.loads.get(&first.server)?;
+    let unreached = candidates
+        .iter()
+        .filter_map(|one| tables.loads.get(&one.server))
+        .filter(|load| load.is_unreached());
     Some(LoadEstimateRecord {
         servers: candidates.len(),
         usable: candidates.iter().filter(|one| one.usable).count(),
+        unreached: unreached.count(),
         limit_ms: floor_to_u64(limit_ms),
         server: first.server.to_compact_string(),
         expected_ms: floor_to_u64(first.response_ms),
