Bodies that are being read count as buffered

Cause: a body counted towards the limit on buffered bytes only after it had been read, so that bodies that arrive together did not see each other; one in chunks announces nothing; and a body was held twice for a moment while its parts were joined.

A body counts from the moment at which its bytes are announced, or arrive if it is in chunks. One that is longer than the manifest allows is refused before it is read.

--- a/crates/carawayrill-gateway/src/front.rs
+++ b/crates/carawayrill-gateway/src/front.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use carawayrill_core::direct::manifest::CallerLimits;
 use carawayrill_core::direct::manifest::Manifest;
 use carawayrill_core::direct::quarantine::Fingerprints;
@@ -21,8 +22,7 @@
 use http::header;
 use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -61,6 +61,8 @@
 
 /// The retry-after time of a request that arrives late in a shutdown.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
+/// The retry-after time of a request for whose body there is no memory.
+const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// How long a new connection is kept open for its first request during a shutdown.
 const NEW_CONNECTION_GRACE: Duration = Duration::from_millis(500);
 
@@ -262,11 +264,11 @@
             .clone_from(&request.matched.route.name);
         log_entry.record.service = request.matched.service.to_compact_string();
         log_entry.record.key = request.key;
-        let body = match self.read_body(body, manifest.limits.max_body_bytes).await {
-            Ok(body) => body,
+        let read = self.read_body(body, manifest.limits.max_body_bytes).await;
+        let (body, _buffered) = match read {
+            Ok(read) => read,
             Err(reply) => return reply,
         };
-        let _buffered = self.count_buffered(body.len());
         let fingerprints = fingerprints(&parts, metadata, &body);
         log_entry.record.content = fingerprints.exact.to_compact_string();
         let request = AcceptedRequest {
@@ -378,45 +380,36 @@
         })
     }
 
-    async fn read_body(&self, body: Incoming, limit: usize) -> Result<Bytes, Reply> {
-        use hyper::body::Body;
-        let announced_bytes = body.size_hint().lower();
-        let buffered = self.buffered_bytes.load(Ordering::Relaxed) as u64;
-        if buffered + announced_bytes > self.shared.cfg.max_buffered_bytes as u64 {
-            let after = Some(Duration::from_millis(500));
-            return Err(Reply::local(
-                StatusCode::SERVICE_UNAVAILABLE,
-                "no-memory",
-                after,
-            ));
-        }
-        if body.is_end_stream() {
-            return Ok(Bytes::new());
+    /// Reads a body of at most `limit` bytes, which count as buffered from the moment at which they are
+    /// announced or arrive: other bodies are read at the same time.
+    async fn read_body(
+        &self,
+        mut body: Incoming,
+        limit: usize,
+    ) -> Result<(Bytes, BufferedBytes<'_>), Reply> {
+        let too_long = || Reply::local(StatusCode::PAYLOAD_TOO_LARGE, "body-too-long", None);
+        let announced = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+        if announced > limit {
+            return Err(too_long());
         }
-        match Limited::new(body, limit).collect().await {
-            Ok(body) => Ok(body.to_bytes()),
-            Err(err) if err.is::<LengthLimitError>() => Err(Reply::local(
-                StatusCode::PAYLOAD_TOO_LARGE,
-                "body-too-long",
-                None,
-            )),
-            Err(err) => {
+        let mut buffered = BufferedBytes::new(self, announced)?;
+        let mut buf = BytesMut::with_capacity(announced);
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|err| {
                 log::debug!("could not read a request body: {err}");
-                Err(Reply::local(
-                    StatusCode::BAD_REQUEST,
-                    "body-broken-off",
-                    None,
-                ))
+                Reply::local(StatusCode::BAD_REQUEST, "body-broken-off", None)
+            })?;
+            let Ok(data) = frame.into_data() else {
+                continue;
+            };
+            let bytes = buf.len() + data.len();
+            if bytes > limit {
+                return Err(too_long());
             }
+            buffered.grow_to(bytes)?;
+            buf.extend_from_slice(&data);
         }
-    }
-
-    fn count_buffered(&self, bytes: usize) -> BufferedBytes<'_> {
-        self.buffered_bytes.fetch_add(bytes, Ordering::Relaxed);
-        BufferedBytes {
-            counter: &self.buffered_bytes,
-            bytes,
-        }
+        Ok((buf.freeze(), buffered))
     }
 
     fn respond(&self, reply: Reply) -> Response<Full<Bytes>> {
@@ -440,12 +433,36 @@
 /// Counts bytes as buffered until it is dropped.
 #[derive(Debug)]
 struct BufferedBytes<'a> {
-    counter: &'a AtomicUsize,
+    front: &'a Front,
     bytes: usize,
 }
 
+impl<'a> BufferedBytes<'a> {
+    /// Counts some bytes. Returns the refusal if there is no memory for them.
+    fn new(front: &'a Front, bytes: usize) -> Result<Self, Reply> {
+        let mut buffered = Self { front, bytes: 0 };
+        buffered.grow_to(bytes)?;
+        Ok(buffered)
+    }
+
+    /// Counts `bytes` in all, if it is more than before.
+    fn grow_to(&mut self, bytes: usize) -> Result<(), Reply> {
+        let added = bytes.saturating_sub(self.bytes);
+        let total = &self.front.buffered_bytes;
+        let before = total.fetch_add(added, Ordering::Relaxed);
+        self.bytes += added;
+        if added > 0 && before + added > self.front.shared.cfg.max_buffered_bytes {
+            let after = Some(NO_MEMORY_RETRY_AFTER);
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            return Err(Reply::local(status, "no-memory", after));
+        }
+        Ok(())
+    }
+}
+
 impl Drop for BufferedBytes<'_> {
     fn drop(&mut self) {
-        self.counter.fetch_sub(self.bytes, Ordering::Relaxed);
+        let total = &self.front.buffered_bytes;
+        total.fetch_sub(self.bytes, Ordering::Relaxed);
     }
 }
