A request that may have run stays so while it is found out whether its server crashed

Cause: a send that ended without a response reset what is known of the request until the check for a crash had ended, up to 150 ms. If the route's timeout, or the end of a planned stop, came in that time, the request counted as not sent; after a freeze it always did.

What is known is recorded before the check. A request that can't be sent again doesn't wait for it, and neither does a response that has arrived from the other server of a hedged send. The check goes on by itself.

--- a/crates/carawayrill-gateway/src/forward/crash.rs
+++ b/crates/carawayrill-gateway/src/forward/crash.rs
@@ -4,6 +4,7 @@
 
 use carawayrill_core::direct::servers::Server;
 use carawayrill_core::time::Time;
+use tokio::task::JoinHandle;
 
 use super::Forwarder;
 use super::Reply;
@@ -48,17 +49,31 @@
         });
     }
 
-    /// Finds out which servers of closed sends have crashed, so that the next send is decided with
-    /// that knowledge. It is recorded even if the caller leaves meanwhile.
-    pub(super) async fn check_crashes(&mut self) {
-        for closed in std::mem::take(&mut self.closed_sends) {
+    /// Starts to find out which servers of closed sends have crashed. That is recorded even if the
+    /// request ends meanwhile.
+    pub(super) fn start_crash_checks(&mut self) -> CrashChecks {
+        let check = |closed| {
             let shared = Arc::clone(self.shared);
             let upstream = Arc::clone(self.upstream);
             let fingerprints = self.request.fingerprints;
-            let checked = tokio::spawn(async move {
+            tokio::spawn(async move {
                 quarantine::check_crash(&shared, &upstream, &fingerprints, closed).await;
-            });
-            if let Err(err) = checked.await {
+            })
+        };
+        let closed_sends = std::mem::take(&mut self.closed_sends);
+        CrashChecks(closed_sends.into_iter().map(check).collect())
+    }
+}
+
+/// The checks whether servers have crashed. They go on if this is dropped.
+#[derive(Debug)]
+pub(super) struct CrashChecks(Vec<JoinHandle<()>>);
+
+impl CrashChecks {
+    /// Waits until all have ended, so that the next send is decided with that knowledge.
+    pub(super) async fn await_all(self) {
+        for check in self.0 {
+            if let Err(err) = check.await {
                 log::error!("the check for a crashed server failed: {err}");
             }
         }
--- a/crates/carawayrill-gateway/src/forward/mod.rs
+++ b/crates/carawayrill-gateway/src/forward/mod.rs
@@ -31,6 +31,7 @@
 use http::Uri;
 
 use self::choose::NextStep;
+use self::crash::CrashChecks;
 use self::send::NotRunReason;
 use self::send::Outcome;
 use self::send::ResponseClass;
@@ -307,17 +308,14 @@
             return Some(reply);
         }
         let outcome = self.send(server, fence).await;
-        self.check_crashes().await;
+        let checks = self.start_crash_checks();
         match outcome {
             Outcome::Response(reply, ResponseClass::Final) => Some(*reply),
             Outcome::Response(reply, ResponseClass::ServerError) => {
                 self.server_error = Some(*reply);
-                self.after_possible_run(server)
-            }
-            Outcome::Lost => {
-                self.may_have_run = true;
-                self.after_possible_run(server)
+                self.after_possible_run(server, checks).await
             }
+            Outcome::Lost => self.after_possible_run(server, checks).await,
             Outcome::NotRun(reason) => {
                 match reason {
                     NotRunReason::Misdirected if self.request.keyed => {
@@ -343,15 +341,17 @@
         }
     }
 
-    /// Decides how to continue after a send that the server may have run.
-    fn after_possible_run(&mut self, server: &Server) -> Option<Reply> {
+    /// Decides how to continue after a send that the server may have run. `checks` find out whether
+    /// it crashed. As the request may end while these run, what is known of it is recorded before.
+    async fn after_possible_run(&mut self, server: &Server, checks: CrashChecks) -> Option<Reply> {
+        self.may_have_run = true;
         if self.request.matched.route.repeat == Repeat::AtMostOnce {
-            self.may_have_run = true;
             return Some(self.give_up("answer-lost", DEFAULT_RETRY_AFTER));
         }
         if !self.request.keyed {
             self.excluded.push(server.id.clone());
         }
+        checks.await_all().await;
         None
     }
 }
