A granter that has heard of few fronts yet does not lower their number

After an outage of the granter of more than 12 s, the first update of the next one, which has heard of one front, was applied at once by each front.

The number counts as lower only from when reports have begun again. A test of the number left 12 s without reports and expected the lower one to be applied, which is this fault; it reports all the while now, and checks that the number stays until then.

--- a/crates/carawayrill-core/src/direct/fronts.rs
+++ b/crates/carawayrill-core/src/direct/fronts.rs
@@ -36,6 +36,8 @@
 /// - A front takes a share only while the granter reports to it, and not within a window of its start
 ///   if another process may have been in its place.
 /// - A lower number is applied only when what the missing fronts have sent is older than the window.
+///   A granter that has just begun has not heard of all fronts, so that a number after a time without
+///   reports doesn't count as lower before.
 #[derive(Debug, Clone, Copy)]
 pub struct FrontCount {
     count: u32,
@@ -96,6 +98,10 @@
     /// Applies a number that the granter reported at `now`.
     pub fn update(&mut self, count: u32, now: Time) {
         let count = count.max(1);
+        let has_resumed = self.reported_at.is_none_or(|at| now.since(at) > REPORT_TTL);
+        if has_resumed {
+            self.confirmed_at = now;
+        }
         self.reported_at = Some(now);
         let lower_delay = self.window + REPORT_TTL;
         if count >= self.count || now.since(self.confirmed_at) > lower_delay {
--- a/crates/carawayrill-core/tests/direct_budget.rs
+++ b/crates/carawayrill-core/tests/direct_budget.rs
@@ -158,6 +158,22 @@
     assert_within_budget(&history);
 }
 
+#[test]
+fn a_granter_that_has_heard_of_few_fronts_yet_does_not_give_out_the_constant_to_each() {
+    let history = play(31, |round| {
+        round.told = match elapsed_ms(round) {
+            ..10_000 => Some(31),
+            // No front is the granter for longer than the window.
+            10_000..24_000 => None,
+            // The fronts join the new one.
+            24_000..24_300 => Some(1),
+            24_300..24_600 => Some(9),
+            _ => Some(31),
+        };
+    });
+    assert_within_budget(&history);
+}
+
 #[test]
 fn a_steady_fleet_gets_most_of_its_budget() {
     let history = play(31, |_| {});
--- a/crates/carawayrill-core/tests/direct_fronts.rs
+++ b/crates/carawayrill-core/tests/direct_fronts.rs
@@ -11,8 +11,11 @@
 fn a_lower_front_count_from_a_new_granter_is_applied_only_after_a_delay() {
     let mut fronts = FrontCount::new(12, Duration::from_secs(10), Time(0));
     fronts.update(10, Time(1_000));
-    assert_eq!(fronts.get(), 12);
-    fronts.update(10, Time(13_000));
+    for ms in (1_000..13_000).step_by(300) {
+        fronts.update(10, Time(ms));
+        assert_eq!(fronts.get(), 12);
+    }
+    fronts.update(10, Time(13_001));
     assert_eq!(fronts.get(), 10);
     // Another front has become the granter, and no front has connected to it yet.
     for ms in (14_000..20_000).step_by(300) {
