A front that was cut off holds none of its own failures against the servers

Cause: each connection that a cut front could not open lengthened the backoff of that server, up to two seconds. Refused connections fail at once, are counted at once, and did not show it.

When a front reaches the servers again, it forgets the failures to connect; backoffs of servers that shed requests stay.

--- a/crates/carawayrill-core/src/direct/load.rs
+++ b/crates/carawayrill-core/src/direct/load.rs
@@ -199,6 +199,15 @@
         self.unreached
     }
 
+    /// Forgets that the server was not reached, because the failure was this front's own.
+    pub fn forget_unreached(&mut self) {
+        if self.unreached {
+            self.unreached = false;
+            self.consecutive_failures = 0;
+            self.backoff_until = Time::default();
+        }
+    }
+
     /// Returns the time until which the server wants no request from this front.
     #[must_use]
     pub fn paused_until(&self) -> Time {
--- a/crates/carawayrill-core/tests/direct_reach.rs
+++ b/crates/carawayrill-core/tests/direct_reach.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 
 use carawayrill_core::direct::admission::Distance;
+use carawayrill_core::direct::load::AttemptResult;
+use carawayrill_core::direct::load::ServerLoad;
 use carawayrill_core::direct::reach::Peer;
 use carawayrill_core::direct::reach::PeerTable;
 use carawayrill_core::direct::reach::ReachChange;
@@ -47,6 +49,24 @@
     assert!(!reach.is_cut_off());
 }
 
+#[rstest]
+#[case::not_reached(AttemptResult::Unreachable, true)]
+#[case::overloaded(AttemptResult::Shed, false)]
+fn only_the_failures_of_the_front_itself_are_forgotten_when_it_reaches_servers_again(
+    #[case] result: AttemptResult,
+    #[case] is_forgotten: bool,
+) {
+    let mut load = ServerLoad::new(4, Duration::ZERO, None, Time(0));
+    for _attempt in 0..6 {
+        load.begin_request();
+        load.end_request(Time(100), result, Duration::ZERO, 0.0);
+    }
+    assert!(!load.accepts(Time(1_000)));
+    load.forget_unreached();
+    assert_eq!(load.accepts(Time(1_000)), is_forgotten);
+    assert!(!load.is_unreached());
+}
+
 #[test]
 fn servers_that_crash_one_by_one_cut_off_nobody() {
     let mut reach = ServerReach::default();
--- a/crates/carawayrill-gateway/src/reach.rs
+++ b/crates/carawayrill-gateway/src/reach.rs
@@ -44,13 +44,24 @@
                 self.metrics.cut_offs.inc();
                 emit(EventKind::ServersUnreachable { servers });
             }
-            Some(ReachChange::Regained(after)) => emit(EventKind::ServersReachable {
-                after_ms: millis(after),
-            }),
+            Some(ReachChange::Regained(after)) => {
+                self.forget_unreached();
+                emit(EventKind::ServersReachable {
+                    after_ms: millis(after),
+                });
+            }
             None if !connected => self.reach_suspected.notify_one(),
             None => {}
         }
     }
+
+    /// Forgets which servers this front has not reached while it was cut off.
+    fn forget_unreached(&self) {
+        for load in self.tables().loads.values_mut() {
+            load.forget_unreached();
+        }
+        self.waiting.wake_up();
+    }
 }
 
 fn service_of(tables: &Tables, server: &ServerId) -> Option<ServiceId> {
