A front that does not answer gets few of the requests that cut fronts pass on

Cause: the four fronts that take over were chosen at random. The granter takes a silent front off the list after two seconds; until then a frozen one got its share, and each such request waited until its deadline.

A front passes a request on to the front that has the least outstanding ones. A frozen front gets one or two, an overloaded one less than the others. The choice among equals is made as before.

--- a/crates/carawayrill-core/src/direct/reach/peers.rs
+++ b/crates/carawayrill-core/src/direct/reach/peers.rs
@@ -127,18 +127,37 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct NoHomePeer;
 
-/// The peers of one front, and which of them were not reached lately.
+/// A peer, and what this front knows of it.
+#[derive(Debug)]
+struct KnownPeer {
+    peer: Peer,
+    /// Until when it is passed over, because it was not reached.
+    backoff_until: Time,
+    /// The requests that it was sent and has not answered.
+    outstanding: u32,
+}
+
+/// The peers of one front, which of them were not reached lately, and how many requests each has.
 #[derive(Debug, Default)]
 pub struct PeerTable {
-    peers: Vec<(Peer, Time)>,
+    peers: Vec<KnownPeer>,
 }
 
 impl PeerTable {
-    /// Replaces the peers.
+    /// Replaces the peers. Those that are known keep their outstanding requests.
     pub fn set(&mut self, peers: Vec<Peer>) {
+        let known = std::mem::take(&mut self.peers);
+        let outstanding = |peer: &Peer| {
+            let known = known.iter().find(|known| known.peer.front == peer.front);
+            known.map_or(0, |known| known.outstanding)
+        };
         self.peers = peers
             .into_iter()
-            .map(|peer| (peer, Time::default()))
+            .map(|peer| KnownPeer {
+                outstanding: outstanding(&peer),
+                peer,
+                backoff_until: Time::default(),
+            })
             .collect();
     }
 
@@ -151,19 +170,20 @@
     /// Returns whether a front is one of the peers.
     #[must_use]
     pub fn contains(&self, front: &str) -> bool {
-        self.peers.iter().any(|(peer, _)| peer.front == front)
+        self.peers.iter().any(|known| known.peer.front == front)
     }
 
     /// Chooses a peer for a request that was not passed on to any of `tried` before. Requests are
-    /// spread over the near peers, since one might not bear them. Those that are named for their
-    /// region are used only if no other can be.
+    /// spread over the near peers, since one might not bear them, with the least outstanding first: a
+    /// peer that is frozen or overloaded gets few. Those that are named for their region are used only
+    /// if no other can be.
     pub fn choose(&self, tried: &[CompactString], now: Time, rng: &mut impl Rng) -> Option<Peer> {
         let near = &self.peers[..self.peers.len().min(MAX_PEERS)];
-        let mut usable_peers: Vec<&Peer> = usable(near, tried, now).collect();
+        let mut usable_peers: Vec<&KnownPeer> = usable(near, tried, now).collect();
         if usable_peers.is_empty() {
             usable_peers = usable(&self.peers, tried, now).collect();
         }
-        choose_any(&usable_peers, rng)
+        choose_least_outstanding(&usable_peers, rng)
     }
 
     /// Chooses a peer for a request that is restricted to `homes`: one in a home region or, if there
@@ -184,43 +204,66 @@
             return Ok(self.choose(tried, now, rng));
         }
         let is_home = |peer: &Peer| homes.allows(place.regions.get(&peer.data_centre));
-        let mut permitted = self.peers.iter().map(|(peer, _)| peer);
+        let mut permitted = self.peers.iter().map(|known| &known.peer);
         if !self.is_empty() && !permitted.any(|peer| is_home(peer) || place.is_own_region(peer)) {
             return Err(NoHomePeer);
         }
         let usable = || usable(&self.peers, tried, now);
-        let mut allowed: Vec<&Peer> = usable().filter(|peer| is_home(peer)).collect();
+        let mut allowed: Vec<&KnownPeer> = usable().filter(|known| is_home(&known.peer)).collect();
         if allowed.is_empty() {
-            allowed = usable().filter(|peer| place.is_own_region(peer)).collect();
+            allowed = usable()
+                .filter(|known| place.is_own_region(&known.peer))
+                .collect();
+        }
+        Ok(choose_least_outstanding(&allowed, rng))
+    }
+
+    /// Records that a request is passed on to a peer.
+    pub fn record_sent(&mut self, front: &str) {
+        if let Some(known) = self.known(front) {
+            known.outstanding += 1;
+        }
+    }
+
+    /// Records that such a request has ended, with or without an answer.
+    pub fn record_ended(&mut self, front: &str) {
+        if let Some(known) = self.known(front) {
+            known.outstanding = known.outstanding.saturating_sub(1);
         }
-        Ok(choose_any(&allowed, rng))
     }
 
     /// Records that a peer was not reached, or could not serve.
     pub fn record_failed(&mut self, front: &str, now: Time) {
-        for (peer, backoff_until) in &mut self.peers {
-            if peer.front == front {
-                *backoff_until = now + PEER_BACKOFF;
-            }
+        if let Some(known) = self.known(front) {
+            known.backoff_until = now + PEER_BACKOFF;
         }
     }
+
+    fn known(&mut self, front: &str) -> Option<&mut KnownPeer> {
+        self.peers
+            .iter_mut()
+            .find(|known| known.peer.front == front)
+    }
 }
 
 /// Returns the peers that were reached lately and not tried yet.
 fn usable<'a>(
-    peers: &'a [(Peer, Time)],
+    peers: &'a [KnownPeer],
     tried: &'a [CompactString],
     now: Time,
-) -> impl Iterator<Item = &'a Peer> {
+) -> impl Iterator<Item = &'a KnownPeer> {
     peers
         .iter()
-        .filter(move |(peer, backoff_until)| *backoff_until <= now && !tried.contains(&peer.front))
-        .map(|(peer, _)| peer)
+        .filter(move |known| known.backoff_until <= now && !tried.contains(&known.peer.front))
 }
 
-fn choose_any(peers: &[&Peer], rng: &mut impl Rng) -> Option<Peer> {
-    if peers.is_empty() {
-        return None;
-    }
-    Some(peers[rng.random_range(0..peers.len())].clone())
+/// Chooses any of the peers with the least outstanding requests.
+fn choose_least_outstanding(peers: &[&KnownPeer], rng: &mut impl Rng) -> Option<Peer> {
+    let least = peers.iter().map(|known| known.outstanding).min()?;
+    let idlest: Vec<_> = peers
+        .iter()
+        .filter(|known| known.outstanding == least)
+        .collect();
+    let at = rng.random_range(0..idlest.len());
+    Some(idlest[at].peer.clone())
 }
--- a/crates/carawayrill-core/tests/direct_reach.rs
+++ b/crates/carawayrill-core/tests/direct_reach.rs
@@ -67,6 +67,29 @@
     assert!(!load.is_unreached());
 }
 
+#[test]
+fn a_peer_that_does_not_answer_gets_no_further_requests_while_others_answer() {
+    let mut rng = ChaCha8Rng::seed_from_u64(7);
+    let mut peers = PeerTable::default();
+    let all: Vec<Peer> = (0..4).map(|number| peer(number, "a-1")).collect();
+    peers.set(all.clone());
+    let mut to_silent = 0;
+    for request in 0..200 {
+        if request == 100 {
+            // The granter names the same fronts again.
+            peers.set(all.clone());
+        }
+        let chosen = peers.choose(&[], Time(0), &mut rng).expect("a peer");
+        peers.record_sent(&chosen.front);
+        if chosen.front == "front-2" {
+            to_silent += 1;
+        } else {
+            peers.record_ended(&chosen.front);
+        }
+    }
+    assert_eq!(to_silent, 1);
+}
+
 #[test]
 fn servers_that_crash_one_by_one_cut_off_nobody() {
     let mut reach = ServerReach::default();
--- a/crates/carawayrill-gateway/src/forward/peer.rs
+++ b/crates/carawayrill-gateway/src/forward/peer.rs
@@ -150,6 +150,7 @@
             id: &id,
             address: peer.address,
         };
+        let _outstanding = OutstandingRequest::begin(self.shared, &peer.front);
         self.peers.send(to, req, reuse, |_result| {}).await
     }
 
@@ -192,6 +193,25 @@
     }
 }
 
+/// A request that was passed on to a peer and has not ended.
+struct OutstandingRequest<'a> {
+    shared: &'a Shared,
+    front: &'a str,
+}
+
+impl<'a> OutstandingRequest<'a> {
+    fn begin(shared: &'a Shared, front: &'a str) -> Self {
+        shared.tables().peers.record_sent(front);
+        Self { shared, front }
+    }
+}
+
+impl Drop for OutstandingRequest<'_> {
+    fn drop(&mut self) {
+        self.shared.tables().peers.record_ended(self.front);
+    }
+}
+
 /// Returns what the front says that has passed the request on, if the headers prove that one has.
 pub(crate) fn parse_forwarded(shared: &Shared, headers: &HeaderMap, id: &str) -> Option<Forwarded> {
     let value = headers.get(FORWARDED)?.to_str().unwrap_or_default();
