Requests for servers that a front does not reach are passed on

A front counted as cut off or not.

Cause: requests were passed on only by a front that reaches no server at all, since a server that has crashed is not reached by any front, and passing its requests on costs a further front time.

A request whose server was not reached, or is in backoff for that, is passed on to one other front. A circuit breaker for each service ends that after three requests in a row that others could not serve either, but for one each 250 ms. A request that this front has counted towards the retry budget says so (carawayrill-counted), so that it doesn't count twice; older builds count it twice.

--- a/crates/carawayrill-core/src/direct/reach/mod.rs
+++ b/crates/carawayrill-core/src/direct/reach/mod.rs
@@ -2,13 +2,15 @@
 //!
 //! A front may be cut off from all servers while callers, the store and the other fronts reach it.
 //! It then passes its callers' requests on to a front that reaches the servers, with a proof that it
-//! is a front.
+//! is a front. If it does not reach some servers, it passes on the requests for these.
 
+mod detour;
 mod peers;
 mod probe;
 mod proof;
 mod servers;
 
+pub use self::detour::Detours;
 pub use self::peers::NoHomePeer;
 pub use self::peers::Peer;
 pub use self::peers::PeerTable;
--- a/crates/carawayrill-core/tests/direct_reach.rs
+++ b/crates/carawayrill-core/tests/direct_reach.rs
@@ -7,6 +7,7 @@
 use carawayrill_core::direct::admission::Distance;
 use carawayrill_core::direct::load::AttemptResult;
 use carawayrill_core::direct::load::ServerLoad;
+use carawayrill_core::direct::reach::Detours;
 use carawayrill_core::direct::reach::Peer;
 use carawayrill_core::direct::reach::PeerTable;
 use carawayrill_core::direct::reach::ReachChange;
@@ -90,6 +91,25 @@
     assert_eq!(to_silent, 1);
 }
 
+#[test]
+fn requests_that_no_front_can_serve_are_passed_on_only_now_and_then() {
+    let service = "forms".parse().expect("a name");
+    let mut detours = Detours::default();
+    let mut passed_on = 0;
+    for request in 0..1_000 {
+        let now = Time(request);
+        if detours.try_acquire(&service, now) {
+            passed_on += 1;
+            detours.record(&service, false, now);
+        }
+    }
+    assert_eq!(passed_on, 6);
+    detours.record(&service, true, Time(1_000));
+    assert!((0..100).all(|_| detours.try_acquire(&service, Time(1_000))));
+    let other = "signs".parse().expect("a name");
+    assert!(detours.try_acquire(&other, Time(0)));
+}
+
 #[test]
 fn servers_that_crash_one_by_one_cut_off_nobody() {
     let mut reach = ServerReach::default();
--- a/crates/carawayrill-gateway/src/forward/choose.rs
+++ b/crates/carawayrill-gateway/src/forward/choose.rs
@@ -84,6 +84,8 @@
     /// The time after which a server may have capacity again.
     pub(super) retry_after: Duration,
     pub(super) load_estimate: Option<LoadEstimateRecord>,
+    /// Whether this front has not reached servers that the request could be sent to.
+    pub(super) is_unreached: bool,
 }
 
 impl Refusal {
@@ -92,6 +94,18 @@
             reason,
             retry_after,
             load_estimate: None,
+            is_unreached: false,
+        }
+    }
+
+    /// Adds the load estimates of the servers that the request could be sent to. `choice` is the
+    /// decision that led to the refusal.
+    fn with_estimate(self, choice: &Choice, estimate: Option<LoadEstimateRecord>) -> Self {
+        let unreached = estimate.as_ref().map_or(0, |estimate| estimate.unreached);
+        Self {
+            is_unreached: *choice == Choice::NoServer && unreached > 0,
+            load_estimate: estimate,
+            ..self
         }
     }
 }
@@ -251,10 +265,8 @@
             }
         };
         let limit_ms = admission::limit_ms(&request_profile, idle_ms);
-        let refusal = Refusal {
-            load_estimate: load_estimate(tables, &candidates, limit_ms, now),
-            ..refusal
-        };
+        let estimate = load_estimate(tables, &candidates, limit_ms, now);
+        let refusal = refusal.with_estimate(&choice, estimate);
         let waiter = self.waiter(idle_ms);
         let reserve = self.reserve(tables, waiter.priority);
         let usable_after = next_usable(tables, &candidates, now);
@@ -353,14 +365,15 @@
         });
         let busy = busy.max(limited);
         let reserve = self.reserve(tables, self.request.matched.route.priority);
-        let (reason, busy) = match admission::choose_with_reserve(
+        let choice = admission::choose_with_reserve(
             &candidates,
             &request_profile,
             &reserve,
             idle_ms,
             fronts,
             &mut tables.rng,
-        ) {
+        );
+        let (reason, busy) = match choice {
             Choice::Send(_) => return NextStep::Send(Box::new(server), Some(span.fence)),
             Choice::Full(after) => ("full", after),
             Choice::Reserved(after) => ("reserved", after),
@@ -370,10 +383,8 @@
         let after = admission::owner_retry_after(&request_profile, idle_ms, busy, &mut tables.rng);
         let refusal = Refusal::new(reason, after);
         let limit_ms = admission::limit_ms(&request_profile, idle_ms);
-        NextStep::Refuse(Refusal {
-            load_estimate: load_estimate(tables, &candidates, limit_ms, now),
-            ..refusal
-        })
+        let estimate = load_estimate(tables, &candidates, limit_ms, now);
+        NextStep::Refuse(refusal.with_estimate(&choice, estimate))
     }
 
     /// Returns the maximum number of servers to which the request may be sent.
--- a/crates/carawayrill-gateway/src/forward/mod.rs
+++ b/crates/carawayrill-gateway/src/forward/mod.rs
@@ -53,6 +53,8 @@
 const UNREACHABLE_RETRY_DELAY: Duration = Duration::from_millis(60);
 /// The number of sends failed before a byte was sent after which the request is refused.
 const MAX_UNSENT_TRIES: u32 = 3;
+/// The number of such sends to different servers after which another front is tried.
+const MIN_UNSENT_TRIES_BEFORE_DETOUR: u32 = 2;
 /// The retry-after time of a refusal without a better estimate.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(250);
 
@@ -61,6 +63,8 @@
 pub struct Forwarded {
     /// The sends after which a server may have received the request.
     pub sends: u32,
+    /// Whether it has counted the request as one of its callers'.
+    pub is_counted: bool,
 }
 
 /// A request that was read completely.
@@ -78,6 +82,8 @@
     pub fingerprints: Fingerprints,
     /// What another front says that has passed the request on to this one.
     pub forwarded: Option<Forwarded>,
+    /// Whether this front has counted the request as one of its callers'.
+    pub is_counted: bool,
     /// The version of the manifest that the route is from.
     pub manifest: u64,
     /// The method.
@@ -236,8 +242,20 @@
                 return reply;
             }
             match self.choose_first(clock::now()) {
-                NextStep::Refuse(refusal) => return self.refuse(refusal),
+                NextStep::Refuse(refusal) => {
+                    if refusal.is_unreached
+                        && let Some(reply) = self.detour().await
+                    {
+                        return reply;
+                    }
+                    return self.refuse(refusal);
+                }
                 NextStep::WaitForRoom(refusal, waiter) => {
+                    if refusal.is_unreached
+                        && let Some(reply) = self.detour().await
+                    {
+                        return reply;
+                    }
                     match self.wait_for_room(refusal, waiter).await {
                         WaitEnd::Refuse(reply) => return reply,
                         WaitEnd::Restart => {}
@@ -330,6 +348,12 @@
             }
             Outcome::NotSent => {
                 self.unsent_tries += 1;
+                // Only its owner can serve a key; others may reach it.
+                if (self.request.keyed || self.unsent_tries >= MIN_UNSENT_TRIES_BEFORE_DETOUR)
+                    && let Some(reply) = self.detour().await
+                {
+                    return Some(reply);
+                }
                 if self.request.keyed {
                     tokio::time::sleep(UNREACHABLE_RETRY_DELAY).await;
                 } else {
--- a/crates/carawayrill-gateway/src/forward/peer.rs
+++ b/crates/carawayrill-gateway/src/forward/peer.rs
@@ -37,6 +37,9 @@
 /// The number of sends after which a server may have received such a request. Older builds don't name
 /// it.
 pub(crate) const SENDS: HeaderName = HeaderName::from_static("carawayrill-sends");
+/// Says that the front which has passed the request on has counted it as one of its callers'. Older
+/// builds don't say it.
+const COUNTED: HeaderName = HeaderName::from_static("carawayrill-counted");
 /// The outcome of passing a request on to a front that is cut off as well.
 pub(super) const PEER_CUT_OFF: &str = "cut-off";
 /// Marks the refusal of such a request by a front that is cut off as well.
@@ -48,12 +51,40 @@
     StatusCode::TOO_MANY_REQUESTS,
     StatusCode::SERVICE_UNAVAILABLE,
 ];
+/// The statuses of a reply from another front that don't show that it has reached a server.
+const UNREACHED_STATUSES: [StatusCode; 3] = [
+    StatusCode::BAD_GATEWAY,
+    StatusCode::SERVICE_UNAVAILABLE,
+    StatusCode::GATEWAY_TIMEOUT,
+];
 /// The number of idle connections that are kept to a peer.
 const MAX_IDLE_CONNECTIONS: usize = 16;
 /// How long an idle connection to a peer is kept.
 const KEEP_ALIVE: Duration = Duration::from_secs(4);
 
 impl Forwarder<'_> {
+    /// Passes the request on to another front because this one does not reach the server that it is
+    /// for. Returns `None` if there is no other front, or others have not reached servers of the
+    /// service either.
+    pub(super) async fn detour(&mut self) -> Option<Reply> {
+        if self.request.forwarded.is_some() {
+            return None;
+        }
+        let service = &self.request.matched.service;
+        let now = clock::now();
+        {
+            let tables = &mut *self.shared.tables();
+            if tables.peers.is_empty() || !tables.detours.try_acquire(service, now) {
+                return None;
+            }
+        }
+        let reply = self.forward_to_peer().await?;
+        let is_reached = !UNREACHED_STATUSES.contains(&reply.status);
+        let mut tables = self.shared.tables();
+        tables.detours.record(service, is_reached, clock::now());
+        Some(reply)
+    }
+
     /// Passes the request on to other fronts until one replies. Returns `None` if there is none to
     /// pass it on to.
     pub(super) async fn forward_to_peer(&mut self) -> Option<Reply> {
@@ -142,6 +173,10 @@
             .write_request(req.headers_mut(), &metadata);
         req.headers_mut().insert(FORWARDED, self.mark());
         req.headers_mut().insert(SENDS, HeaderValue::from(sends));
+        if self.request.is_counted {
+            let counted = HeaderValue::from_static("1");
+            req.headers_mut().insert(COUNTED, counted);
+        }
         let reuse = match self.request.matched.route.repeat {
             Repeat::Idempotent => Reuse::Allowed,
             Repeat::AtMostOnce => Reuse::Fresh,
@@ -228,6 +263,7 @@
     let sends = headers.get(SENDS).and_then(|value| value.to_str().ok());
     Some(Forwarded {
         sends: sends.and_then(|sends| sends.parse().ok()).unwrap_or(0),
+        is_counted: headers.contains_key(COUNTED),
     })
 }
 
--- a/crates/carawayrill-gateway/src/front.rs
+++ b/crates/carawayrill-gateway/src/front.rs
@@ -274,6 +274,7 @@
         let request = AcceptedRequest {
             fingerprints,
             body,
+            is_counted: !self.shared.is_cut_off(),
             ..request
         };
         let servers_age = self.count_accepted(&request);
@@ -302,8 +303,9 @@
     fn count_accepted(&self, request: &AcceptedRequest) -> Option<Duration> {
         let service = &request.matched.service;
         let mut tables = self.shared.tables();
-        if tables.reach.is_cut_off() {
-            // The front that the request is passed on to counts it.
+        let is_counted_there = request.forwarded.is_some_and(|earlier| earlier.is_counted);
+        if !request.is_counted || is_counted_there {
+            // The front that the request is passed on to counts it, or has passed it on to this one.
             return Some(clock::now().since(tables.servers_confirmed?));
         }
         // A front that has sent it before has counted it.
@@ -364,6 +366,7 @@
         let objective = matched.route.objective.saturating_sub(elapsed);
         Ok(AcceptedRequest {
             forwarded: peer::parse_forwarded(&self.shared, &parts.headers, &id),
+            is_counted: false,
             id,
             keyed,
             key,
--- a/crates/carawayrill-gateway/src/state.rs
+++ b/crates/carawayrill-gateway/src/state.rs
@@ -23,6 +23,7 @@
 use carawayrill_core::direct::load::ServerLoad;
 use carawayrill_core::direct::manifest::Manifest;
 use carawayrill_core::direct::quarantine::CrashTable;
+use carawayrill_core::direct::reach::Detours;
 use carawayrill_core::direct::reach::PeerKeys;
 use carawayrill_core::direct::reach::PeerTable;
 use carawayrill_core::direct::reach::ServerReach;
@@ -90,6 +91,8 @@
     pub reach: ServerReach,
     /// The fronts that take this front's requests while it is cut off from the servers.
     pub peers: PeerTable,
+    /// The services whose servers other fronts are asked to reach for this one.
+    pub detours: Detours,
     /// The keys with which fronts prove to each other that they are fronts.
     pub peer_keys: PeerKeys,
     /// The spans of each keyed service.
@@ -166,6 +169,7 @@
                 crashes: CrashTable::default(),
                 reach: ServerReach::default(),
                 peers: PeerTable::default(),
+                detours: Detours::default(),
                 peer_keys: PeerKeys::default(),
                 spans: HashMap::new(),
                 retry_budgets: HashMap::new(),
