A request that is read late in a planned stop is not sent

It could happen here: a request whose head arrived early and whose body ended after new requests were refused (0.45 of the grace) was sent to a server, and ended with a 504 of this front's own at 0.85; one whose body ended after that was sent or not by chance. Test, on the code before: 504 to all 20 callers at 0.5 and 0.8, to 10 of 20 at 0.88.

Cause: whether the stop is too far was checked before the body is read only, and the end of the stop was not checked before the first send.

It is checked once the body is read; a request that isn't read by 0.85 of the grace is refused, and none is sent from then on. The refusal is true: nothing was sent.

--- a/crates/carawayrill-gateway/src/front.rs
+++ b/crates/carawayrill-gateway/src/front.rs
@@ -233,8 +233,7 @@
         // A request that is accepted this late might not end before the process does, and another
         // front takes it.
         let reply = if *self.phase.borrow() >= Phase::Closing {
-            let after = Some(STOPPING_RETRY_AFTER);
-            Reply::local(StatusCode::SERVICE_UNAVAILABLE, "stopping", after)
+            stopping_reply()
         } else {
             self.handle(req, &metadata, &mut log_entry).await
         };
@@ -264,11 +263,20 @@
             .clone_from(&request.matched.route.name);
         log_entry.record.service = request.matched.service.to_compact_string();
         log_entry.record.key = request.key;
-        let read = self.read_body(body, manifest.limits.max_body_bytes).await;
+        let mut phase = self.phase.clone();
+        let read = tokio::select! {
+            biased;
+            () = wait_for_phase(&mut phase, Phase::Aborting) => return stopping_reply(),
+            read = self.read_body(body, manifest.limits.max_body_bytes) => read,
+        };
         let (body, _buffered) = match read {
             Ok(read) => read,
             Err(reply) => return reply,
         };
+        // It may have taken long to read.
+        if *self.phase.borrow() >= Phase::Closing {
+            return stopping_reply();
+        }
         let fingerprints = fingerprints(&parts, metadata, &body);
         log_entry.record.content = fingerprints.exact.to_compact_string();
         let request = AcceptedRequest {
@@ -286,10 +294,10 @@
             &*self.header_codec,
             &request,
         );
-        let mut phase = self.phase.clone();
         let ended = tokio::select! {
-            reply = forwarder.run() => Some(reply),
+            biased;
             () = wait_for_phase(&mut phase, Phase::Aborting) => None,
+            reply = forwarder.run() => Some(reply),
         };
         let reply = ended.unwrap_or_else(|| forwarder.abort("stopping"));
         log_entry.record.waited_ms = millis(forwarder.waited);
@@ -433,6 +441,12 @@
     }
 }
 
+/// Returns the reply to a request that was not sent before this front's planned stop was too far.
+fn stopping_reply() -> Reply {
+    let after = Some(STOPPING_RETRY_AFTER);
+    Reply::local(StatusCode::SERVICE_UNAVAILABLE, "stopping", after)
+}
+
 /// Counts bytes as buffered until it is dropped.
 #[derive(Debug)]
 struct BufferedBytes<'a> {
