A front that stops, or is not ready, takes no requests of cut fronts

Cause: the granter names each front that reaches the servers, also one that stops or has just started, and the refusal of such a front was taken for the final answer.

A front reports that it serves no others unless it is ready, reaches the servers and does not stop (the field is as before, so that older builds understand it), and a front in the second half of its stop refuses such a request in a way that makes the other one ask a further front. Readiness is decided in one place.

--- a/crates/carawayrill-gateway/src/forward/peer.rs
+++ b/crates/carawayrill-gateway/src/forward/peer.rs
@@ -40,9 +40,9 @@
 /// Says that the front which has passed the request on has counted it as one of its callers'. Older
 /// builds don't say it.
 const COUNTED: HeaderName = HeaderName::from_static("carawayrill-counted");
-/// The outcome of passing a request on to a front that is cut off as well.
+/// The outcome of passing a request on to a front that is cut off as well, or stops.
 pub(super) const PEER_CUT_OFF: &str = "cut-off";
-/// Marks the refusal of such a request by a front that is cut off as well.
+/// Marks the refusal of such a request by a front that is cut off as well, or stops.
 const CUT_OFF: HeaderName = HeaderName::from_static("carawayrill-cut-off");
 /// The statuses that promise that a request has not run.
 const NOT_RUN_STATUSES: [StatusCode; 4] = [
@@ -89,7 +89,7 @@
     /// pass it on to.
     pub(super) async fn forward_to_peer(&mut self) -> Option<Reply> {
         if self.request.forwarded.is_some() {
-            return Some(refuse_cut_off());
+            return Some(refuse_forwarded("cut-off", DEFAULT_RETRY_AFTER));
         }
         let mut tried = Vec::new();
         loop {
@@ -273,10 +273,11 @@
         .map_err(|err| SendError::NotSent(CompactString::from(err.to_string())))
 }
 
-/// Returns the reply to a request that was passed on to this front while it is cut off as well.
-fn refuse_cut_off() -> Reply {
+/// Returns the reply to a request that was passed on to this front, which can't serve it either. The
+/// other front asks a further one.
+pub(crate) fn refuse_forwarded(reason: &'static str, retry_after: Duration) -> Reply {
     let status = StatusCode::SERVICE_UNAVAILABLE;
-    let mut reply = Reply::local(status, "cut-off", Some(DEFAULT_RETRY_AFTER));
+    let mut reply = Reply::local(status, reason, Some(retry_after));
     reply.headers.insert(CUT_OFF, HeaderValue::from_static("1"));
     reply
 }
--- a/crates/carawayrill-gateway/src/front.rs
+++ b/crates/carawayrill-gateway/src/front.rs
@@ -233,7 +233,7 @@
         // A request that is accepted this late might not end before the process does, and another
         // front takes it.
         let reply = if *self.phase.borrow() >= Phase::Closing {
-            stopping_reply()
+            stopping_reply(req.headers().contains_key(peer::FORWARDED))
         } else {
             self.handle(req, &metadata, &mut log_entry).await
         };
@@ -263,10 +263,11 @@
             .clone_from(&request.matched.route.name);
         log_entry.record.service = request.matched.service.to_compact_string();
         log_entry.record.key = request.key;
+        let is_forwarded = request.forwarded.is_some();
         let mut phase = self.phase.clone();
         let read = tokio::select! {
             biased;
-            () = wait_for_phase(&mut phase, Phase::Aborting) => return stopping_reply(),
+            () = wait_for_phase(&mut phase, Phase::Aborting) => return stopping_reply(is_forwarded),
             read = self.read_body(body, manifest.limits.max_body_bytes) => read,
         };
         let (body, _buffered) = match read {
@@ -275,7 +276,7 @@
         };
         // It may have taken long to read.
         if *self.phase.borrow() >= Phase::Closing {
-            return stopping_reply();
+            return stopping_reply(is_forwarded);
         }
         let fingerprints = fingerprints(&parts, metadata, &body);
         log_entry.record.content = fingerprints.exact.to_compact_string();
@@ -442,7 +443,11 @@
 }
 
 /// Returns the reply to a request that was not sent before this front's planned stop was too far.
-fn stopping_reply() -> Reply {
+/// If another front has passed it on, that asks a further one.
+fn stopping_reply(is_forwarded: bool) -> Reply {
+    if is_forwarded {
+        return peer::refuse_forwarded("stopping", STOPPING_RETRY_AFTER);
+    }
     let after = Some(STOPPING_RETRY_AFTER);
     Reply::local(StatusCode::SERVICE_UNAVAILABLE, "stopping", after)
 }
--- a/crates/carawayrill-gateway/src/granter_runtime/mod.rs
+++ b/crates/carawayrill-gateway/src/granter_runtime/mod.rs
@@ -102,8 +102,9 @@
     pub data_centre: Option<DataCentreId>,
     /// How other fronts reach this one; `None` if it is the same as in the report before.
     pub peer: Option<Peer>,
-    /// Whether the front is cut off from all servers.
-    pub is_cut_off: bool,
+    /// Whether the front serves requests that others can't serve: it is ready, reaches the servers and
+    /// does not stop.
+    pub serves_for_others: bool,
 }
 
 /// An update to the fronts.
@@ -229,8 +230,8 @@
         *known = state.peer_changes;
         let distance = |to: &DataCentreId| self.shared.distance_between(data_centre, to);
         let regions = &self.shared.cfg.regions;
-        let reaching = state.reaching_fronts();
-        Some(choose_peers_in_regions(front, reaching, distance, regions))
+        let serving = state.serving_fronts();
+        Some(choose_peers_in_regions(front, serving, distance, regions))
     }
 
     /// Runs rounds of decisions until this front is no longer the granter.
--- a/crates/carawayrill-gateway/src/granter_runtime/state.rs
+++ b/crates/carawayrill-gateway/src/granter_runtime/state.rs
@@ -46,7 +46,7 @@
     last_report: Time,
     pub(super) cores: f64,
     peer: Option<Peer>,
-    is_cut_off: bool,
+    serves_for_others: bool,
 }
 
 /// What a granter has decided, and what it decides by.
@@ -63,7 +63,7 @@
     /// The requests that leave their region.
     pub(super) egress: EgressTable,
     pub(super) fronts: HashMap<CompactString, ReportingFront>,
-    /// The number of changes of the fronts that reach the servers.
+    /// The number of changes of the fronts that serve requests of others.
     pub(super) peer_changes: u64,
     /// The limits of servers, and what the fronts want to send them.
     limits: LimitDivision,
@@ -127,24 +127,24 @@
 
     fn add_front(&mut self, report: &Report, now: Time) {
         let known = self.fronts.get(&report.front);
-        let was_cut_off = known.is_some_and(|known| known.is_cut_off);
+        let served_for_others = known.is_some_and(|known| known.serves_for_others);
         let known_peer = known.and_then(|known| known.peer.clone());
         let peer = report.peer.clone().or_else(|| known_peer.clone());
-        if peer != known_peer || report.is_cut_off != was_cut_off {
+        if peer != known_peer || report.serves_for_others != served_for_others {
             self.peer_changes += 1;
         }
         let front = ReportingFront {
             last_report: now,
             cores: report.cores,
             peer,
-            is_cut_off: report.is_cut_off,
+            serves_for_others: report.serves_for_others,
         };
         self.fronts.insert(report.front.clone(), front);
     }
 
-    /// Returns the fronts that reach the servers.
-    pub(super) fn reaching_fronts(&self) -> impl Iterator<Item = &Peer> + Clone {
-        let fronts = self.fronts.values().filter(|front| !front.is_cut_off);
+    /// Returns the fronts that serve requests that others can't serve.
+    pub(super) fn serving_fronts(&self) -> impl Iterator<Item = &Peer> + Clone {
+        let fronts = self.fronts.values().filter(|front| front.serves_for_others);
         fronts.filter_map(|front| front.peer.as_ref())
     }
 
--- a/crates/carawayrill-gateway/src/granter_stream/convert.rs
+++ b/crates/carawayrill-gateway/src/granter_stream/convert.rs
@@ -90,7 +90,7 @@
         data_centre: report
             .peer
             .map_or_else(String::new, |peer| peer.data_centre.to_string()),
-        is_cut_off: report.is_cut_off,
+        is_cut_off: !report.serves_for_others,
         class_loads: Vec::new(),
         region_loads: loads::encode(&report.service_loads),
         proof: bytes::Bytes::new(),
@@ -193,7 +193,7 @@
     Report {
         data_centre: parse_data_centre(&report.data_centre),
         peer,
-        is_cut_off: report.is_cut_off,
+        serves_for_others: !report.is_cut_off,
         front: report.front.into(),
         leaving: leaving.collect(),
         limits: limits.collect(),
--- a/crates/carawayrill-gateway/src/granter_stream/mod.rs
+++ b/crates/carawayrill-gateway/src/granter_stream/mod.rs
@@ -242,7 +242,7 @@
     Report {
         data_centre: Some(peer.data_centre.clone()),
         peer: Some(peer),
-        is_cut_off: tables.reach.is_cut_off(),
+        serves_for_others: tables.serves_for_others(),
         leaving,
         limits,
         front: shared.cfg.front.clone(),
--- a/crates/carawayrill-gateway/src/ready.rs
+++ b/crates/carawayrill-gateway/src/ready.rs
@@ -15,55 +15,30 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
-use tokio::sync::watch;
 
-use crate::front::Phase;
 use crate::state::Shared;
 
 /// Computes the readiness of this front and logs changes of it.
 #[derive(Debug)]
 pub struct Readiness {
     shared: Arc<Shared>,
-    phase: watch::Receiver<Phase>,
     last_ready: std::sync::Mutex<Option<bool>>,
 }
 
 impl Readiness {
     /// Creates the readiness state of a front.
     #[must_use]
-    pub fn new(shared: Arc<Shared>, phase: watch::Receiver<Phase>) -> Self {
+    pub fn new(shared: Arc<Shared>) -> Self {
         Self {
             shared,
-            phase,
             last_ready: std::sync::Mutex::new(None),
         }
     }
 
-    /// Returns `Ok` if requests can be served, and otherwise the reason why not.
-    fn check(&self) -> Result<(), &'static str> {
-        if *self.phase.borrow() != Phase::Running {
-            return Err("stopping");
-        }
-        let tables = self.shared.tables();
-        if tables.manifest.is_none() {
-            return Err("no-manifest");
-        }
-        if !tables.servers_read {
-            return Err("no-servers");
-        }
-        if !tables.evacuations.is_read() {
-            return Err("no-evacuations");
-        }
-        if tables.lacks_spans() {
-            return Err("no-spans");
-        }
-        Ok(())
-    }
-
     /// Returns whether this front is ready, and emits an event if that changed.
     pub fn is_ready(&self) -> bool {
-        let checked = self.check();
-        let ready = checked.is_ok();
+        let not_ready = self.shared.tables().not_ready();
+        let ready = not_ready.is_none();
         let mut last_ready = self
             .last_ready
             .lock()
@@ -71,7 +46,7 @@
         if last_ready.replace(ready) != Some(ready) {
             emit(EventKind::Readiness {
                 ready,
-                reason: checked.err().unwrap_or("all-read").into(),
+                reason: not_ready.unwrap_or("all-read").into(),
             });
         }
         ready
--- a/crates/carawayrill-gateway/src/run.rs
+++ b/crates/carawayrill-gateway/src/run.rs
@@ -109,7 +109,7 @@
         Arc::clone(&upstream),
         Arc::clone(&peers),
         Arc::clone(&ports.header_codec),
-        phases.clone(),
+        phases,
     ));
     let knowledge = Arc::new(Knowledge::new(&shared, &ports.schema, &upstream));
     let lease_manager = Arc::new(LeaseManager::new(
@@ -118,7 +118,7 @@
         Arc::clone(&ports.store),
         Arc::clone(&ports.orders),
     ));
-    let readiness = Arc::new(Readiness::new(Arc::clone(&shared), phases));
+    let readiness = Arc::new(Readiness::new(Arc::clone(&shared)));
     spawn_watchers(&lease_manager, &ports, &upstream);
     tokio::spawn(waiting::run_timer(Arc::clone(&shared)));
     tokio::spawn(reach::run_probes(Arc::clone(&shared), upstream, peers));
@@ -226,6 +226,7 @@
     emit(EventKind::Stopping {
         in_flight: in_flight(),
     });
+    shared.tables().is_stopping = true;
     phase.send_replace(Phase::Draining);
     let grace = shared.cfg.stop_grace;
     let drain_until = started + grace.mul_f64(DRAIN_SHARE);
--- a/crates/carawayrill-gateway/src/state.rs
+++ b/crates/carawayrill-gateway/src/state.rs
@@ -93,6 +93,8 @@
     pub peers: PeerTable,
     /// The services whose servers other fronts are asked to reach for this one.
     pub detours: Detours,
+    /// Whether the planned stop of this front has begun.
+    pub is_stopping: bool,
     /// The keys with which fronts prove to each other that they are fronts.
     pub peer_keys: PeerKeys,
     /// The spans of each keyed service.
@@ -170,6 +172,7 @@
                 reach: ServerReach::default(),
                 peers: PeerTable::default(),
                 detours: Detours::default(),
+                is_stopping: false,
                 peer_keys: PeerKeys::default(),
                 spans: HashMap::new(),
                 retry_budgets: HashMap::new(),
@@ -293,6 +296,30 @@
         keyed.any(|service| !self.spans.contains_key(&service.name))
     }
 
+    /// Returns why requests can't be served, or `None` if they can.
+    #[must_use]
+    pub fn not_ready(&self) -> Option<&'static str> {
+        if self.is_stopping {
+            Some("stopping")
+        } else if self.manifest.is_none() {
+            Some("no-manifest")
+        } else if !self.servers_read {
+            Some("no-servers")
+        } else if !self.evacuations.is_read() {
+            Some("no-evacuations")
+        } else if self.lacks_spans() {
+            Some("no-spans")
+        } else {
+            None
+        }
+    }
+
+    /// Returns whether this front serves requests that other fronts can't serve.
+    #[must_use]
+    pub fn serves_for_others(&self) -> bool {
+        self.not_ready().is_none() && !self.reach.is_cut_off()
+    }
+
     /// Returns the data centres whose servers may not hold keys of a service.
     #[must_use]
     pub fn excluded_from_keys(&self, service: &ServiceId) -> BTreeSet<DataCentreId> {
