The mark of a counted request is not sent to servers

Found in reading the change that added it: fronts drop the headers by which they mark requests to each other before a request goes to a server, and callers' headers of these names, but not the new one. All three stand in one list now.

--- a/crates/carawayrill-gateway/src/forward/peer.rs
+++ b/crates/carawayrill-gateway/src/forward/peer.rs
@@ -39,7 +39,7 @@
 pub(crate) const SENDS: HeaderName = HeaderName::from_static("carawayrill-sends");
 /// Says that the front which has passed the request on has counted it as one of its callers'. Older
 /// builds don't say it.
-const COUNTED: HeaderName = HeaderName::from_static("carawayrill-counted");
+pub(crate) const COUNTED: HeaderName = HeaderName::from_static("carawayrill-counted");
 /// The outcome of passing a request on to a front that is cut off as well, or stops.
 pub(super) const PEER_CUT_OFF: &str = "cut-off";
 /// Marks the refusal of such a request by a front that is cut off as well, or stops.
--- a/crates/carawayrill-gateway/src/head.rs
+++ b/crates/carawayrill-gateway/src/head.rs
@@ -51,8 +51,9 @@
 /// Copies the headers of a request that are sent to the server.
 pub(crate) fn forwarded_headers(headers: &HeaderMap) -> HeaderMap {
     let mut copy = end_to_end_headers(headers);
-    copy.remove(peer::FORWARDED);
-    copy.remove(peer::SENDS);
+    for mark in [peer::FORWARDED, peer::SENDS, peer::COUNTED] {
+        copy.remove(mark);
+    }
     copy
 }
 
