--- a/crates/carawayrill-gateway/src/front.rs
+++ b/crates/carawayrill-gateway/src/front.rs
@@ -452,6 +452,17 @@
     Reply::local(StatusCode::SERVICE_UNAVAILABLE, "stopping", after)
 }
 
+/// The bytes of a body exceed the limit on buffered bytes.
+#[derive(Debug)]
+struct NoMemory;
+
+impl From<NoMemory> for Reply {
+    fn from(_: NoMemory) -> Self {
+        let after = Some(NO_MEMORY_RETRY_AFTER);
+        Self::local(StatusCode::SERVICE_UNAVAILABLE, "no-memory", after)
+    }
+}
+
 /// Counts bytes as buffered until it is dropped.
 #[derive(Debug)]
 struct BufferedBytes<'a> {
@@ -460,23 +471,21 @@
 }
 
 impl<'a> BufferedBytes<'a> {
-    /// Counts some bytes. Returns the refusal if there is no memory for them.
-    fn new(front: &'a Front, bytes: usize) -> Result<Self, Reply> {
+    /// Counts some bytes.
+    fn new(front: &'a Front, bytes: usize) -> Result<Self, NoMemory> {
         let mut buffered = Self { front, bytes: 0 };
         buffered.grow_to(bytes)?;
         Ok(buffered)
     }
 
     /// Counts `bytes` in all, if it is more than before.
-    fn grow_to(&mut self, bytes: usize) -> Result<(), Reply> {
+    fn grow_to(&mut self, bytes: usize) -> Result<(), NoMemory> {
         let added = bytes.saturating_sub(self.bytes);
         let total = &self.front.buffered_bytes;
         let before = total.fetch_add(added, Ordering::Relaxed);
         self.bytes += added;
         if added > 0 && before + added > self.front.shared.cfg.max_buffered_bytes {
-            let after = Some(NO_MEMORY_RETRY_AFTER);
-            let status = StatusCode::SERVICE_UNAVAILABLE;
-            return Err(Reply::local(status, "no-memory", after));
+            return Err(NoMemory);
         }
         Ok(())
     }
