A request under which a server crashed is not passed on

Cause: the owner of a key that has crashed is not reached, so that its requests were passed on to other fronts, which know less of the crash and have further tries. A request that is hedged is kept back already if a server has crashed under its content; so is one that would be passed on now.

--- a/crates/carawayrill-gateway/src/forward/peer.rs
+++ b/crates/carawayrill-gateway/src/forward/peer.rs
@@ -64,10 +64,10 @@
 
 impl Forwarder<'_> {
     /// Passes the request on to another front because this one does not reach the server that it is
-    /// for. Returns `None` if there is no other front, or others have not reached servers of the
-    /// service either.
+    /// for. Returns `None` if there is no other front, if others have not reached servers of the
+    /// service either, or if the server may have crashed under the request.
     pub(super) async fn detour(&mut self) -> Option<Reply> {
-        if self.request.forwarded.is_some() {
+        if self.request.forwarded.is_some() || self.is_suspicious() {
             return None;
         }
         let service = &self.request.matched.service;
