--- a/crates/carawayrill-gateway/src/forward/choose.rs
+++ b/crates/carawayrill-gateway/src/forward/choose.rs
@@ -53,6 +53,16 @@
     Refuse(Refusal),
 }
 
+impl NextStep {
+    /// Returns whether the request is not sent because this front has not reached its servers.
+    pub(super) fn is_unreached(&self) -> bool {
+        match self {
+            Self::Refuse(refusal) | Self::WaitForRoom(refusal, _) => refusal.is_unreached,
+            Self::Send(..) | Self::WaitForOwner => false,
+        }
+    }
+}
+
 /// The decision on one more send of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum RetryDecision {
--- a/crates/carawayrill-gateway/src/forward/mod.rs
+++ b/crates/carawayrill-gateway/src/forward/mod.rs
@@ -241,21 +241,15 @@
             {
                 return reply;
             }
-            match self.choose_first(clock::now()) {
-                NextStep::Refuse(refusal) => {
-                    if refusal.is_unreached
-                        && let Some(reply) = self.detour().await
-                    {
-                        return reply;
-                    }
-                    return self.refuse(refusal);
-                }
+            let next = self.choose_first(clock::now());
+            if next.is_unreached()
+                && let Some(reply) = self.detour().await
+            {
+                return reply;
+            }
+            match next {
+                NextStep::Refuse(refusal) => return self.refuse(refusal),
                 NextStep::WaitForRoom(refusal, waiter) => {
-                    if refusal.is_unreached
-                        && let Some(reply) = self.detour().await
-                    {
-                        return reply;
-                    }
                     match self.wait_for_room(refusal, waiter).await {
                         WaitEnd::Refuse(reply) => return reply,
                         WaitEnd::Restart => {}
--- a/crates/carawayrill-gateway/src/front.rs
+++ b/crates/carawayrill-gateway/src/front.rs
@@ -8,7 +8,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use bytes::BytesMut;
 use carawayrill_core::direct::manifest::CallerLimits;
 use carawayrill_core::direct::manifest::Manifest;
 use carawayrill_core::direct::quarantine::Fingerprints;
@@ -20,9 +19,7 @@
 use http::Response;
 use http::StatusCode;
 use http::header;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -36,6 +33,7 @@
 use crate::Error;
 use crate::access_log::AccessLogEntry;
 use crate::access_log::LogLineLimiter;
+use crate::body::BodyBuffer;
 use crate::clock;
 use crate::forward::AcceptedRequest;
 use crate::forward::Forwarder;
@@ -61,8 +59,6 @@
 
 /// The retry-after time of a request that arrives late in a shutdown.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
-/// The retry-after time of a request for whose body there is no memory.
-const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// How long a new connection is kept open for its first request during a shutdown.
 const NEW_CONNECTION_GRACE: Duration = Duration::from_millis(500);
 
@@ -103,7 +99,7 @@
     header_codec: Arc<dyn HeaderCodec>,
     phase: watch::Receiver<Phase>,
     open_connections: AtomicUsize,
-    buffered_bytes: AtomicUsize,
+    bodies: BodyBuffer,
     log_limiter: LogLineLimiter,
 }
 
@@ -133,6 +129,7 @@
         header_codec: Arc<dyn HeaderCodec>,
         phase: watch::Receiver<Phase>,
     ) -> Self {
+        let bodies = BodyBuffer::new(shared.cfg.max_buffered_bytes);
         Self {
             shared,
             upstream,
@@ -140,7 +137,7 @@
             header_codec,
             phase,
             open_connections: AtomicUsize::new(0),
-            buffered_bytes: AtomicUsize::new(0),
+            bodies,
             log_limiter: LogLineLimiter::default(),
         }
     }
@@ -268,7 +265,7 @@
         let read = tokio::select! {
             biased;
             () = wait_for_phase(&mut phase, Phase::Aborting) => return stopping_reply(is_forwarded),
-            read = self.read_body(body, manifest.limits.max_body_bytes) => read,
+            read = self.bodies.read(body, manifest.limits.max_body_bytes) => read,
         };
         let (body, _buffered) = match read {
             Ok(read) => read,
@@ -392,38 +389,6 @@
         })
     }
 
-    /// Reads a body of at most `limit` bytes, which count as buffered from the moment at which they are
-    /// announced or arrive: other bodies are read at the same time.
-    async fn read_body(
-        &self,
-        mut body: Incoming,
-        limit: usize,
-    ) -> Result<(Bytes, BufferedBytes<'_>), Reply> {
-        let too_long = || Reply::local(StatusCode::PAYLOAD_TOO_LARGE, "body-too-long", None);
-        let announced = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
-        if announced > limit {
-            return Err(too_long());
-        }
-        let mut buffered = BufferedBytes::new(self, announced)?;
-        let mut buf = BytesMut::with_capacity(announced);
-        while let Some(frame) = body.frame().await {
-            let frame = frame.map_err(|err| {
-                log::debug!("could not read a request body: {err}");
-                Reply::local(StatusCode::BAD_REQUEST, "body-broken-off", None)
-            })?;
-            let Ok(data) = frame.into_data() else {
-                continue;
-            };
-            let bytes = buf.len() + data.len();
-            if bytes > limit {
-                return Err(too_long());
-            }
-            buffered.grow_to(bytes)?;
-            buf.extend_from_slice(&data);
-        }
-        Ok((buf.freeze(), buffered))
-    }
-
     fn respond(&self, reply: Reply) -> Response<Full<Bytes>> {
         let mut resp = Response::new(Full::new(reply.body));
         *resp.status_mut() = reply.status;
@@ -451,49 +416,3 @@
     let after = Some(STOPPING_RETRY_AFTER);
     Reply::local(StatusCode::SERVICE_UNAVAILABLE, "stopping", after)
 }
-
-/// The bytes of a body exceed the limit on buffered bytes.
-#[derive(Debug)]
-struct NoMemory;
-
-impl From<NoMemory> for Reply {
-    fn from(_: NoMemory) -> Self {
-        let after = Some(NO_MEMORY_RETRY_AFTER);
-        Self::local(StatusCode::SERVICE_UNAVAILABLE, "no-memory", after)
-    }
-}
-
-/// Counts bytes as buffered until it is dropped.
-#[derive(Debug)]
-struct BufferedBytes<'a> {
-    front: &'a Front,
-    bytes: usize,
-}
-
-impl<'a> BufferedBytes<'a> {
-    /// Counts some bytes.
-    fn new(front: &'a Front, bytes: usize) -> Result<Self, NoMemory> {
-        let mut buffered = Self { front, bytes: 0 };
-        buffered.grow_to(bytes)?;
-        Ok(buffered)
-    }
-
-    /// Counts `bytes` in all, if it is more than before.
-    fn grow_to(&mut self, bytes: usize) -> Result<(), NoMemory> {
-        let added = bytes.saturating_sub(self.bytes);
-        let total = &self.front.buffered_bytes;
-        let before = total.fetch_add(added, Ordering::Relaxed);
-        self.bytes += added;
-        if added > 0 && before + added > self.front.shared.cfg.max_buffered_bytes {
-            return Err(NoMemory);
-        }
-        Ok(())
-    }
-}
-
-impl Drop for BufferedBytes<'_> {
-    fn drop(&mut self) {
-        let total = &self.front.buffered_bytes;
-        total.fetch_sub(self.bytes, Ordering::Relaxed);
-    }
-}
--- a/crates/carawayrill-gateway/src/lib.rs
+++ b/crates/carawayrill-gateway/src/lib.rs
@@ -21,6 +21,7 @@
 //! - [`ready`]: the readiness and metrics endpoints.
 
 mod access_log;
+mod body;
 mod classes;
 pub mod clock;
 mod cold;
