--- a/crates/carawayrill-gateway/src/forward/crash.rs
+++ b/crates/carawayrill-gateway/src/forward/crash.rs
@@ -40,8 +40,14 @@
         tables.crashes.is_suspicious(&self.request.fingerprints)
     }
 
+    /// Returns whether a server may have crashed under this very request, known or not yet.
+    pub(super) fn may_have_crashed_server(&self) -> bool {
+        self.was_closed || self.is_suspicious()
+    }
+
     /// Notes that a server has closed the connection instead of a response.
     pub(super) fn note_closed(&mut self, server: &Server, sent: Time) {
+        self.was_closed = true;
         self.closed_sends.push(ClosedSend {
             server: server.clone(),
             sent,
--- a/crates/carawayrill-gateway/src/forward/mod.rs
+++ b/crates/carawayrill-gateway/src/forward/mod.rs
@@ -55,6 +55,9 @@
 const MAX_UNSENT_TRIES: u32 = 3;
 /// The number of such sends to different servers after which another front is tried.
 const MIN_UNSENT_TRIES_BEFORE_DETOUR: u32 = 2;
+/// The time to open a connection from which on a failure is not a refusal: the network or the machine
+/// is gone, and a further attempt would take as long.
+const SLOW_CONNECT: Duration = Duration::from_millis(200);
 /// The retry-after time of a refusal without a better estimate.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(250);
 
@@ -160,6 +163,8 @@
     server_error: Option<Reply>,
     /// The sends whose server may have crashed, until that is known.
     closed_sends: Vec<ClosedSend>,
+    /// Whether a server has closed the connection of a send before it responded.
+    was_closed: bool,
 }
 
 impl<'a> Forwarder<'a> {
@@ -190,6 +195,7 @@
             may_have_run: false,
             server_error: None,
             closed_sends: Vec::new(),
+            was_closed: false,
         }
     }
 
@@ -319,6 +325,7 @@
         if let Some(reply) = self.begin_send() {
             return Some(reply);
         }
+        let started = clock::now();
         let outcome = self.send(server, fence).await;
         let checks = self.start_crash_checks();
         match outcome {
@@ -342,8 +349,10 @@
             }
             Outcome::NotSent => {
                 self.unsent_tries += 1;
+                let is_slow = clock::now().since(started) >= SLOW_CONNECT;
+                let has_tried = is_slow || self.unsent_tries >= MIN_UNSENT_TRIES_BEFORE_DETOUR;
                 // Only its owner can serve a key; others may reach it.
-                if (self.request.keyed || self.unsent_tries >= MIN_UNSENT_TRIES_BEFORE_DETOUR)
+                if (self.request.keyed || has_tried)
                     && let Some(reply) = self.detour().await
                 {
                     return Some(reply);
--- a/crates/carawayrill-gateway/src/forward/peer.rs
+++ b/crates/carawayrill-gateway/src/forward/peer.rs
@@ -67,7 +67,7 @@
     /// for. Returns `None` if there is no other front, if others have not reached servers of the
     /// service either, or if the server may have crashed under the request.
     pub(super) async fn detour(&mut self) -> Option<Reply> {
-        if self.request.forwarded.is_some() || self.is_suspicious() {
+        if self.request.forwarded.is_some() || self.may_have_crashed_server() {
             return None;
         }
         let service = &self.request.matched.service;
