A request for which no server is left after failed connections is passed on too

The one server in the homes of the route had just not been reached by this request, which left no candidate to say so. A request of which a connection has failed, and that finds no server, counts as one whose servers are not reached.

--- a/crates/carawayrill-gateway/src/forward/choose.rs
+++ b/crates/carawayrill-gateway/src/forward/choose.rs
@@ -107,17 +107,6 @@
             is_unreached: false,
         }
     }
-
-    /// Adds the load estimates of the servers that the request could be sent to. `choice` is the
-    /// decision that led to the refusal.
-    fn with_estimate(self, choice: &Choice, estimate: Option<LoadEstimateRecord>) -> Self {
-        let unreached = estimate.as_ref().map_or(0, |estimate| estimate.unreached);
-        Self {
-            is_unreached: *choice == Choice::NoServer && unreached > 0,
-            load_estimate: estimate,
-            ..self
-        }
-    }
 }
 
 impl Forwarder<'_> {
@@ -276,7 +265,11 @@
         };
         let limit_ms = admission::limit_ms(&request_profile, idle_ms);
         let estimate = load_estimate(tables, &candidates, limit_ms, now);
-        let refusal = refusal.with_estimate(&choice, estimate);
+        let refusal = Refusal {
+            is_unreached: self.is_unreached(&choice, estimate.as_ref()),
+            load_estimate: estimate,
+            ..refusal
+        };
         let waiter = self.waiter(idle_ms);
         let reserve = self.reserve(tables, waiter.priority);
         let usable_after = next_usable(tables, &candidates, now);
@@ -394,7 +387,18 @@
         let refusal = Refusal::new(reason, after);
         let limit_ms = admission::limit_ms(&request_profile, idle_ms);
         let estimate = load_estimate(tables, &candidates, limit_ms, now);
-        NextStep::Refuse(refusal.with_estimate(&choice, estimate))
+        NextStep::Refuse(Refusal {
+            is_unreached: self.is_unreached(&choice, estimate.as_ref()),
+            load_estimate: estimate,
+            ..refusal
+        })
+    }
+
+    /// Returns whether `choice` found no server because this front has not reached some, with this
+    /// request or before.
+    fn is_unreached(&self, choice: &Choice, estimate: Option<&LoadEstimateRecord>) -> bool {
+        let unreached = estimate.map_or(0, |estimate| estimate.unreached);
+        *choice == Choice::NoServer && (self.unsent_tries > 0 || unreached > 0)
     }
 
     /// Returns the maximum number of servers to which the request may be sent.
