One ledger says which sends may have run a request, and the log line how many

In the fronts' lines of those that were looked at the reason `timeout-before-send` stands beside a try with the outcome `lost`: two fields that contradict each other, and none that says what the front believed.

Each send now counts from before its first byte until it is proved not to have run the request, by a token of that very send. The ledger has no other way back. A request that was not served logs `unproven_sends`; a refusal (503) with that field would be a fault.

--- a/crates/carawayrill-core/src/event.rs
+++ b/crates/carawayrill-core/src/event.rs
@@ -66,6 +66,10 @@
         /// The last decision on one more send; absent if one send was enough.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         pub retry: Option<RetryRecord>,
+        /// The number of sends that may have run a request that was not served; absent if there are
+        /// none.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub unproven_sends: Option<usize>,
     }
 
     /// A front's decision on a retry, and its retry budget of the service at that time.
--- a/crates/carawayrill-gateway/src/access_log.rs
+++ b/crates/carawayrill-gateway/src/access_log.rs
@@ -75,6 +75,7 @@
                 tries: Vec::new(),
                 believed: None,
                 retry: None,
+                unproven_sends: None,
             },
             ended: false,
         }
--- a/crates/carawayrill-gateway/src/forward/mod.rs
+++ b/crates/carawayrill-gateway/src/forward/mod.rs
@@ -5,6 +5,7 @@
 mod egress;
 pub(crate) mod peer;
 mod send;
+mod sends;
 mod wait;
 
 use std::net::SocketAddr;
@@ -35,6 +36,7 @@
 use self::send::NotRunReason;
 use self::send::Outcome;
 use self::send::ResponseClass;
+use self::sends::SendLedger;
 use self::wait::WaitEnd;
 use crate::clock;
 use crate::port::HeaderCodec;
@@ -157,8 +159,8 @@
     /// hold the key.
     misdirected_at: Option<(SocketAddr, Fence)>,
     unsent_tries: u32,
-    /// Whether a server may have run the request.
-    may_have_run: bool,
+    /// Which sends may have run the request.
+    sends: SendLedger,
     /// The last error response of a server, which is passed on if no later send succeeds.
     server_error: Option<Reply>,
     /// The sends whose server may have crashed, until that is known.
@@ -192,7 +194,7 @@
             declines: Declines::default(),
             misdirected_at: None,
             unsent_tries: 0,
-            may_have_run: false,
+            sends: SendLedger::default(),
             server_error: None,
             closed_sends: Vec::new(),
             was_closed: false,
@@ -211,21 +213,29 @@
 
     /// Returns the reply to a request that must end now.
     pub fn abort(&mut self, reason: &'static str) -> Reply {
+        self.end(StatusCode::GATEWAY_TIMEOUT, reason, DEFAULT_RETRY_AFTER)
+    }
+
+    /// Returns the number of sends that may have run the request.
+    #[must_use]
+    pub fn unproven_sends(&self) -> usize {
+        self.sends.unproven()
+    }
+
+    /// Returns the reply to a request for which no further response is awaited: an error response of
+    /// a server, `unknown` if it may have run, or a refusal.
+    fn end(&mut self, unknown: StatusCode, reason: &'static str, retry_after: Duration) -> Reply {
         if let Some(server_error) = self.server_error.take() {
             return server_error;
         }
-        if self.may_have_run {
-            return Reply::local(StatusCode::GATEWAY_TIMEOUT, reason, None);
+        if self.sends.may_have_run() {
+            return Reply::local(unknown, reason, None);
         }
-        Reply::local(
-            StatusCode::SERVICE_UNAVAILABLE,
-            reason,
-            Some(DEFAULT_RETRY_AFTER),
-        )
+        Reply::local(StatusCode::SERVICE_UNAVAILABLE, reason, Some(retry_after))
     }
 
     fn timed_out(&mut self) -> Reply {
-        let reason = if self.may_have_run {
+        let reason = if self.sends.may_have_run() {
             "timeout"
         } else {
             "timeout-before-send"
@@ -282,13 +292,7 @@
 
     /// Returns the reply to a request that is not sent again.
     fn give_up(&mut self, reason: &'static str, retry_after: Duration) -> Reply {
-        if let Some(server_error) = self.server_error.take() {
-            return server_error;
-        }
-        if self.may_have_run {
-            return Reply::local(StatusCode::BAD_GATEWAY, reason, None);
-        }
-        Reply::local(StatusCode::SERVICE_UNAVAILABLE, reason, Some(retry_after))
+        self.end(StatusCode::BAD_GATEWAY, reason, retry_after)
     }
 
     /// Waits until the tables change. Returns a reply if the wait took too long.
@@ -368,12 +372,18 @@
         }
     }
 
+    /// Returns the reply to a request that may have run and may run only once.
+    fn refuse_second_run(&mut self) -> Option<Reply> {
+        let is_final = self.request.matched.route.repeat == Repeat::AtMostOnce;
+        (is_final && self.sends.may_have_run())
+            .then(|| self.give_up("answer-lost", DEFAULT_RETRY_AFTER))
+    }
+
     /// Decides how to continue after a send that the server may have run. `checks` find out whether
-    /// it crashed. As the request may end while these run, what is known of it is recorded before.
+    /// it crashed.
     async fn after_possible_run(&mut self, server: &Server, checks: CrashChecks) -> Option<Reply> {
-        self.may_have_run = true;
-        if self.request.matched.route.repeat == Repeat::AtMostOnce {
-            return Some(self.give_up("answer-lost", DEFAULT_RETRY_AFTER));
+        if let Some(reply) = self.refuse_second_run() {
+            return Some(reply);
         }
         if !self.request.keyed {
             self.excluded.push(server.id.clone());
--- a/crates/carawayrill-gateway/src/forward/peer.rs
+++ b/crates/carawayrill-gateway/src/forward/peer.rs
@@ -23,6 +23,9 @@
 use super::Forwarder;
 use super::MIN_SEND_TIME;
 use super::Reply;
+use super::send::NOT_SENT;
+use super::sends::UnprovenSend;
+use super::sends::promises_not_run;
 use crate::clock;
 use crate::port::SendMetadata;
 use crate::state::Shared;
@@ -44,13 +47,6 @@
 pub(super) const PEER_CUT_OFF: &str = "cut-off";
 /// Marks the refusal of such a request by a front that is cut off as well, or stops.
 const CUT_OFF: HeaderName = HeaderName::from_static("carawayrill-cut-off");
-/// The statuses that promise that a request has not run.
-const NOT_RUN_STATUSES: [StatusCode; 4] = [
-    StatusCode::REQUEST_TIMEOUT,
-    StatusCode::MISDIRECTED_REQUEST,
-    StatusCode::TOO_MANY_REQUESTS,
-    StatusCode::SERVICE_UNAVAILABLE,
-];
 /// The statuses of a reply from another front that don't show that it has reached a server.
 const UNREACHED_STATUSES: [StatusCode; 3] = [
     StatusCode::BAD_GATEWAY,
@@ -101,49 +97,73 @@
                 return Some(self.give_up("no-home-peer", DEFAULT_RETRY_AFTER));
             };
             let peer = peer?;
-            let may_have_run_before = self.may_have_run;
-            let result = self.send_to_peer(&peer, now).await;
-            let outcome = match &result {
-                Ok(response) if response.headers.contains_key(CUT_OFF) => PEER_CUT_OFF,
-                Ok(_) => "answered",
-                Err(SendError::NotSent(_)) => "not-sent",
-                Err(SendError::Closed(_) | SendError::Lost(_)) => "lost",
-            };
-            self.end_peer_try(now, outcome, result.as_ref().err());
-            match result {
-                Ok(response) if outcome == "answered" => {
-                    self.may_have_run = may_have_run_before;
-                    let reply = self.peer_reply(&peer, response);
-                    if self.may_have_run && NOT_RUN_STATUSES.contains(&reply.status) {
-                        // It holds for the peer's sends only.
-                        return Some(self.give_up("answer-lost", DEFAULT_RETRY_AFTER));
-                    }
-                    return Some(reply);
-                }
-                Err(SendError::Closed(_) | SendError::Lost(_)) => {
-                    if self.request.matched.route.repeat == Repeat::AtMostOnce {
-                        return Some(self.give_up("answer-lost", DEFAULT_RETRY_AFTER));
-                    }
-                }
-                Ok(_) | Err(SendError::NotSent(_)) => self.may_have_run = may_have_run_before,
+            if let Some(reply) = self.try_peer(&peer, now).await {
+                return Some(reply);
             }
-            let mut tables = self.shared.tables();
-            tables.peers.record_failed(&peer.front, clock::now());
-            drop(tables);
             tried.push(peer.front);
         }
     }
 
-    fn choose_peer(&self, tried: &[CompactString], now: Time) -> Result<Option<Peer>, NoHomePeer> {
-        let place = Place {
-            data_centre: &self.shared.cfg.data_centre,
-            regions: &self.shared.cfg.regions,
+    /// Passes the request on to one other front. Returns `None` if a further one may be asked.
+    pub(super) async fn try_peer(&mut self, peer: &Peer, now: Time) -> Option<Reply> {
+        let send = self.sends.begin();
+        let result = self.send_to_peer(peer, now).await;
+        let is_refused = |response: &ServerResponse| response.headers.contains_key(CUT_OFF);
+        let outcome = match &result {
+            Ok(response) if is_refused(response) => PEER_CUT_OFF,
+            Ok(_) => "answered",
+            Err(SendError::NotSent(_)) => NOT_SENT,
+            Err(SendError::Closed(_) | SendError::Lost(_)) => "lost",
         };
+        self.end_peer_try(now, outcome, result.as_ref().err());
+        match result {
+            Ok(response) if !is_refused(&response) => {
+                return Some(self.take_peer_reply(peer, response, send));
+            }
+            Ok(_) | Err(SendError::NotSent(_)) => send.prove_not_run(&mut self.sends),
+            Err(SendError::Closed(_) | SendError::Lost(_)) => {}
+        }
+        if let Some(reply) = self.refuse_second_run() {
+            return Some(reply);
+        }
+        let mut tables = self.shared.tables();
+        tables.peers.record_failed(&peer.front, clock::now());
+        None
+    }
+
+    /// Returns the reply to the caller after a peer has replied. That the request has not run holds
+    /// for the sends of the peer only.
+    fn take_peer_reply(
+        &mut self,
+        peer: &Peer,
+        response: ServerResponse,
+        send: UnprovenSend,
+    ) -> Reply {
+        let reply = self.peer_reply(peer, response);
+        if !promises_not_run(reply.status) {
+            return reply;
+        }
+        send.prove_not_run(&mut self.sends);
+        if self.sends.may_have_run() {
+            return self.give_up("answer-lost", DEFAULT_RETRY_AFTER);
+        }
+        reply
+    }
+
+    fn choose_peer(&self, tried: &[CompactString], now: Time) -> Result<Option<Peer>, NoHomePeer> {
         let homes = &self.request.matched.route.homes;
         let tables = &mut *self.shared.tables();
         tables
             .peers
-            .choose_for(homes, &place, tried, now, &mut tables.rng)
+            .choose_for(homes, &self.place(), tried, now, &mut tables.rng)
+    }
+
+    /// Returns where this front is.
+    pub(super) fn place(&self) -> Place<'_> {
+        Place {
+            data_centre: &self.shared.cfg.data_centre,
+            regions: &self.shared.cfg.regions,
+        }
     }
 
     async fn send_to_peer(&mut self, peer: &Peer, now: Time) -> Result<ServerResponse, SendError> {
@@ -159,8 +179,6 @@
             took_ms: 0,
         });
         let id = peer_id(peer)?;
-        // Until the outcome is known, a server may have run the request.
-        self.may_have_run = true;
         let mut req = Request::new(Full::new(self.request.body.clone()));
         *req.method_mut() = self.request.method.clone();
         *req.uri_mut() = self.request.uri.clone();
--- a/crates/carawayrill-gateway/src/forward/send.rs
+++ b/crates/carawayrill-gateway/src/forward/send.rs
@@ -24,6 +24,7 @@
 use super::Forwarder;
 use super::Reply;
 use super::choose::NextStep;
+use super::sends::UnprovenSend;
 use crate::clock;
 use crate::in_flight::InFlight;
 use crate::port::LimitHeader;
@@ -100,6 +101,7 @@
 /// A request in flight to a server; dropping it aborts the request.
 struct PendingSend<'a> {
     server: Server,
+    send: UnprovenSend,
     /// The index in the list of tries.
     try_index: usize,
     started: Time,
@@ -127,9 +129,8 @@
     /// Sends the request to a server and waits for the response. If the response is late, the
     /// request may also be sent to a second server.
     pub(super) async fn send(&mut self, server: &Server, fence: Option<Fence>) -> Outcome {
-        let may_have_run_before = self.may_have_run;
         let mut first = self.start_send(server, fence);
-        let outcome = match self.hedge_delay(first.timeout) {
+        match self.hedge_delay(first.timeout) {
             None => {
                 let result = (&mut first.response).await;
                 self.finish_send(first, result)
@@ -139,9 +140,7 @@
                 Ok(result) => self.finish_send(first, result),
                 Err(_elapsed) => self.send_hedged(first).await,
             },
-        };
-        self.may_have_run = may_have_run_before;
-        outcome
+        }
     }
 
     /// Waits for the response of a late server, and sends the request to a second server as soon as
@@ -201,8 +200,7 @@
         };
         self.record_try(server, fence, &in_flight, started);
         let req = self.build_request(server, timeout);
-        // Until the outcome is known, the server may have run the request.
-        self.may_have_run = true;
+        let send = self.sends.begin();
         let shared = self.shared;
         let upstream = self.upstream;
         let to = server.clone();
@@ -214,6 +212,7 @@
         });
         PendingSend {
             server: server.clone(),
+            send,
             try_index: self.tries.len() - 1,
             started,
             timeout,
@@ -234,6 +233,9 @@
         }
         let error = result.as_ref().err().map(|err| err.reason().clone());
         let (outcome, label) = self.classify_result(&pending.server, result, pending.in_flight);
+        if matches!(outcome, Outcome::NotRun(_) | Outcome::NotSent) {
+            pending.send.prove_not_run(&mut self.sends);
+        }
         self.shared.metrics.record_try(label, took);
         if let Some(record) = self.tries.get_mut(pending.try_index) {
             record.outcome = label.into();
--- a/crates/carawayrill-gateway/src/forward/wait.rs
+++ b/crates/carawayrill-gateway/src/forward/wait.rs
@@ -36,7 +36,7 @@
     /// routes of different priority, and no server may have run it.
     pub(super) fn may_queue(&self, tables: &Tables) -> bool {
         !self.request.keyed
-            && !self.may_have_run
+            && !self.sends.may_have_run()
             && self.server_error.is_none()
             && self.contends(tables)
     }
--- a/crates/carawayrill-gateway/src/front.rs
+++ b/crates/carawayrill-gateway/src/front.rs
@@ -302,6 +302,9 @@
         log_entry.record.tries = std::mem::take(&mut forwarder.tries);
         log_entry.record.believed = forwarder.load_estimate.take();
         log_entry.record.retry = forwarder.retry.take();
+        let unproven = forwarder.unproven_sends();
+        log_entry.record.unproven_sends =
+            (unproven > 0 && !reply.status.is_success()).then_some(unproven);
         reply
     }
 
