A server's 503, 429 or 408 that does not say "not executed" is not passed on

Callers of a request that had run were told a status that promises "not run". A server may run a request and answer 503, 429 or 408 without `X-Not-Executed`; "no other response states this" (PROTOCOL.md, Servers). The front passed that status on: as the server's own error, also for requests that may run once.

Shown by 12 cases (three kinds of route, four statuses), 9 of which failed on: told 503 after 1 run (2 on routes that may be repeated, as it was sent to a second server first), 429 and 408 after 1. The cases with 500 held.

Such a response counts as a lost one (outcome `unproven-refusal`): an idempotent request goes to another server within its route's limit and the budget, any other ends with 502. The reply is the front's own and bears no signature of a server.

--- a/crates/carawayrill-gateway/src/forward/send.rs
+++ b/crates/carawayrill-gateway/src/forward/send.rs
@@ -25,6 +25,7 @@
 use super::Reply;
 use super::choose::NextStep;
 use super::sends::UnprovenSend;
+use super::sends::promises_not_run;
 use crate::clock;
 use crate::in_flight::InFlight;
 use crate::port::LimitHeader;
@@ -343,6 +344,13 @@
             in_flight.end(AttemptResult::Failed, metadata.load);
             return (Outcome::Lost, "unsigned");
         }
+        quarantine::record_answered(self.shared, &self.request.fingerprints, server);
+        if promises_not_run(response.status) {
+            // The server does not say that it has not run the request; passed on, its status would.
+            in_flight.end(AttemptResult::Failed, metadata.load);
+            self.reuse_connection(server, response, metadata);
+            return (Outcome::Lost, "unproven-refusal");
+        }
         let class = if response.status.is_server_error() {
             ResponseClass::ServerError
         } else {
@@ -353,7 +361,6 @@
             ResponseClass::Final => AttemptResult::Served,
         };
         in_flight.end(ended, metadata.load);
-        quarantine::record_answered(self.shared, &self.request.fingerprints, server);
         let reply = self.make_reply(server, response, metadata, class);
         let label = match class {
             ResponseClass::ServerError => "server-error",
