A front that refuses a passed-on request says whether it may have run

A front that serves a request for one that is cut off, has sent it to a server, loses the answer and is cut off by then as well, refused it with 503 whatever had become of it. The first front took that as proof and told the caller "not run". Requests that may run once are not affected (they end with 502 before); idempotent ones were told untruly.

The refusal carries the fact in its status, as all replies do: 503 if the request was not run, 502 if it may have. The header that makes the other front ask a further one is the same, and older builds go by that header alone: with one of them on the other side all is as before.

--- a/crates/carawayrill-gateway/src/forward/mod.rs
+++ b/crates/carawayrill-gateway/src/forward/mod.rs
@@ -4,6 +4,7 @@
 mod crash;
 mod egress;
 pub(crate) mod peer;
+pub(crate) mod peer_refusal;
 mod send;
 mod sends;
 mod wait;
--- a/crates/carawayrill-gateway/src/forward/peer.rs
+++ b/crates/carawayrill-gateway/src/forward/peer.rs
@@ -23,6 +23,7 @@
 use super::Forwarder;
 use super::MIN_SEND_TIME;
 use super::Reply;
+use super::peer_refusal::PeerRefusal;
 use super::send::NOT_SENT;
 use super::sends::UnprovenSend;
 use super::sends::promises_not_run;
@@ -45,8 +46,6 @@
 pub(crate) const COUNTED: HeaderName = HeaderName::from_static("carawayrill-counted");
 /// The outcome of passing a request on to a front that is cut off as well, or stops.
 pub(super) const PEER_CUT_OFF: &str = "cut-off";
-/// Marks the refusal of such a request by a front that is cut off as well, or stops.
-const CUT_OFF: HeaderName = HeaderName::from_static("carawayrill-cut-off");
 /// The statuses of a reply from another front that don't show that it has reached a server.
 const UNREACHED_STATUSES: [StatusCode; 3] = [
     StatusCode::BAD_GATEWAY,
@@ -85,7 +84,10 @@
     /// pass it on to.
     pub(super) async fn forward_to_peer(&mut self) -> Option<Reply> {
         if self.request.forwarded.is_some() {
-            return Some(refuse_forwarded("cut-off", DEFAULT_RETRY_AFTER));
+            let refusal = PeerRefusal {
+                may_have_run: self.sends.may_have_run(),
+            };
+            return Some(refusal.into_reply("cut-off", DEFAULT_RETRY_AFTER));
         }
         let mut tried = Vec::new();
         loop {
@@ -108,20 +110,23 @@
     pub(super) async fn try_peer(&mut self, peer: &Peer, now: Time) -> Option<Reply> {
         let send = self.sends.begin();
         let result = self.send_to_peer(peer, now).await;
-        let is_refused = |response: &ServerResponse| response.headers.contains_key(CUT_OFF);
+        let refusal = result.as_ref().ok().and_then(PeerRefusal::parse);
         let outcome = match &result {
-            Ok(response) if is_refused(response) => PEER_CUT_OFF,
+            Ok(_) if refusal.is_some() => PEER_CUT_OFF,
             Ok(_) => "answered",
             Err(SendError::NotSent(_)) => NOT_SENT,
             Err(SendError::Closed(_) | SendError::Lost(_)) => "lost",
         };
         self.end_peer_try(now, outcome, result.as_ref().err());
-        match result {
-            Ok(response) if !is_refused(&response) => {
-                return Some(self.take_peer_reply(peer, response, send));
+        match (result, refusal) {
+            (Ok(response), None) => return Some(self.take_peer_reply(peer, response, send)),
+            (Ok(_), Some(refusal)) => {
+                if !refusal.may_have_run {
+                    send.prove_not_run(&mut self.sends);
+                }
             }
-            Ok(_) | Err(SendError::NotSent(_)) => send.prove_not_run(&mut self.sends),
-            Err(SendError::Closed(_) | SendError::Lost(_)) => {}
+            (Err(SendError::NotSent(_)), _) => send.prove_not_run(&mut self.sends),
+            (Err(SendError::Closed(_) | SendError::Lost(_)), _) => {}
         }
         if let Some(reply) = self.refuse_second_run() {
             return Some(reply);
@@ -290,12 +295,3 @@
     ServerId::try_from(peer.front.as_str())
         .map_err(|err| SendError::NotSent(CompactString::from(err.to_string())))
 }
-
-/// Returns the reply to a request that was passed on to this front, which can't serve it either. The
-/// other front asks a further one.
-pub(crate) fn refuse_forwarded(reason: &'static str, retry_after: Duration) -> Reply {
-    let status = StatusCode::SERVICE_UNAVAILABLE;
-    let mut reply = Reply::local(status, reason, Some(retry_after));
-    reply.headers.insert(CUT_OFF, HeaderValue::from_static("1"));
-    reply
-}
--- a/crates/carawayrill-gateway/src/front.rs
+++ b/crates/carawayrill-gateway/src/front.rs
@@ -39,6 +39,7 @@
 use crate::forward::Forwarder;
 use crate::forward::Reply;
 use crate::forward::peer;
+use crate::forward::peer_refusal::PeerRefusal;
 use crate::head::end_to_end_headers;
 use crate::head::fingerprints;
 use crate::head::forwarded_headers;
@@ -414,7 +415,7 @@
 /// If another front has passed it on, that asks a further one.
 fn stopping_reply(is_forwarded: bool) -> Reply {
     if is_forwarded {
-        return peer::refuse_forwarded("stopping", STOPPING_RETRY_AFTER);
+        return PeerRefusal::UNSENT.into_reply("stopping", STOPPING_RETRY_AFTER);
     }
     let after = Some(STOPPING_RETRY_AFTER);
     Reply::local(StatusCode::SERVICE_UNAVAILABLE, "stopping", after)
