The sends of a front that refuses a passed-on request count

A request that a cut-off front had passed on reached more servers than its route allows: the other front sent it once, was cut off too and refused it, and a third front began at the number of sends of before. No retry was charged for it either.

`sends_of_a_front_that_then_refuses_count_towards_the_limit_of_the_route`: 3 runs before where 2 are allowed, 2 now.

The refusal names the sends (`carawayrill-sends`, as in the request); older builds ignore that and name none. A front that was asked and refused doesn't count as a server that was tried any more.

--- a/crates/carawayrill-gateway/src/forward/choose.rs
+++ b/crates/carawayrill-gateway/src/forward/choose.rs
@@ -406,27 +406,40 @@
         usize::try_from(self.request.matched.route.max_tries).unwrap_or(usize::MAX)
     }
 
+    /// Returns the sends of this front after which a server may have received the request. Those of a
+    /// front that has refused it are in `refused_sends`.
+    fn arrivals(&self) -> impl Iterator<Item = &TryRecord> {
+        self.tries
+            .iter()
+            .filter(|one| one.outcome != NOT_SENT && one.outcome != PEER_CUT_OFF)
+    }
+
     /// Returns the number of servers to which the request has been sent.
     fn servers_tried(&self) -> usize {
-        let sent = self.tries.iter().filter(|one| one.outcome != NOT_SENT);
-        let servers: BTreeSet<&str> = sent.map(|one| one.server.as_str()).collect();
-        self.earlier_sends() as usize + servers.len()
+        let servers: BTreeSet<&str> = self.arrivals().map(|one| one.server.as_str()).collect();
+        self.sends_of_others() as usize + servers.len()
     }
 
     /// Returns the number of sends after which a server may have received the request, by all fronts.
     pub(super) fn sends_to_servers(&self) -> u32 {
-        let may_have_arrived =
-            |one: &&TryRecord| one.outcome != NOT_SENT && one.outcome != PEER_CUT_OFF;
-        let own = self.tries.iter().filter(may_have_arrived).count();
-        let own = u32::try_from(own).unwrap_or(u32::MAX);
-        self.earlier_sends().saturating_add(own)
+        self.sends_of_others().saturating_add(self.own_sends())
+    }
+
+    /// Returns the number of such sends since the request was received by this front.
+    pub(super) fn sends_since_received(&self) -> u32 {
+        self.own_sends().saturating_add(self.refused_sends)
+    }
+
+    fn own_sends(&self) -> u32 {
+        u32::try_from(self.arrivals().count()).unwrap_or(u32::MAX)
     }
 
-    /// Returns the number of such sends before the request was passed on to this front.
-    fn earlier_sends(&self) -> u32 {
-        self.request
-            .forwarded
-            .map_or(0, |forwarded| forwarded.sends)
+    /// Returns the number of such sends before the request was passed on to this front, and by fronts
+    /// that have refused it.
+    fn sends_of_others(&self) -> u32 {
+        let forwarded = self.request.forwarded;
+        let earlier = forwarded.map_or(0, |forwarded| forwarded.sends);
+        earlier.saturating_add(self.refused_sends)
     }
 
     /// Returns whether a server may have received the request from this front.
--- a/crates/carawayrill-gateway/src/forward/mod.rs
+++ b/crates/carawayrill-gateway/src/forward/mod.rs
@@ -162,6 +162,8 @@
     unsent_tries: u32,
     /// Which sends may have run the request.
     sends: SendLedger,
+    /// The sends to servers by fronts that have refused the request afterwards.
+    refused_sends: u32,
     /// The last error response of a server, which is passed on if no later send succeeds.
     server_error: Option<Reply>,
     /// The sends whose server may have crashed, until that is known.
@@ -196,6 +198,7 @@
             misdirected_at: None,
             unsent_tries: 0,
             sends: SendLedger::default(),
+            refused_sends: 0,
             server_error: None,
             closed_sends: Vec::new(),
             was_closed: false,
--- a/crates/carawayrill-gateway/src/forward/peer.rs
+++ b/crates/carawayrill-gateway/src/forward/peer.rs
@@ -85,6 +85,7 @@
     pub(super) async fn forward_to_peer(&mut self) -> Option<Reply> {
         if self.request.forwarded.is_some() {
             let refusal = PeerRefusal {
+                sends: self.sends_since_received(),
                 may_have_run: self.sends.may_have_run(),
             };
             return Some(refusal.into_reply("cut-off", DEFAULT_RETRY_AFTER));
@@ -121,6 +122,7 @@
         match (result, refusal) {
             (Ok(response), None) => return Some(self.take_peer_reply(peer, response, send)),
             (Ok(_), Some(refusal)) => {
+                self.refused_sends = self.refused_sends.saturating_add(refusal.sends);
                 if !refusal.may_have_run {
                     send.prove_not_run(&mut self.sends);
                 }
--- a/crates/carawayrill-gateway/src/forward/peer_refusal.rs
+++ b/crates/carawayrill-gateway/src/forward/peer_refusal.rs
@@ -7,6 +7,7 @@
 use http::StatusCode;
 
 use super::Reply;
+use super::peer::SENDS;
 use crate::upstream::ServerResponse;
 
 /// Marks the refusal of a request by a front that is cut off as well, or stops. The front that has
@@ -16,6 +17,8 @@
 /// What a front has done with a request before it refuses it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct PeerRefusal {
+    /// The sends after which a server may have received the request. Older builds don't name them.
+    pub(crate) sends: u32,
     /// Whether a server may have run the request.
     pub(crate) may_have_run: bool,
 }
@@ -23,6 +26,7 @@
 impl PeerRefusal {
     /// The refusal of a request that was not sent to a server.
     pub(crate) const UNSENT: Self = Self {
+        sends: 0,
         may_have_run: false,
     };
 
@@ -36,13 +40,17 @@
             Reply::local(status, reason, Some(retry_after))
         };
         reply.headers.insert(CUT_OFF, HeaderValue::from_static("1"));
+        reply.headers.insert(SENDS, HeaderValue::from(self.sends));
         reply
     }
 
     /// Returns the refusal of another front, if its response is one.
     pub(super) fn parse(response: &ServerResponse) -> Option<Self> {
         response.headers.get(CUT_OFF)?;
+        let sends = response.headers.get(SENDS);
+        let sends = sends.and_then(|value| value.to_str().ok()?.parse().ok());
         Some(Self {
+            sends: sends.unwrap_or(0),
             may_have_run: response.status != StatusCode::SERVICE_UNAVAILABLE,
         })
     }
