Copies of a request that crashed a server are sent one at a time

The fronts count three crashes as they should, at 15.85 s: too late, because each round costs as many copies as there are fronts. Ruled out: reports that are late or lost (all fronts refuse it 0.1 s after the third crash), crowded memory (mended before), own retries (a key has one owner).

A request of which several copies were lost is suspect from then on. One copy at a time is sent, by the granter's front, 0.2 s or more after the last crash so that it counts. The others pass one on to that front and hold the rest until its result is known, within the time that they wait for an owner anyway; an answer clears it for all. One lost copy is still told to nobody. The granter names its front in a new field of its updates, which older builds ignore; without that name the request is refused.

--- a/crates/carawayrill-core/src/direct/quarantine/history.rs
+++ b/crates/carawayrill-core/src/direct/quarantine/history.rs
@@ -40,6 +40,8 @@
 pub(super) struct History {
     /// In the order of their ends.
     crashes: Vec<Crash>,
+    /// Whether one of the servers had several copies of the request.
+    had_copies: bool,
     served_at: Option<Time>,
 }
 
@@ -54,7 +56,7 @@
             // The server may have had several copies of the request; the last one that it got is
             // the most likely to have followed an earlier crash.
             known.sent = known.sent.max(crash.sent);
-            return false;
+            return !std::mem::replace(&mut self.had_copies, true);
         }
         self.crashes.push(crash.clone());
         self.crashes.sort_by_key(|crash| crash.ended);
@@ -80,9 +82,28 @@
         self.served_at = self.served_at.max(Some(at));
         let before = self.crashes.len();
         self.crashes.retain(|crash| crash.ended > at);
+        self.had_copies &= !self.crashes.is_empty();
         self.crashes.len() < before
     }
 
+    /// Records that a server had several copies of the request when it crashed, if one did.
+    pub(super) fn set_had_copies(&mut self) {
+        self.had_copies = !self.crashes.is_empty();
+    }
+
+    /// Returns whether several copies of the request were lost, at the same time or in crashes that
+    /// followed each other. One may have been at a crashed server by chance, and so may its retry if many
+    /// servers crash at once.
+    pub(super) fn is_suspect(&self) -> bool {
+        let overlap = |pair: &[Crash]| pair[1].sent < pair[0].ended;
+        self.had_copies || self.successive() > 1 || self.crashes.windows(2).any(overlap)
+    }
+
+    /// Returns from when on a crash is known to have followed the last one.
+    pub(super) fn distinct_from(&self) -> Option<Time> {
+        Some(self.last_end()? + SAME_EVENT_TIME)
+    }
+
     pub(super) fn crashes(&self) -> &[Crash] {
         &self.crashes
     }
--- a/crates/carawayrill-core/src/direct/quarantine/table.rs
+++ b/crates/carawayrill-core/src/direct/quarantine/table.rs
@@ -13,9 +13,8 @@
 
 /// The number of requests that are remembered.
 const MAX_TRACKED: usize = 1_024;
-/// The number of successive crashes from which on all fronts are told of a request. Most requests
-/// that were at a crashed server are answered at the next one.
-const MIN_SHARED: usize = 2;
+/// How long the result of a suspect request is awaited until a further copy is sent.
+const RESULT_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// A crash with its times as ages, as fronts tell each other.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -41,6 +40,19 @@
     pub served_age: Option<Duration>,
 }
 
+/// What is done with a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Admission {
+    /// It may be sent to a server.
+    Send,
+    /// It may be passed on to the front that tries suspect requests for all others.
+    PassOn,
+    /// It waits for the result of another copy, for at most this time.
+    Wait(Duration),
+    /// It is refused for this time.
+    Refuse(Duration),
+}
+
 /// Which changes are reported.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Scope {
@@ -61,7 +73,7 @@
     observed: u64,
     /// Whether the request was suspicious enough for all fronts to be told of it.
     is_shared: bool,
-    /// When this front last tried the request although it is refused.
+    /// When this front last sent a copy although the request is suspect or refused.
     tried_at: Option<Time>,
 }
 
@@ -73,8 +85,8 @@
     /// The numbers of the last changes that this front observed, and that all fronts have to know.
     last_observed: u64,
     last_shared: u64,
-    /// Whether this front is the only one that tries refused requests.
-    tries_refused: bool,
+    /// Whether this front is the one that tries suspect and refused requests.
+    is_trier: bool,
 }
 
 impl CrashTable {
@@ -113,10 +125,10 @@
         has_cleared
     }
 
-    /// Sets whether this front tries refused requests from time to time. Only one front may, since
-    /// each trial may cost a server.
-    pub fn set_tries_refused(&mut self, tries_refused: bool) {
-        self.tries_refused = tries_refused;
+    /// Sets whether this front tries suspect requests, and refused ones from time to time. Only one
+    /// front may, since each copy may cost a server.
+    pub fn set_trier(&mut self, is_trier: bool) {
+        self.is_trier = is_trier;
     }
 
     /// Returns the time for which a request is still refused, if it is and no trial is due.
@@ -131,27 +143,62 @@
         until.max().map(|until| until.since(now))
     }
 
-    /// Returns the same as [`CrashTable::refused_for`] for a request that is sent at once if it is not
-    /// refused. If that is a trial, no other follows until its result is known.
-    pub fn begin_send(&mut self, fingerprints: &Fingerprints, now: Time) -> Option<Duration> {
-        let refused = self.refused_for(fingerprints, now);
-        if refused.is_some() || self.entries.is_empty() {
-            return refused;
+    /// Decides what is done with a request now.
+    ///
+    /// Of a request that several copies were of at servers that crashed, one copy at a time is sent, by
+    /// one front: each may cost a server, and until the result is known the next would learn nothing.
+    #[must_use]
+    pub fn admission(&self, fingerprints: &Fingerprints, now: Time) -> Admission {
+        if let Some(left) = self.refused_for(fingerprints, now) {
+            return Admission::Refuse(left);
+        }
+        let suspects = self.suspects(fingerprints, now);
+        let next_copy = suspects.filter_map(|fingerprint| self.entries[&fingerprint].next_copy());
+        match next_copy.max() {
+            Some(at) if now < at => Admission::Wait(at.since(now)),
+            Some(_) if !self.is_trier => Admission::PassOn,
+            _ => Admission::Send,
+        }
+    }
+
+    /// Returns the same for a request with which that is done at once. If a copy of a suspect or refused
+    /// request is let through, no other follows until its result is known.
+    pub fn begin_send(&mut self, fingerprints: &Fingerprints, now: Time) -> Admission {
+        let admission = self.admission(fingerprints, now);
+        if !matches!(admission, Admission::Send | Admission::PassOn) || self.entries.is_empty() {
+            return admission;
         }
         for fingerprint in fingerprints.distinct() {
-            let entry = self.entries.get_mut(&fingerprint);
-            if let Some(entry) = entry.filter(|entry| entry.history.refused_until(now).is_some()) {
+            let Some(entry) = self.entries.get_mut(&fingerprint) else {
+                continue;
+            };
+            if entry.history.is_suspect() {
                 entry.tried_at = Some(now);
             }
         }
-        None
+        admission
+    }
+
+    /// Returns those fingerprints of a request that are suspect and not refused.
+    fn suspects(
+        &self,
+        fingerprints: &Fingerprints,
+        now: Time,
+    ) -> impl Iterator<Item = Fingerprint> {
+        let is_suspect = move |fingerprint: &Fingerprint| {
+            self.entries.get(fingerprint).is_some_and(|entry| {
+                entry.history.is_suspect() && entry.history.refused_until(now).is_none()
+            })
+        };
+        let distinct = fingerprints.distinct();
+        distinct.filter(move |fingerprint| !self.entries.is_empty() && is_suspect(fingerprint))
     }
 
     fn refused_until(&self, fingerprint: Fingerprint, now: Time) -> Option<Time> {
         let entry = self.entries.get(&fingerprint)?;
         let until = entry.history.refused_until(now)?;
         let trial_at = entry.history.trial_at().max(entry.next_trial_after_last());
-        let is_trial_due = self.tries_refused && trial_at.is_some_and(|at| at <= now);
+        let is_trial_due = self.is_trier && trial_at.is_some_and(|at| at <= now);
         (!is_trial_due).then_some(until)
     }
 
@@ -185,6 +232,16 @@
         !was_refused && is_refused
     }
 
+    /// Adds what the granter tells, as [`CrashTable::merge`] does. It tells of a single crash only if the
+    /// server had several copies.
+    pub fn merge_shared(&mut self, report: &CrashReport, now: Time) -> bool {
+        let is_refused = self.merge(report, now);
+        if let Some(entry) = self.entries.get_mut(&report.fingerprint) {
+            entry.history.set_had_copies();
+        }
+        is_refused
+    }
+
     /// Returns the number of changes so far. [`CrashTable::reports`] continues from it.
     #[must_use]
     pub fn change_count(&self) -> u64 {
@@ -237,7 +294,7 @@
             return;
         };
         entry.changed = changes;
-        entry.is_shared |= entry.history.successive() >= MIN_SHARED;
+        entry.is_shared |= entry.history.is_suspect();
         if entry.is_shared {
             self.last_shared = changes;
         }
@@ -278,6 +335,15 @@
 }
 
 impl Entry {
+    /// Returns when the next copy of a suspect request may be sent: so late that a crash is told from
+    /// the last one, and not before the result of the last copy or a timeout.
+    fn next_copy(&self) -> Option<Time> {
+        let last_end = self.history.last_end()?;
+        let result_due = self.tried_at.filter(|tried| *tried > last_end);
+        let result_due = result_due.map(|tried| tried + RESULT_TIMEOUT);
+        self.history.distinct_from().max(result_due)
+    }
+
     /// Returns when a trial may follow one whose result is not known.
     fn next_trial_after_last(&self) -> Option<Time> {
         let delay = self.history.trial_at()?.since(self.history.last_end()?);
--- a/crates/carawayrill-core/src/direct/reach/peers.rs
+++ b/crates/carawayrill-core/src/direct/reach/peers.rs
@@ -114,6 +114,12 @@
 }
 
 impl Place<'_> {
+    /// Returns whether a request that is restricted to `homes` may be passed on to a peer.
+    #[must_use]
+    pub fn permits(&self, homes: &Homes, peer: &Peer) -> bool {
+        homes.allows(self.regions.get(&peer.data_centre)) || self.is_own_region(peer)
+    }
+
     /// Returns whether a peer is in the region of this front. Without a region, only its own data
     /// centre counts as such.
     fn is_own_region(&self, peer: &Peer) -> bool {
@@ -204,8 +210,8 @@
             return Ok(self.choose(tried, now, rng));
         }
         let is_home = |peer: &Peer| homes.allows(place.regions.get(&peer.data_centre));
-        let mut permitted = self.peers.iter().map(|known| &known.peer);
-        if !self.is_empty() && !permitted.any(|peer| is_home(peer) || place.is_own_region(peer)) {
+        let mut known = self.peers.iter().map(|known| &known.peer);
+        if !self.is_empty() && !known.any(|peer| place.permits(homes, peer)) {
             return Err(NoHomePeer);
         }
         let usable = || usable(&self.peers, tried, now);
--- a/crates/carawayrill-core/tests/crash_fleet/mod.rs
+++ b/crates/carawayrill-core/tests/crash_fleet/mod.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use carawayrill_core::direct::keys::Born;
+use carawayrill_core::direct::quarantine::Admission;
 use carawayrill_core::direct::quarantine::Crash;
 use carawayrill_core::direct::quarantine::CrashReport;
 use carawayrill_core::direct::quarantine::CrashTable;
@@ -30,9 +31,12 @@
 const RUN_TIME: Duration = Duration::from_millis(100);
 /// The number of callers that repeat the crashing request, and the delay between two attempts.
 const CRASHING_CALLERS: u64 = 6;
+const CALLERS_OF_AN_OWNER: u64 = 40;
 const REPEAT_STEPS: u64 = 100;
-/// The number of crashes after which a request must be kept from servers, the time after the last of
-/// these from which arrivals count, and the most arrivals after that.
+/// How long a front holds a request.
+const HOLD_TIME: Duration = Duration::from_millis(500);
+/// The number of copies that were lost in crashes after which a request must be kept from servers, the
+/// time after the last of these from which arrivals count, and the most arrivals after that.
 const MAX_CRASHES: usize = 3;
 const STABLE_WINDOW: Duration = Duration::from_secs(3);
 pub const MAX_LATE_ARRIVALS: usize = 3;
@@ -50,6 +54,8 @@
     CrashingPath,
     /// The same, and the granter is lost as it begins.
     GranterLost,
+    /// Many callers repeat one for a key. Until it has its next owner, all fronts hold their copies.
+    CrashingOwner,
     /// A third of the servers crash at once, four times, without such a request.
     ServersLost,
 }
@@ -88,6 +94,17 @@
     Unique,
 }
 
+/// A request that a front holds, or that is passed on to it.
+#[derive(Debug, Clone, Copy)]
+struct Held {
+    kind: Kind,
+    content: Fingerprints,
+    front: usize,
+    attempt: u32,
+    from: Time,
+    until: Time,
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Flight {
     kind: Kind,
@@ -123,9 +140,14 @@
     granter: Option<usize>,
     servers: Vec<Server>,
     flights: Vec<Flight>,
+    held: Vec<Held>,
     messages: Vec<Message>,
     updated_at: Time,
+    /// The server that owns the key of the crashing request, and when it does.
+    owner: (usize, Time),
     crashed_at: Vec<Time>,
+    /// When copies of the crashing request were lost in crashes.
+    lost_at: Vec<Time>,
     arrivals: Vec<Time>,
     outcome: Outcome,
     next_born: u64,
@@ -157,15 +179,18 @@
             granter: Some(0),
             servers: Vec::new(),
             flights: Vec::new(),
+            held: Vec::new(),
             messages: Vec::new(),
             updated_at: Time(0),
+            owner: (0, Time(0)),
             crashed_at: Vec::new(),
+            lost_at: Vec::new(),
             arrivals: Vec::new(),
             outcome: Outcome::default(),
             next_born: 0,
             next_content: 0,
         };
-        fleet.fronts[0].set_tries_refused(true);
+        fleet.fronts[0].set_trier(true);
         for number in 0..servers {
             let id = format!("i-server{number:04}");
             fleet.servers.push(Server {
@@ -185,6 +210,7 @@
             step += 1;
             self.elect();
             self.send_requests(step);
+            self.send_held();
             self.lose_servers();
             self.end_flights();
             for front in 0..self.fronts.len() {
@@ -194,7 +220,7 @@
             self.deliver();
         }
         self.outcome.crashes = self.crashed_at.len();
-        if let Some(limiting) = self.crashed_at.get(MAX_CRASHES - 1) {
+        if let Some(limiting) = self.lost_at.get(MAX_CRASHES - 1) {
             let from = *limiting + STABLE_WINDOW;
             let late = self.arrivals.iter().filter(|at| **at > from);
             self.outcome.late_arrivals = late.count();
@@ -213,7 +239,7 @@
         };
         if granter != self.granter {
             for (front, table) in self.fronts.iter_mut().enumerate() {
-                table.set_tries_refused(granter == Some(front));
+                table.set_trier(granter == Some(front));
             }
             self.granter = granter;
             self.streams.fill(Stream::default());
@@ -222,7 +248,11 @@
 
     fn send_requests(&mut self, step: u64) {
         let crashes = self.play != Play::ServersLost && self.now >= Time(5_000);
-        for caller in (0..CRASHING_CALLERS).filter(|_| crashes) {
+        let callers = match self.play {
+            Play::CrashingOwner => CALLERS_OF_AN_OWNER,
+            _ => CRASHING_CALLERS,
+        };
+        for caller in (0..callers).filter(|_| crashes) {
             if (step + caller * 17).is_multiple_of(REPEAT_STEPS) {
                 self.next_content += 1;
                 let query = match self.play {
@@ -242,17 +272,84 @@
         }
     }
 
-    /// A front takes a request and sends it to a server, unless it refuses it.
+    /// A front takes a request.
     fn send(&mut self, kind: Kind, content: Fingerprints, attempt: u32) {
-        let front = self.rng.random_range(0..self.fronts.len());
-        if self.fronts[front].begin_send(&content, self.now).is_some() {
-            match kind {
-                Kind::Crashing => self.outcome.refused += 1,
-                Kind::Popular | Kind::Unique => self.outcome.wrongly_refused += 1,
-            }
+        let held = Held {
+            kind,
+            content,
+            front: self.rng.random_range(0..self.fronts.len()),
+            attempt,
+            from: self.now,
+            until: self.now + HOLD_TIME,
+        };
+        self.admit(held);
+    }
+
+    /// A front decides on a request: it sends, holds, passes on or refuses it.
+    fn admit(&mut self, held: Held) {
+        if self.is_owner_awaited(held.kind) {
+            self.hold(held);
             return;
         }
-        let server = self.rng.random_range(0..self.servers.len());
+        match self.fronts[held.front].begin_send(&held.content, self.now) {
+            Admission::Send => self.send_to_server(held),
+            Admission::Wait(_) => self.hold(held),
+            Admission::PassOn => match self.granter {
+                Some(front) => self.held.push(Held {
+                    front,
+                    from: self.now + MESSAGE_TIME,
+                    ..held
+                }),
+                None => self.refuse(held.kind),
+            },
+            Admission::Refuse(_) => self.refuse(held.kind),
+        }
+    }
+
+    fn is_owner_awaited(&self, kind: Kind) -> bool {
+        let is_owned = self.play == Play::CrashingOwner && kind == Kind::Crashing;
+        is_owned && self.owner.1 > self.now
+    }
+
+    fn hold(&mut self, held: Held) {
+        if self.now < held.until {
+            self.held.push(held);
+        } else {
+            self.refuse(held.kind);
+        }
+    }
+
+    fn refuse(&mut self, kind: Kind) {
+        match kind {
+            Kind::Crashing => self.outcome.refused += 1,
+            Kind::Popular | Kind::Unique => self.outcome.wrongly_refused += 1,
+        }
+    }
+
+    /// Fronts decide again on the requests that they hold.
+    fn send_held(&mut self) {
+        let now = self.now;
+        let (due, rest): (Vec<_>, Vec<_>) = std::mem::take(&mut self.held)
+            .into_iter()
+            .partition(|held| held.from <= now);
+        self.held = rest;
+        for held in due {
+            self.admit(held);
+        }
+    }
+
+    fn send_to_server(&mut self, held: Held) {
+        let Held {
+            kind,
+            content,
+            front,
+            attempt,
+            ..
+        } = held;
+        let server = match (self.play, kind) {
+            (Play::CrashingOwner, Kind::Crashing) => self.owner.0,
+            _ => self.rng.random_range(0..self.servers.len()),
+        };
         if self.servers[server].up_at > self.now {
             return;
         }
@@ -307,7 +404,13 @@
         let at = |flight: &Flight| flight.server == server;
         let lost: Vec<Flight> = self.flights.iter().copied().filter(at).collect();
         self.flights.retain(|flight| flight.server != server);
+        if self.owner.0 == server {
+            self.owner = ((server + 1) % self.servers.len(), self.now + RESTART_TIME);
+        }
         for flight in lost {
+            if flight.kind == Kind::Crashing {
+                self.lost_at.push(self.now);
+            }
             let crash = Crash {
                 server: self.servers[server].id.clone(),
                 born: self.servers[server].born,
@@ -398,7 +501,12 @@
         self.messages = rest;
         for message in due {
             for report in &message.reports {
-                let _refused = self.fronts[message.to].merge(report, now);
+                let table = &mut self.fronts[message.to];
+                let _refused = if Some(message.to) == self.granter {
+                    table.merge(report, now)
+                } else {
+                    table.merge_shared(report, now)
+                };
             }
         }
     }
--- a/crates/carawayrill-core/tests/direct_quarantine.rs
+++ b/crates/carawayrill-core/tests/direct_quarantine.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use carawayrill_core::direct::keys::Born;
+use carawayrill_core::direct::quarantine::Admission;
 use carawayrill_core::direct::quarantine::Crash;
 use carawayrill_core::direct::quarantine::CrashTable;
 use carawayrill_core::direct::quarantine::Fingerprints;
@@ -116,12 +117,12 @@
     let request = content("/a", "");
     let mut table = CrashTable::default();
     record(&mut table, &request, &successive());
-    table.set_tries_refused(true);
+    table.set_trier(true);
     let mut now = Time(700);
     let mut trials = Vec::new();
     while now < Time(700) + Duration::from_mins(15) {
         now = now + Duration::from_millis(500);
-        if table.begin_send(&request, now).is_none() {
+        if table.begin_send(&request, now) == Admission::Send {
             trials.push(now.0 / 1_000);
             let next = u64::try_from(trials.len()).expect("fits") + 3;
             record(&mut table, &request, &[crash(next, now.0, now.0 + 300)]);
@@ -135,13 +136,14 @@
     let request = content("/a", "");
     let mut table = CrashTable::default();
     record(&mut table, &request, &successive());
-    table.set_tries_refused(true);
+    table.set_trier(true);
     let due = Time(700) + Duration::from_secs(30);
-    assert_eq!(table.begin_send(&request, due), None);
-    assert!(table.begin_send(&request, due).is_some());
+    let is_refused = |admission| matches!(admission, Admission::Refuse(_));
+    assert_eq!(table.begin_send(&request, due), Admission::Send);
+    assert!(is_refused(table.begin_send(&request, due)));
     let next = due + Duration::from_secs(30);
     assert!(table.refused_for(&request, Time(next.0 - 1)).is_some());
-    assert_eq!(table.begin_send(&request, next), None);
+    assert_eq!(table.begin_send(&request, next), Admission::Send);
 }
 
 #[test]
@@ -150,7 +152,8 @@
     let mut table = CrashTable::default();
     record(&mut table, &request, &successive());
     let due = Time(700) + Duration::from_mins(9);
-    assert!(table.begin_send(&request, due).is_some());
+    let admission = table.begin_send(&request, due);
+    assert!(matches!(admission, Admission::Refuse(_)));
 }
 
 #[test]
@@ -225,6 +228,48 @@
     assert_eq!(table.reports(Scope::Observed, 0, Time(100)).len(), 20);
 }
 
+/// Crashes of one server that had two copies, and of two servers.
+#[rstest]
+#[case::two_copies(&[crash(1, 0, 100), crash(1, 20, 100)])]
+#[case::two_servers(&[crash(1, 0, 100), crash(2, 10, 100)])]
+#[case::one_after_the_other(&[crash(1, 0, 100), crash(2, 150, 300)])]
+fn copies_of_a_suspect_request_are_sent_one_at_a_time_by_one_front(#[case] crashes: &[Crash]) {
+    let request = content("/a", "");
+    let mut granter = CrashTable::default();
+    granter.set_trier(true);
+    record(&mut granter, &request, crashes);
+    let mut other = CrashTable::default();
+    for report in granter.reports(Scope::Shared, 0, Time(300)) {
+        other.merge_shared(&report, Time(300));
+    }
+    let is_held = |admission| matches!(admission, Admission::Wait(_));
+    assert!(is_held(
+        granter.begin_send(&request, Time(300).min(crashes[1].ended))
+    ));
+    let next = Time(600);
+    assert_eq!(other.begin_send(&request, next), Admission::PassOn);
+    assert!(is_held(other.begin_send(&request, next)));
+    assert_eq!(granter.begin_send(&request, next), Admission::Send);
+    assert!(is_held(granter.begin_send(&request, next)));
+    // No result is known.
+    let later = next + Duration::from_secs(1);
+    assert_eq!(granter.begin_send(&request, later), Admission::Send);
+    granter.record_served(&request, later);
+    assert_eq!(granter.begin_send(&request, later), Admission::Send);
+    assert_eq!(granter.begin_send(&request, later), Admission::Send);
+}
+
+#[rstest]
+#[case::one(&[crash(1, 0, 100)])]
+#[case::one_and_its_retry(&[crash(1, 0, 100), crash(2, 100, 140)])]
+fn one_lost_copy_may_have_been_at_the_server_by_chance(#[case] crashes: &[Crash]) {
+    let request = content("/a", "");
+    let mut table = CrashTable::default();
+    record(&mut table, &request, crashes);
+    assert_eq!(table.begin_send(&request, Time(100)), Admission::Send);
+    assert_eq!(table.begin_send(&request, Time(100)), Admission::Send);
+}
+
 #[test]
 fn memory_is_bounded_and_the_most_suspicious_requests_are_kept() {
     let request = content("/a", "");
@@ -246,7 +291,13 @@
 #[rstest]
 fn a_fleet_keeps_a_crashing_request_from_servers(
     #[values(11, 300)] fronts: usize,
-    #[values(Play::CrashingRequest, Play::CrashingPath, Play::GranterLost)] play: Play,
+    #[values(
+        Play::CrashingRequest,
+        Play::CrashingPath,
+        Play::GranterLost,
+        Play::CrashingOwner
+    )]
+    play: Play,
 ) {
     let outcome = Fleet::new(fronts, play).run(Duration::from_secs(30));
     assert_kept_from_servers(&outcome);
--- a/crates/carawayrill-gateway/src/forward/crash.rs
+++ b/crates/carawayrill-gateway/src/forward/crash.rs
@@ -1,37 +1,105 @@
 //! Keeps a request from servers under which others have crashed.
 
+use std::ops::ControlFlow;
 use std::sync::Arc;
+use std::time::Duration;
 
+use carawayrill_core::direct::quarantine::Admission;
 use carawayrill_core::direct::servers::Server;
 use carawayrill_core::time::Time;
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
+use super::DEFAULT_RETRY_AFTER;
 use super::Forwarder;
+use super::OWNER_WAIT_SHARE;
 use super::Reply;
+use super::peer::TRIED_REASON;
 use crate::clock;
 use crate::quarantine;
 use crate::quarantine::ClosedSend;
 
+/// How a request goes on that was not refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Admitted {
+    /// It may be sent.
+    Send,
+    /// It has waited, or was not taken by another front.
+    AskAgain,
+}
+
 impl Forwarder<'_> {
-    /// Returns the reply to a request that must not be sent because it crashes servers.
-    pub(super) fn refuse_quarantined(&mut self, now: Time) -> Option<Reply> {
-        let left = {
+    /// Refuses, holds or passes on a request that crashes servers, or may do so. Returns a reply, or how
+    /// to go on without one.
+    pub(super) async fn admit(&mut self) -> ControlFlow<Reply, Admitted> {
+        let changes = self.shared.changes();
+        let now = clock::now();
+        let admission = {
             let tables = self.shared.tables();
-            tables
-                .crashes
-                .refused_for(&self.request.fingerprints, now)?
+            tables.crashes.admission(&self.request.fingerprints, now)
         };
-        Some(self.give_up("quarantined", left))
+        let reply = match admission {
+            Admission::Send => return ControlFlow::Continue(Admitted::Send),
+            Admission::Refuse(left) => Some(self.give_up("quarantined", left)),
+            Admission::Wait(left) => self.wait_for_result(changes, left).await,
+            Admission::PassOn => self.pass_on_to_trier(now).await,
+        };
+        reply.map_or(
+            ControlFlow::Continue(Admitted::AskAgain),
+            ControlFlow::Break,
+        )
     }
 
-    /// Returns the same for a request that is sent now if there is no such reply.
-    pub(super) fn begin_send(&mut self) -> Option<Reply> {
-        let left = {
+    /// Returns whether the request may be sent now.
+    pub(super) fn begin_send(&self) -> bool {
+        let mut tables = self.shared.tables();
+        let fingerprints = &self.request.fingerprints;
+        tables.crashes.begin_send(fingerprints, clock::now()) == Admission::Send
+    }
+
+    /// Holds a suspect request while another copy is tried. Returns a reply if that takes too long.
+    async fn wait_for_result(
+        &mut self,
+        mut changes: watch::Receiver<u64>,
+        left: Duration,
+    ) -> Option<Reply> {
+        let objective = self.request.objective.since(self.request.received);
+        let allowed = objective.mul_f64(OWNER_WAIT_SHARE);
+        let allowed = allowed.saturating_sub(self.waited);
+        if allowed.is_zero() {
+            return Some(self.refuse_suspect());
+        }
+        let started = clock::now();
+        // Whether something has changed or the time is over, the request is looked at again.
+        let _ended = tokio::time::timeout(left.min(allowed), changes.changed()).await;
+        self.waited += clock::now().since(started);
+        None
+    }
+
+    /// Passes a suspect request on to the front that tries these for all. Returns a reply if there is one
+    /// or no such front may be asked.
+    async fn pass_on_to_trier(&mut self, now: Time) -> Option<Reply> {
+        let trier = self.shared.tables().trier.clone();
+        let trier = trier.filter(|trier| {
+            self.place()
+                .permits(&self.request.matched.route.homes, trier)
+        });
+        let Some(trier) = trier.filter(|_| self.request.forwarded.is_none() && !self.was_closed)
+        else {
+            return Some(self.refuse_suspect());
+        };
+        let admission = {
             let mut tables = self.shared.tables();
-            let fingerprints = &self.request.fingerprints;
-            tables.crashes.begin_send(fingerprints, clock::now())?
+            tables.crashes.begin_send(&self.request.fingerprints, now)
         };
-        Some(self.give_up("quarantined", left))
+        if admission != Admission::PassOn {
+            return None;
+        }
+        self.try_peer(&trier, TRIED_REASON, now).await
+    }
+
+    fn refuse_suspect(&mut self) -> Reply {
+        self.give_up("suspected", DEFAULT_RETRY_AFTER)
     }
 
     /// Returns whether a server has crashed under the request since it was last answered.
--- a/crates/carawayrill-gateway/src/forward/mod.rs
+++ b/crates/carawayrill-gateway/src/forward/mod.rs
@@ -10,6 +10,7 @@
 mod wait;
 
 use std::net::SocketAddr;
+use std::ops::ControlFlow;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -33,6 +34,7 @@
 use http::Uri;
 
 use self::choose::NextStep;
+use self::crash::Admitted;
 use self::crash::CrashChecks;
 use self::send::NotRunReason;
 use self::send::Outcome;
@@ -253,8 +255,10 @@
             if self.request.deadline.since(now) < MIN_SEND_TIME {
                 return self.timed_out();
             }
-            if let Some(reply) = self.refuse_quarantined(now) {
-                return reply;
+            match self.admit().await {
+                ControlFlow::Break(reply) => return reply,
+                ControlFlow::Continue(Admitted::AskAgain) => continue,
+                ControlFlow::Continue(Admitted::Send) => {}
             }
             if self.shared.is_cut_off()
                 && let Some(reply) = self.forward_to_peer().await
@@ -330,8 +334,8 @@
             };
             return Some(self.give_up("no-more-tries", retry_after));
         }
-        if let Some(reply) = self.begin_send() {
-            return Some(reply);
+        if !self.begin_send() {
+            return None;
         }
         let started = clock::now();
         let outcome = self.send(server, fence).await;
--- a/crates/carawayrill-gateway/src/forward/peer.rs
+++ b/crates/carawayrill-gateway/src/forward/peer.rs
@@ -44,6 +44,10 @@
 /// Says that the front which has passed the request on has counted it as one of its callers'. Older
 /// builds don't say it.
 pub(crate) const COUNTED: HeaderName = HeaderName::from_static("carawayrill-counted");
+/// The reason of a reply from another front, asked because this one reaches no server for the request.
+const FORWARDED_REASON: &str = "forwarded";
+/// The reason of a reply from the front that tries suspect requests for all.
+pub(super) const TRIED_REASON: &str = "tried-for-all";
 /// The outcome of passing a request on to a front that is cut off as well, or stops.
 pub(super) const PEER_CUT_OFF: &str = "cut-off";
 /// The statuses of a reply from another front that don't show that it has reached a server.
@@ -100,15 +104,21 @@
                 return Some(self.give_up("no-home-peer", DEFAULT_RETRY_AFTER));
             };
             let peer = peer?;
-            if let Some(reply) = self.try_peer(&peer, now).await {
+            if let Some(reply) = self.try_peer(&peer, FORWARDED_REASON, now).await {
                 return Some(reply);
             }
             tried.push(peer.front);
         }
     }
 
-    /// Passes the request on to one other front. Returns `None` if a further one may be asked.
-    pub(super) async fn try_peer(&mut self, peer: &Peer, now: Time) -> Option<Reply> {
+    /// Passes the request on to one other front. Returns `None` if a further one may be asked. `reason` is
+    /// that of the reply.
+    pub(super) async fn try_peer(
+        &mut self,
+        peer: &Peer,
+        reason: &'static str,
+        now: Time,
+    ) -> Option<Reply> {
         let send = self.sends.begin();
         let result = self.send_to_peer(peer, now).await;
         let refusal = result.as_ref().ok().and_then(PeerRefusal::parse);
@@ -120,7 +130,10 @@
         };
         self.end_peer_try(now, outcome, result.as_ref().err());
         match (result, refusal) {
-            (Ok(response), None) => return Some(self.take_peer_reply(peer, response, send)),
+            (Ok(response), None) => {
+                let reply = self.peer_reply(peer, response, reason);
+                return Some(self.take_peer_reply(reply, send));
+            }
             (Ok(_), Some(refusal)) => {
                 self.refused_sends = self.refused_sends.saturating_add(refusal.sends);
                 if !refusal.may_have_run {
@@ -140,13 +153,7 @@
 
     /// Returns the reply to the caller after a peer has replied. That the request has not run holds
     /// for the sends of the peer only.
-    fn take_peer_reply(
-        &mut self,
-        peer: &Peer,
-        response: ServerResponse,
-        send: UnprovenSend,
-    ) -> Reply {
-        let reply = self.peer_reply(peer, response);
+    fn take_peer_reply(&mut self, reply: Reply, send: UnprovenSend) -> Reply {
         if !promises_not_run(reply.status) {
             return reply;
         }
@@ -236,12 +243,12 @@
     }
 
     /// Returns what the peer replied, whether it is the response of a server or of its own.
-    fn peer_reply(&self, peer: &Peer, response: ServerResponse) -> Reply {
+    fn peer_reply(&self, peer: &Peer, response: ServerResponse, reason: &'static str) -> Reply {
         let reply = Reply {
             status: response.status,
             headers: response.headers.clone(),
             body: response.body.clone(),
-            reason: "forwarded",
+            reason,
             retry_after: None,
         };
         if let Ok(id) = peer_id(peer) {
--- a/crates/carawayrill-gateway/src/granter_runtime/quarantine.rs
+++ b/crates/carawayrill-gateway/src/granter_runtime/quarantine.rs
@@ -20,6 +20,7 @@
 
 use super::GranterRuntime;
 use crate::quarantine;
+use crate::quarantine::ReportSource;
 
 /// The name of the object.
 const OBJECT: &str = "carawayrill-quarantine/requests";
@@ -86,7 +87,7 @@
         let mut reports = Vec::new();
         if let Ok(Some(found)) = &read {
             reports = decode_object(found);
-            quarantine::merge_reports(&self.shared, &reports, "store");
+            quarantine::merge_reports(&self.shared, &reports, ReportSource::Store);
         }
         let mut state = self.state();
         state.quarantine.is_busy = false;
--- a/crates/carawayrill-gateway/src/granter_stream/convert.rs
+++ b/crates/carawayrill-gateway/src/granter_stream/convert.rs
@@ -240,6 +240,7 @@
         peer_key: bytes::Bytes::new(),
         room: Vec::new(),
         egress: Vec::new(),
+        trier: None,
     }
 }
 
@@ -361,6 +362,8 @@
     pub(super) peer_key: Option<(PeerKey, StoredVersion)>,
     /// The shares of requests that leave this region.
     pub(super) egress: Vec<EgressShare>,
+    /// The front that tries requests under which servers crashed, if it is another one.
+    pub(super) trier: Option<Peer>,
     /// A time before the update was made, on this front's clock.
     pub(super) echo: Time,
 }
@@ -397,6 +400,7 @@
             .collect(),
         crashes: crashes::decode(&update.crashes),
         egress: egress::decode(&update.egress),
+        trier: update.trier.as_ref().and_then(peers::decode_one),
         echo,
         peers: update.peers.as_ref().map(peers::decode),
         peer_key: peer_keys::decode(
@@ -431,6 +435,7 @@
         // The granter has it from its own lease.
         peer_key: None,
         egress,
+        trier: None,
         echo: now,
     }
 }
--- a/crates/carawayrill-gateway/src/granter_stream/mod.rs
+++ b/crates/carawayrill-gateway/src/granter_stream/mod.rs
@@ -42,6 +42,7 @@
 use crate::granter_runtime::Report;
 use crate::lease_manager::LeaseManager;
 use crate::quarantine;
+use crate::quarantine::ReportSource;
 use crate::spans::SpanDelta;
 use crate::spans::SpanTable;
 use crate::state::Shared;
@@ -319,12 +320,13 @@
         if let Some(peers) = &update.peers {
             tables.peers.set(peers.clone());
         }
+        tables.trier.clone_from(&update.trier);
         for (service, delta) in &update.deltas {
             apply_delta(&mut tables, service, delta);
         }
     }
     shared.apply_egress(&update.egress, update.echo);
-    quarantine::merge_reports(shared, &update.crashes, "granter");
+    quarantine::merge_reports(shared, &update.crashes, ReportSource::Granter);
     if !update.deltas.is_empty() {
         shared.notify_changed();
     }
--- a/crates/carawayrill-gateway/src/granter_stream/peers.rs
+++ b/crates/carawayrill-gateway/src/granter_stream/peers.rs
@@ -8,22 +8,28 @@
 
 /// Encodes a list.
 pub(super) fn encode(peers: &[Peer]) -> wire::PeerList {
-    let peers = peers.iter().map(|peer| wire::Peer {
+    wire::PeerList {
+        peers: peers.iter().map(encode_one).collect(),
+    }
+}
+
+/// Encodes a peer.
+pub(super) fn encode_one(peer: &Peer) -> wire::Peer {
+    wire::Peer {
         front: peer.front.to_string(),
         address: peer.address.to_string(),
         data_centre: peer.data_centre.to_string(),
-    });
-    wire::PeerList {
-        peers: peers.collect(),
     }
 }
 
 /// Decodes a list. Invalid parts are logged and skipped.
 pub(super) fn decode(list: &wire::PeerList) -> Vec<Peer> {
-    let peers = list.peers.iter();
-    peers
-        .filter_map(|peer| decode_peer(&peer.front, &peer.address, &peer.data_centre))
-        .collect()
+    list.peers.iter().filter_map(decode_one).collect()
+}
+
+/// Decodes a peer. An invalid one is logged.
+pub(super) fn decode_one(peer: &wire::Peer) -> Option<Peer> {
+    decode_peer(&peer.front, &peer.address, &peer.data_centre)
 }
 
 /// Decodes a peer. An empty address stands for none.
--- a/crates/carawayrill-gateway/src/granter_stream/service.rs
+++ b/crates/carawayrill-gateway/src/granter_stream/service.rs
@@ -32,6 +32,7 @@
 use crate::granter_stream::peers;
 use crate::lease_manager::LeaseManager;
 use crate::quarantine;
+use crate::quarantine::ReportSource;
 use crate::state::Shared;
 
 /// The maximum number of updates that wait to be sent to one front.
@@ -100,7 +101,8 @@
     let front = CompactString::from(first.front.as_str());
     let shared = Arc::clone(lease_manager.shared());
     let mut crashes_told = 0;
-    quarantine::merge_reports(&shared, &crashes::decode(&first.crashes), &front);
+    let source = ReportSource::Front(&front);
+    quarantine::merge_reports(&shared, &crashes::decode(&first.crashes), source);
     let is_proven = shared.verify_join(&first.front, &first.proof);
     let mut first = convert::decode_report(first);
     let data_centre = first.data_centre.clone();
@@ -124,7 +126,7 @@
                 Ok(Ok(Some(report))) => {
                     echo = Time(report.sent_ms);
                     advance(&mut positions, convert::decode_positions(&report));
-                    quarantine::merge_reports(&shared, &crashes::decode(&report.crashes), &front);
+                    quarantine::merge_reports(&shared, &crashes::decode(&report.crashes), source);
                     granter_runtime.add_report(Report {
                         // Only the first report was proved.
                         front: front.clone(),
@@ -152,6 +154,7 @@
                 if is_proven {
                     update.peer_key = current_key(&shared);
                 }
+                update.trier = Some(peers::encode_one(&shared.as_peer()));
                 // Queued updates would become stale, so the stream is closed if the channel is
                 // full. The front then joins again.
                 if tx.try_send(Ok(update)).is_err() {
@@ -162,7 +165,7 @@
     }
 }
 
-/// Adds the requests under which several servers crashed, as far as they have changed after change
+/// Adds the requests of which several copies were at servers that crashed, as far as they have changed after change
 /// number `told`.
 fn add_crashes(
     update: wire::GranterUpdate,
--- a/crates/carawayrill-gateway/src/lease_manager.rs
+++ b/crates/carawayrill-gateway/src/lease_manager.rs
@@ -403,7 +403,7 @@
         self.shared.metrics.granter.set(i64::from(is_granter));
         let mut tables = self.shared.tables();
         // Only one front may try requests that crash servers.
-        tables.crashes.set_tries_refused(is_granter);
+        tables.crashes.set_trier(is_granter);
     }
 
     async fn start_runtime(self: &Arc<Self>) {
--- a/crates/carawayrill-gateway/src/quarantine.rs
+++ b/crates/carawayrill-gateway/src/quarantine.rs
@@ -48,6 +48,7 @@
         (crashes, is_refused && !was_refused)
     };
     shared.notify_crash_observed();
+    shared.notify_changed();
     shared.metrics.request_crashes.inc();
     emit(EventKind::RequestCrashedServer {
         content: fingerprints.exact.to_compact_string(),
@@ -68,6 +69,7 @@
     let now = clock::now();
     if shared.tables().crashes.record_served(fingerprints, now) {
         shared.notify_crash_observed();
+        shared.notify_changed();
         emit(EventKind::RequestCleared {
             content: fingerprints.exact.to_compact_string(),
             server: server.id.to_compact_string(),
@@ -75,16 +77,45 @@
     }
 }
 
+/// Who tells of crashes.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum ReportSource<'a> {
+    /// Another front, with this name.
+    Front(&'a str),
+    Granter,
+    Store,
+}
+
+impl ReportSource<'_> {
+    fn name(self) -> CompactString {
+        CompactString::from(match self {
+            Self::Front(name) => name,
+            Self::Granter => "granter",
+            Self::Store => "store",
+        })
+    }
+}
+
 /// Adds what another front, the granter or the store tells.
-pub(crate) fn merge_reports(shared: &Shared, reports: &[CrashReport], source: &str) {
+pub(crate) fn merge_reports(shared: &Shared, reports: &[CrashReport], source: ReportSource<'_>) {
     let now = clock::now();
     for report in reports {
-        if shared.tables().crashes.merge(report, now) {
+        let is_newly_refused = {
+            let crashes = &mut shared.tables().crashes;
+            match source {
+                ReportSource::Granter => crashes.merge_shared(report, now),
+                ReportSource::Front(_) | ReportSource::Store => crashes.merge(report, now),
+            }
+        };
+        if is_newly_refused {
             emit(EventKind::RequestQuarantined {
                 content: report.fingerprint.to_compact_string(),
                 crashes: report.crashes.len(),
-                source: CompactString::from(source),
+                source: source.name(),
             });
         }
     }
+    if !reports.is_empty() {
+        shared.notify_changed();
+    }
 }
--- a/crates/carawayrill-gateway/src/state.rs
+++ b/crates/carawayrill-gateway/src/state.rs
@@ -24,6 +24,7 @@
 use carawayrill_core::direct::manifest::Manifest;
 use carawayrill_core::direct::quarantine::CrashTable;
 use carawayrill_core::direct::reach::Detours;
+use carawayrill_core::direct::reach::Peer;
 use carawayrill_core::direct::reach::PeerKeys;
 use carawayrill_core::direct::reach::PeerTable;
 use carawayrill_core::direct::reach::ServerReach;
@@ -87,6 +88,8 @@
     pub cold: ColdServers,
     /// The requests under which servers crashed.
     pub crashes: CrashTable,
+    /// The front that tries suspect ones of these, if it is another one.
+    pub trier: Option<Peer>,
     /// Whether this front opens connections to servers.
     pub reach: ServerReach,
     /// The fronts that take this front's requests while it is cut off from the servers.
@@ -169,6 +172,7 @@
                 limits: ServerLimits::default(),
                 cold: ColdServers::default(),
                 crashes: CrashTable::default(),
+                trier: None,
                 reach: ServerReach::default(),
                 peers: PeerTable::default(),
                 detours: Detours::default(),
@@ -222,6 +226,15 @@
         tables.reach.is_cut_off() && !tables.peers.is_empty()
     }
 
+    /// Returns this front as others know it.
+    pub fn as_peer(&self) -> Peer {
+        Peer {
+            front: self.cfg.front.clone(),
+            address: self.cfg.listen,
+            data_centre: self.cfg.data_centre.clone(),
+        }
+    }
+
     /// Reports to the granter without delay that a server crashed under a request, or that such a
     /// request was answered.
     pub fn notify_crash_observed(&self) {
