A reply that came by a detour has a reason of its own

Since detours were introduced, a front that is not cut off passes single requests on for servers that it doesn't reach, and the reply had the same reason. Operators couldn't tell the two apart either. A detour's reply has the reason `detour` now; the test is as it was.

--- a/crates/carawayrill-gateway/src/forward/mod.rs
+++ b/crates/carawayrill-gateway/src/forward/mod.rs
@@ -36,6 +36,7 @@
 use self::choose::NextStep;
 use self::crash::Admitted;
 use self::crash::CrashChecks;
+use self::peer::FORWARDED_REASON;
 use self::send::NotRunReason;
 use self::send::Outcome;
 use self::send::ResponseClass;
@@ -261,7 +262,7 @@
                 ControlFlow::Continue(Admitted::Send) => {}
             }
             if self.shared.is_cut_off()
-                && let Some(reply) = self.forward_to_peer().await
+                && let Some(reply) = self.forward_to_peer(FORWARDED_REASON).await
             {
                 return reply;
             }
--- a/crates/carawayrill-gateway/src/forward/peer.rs
+++ b/crates/carawayrill-gateway/src/forward/peer.rs
@@ -44,8 +44,10 @@
 /// Says that the front which has passed the request on has counted it as one of its callers'. Older
 /// builds don't say it.
 pub(crate) const COUNTED: HeaderName = HeaderName::from_static("carawayrill-counted");
-/// The reason of a reply from another front, asked because this one reaches no server for the request.
-const FORWARDED_REASON: &str = "forwarded";
+/// The reason of a reply from another front, asked because this one is cut off from all servers.
+pub(super) const FORWARDED_REASON: &str = "forwarded";
+/// The same if this front only does not reach those that the request could be sent to.
+const DETOUR_REASON: &str = "detour";
 /// The reason of a reply from the front that tries suspect requests for all.
 pub(super) const TRIED_REASON: &str = "tried-for-all";
 /// The outcome of passing a request on to a front that is cut off as well, or stops.
@@ -77,7 +79,7 @@
                 return None;
             }
         }
-        let reply = self.forward_to_peer().await?;
+        let reply = self.forward_to_peer(DETOUR_REASON).await?;
         let is_reached = !UNREACHED_STATUSES.contains(&reply.status);
         let mut tables = self.shared.tables();
         tables.detours.record(service, is_reached, clock::now());
@@ -85,8 +87,8 @@
     }
 
     /// Passes the request on to other fronts until one replies. Returns `None` if there is none to
-    /// pass it on to.
-    pub(super) async fn forward_to_peer(&mut self) -> Option<Reply> {
+    /// pass it on to. `reason` is that of the reply.
+    pub(super) async fn forward_to_peer(&mut self, reason: &'static str) -> Option<Reply> {
         if self.request.forwarded.is_some() {
             let refusal = PeerRefusal {
                 sends: self.sends_since_received(),
@@ -104,7 +106,7 @@
                 return Some(self.give_up("no-home-peer", DEFAULT_RETRY_AFTER));
             };
             let peer = peer?;
-            if let Some(reply) = self.try_peer(&peer, FORWARDED_REASON, now).await {
+            if let Some(reply) = self.try_peer(&peer, reason, now).await {
                 return Some(reply);
             }
             tried.push(peer.front);
