--- a/crates/carawayrill-core/src/direct/quarantine/table.rs
+++ b/crates/carawayrill-core/src/direct/quarantine/table.rs
@@ -145,8 +145,8 @@
 
     /// Decides what is done with a request now.
     ///
-    /// Of a request that several copies were of at servers that crashed, one copy at a time is sent, by
-    /// one front: each may cost a server, and until the result is known the next would learn nothing.
+    /// Once several copies of a request were lost in crashes, one copy at a time is sent, by one front:
+    /// each may cost a server, and the result of one decides on the others.
     #[must_use]
     pub fn admission(&self, fingerprints: &Fingerprints, now: Time) -> Admission {
         if let Some(left) = self.refused_for(fingerprints, now) {
@@ -161,8 +161,8 @@
         }
     }
 
-    /// Returns the same for a request with which that is done at once. If a copy of a suspect or refused
-    /// request is let through, no other follows until its result is known.
+    /// Decides on a request that is sent or passed on at once if it may be. No other copy of a suspect or
+    /// refused request follows until the result of this one is known.
     pub fn begin_send(&mut self, fingerprints: &Fingerprints, now: Time) -> Admission {
         let admission = self.admission(fingerprints, now);
         if !matches!(admission, Admission::Send | Admission::PassOn) || self.entries.is_empty() {
@@ -179,7 +179,7 @@
         admission
     }
 
-    /// Returns those fingerprints of a request that are suspect and not refused.
+    /// Returns the fingerprints under which a request is suspect and not refused.
     fn suspects(
         &self,
         fingerprints: &Fingerprints,
