A suspect request that another front has answered is suspect no more

The granter had answered the content after the crash, so that the crash was no news to it and it told nobody that the request was cleared; the front that had seen the crash passed one copy a second on, with success, and held the others.

An answer that the granter's front passes back clears the request at this front, as an answer of a server does. And a front that can't ask that front, or isn't heard, sends a suspect request itself, one copy at a time, in place of refusing it.

`crashing_request` holds.

--- a/crates/carawayrill-core/tests/crash_fleet/mod.rs
+++ b/crates/carawayrill-core/tests/crash_fleet/mod.rs
@@ -300,7 +300,7 @@
                     from: self.now + MESSAGE_TIME,
                     ..held
                 }),
-                None => self.refuse(held.kind),
+                None => self.send_to_server(held),
             },
             Admission::Refuse(_) => self.refuse(held.kind),
         }
--- a/crates/carawayrill-gateway/src/forward/crash.rs
+++ b/crates/carawayrill-gateway/src/forward/crash.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use carawayrill_core::direct::quarantine::Admission;
+use carawayrill_core::direct::reach::Peer;
 use carawayrill_core::direct::servers::Server;
 use carawayrill_core::time::Time;
 use tokio::sync::watch;
@@ -15,6 +16,8 @@
 use super::OWNER_WAIT_SHARE;
 use super::Reply;
 use super::peer::TRIED_REASON;
+use super::sends::is_unknown;
+use super::sends::promises_not_run;
 use crate::clock;
 use crate::quarantine;
 use crate::quarantine::ClosedSend;
@@ -22,7 +25,7 @@
 /// How a request goes on that was not refused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Admitted {
-    /// It may be sent.
+    /// It may be sent, or no other front has tried it for this one.
     Send,
     /// It has waited, or was not taken by another front.
     AskAgain,
@@ -42,7 +45,7 @@
             Admission::Send => return ControlFlow::Continue(Admitted::Send),
             Admission::Refuse(left) => Some(self.give_up("quarantined", left)),
             Admission::Wait(left) => self.wait_for_result(changes, left).await,
-            Admission::PassOn => self.pass_on_to_trier(now).await,
+            Admission::PassOn => return self.pass_on_to_trier(now).await,
         };
         reply.map_or(
             ControlFlow::Continue(Admitted::AskAgain),
@@ -50,8 +53,12 @@
         )
     }
 
-    /// Returns whether the request may be sent now.
-    pub(super) fn begin_send(&self) -> bool {
+    /// Returns whether the request may be sent now. One copy of a suspect request that was let through
+    /// for the front that tries these may, if that front did not take it.
+    pub(super) fn begin_send(&mut self) -> bool {
+        if std::mem::take(&mut self.is_left_to_try) {
+            return true;
+        }
         let mut tables = self.shared.tables();
         let fingerprints = &self.request.fingerprints;
         tables.crashes.begin_send(fingerprints, clock::now()) == Admission::Send
@@ -76,26 +83,36 @@
         None
     }
 
-    /// Passes a suspect request on to the front that tries these for all. Returns a reply if there is one
-    /// or no such front may be asked.
-    async fn pass_on_to_trier(&mut self, now: Time) -> Option<Reply> {
-        let trier = self.shared.tables().trier.clone();
-        let trier = trier.filter(|trier| {
-            self.place()
-                .permits(&self.request.matched.route.homes, trier)
-        });
-        let Some(trier) = trier.filter(|_| self.request.forwarded.is_none() && !self.was_closed)
-        else {
-            return Some(self.refuse_suspect());
-        };
+    /// Passes a suspect request on to the front that tries these for all. If none can be asked, or none
+    /// takes it, this front sends it, still one copy at a time.
+    async fn pass_on_to_trier(&mut self, now: Time) -> ControlFlow<Reply, Admitted> {
         let admission = {
             let mut tables = self.shared.tables();
             tables.crashes.begin_send(&self.request.fingerprints, now)
         };
         if admission != Admission::PassOn {
+            return ControlFlow::Continue(Admitted::AskAgain);
+        }
+        if let Some(trier) = self.trier()
+            && let Some(reply) = self.try_peer(&trier, TRIED_REASON, now).await
+        {
+            if !promises_not_run(reply.status) && !is_unknown(reply.status) {
+                quarantine::record_answered(self.shared, &self.request.fingerprints, &trier.front);
+            }
+            return ControlFlow::Break(reply);
+        }
+        self.is_left_to_try = true;
+        ControlFlow::Continue(Admitted::Send)
+    }
+
+    /// Returns the front that tries suspect requests for all, if this one may be passed on to it.
+    fn trier(&self) -> Option<Peer> {
+        if self.request.forwarded.is_some() {
             return None;
         }
-        self.try_peer(&trier, TRIED_REASON, now).await
+        let trier = self.shared.tables().trier.clone()?;
+        let homes = &self.request.matched.route.homes;
+        self.place().permits(homes, &trier).then_some(trier)
     }
 
     fn refuse_suspect(&mut self) -> Reply {
--- a/crates/carawayrill-gateway/src/forward/mod.rs
+++ b/crates/carawayrill-gateway/src/forward/mod.rs
@@ -173,6 +173,8 @@
     closed_sends: Vec<ClosedSend>,
     /// Whether a server has closed the connection of a send before it responded.
     was_closed: bool,
+    /// Whether this front sends a suspect request that the front which tries these did not take.
+    is_left_to_try: bool,
 }
 
 impl<'a> Forwarder<'a> {
@@ -205,6 +207,7 @@
             server_error: None,
             closed_sends: Vec::new(),
             was_closed: false,
+            is_left_to_try: false,
         }
     }
 
--- a/crates/carawayrill-gateway/src/forward/send.rs
+++ b/crates/carawayrill-gateway/src/forward/send.rs
@@ -344,7 +344,7 @@
             in_flight.end(AttemptResult::Failed, metadata.load);
             return (Outcome::Lost, "unsigned");
         }
-        quarantine::record_answered(self.shared, &self.request.fingerprints, server);
+        quarantine::record_answered(self.shared, &self.request.fingerprints, server.id.as_str());
         if promises_not_run(response.status) {
             // The server does not say that it has not run the request; passed on, its status would.
             in_flight.end(AttemptResult::Failed, metadata.load);
--- a/crates/carawayrill-gateway/src/forward/sends.rs
+++ b/crates/carawayrill-gateway/src/forward/sends.rs
@@ -13,6 +13,14 @@
     )
 }
 
+/// Returns whether a status tells a caller that nobody knows what became of its request.
+pub(super) fn is_unknown(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::BAD_GATEWAY | StatusCode::GATEWAY_TIMEOUT
+    )
+}
+
 /// The sends of one request for which it is not proved that the receiver has not run it.
 ///
 /// Each send counts from before its first byte is written until there is such a proof for this very
--- a/crates/carawayrill-gateway/src/quarantine.rs
+++ b/crates/carawayrill-gateway/src/quarantine.rs
@@ -64,15 +64,16 @@
     }
 }
 
-/// Records that a server answered a request.
-pub(crate) fn record_answered(shared: &Shared, fingerprints: &Fingerprints, server: &Server) {
+/// Records that a server answered a request. `by` is the server, or the front that has sent it for this
+/// one.
+pub(crate) fn record_answered(shared: &Shared, fingerprints: &Fingerprints, by: &str) {
     let now = clock::now();
     if shared.tables().crashes.record_served(fingerprints, now) {
         shared.notify_crash_observed();
         shared.notify_changed();
         emit(EventKind::RequestCleared {
             content: fingerprints.exact.to_compact_string(),
-            server: server.id.to_compact_string(),
+            server: by.into(),
         });
     }
 }
