--- a/review/standins-2/cases.rs
+++ b/review/standins-2/cases.rs
@@ -1,6 +1,7 @@
 //! The cases, and what they have in common.
 
 mod old_life;
+mod silent_store;
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -33,6 +34,7 @@
 pub fn run(case: &str, trouble: bool, record: &Record) -> Verdict {
     match case {
         "old-life" => old_life::run(trouble, record),
+        "silent-store" => silent_store::run(trouble, record),
         _ => Err(format!("no such case: {case}")),
     }
 }
@@ -50,7 +52,9 @@
 impl Drop for Deployment {
     fn drop(&mut self) {
         self.fronts.clear();
-        let _ = std::fs::remove_dir_all(&self.dir);
+        if std::env::var_os("KEEP_LOGS").is_none() {
+            let _ = std::fs::remove_dir_all(&self.dir);
+        }
     }
 }
 
@@ -108,7 +112,7 @@
         Ok(server)
     }
 
-    fn wait_until_ready(&self) -> Result<(), String> {
+    pub fn wait_until_ready(&self) -> Result<(), String> {
         let until = Instant::now() + Duration::from_secs(30);
         while !self.fronts.iter().all(Front::is_ready) {
             if Instant::now() > until {
@@ -147,6 +151,35 @@
     }
 }
 
+/// A call with the rates of the kinds of requests on the sheet of chikushi-feed, at a time at which all
+/// kinds but `order-renew` go to the keyed service: 224, 21.2 and 62.3 a second, and 83.1 of
+/// `order-renew`, which is 0.213 of all.
+pub fn mixed_call(number: u64) -> Call {
+    if number.wrapping_mul(618) % 1_000 < 213 {
+        plain_call(number)
+    } else {
+        keyed_call(number)
+    }
+}
+
+/// A call on the plain route.
+pub fn plain_call(number: u64) -> Call {
+    Call {
+        method: "POST",
+        host: PLAIN_HOST,
+        path: format!("/puka111/{number:x}"),
+        key: Some(number.wrapping_mul(40_503) % 65_536),
+        time_limit: Duration::from_millis(3_000),
+        body: b"an order".to_vec(),
+    }
+}
+
+/// Returns the name of the front that holds the lease, as the store says.
+pub fn granter(store: &Store) -> Option<String> {
+    let lease = store.spec("carawayrill-leases", "granter")?;
+    Some(lease.get("front")?.text()?.to_owned())
+}
+
 fn manifest() -> Json {
     let text = format!(
         r#"{{"version":"r7","baseVersion":"r5","resources":[
--- a/review/standins-2/fronts.rs
+++ b/review/standins-2/fronts.rs
@@ -72,6 +72,14 @@
         })
     }
 
+    /// Starts the process again after it has ended. The whole system has started before.
+    pub fn start_again(&mut self) -> Result<(), String> {
+        let text = std::fs::read_to_string(&self.settings).map_err(|err| err.to_string())?;
+        let text = text.replace("bootstrap = true", "bootstrap = false");
+        std::fs::write(&self.settings, text).map_err(|err| err.to_string())?;
+        self.start()
+    }
+
     pub fn start(&mut self) -> Result<(), String> {
         let log = File::options()
             .create(true)
@@ -145,6 +153,13 @@
     }
 }
 
+/// Sends a signal to a process that a front has started.
+pub fn signal(id: u32, signal: &str) {
+    let _ = Command::new("kill")
+        .args([format!("-{signal}"), id.to_string()])
+        .status();
+}
+
 impl Drop for Front {
     fn drop(&mut self) {
         self.kill();
--- a/review/standins-2/store.rs
+++ b/review/standins-2/store.rs
@@ -15,6 +15,7 @@
 use crate::record::Record;
 
 type Name = (String, String);
+type Hook = Box<dyn FnOnce(&Json) + Send>;
 
 struct Object {
     revision: u64,
@@ -38,6 +39,10 @@
 #[derive(Clone)]
 pub struct Store {
     pub address: SocketAddr,
+    /// Called once, with its `spec`, when an object of this kind has been replaced, before the answer.
+    hook: Arc<Mutex<Option<(String, Hook)>>>,
+    /// While the store is silent: until when.
+    silent_until: Arc<Mutex<Option<Instant>>>,
     state: Arc<(Mutex<State>, Condvar)>,
     record: Record,
 }
@@ -67,6 +72,8 @@
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let store = Self {
             address: listener.local_addr()?,
+            hook: Arc::default(),
+            silent_until: Arc::default(),
             state: Arc::new((
                 Mutex::new(State {
                     objects: BTreeMap::new(),
@@ -136,8 +143,44 @@
         object.map(|object| object.spec.clone())
     }
 
+    /// Calls `hook` when an object of `kind` has been replaced next, before the answer is sent.
+    pub fn on_replaced(&self, kind: &str, hook: impl FnOnce(&Json) + Send + 'static) {
+        *self.hook.lock().unwrap() = Some((kind.into(), Box::new(hook)));
+    }
+
+    /// Neither executes nor answers calls for `time`. Those that still wait at the end are handled then.
+    pub fn be_silent(&self, time: Duration) {
+        *self.silent_until.lock().unwrap() = Some(Instant::now() + time);
+        self.record
+            .line(&format!("store: silent for {} ms", time.as_millis()));
+    }
+
+    /// Returns whether the caller still waits for the answer when the store is no longer silent.
+    fn wait_while_silent(&self, connection: &mut Connection) -> bool {
+        let silent_until = *self.silent_until.lock().unwrap();
+        let Some(until) = silent_until.filter(|until| Instant::now() < *until) else {
+            return true;
+        };
+        std::thread::sleep(until.saturating_duration_since(Instant::now()));
+        !connection.is_closed()
+    }
+
+    fn run_hook(&self, kind: &str, spec: &Json) {
+        let taken = {
+            let mut hook = self.hook.lock().unwrap();
+            let is_due = hook.as_ref().is_some_and(|(wanted, _)| wanted == kind);
+            if is_due { hook.take() } else { None }
+        };
+        if let Some((_, hook)) = taken {
+            hook(spec);
+        }
+    }
+
     fn serve(&self, mut connection: Connection) {
         while let Ok(req) = connection.read(Duration::from_secs(600), false, &|| true) {
+            if !self.wait_while_silent(&mut connection) {
+                return;
+            }
             let (status, body) = self.answer(&req);
             let head = "Content-Type: application/json\r\n";
             if !connection.respond(status, head, body.write().as_bytes()) {
@@ -192,6 +235,8 @@
                 }
                 let spec = body.get("spec").cloned().unwrap_or(Json::Null);
                 let revision = write(&mut state, key, &spec, &self.state.1);
+                drop(state);
+                self.run_hook(kind, &spec);
                 ("200 OK", object_json(name, revision, &spec))
             }
             _ => ("404 Not Found", error("no such call")),
@@ -220,6 +265,12 @@
         let until = Instant::now() + wait;
         let mut state = self.state.0.lock().unwrap();
         loop {
+            let silent_until = *self.silent_until.lock().unwrap();
+            if let Some(until) = silent_until.filter(|until| Instant::now() < *until) {
+                drop(state);
+                std::thread::sleep(until.saturating_duration_since(Instant::now()));
+                state = self.state.0.lock().unwrap();
+            }
             if after > state.revision {
                 return ("410 Gone", Json::Object(Vec::new()));
             }
