--- a/review/standins-2/fronts.rs
+++ b/review/standins-2/fronts.rs
@@ -1,6 +1,7 @@
 //! The processes of the fronts, and the clients.
 
 use std::fs::File;
+use std::io::Write;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::TcpListener;
@@ -94,6 +95,7 @@
             .stderr(log)
             .spawn()
             .map_err(|err| format!("{PROGRAM}: {err}"))?;
+        note_process(child.id());
         self.record
             .line(&format!("{}: starts at {}", self.name, self.front));
         self.child = Some(child);
@@ -153,6 +155,16 @@
     }
 }
 
+/// Adds a process to the file that the script names, so that it can end all that were started.
+fn note_process(id: u32) {
+    let Some(path) = std::env::var_os("RIG_PROCESSES") else {
+        return;
+    };
+    if let Ok(mut file) = File::options().append(true).open(path) {
+        let _ = writeln!(file, "{id}");
+    }
+}
+
 /// Sends a signal to a process that a front has started.
 pub fn signal(id: u32, signal: &str) {
     let _ = Command::new("kill")
