--- a/crates/carawayrill-core/src/direct/cold.rs
+++ b/crates/carawayrill-core/src/direct/cold.rs
@@ -8,7 +8,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use crate::direct::keys::Born;
+use crate::direct::incarnation::Born;
+use crate::direct::incarnation::IncarnationOrder;
 use crate::id::ServerId;
 use crate::time::Time;
 
@@ -70,10 +71,11 @@
         now: Time,
     ) -> Duration {
         let known = self.rows.get(id).copied();
-        if known.is_some_and(|known| born < known.born) {
+        let relation = known.map(|known| born.relative_to(known.born));
+        if relation == Some(IncarnationOrder::Earlier) {
             return Duration::ZERO;
         }
-        let same = known.filter(|known| known.born == born);
+        let same = known.filter(|_| relation == Some(IncarnationOrder::Same));
         if same.is_none() && cold_for.is_zero() {
             self.rows.remove(id);
             return Duration::ZERO;
--- a/crates/carawayrill-core/src/direct/granter/plan.rs
+++ b/crates/carawayrill-core/src/direct/granter/plan.rs
@@ -7,6 +7,7 @@
 use crate::direct::granter::Config;
 use crate::direct::granter::Inputs;
 use crate::direct::granter::row::Row;
+use crate::direct::incarnation::IncarnationOrder;
 use crate::direct::keys::KeyRange;
 use crate::direct::rebalance;
 use crate::direct::rebalance::HeldRange;
@@ -161,8 +162,13 @@
 /// Returns whether the holder of a row is listed, and neither draining, restarted nor lost.
 fn has_usable_holder(row: &Row, inputs: &Inputs<'_>) -> bool {
     let holder = &row.span.holder;
-    let server = inputs.servers.get(&holder.server);
-    server.is_some_and(|server| !server.draining && server.born == holder.born && !row.is_lost())
+    listed_holder(holder, inputs).is_some_and(|server| !server.draining && !row.is_lost())
+}
+
+/// Returns the entry of a holder, if that incarnation of the server is the listed one.
+fn listed_holder<'a>(holder: &Holder, inputs: &Inputs<'a>) -> Option<&'a Server> {
+    let server = inputs.servers.get(&holder.server)?;
+    (server.born.relative_to(holder.born) == IncarnationOrder::Same).then_some(server)
 }
 
 /// Returns whether the holder of a row is in a data centre that may not hold the keys.
@@ -193,10 +199,7 @@
 /// Plans new holders for all rows whose holder has to be replaced.
 fn replacements(rows: &BTreeMap<KeyRange, Row>, inputs: &Inputs<'_>) -> Vec<Move> {
     // A restarted server is not lost, even if its former incarnation did not answer.
-    let is_same_incarnation = |row: &Row| {
-        let listed = inputs.servers.get(&row.span.holder.server);
-        listed.is_some_and(|server| server.born == row.span.holder.born)
-    };
+    let is_same_incarnation = |row: &Row| listed_holder(&row.span.holder, inputs).is_some();
     let lost: Vec<ServerId> = rows
         .values()
         .filter(|row| row.is_lost() && is_same_incarnation(row))
--- a/crates/carawayrill-core/src/direct/granter/row.rs
+++ b/crates/carawayrill-core/src/direct/granter/row.rs
@@ -10,9 +10,11 @@
 use crate::direct::granter::OrderResult;
 use crate::direct::granter::RenewalTiming;
 use crate::direct::granter::SpanOrder;
+use crate::direct::incarnation::IncarnationOrder;
 use crate::direct::keys::Fence;
 use crate::direct::keys::Handover;
 use crate::direct::keys::KeyRange;
+use crate::direct::servers::Server;
 use crate::direct::servers::Servers;
 use crate::direct::spans::FormerHolder;
 use crate::direct::spans::Holder;
@@ -416,20 +418,24 @@
     }
 }
 
-/// Returns whether no order to this incarnation of the server can have any effect: the server is
-/// listed with another start time at another address. A new incarnation at the same address may
-/// have received orders for the former one, so it has to be settled in the same way.
+/// Returns whether no order to this incarnation of the server can have any effect: a later one is
+/// listed at another address. A later incarnation at the same address may have received orders for
+/// the former one, so it has to be settled in the same way.
 fn is_restarted_elsewhere(holder: &Holder, servers: &Servers) -> bool {
-    servers
-        .get(&holder.server)
-        .is_some_and(|server| server.born != holder.born && server.address != holder.address)
+    later_incarnation(holder, servers).is_some_and(|server| server.address != holder.address)
 }
 
-/// Returns whether this incarnation of the server has ended: it is listed with another start time.
+/// Returns whether this incarnation of the server has ended: a later one is listed.
 fn is_restarted(holder: &Holder, servers: &Servers) -> bool {
+    later_incarnation(holder, servers).is_some()
+}
+
+/// Returns the entry of the server if it is of a later incarnation. An earlier one may be listed too:
+/// the record may be ahead of the list, and the store may carry out a write late.
+fn later_incarnation<'a>(holder: &Holder, servers: &'a Servers) -> Option<&'a Server> {
     servers
         .get(&holder.server)
-        .is_some_and(|server| server.born != holder.born)
+        .filter(|server| server.born.relative_to(holder.born) == IncarnationOrder::Later)
 }
 
 /// Creates the row of a span that replaces neighbouring ones of the same holder. The holder goes on
--- a/crates/carawayrill-core/src/direct/keys.rs
+++ b/crates/carawayrill-core/src/direct/keys.rs
@@ -13,9 +13,6 @@
 counter! {
     /// The fencing token of a grant. A server refuses grants below the highest fence it has seen.
     Fence;
-    /// The start time of a server, in milliseconds of its own wall clock. It identifies one
-    /// incarnation among those with the same server id, and is compared with no other clock.
-    Born;
 }
 
 /// The number of low bits of a fence that count the fences of one stored record.
--- a/crates/carawayrill-core/src/direct/limit/division.rs
+++ b/crates/carawayrill-core/src/direct/limit/division.rs
@@ -12,7 +12,8 @@
 use super::cold::ColdPeriod;
 use super::lower;
 use crate::direct::cold::Origin;
-use crate::direct::keys::Born;
+use crate::direct::incarnation::Born;
+use crate::direct::incarnation::IncarnationOrder;
 use crate::id::ServerId;
 use crate::time::Time;
 
@@ -95,14 +96,15 @@
                 cold: None,
                 wanted: BTreeMap::new(),
             });
-        if statement.born < divided.born {
-            return;
-        }
-        if statement.born > divided.born {
-            divided.born = statement.born;
-            divided.limit = statement.limit;
-            divided.named_at = named_at;
-            divided.cold = None;
+        match statement.born.relative_to(divided.born) {
+            IncarnationOrder::Earlier => return,
+            IncarnationOrder::Same => {}
+            IncarnationOrder::Later => {
+                divided.born = statement.born;
+                divided.limit = statement.limit;
+                divided.named_at = named_at;
+                divided.cold = None;
+            }
         }
         if named_at > divided.named_at {
             divided.limit = statement.limit;
--- a/crates/carawayrill-core/src/direct/limit/mod.rs
+++ b/crates/carawayrill-core/src/direct/limit/mod.rs
@@ -26,7 +26,7 @@
 pub use self::table::LimitReport;
 pub use self::table::ServerLimits;
 use crate::Error;
-use crate::direct::keys::Born;
+use crate::direct::incarnation::Born;
 use crate::id::ServerId;
 use crate::number;
 use crate::time::Time;
--- a/crates/carawayrill-core/src/direct/limit/table.rs
+++ b/crates/carawayrill-core/src/direct/limit/table.rs
@@ -12,7 +12,8 @@
 use super::cold::ColdPeriod;
 use super::lower;
 use crate::direct::cold::Origin;
-use crate::direct::keys::Born;
+use crate::direct::incarnation::Born;
+use crate::direct::incarnation::IncarnationOrder;
 use crate::id::ServerId;
 use crate::time::Time;
 
@@ -133,9 +134,10 @@
         now: Time,
     ) -> bool {
         let named_at = now - statement.age;
-        let known = self.named.get(&statement.server).map(|known| known.born);
-        if known != Some(statement.born) {
-            let is_former = known.is_some_and(|born| statement.born < born);
+        let known = self.named.get(&statement.server);
+        let relation = known.map(|known| statement.born.relative_to(known.born));
+        if relation != Some(IncarnationOrder::Same) {
+            let is_former = relation == Some(IncarnationOrder::Earlier);
             if is_former || statement.effective().is_none() {
                 return false;
             }
--- a/crates/carawayrill-core/src/direct/mod.rs
+++ b/crates/carawayrill-core/src/direct/mod.rs
@@ -16,6 +16,7 @@
 pub mod fronts;
 pub mod granter;
 pub mod homes;
+pub mod incarnation;
 pub mod keys;
 pub mod knowledge;
 pub mod lease;
--- a/crates/carawayrill-core/src/direct/quarantine/history.rs
+++ b/crates/carawayrill-core/src/direct/quarantine/history.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::direct::keys::Born;
+use crate::direct::incarnation::Born;
 use crate::id::ServerId;
 use crate::time::Time;
 
--- a/crates/carawayrill-core/src/direct/quarantine/table.rs
+++ b/crates/carawayrill-core/src/direct/quarantine/table.rs
@@ -7,7 +7,7 @@
 use super::Fingerprint;
 use super::Fingerprints;
 use super::history::History;
-use crate::direct::keys::Born;
+use crate::direct::incarnation::Born;
 use crate::id::ServerId;
 use crate::time::Time;
 
--- a/crates/carawayrill-core/src/direct/servers.rs
+++ b/crates/carawayrill-core/src/direct/servers.rs
@@ -7,7 +7,8 @@
 
 use compact_str::CompactString;
 
-use crate::direct::keys::Born;
+use crate::direct::incarnation::Born;
+use crate::direct::incarnation::IncarnationOrder;
 use crate::id::DataCentreId;
 use crate::id::ServerId;
 use crate::id::ServiceId;
@@ -31,6 +32,9 @@
     pub id: ServerId,
     /// The start time that identifies this incarnation.
     pub born: Born,
+    /// The number of this entry among those that this incarnation has written. An entry that differs
+    /// from the one before in nothing else may not have been stored, so numbers may be left out.
+    pub sequence: u64,
     /// The service that it runs.
     pub service: ServiceId,
     /// Its address.
@@ -58,6 +62,20 @@
     Removed(ServerId),
 }
 
+/// What an entry says, compared with what is known of its server.
+///
+/// A write that got no answer may be carried out seconds later, so that the store lists an entry that
+/// its server has replaced. It also lists such entries after it was restored from an older copy.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Freshness {
+    /// It is the latest word of the server.
+    Current,
+    /// It is older than the known entry of the same incarnation.
+    Outdated,
+    /// It is of an incarnation that has ended, as far as is known.
+    Former,
+}
+
 /// The table of listed servers, by id.
 #[derive(Debug, Default)]
 pub struct Servers {
@@ -79,18 +97,47 @@
     announced: BTreeSet<ServerId>,
     /// The incarnations that were removed, and when.
     removed: BTreeMap<ServerId, RemovedServer>,
-    /// Servers that a restored store lists although they were removed, and until when they are not
-    /// used. A server that runs writes its entry again within that time; the entry of one that has
-    /// ended expires.
+    /// Entries of incarnations that have ended, as far as is known, and until when they are not used.
+    /// The known incarnation, if it runs, writes its entry again within that time; the entry of one
+    /// that has ended expires.
     suspects: BTreeMap<ServerId, Suspect>,
+    /// The time after which the entry of a server that has ended is no longer listed.
+    entry_expiry: Duration,
 }
 
 #[derive(Debug, Clone, Copy)]
 struct RemovedServer {
-    born: Born,
+    position: EntryPosition,
     at: Time,
 }
 
+/// The place of an entry among all those of a server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct EntryPosition {
+    born: Born,
+    sequence: u64,
+}
+
+impl From<&Server> for EntryPosition {
+    fn from(server: &Server) -> Self {
+        Self {
+            born: server.born,
+            sequence: server.sequence,
+        }
+    }
+}
+
+impl EntryPosition {
+    /// Returns what an entry at this position says if the entry at `known` is known.
+    fn freshness(self, known: Self) -> Freshness {
+        match self.born.relative_to(known.born) {
+            IncarnationOrder::Earlier => Freshness::Former,
+            IncarnationOrder::Same if self.sequence < known.sequence => Freshness::Outdated,
+            IncarnationOrder::Same | IncarnationOrder::Later => Freshness::Current,
+        }
+    }
+}
+
 #[derive(Debug, Clone)]
 struct Suspect {
     server: Server,
@@ -99,11 +146,13 @@
 
 impl Servers {
     /// Creates an empty table. `min_lapse` is the shortest outage of the store in which the entry of
-    /// a running server can expire: after a shorter one, a missing entry was removed on purpose.
+    /// a running server can expire: after a shorter one, a missing entry was removed on purpose. After
+    /// `entry_expiry` the entry of a server that has ended is no longer listed.
     #[must_use]
-    pub fn new(min_lapse: Duration) -> Self {
+    pub fn new(min_lapse: Duration, entry_expiry: Duration) -> Self {
         Self {
             min_lapse,
+            entry_expiry,
             ..Self::default()
         }
     }
@@ -132,9 +181,53 @@
         self.draining_since.get(id).copied()
     }
 
-    /// Inserts or updates the entry of a listed server. It was not draining before `since`, as far
-    /// as is known, so the drain time counts from then.
-    pub fn upsert(&mut self, mut server: Server, since: Time) -> Option<ServerChange> {
+    /// Returns what an entry says, compared with what is known of its server.
+    #[must_use]
+    pub fn freshness(&self, entry: &Server) -> Freshness {
+        let position = EntryPosition::from(entry);
+        if let Some(known) = self.rows.get(&entry.id) {
+            return position.freshness(known.into());
+        }
+        let suspect = self.suspects.get(&entry.id);
+        if suspect.is_some_and(|suspect| position == EntryPosition::from(&suspect.server)) {
+            return Freshness::Former;
+        }
+        let removed = self.removed.get(&entry.id);
+        match removed.map(|removed| position.freshness(removed.position)) {
+            Some(Freshness::Outdated | Freshness::Former) => Freshness::Former,
+            Some(Freshness::Current) | None => Freshness::Current,
+        }
+    }
+
+    /// Handles the entry of a listed server that was read at `now`. The server was not draining
+    /// before `since`, as far as is known, so the drain time counts from then.
+    ///
+    /// An entry that the server has replaced changes nothing. One of a former incarnation is used only
+    /// if it is still listed when the known incarnation would have written its entry again: then that
+    /// one has ended, and the start times are out of order because a clock was set back.
+    pub fn upsert(&mut self, server: Server, now: Time, since: Time) -> Option<ServerChange> {
+        match self.freshness(&server) {
+            Freshness::Current => self.apply(server, since),
+            Freshness::Outdated => None,
+            Freshness::Former => {
+                self.suspect(server, now);
+                None
+            }
+        }
+    }
+
+    /// Remembers an entry that may be of an incarnation that has ended.
+    fn suspect(&mut self, server: Server, now: Time) {
+        let known = self.suspects.get(&server.id);
+        let until = known
+            .filter(|known| known.server.born == server.born)
+            .map_or(now + self.entry_expiry, |known| known.until);
+        let id = server.id.clone();
+        self.suspects.insert(id, Suspect { server, until });
+    }
+
+    /// Inserts or updates the entry of a listed server.
+    fn apply(&mut self, mut server: Server, since: Time) -> Option<ServerChange> {
         self.retained_until.remove(&server.id);
         self.suspects.remove(&server.id);
         self.removed.remove(&server.id);
@@ -172,7 +265,7 @@
         let server = server.clone();
         self.leaving.insert(id.clone(), born);
         self.announced.insert(id.clone());
-        self.upsert(server, now)
+        self.apply(server, now)
     }
 
     /// Iterates over the servers that have said in responses that they leave, and whose entries don't
@@ -202,7 +295,7 @@
         self.announced.remove(id);
         let server = self.rows.remove(id)?;
         let removed = RemovedServer {
-            born: server.born,
+            position: EntryPosition::from(&server),
             at: now,
         };
         self.removed.insert(id.clone(), removed);
@@ -270,7 +363,7 @@
             .collect();
         let mut changes: Vec<ServerChange> = listed
             .into_iter()
-            .filter_map(|server| self.upsert(server, complete_at))
+            .filter_map(|server| self.upsert(server, now, complete_at))
             .collect();
         self.removed
             .retain(|_, removed| now.since(removed.at) < REMOVED_TTL);
@@ -291,30 +384,29 @@
     ///
     /// Entries of running servers may be missing until these write them again, as after an outage.
     /// Entries of servers that were removed may be listed again, and entries of former incarnations
-    /// in place of the present ones, which go on and may hold keys. These are not used for
-    /// `suspect_for`, unless they change before.
+    /// in place of the present ones, which go on and may hold keys. All these are suspected to be of
+    /// servers that have ended.
     pub fn replace_all_restored(
         &mut self,
         listed: Vec<Server>,
         now: Time,
         complete_at: Time,
-        suspect_for: Duration,
     ) -> Vec<ServerChange> {
         self.retain_missing(now + RETENTION_AFTER_READ);
         let (suspects, listed): (Vec<Server>, Vec<Server>) =
             listed.into_iter().partition(|server| {
                 let removed = self.removed.get(&server.id);
-                let was_removed = removed.is_some_and(|removed| removed.born == server.born);
-                let present = self.rows.get(&server.id);
-                let is_former = present.is_some_and(|present| server.born < present.born);
-                was_removed || is_former
+                let was_removed = removed.is_some_and(|removed| {
+                    let relation = server.born.relative_to(removed.position.born);
+                    relation == IncarnationOrder::Same
+                });
+                was_removed || self.freshness(server) == Freshness::Former
             });
+        self.suspects.clear();
         let changes = self.replace_all(listed, now, complete_at);
-        let until = now + suspect_for;
-        self.suspects = suspects
-            .into_iter()
-            .map(|server| (server.id.clone(), Suspect { server, until }))
-            .collect();
+        for server in suspects {
+            self.suspect(server, now);
+        }
         changes
     }
 
@@ -328,7 +420,7 @@
             .collect();
         accepted
             .into_iter()
-            .filter_map(|server| self.upsert(server, now))
+            .filter_map(|server| self.apply(server, now))
             .collect()
     }
 
--- a/crates/carawayrill-core/src/direct/spans.rs
+++ b/crates/carawayrill-core/src/direct/spans.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 
 use crate::data;
-use crate::direct::keys::Born;
+use crate::direct::incarnation::Born;
 use crate::direct::keys::Fence;
 use crate::direct::keys::Handover;
 use crate::direct::keys::KeyRange;
--- a/crates/carawayrill-core/src/event.rs
+++ b/crates/carawayrill-core/src/event.rs
@@ -296,6 +296,21 @@
             /// The revision of the store that was read.
             revision: u64,
         },
+        /// The store lists an entry of a server that is not its latest word: the entry was written late,
+        /// or is of an older copy of the store.
+        ServerEntryStale {
+            /// The id of the server.
+            server: CompactString,
+            /// `former` if the entry is of an incarnation that has ended, as far as is known; `outdated`
+            /// if it is of the known one.
+            entry: CompactString,
+            /// The start time of the incarnation that wrote the entry, in milliseconds of its clock.
+            born: u64,
+            /// The start time of the known incarnation, if it is listed.
+            known_born: Option<u64>,
+            /// The revision of the store that was read.
+            revision: u64,
+        },
         /// The evacuation of a data centre began or ended at this front.
         EvacuationChanged {
             /// The data centre.
--- a/crates/carawayrill-core/tests/cold_fleet/mod.rs
+++ b/crates/carawayrill-core/tests/cold_fleet/mod.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use carawayrill_core::direct::keys::Born;
+use carawayrill_core::direct::incarnation::Born;
 use carawayrill_core::direct::limit::ColdStatement;
 use carawayrill_core::direct::limit::LimitDivision;
 use carawayrill_core::direct::limit::RequestRate;
--- a/crates/carawayrill-core/tests/crash_fleet/mod.rs
+++ b/crates/carawayrill-core/tests/crash_fleet/mod.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use carawayrill_core::direct::keys::Born;
+use carawayrill_core::direct::incarnation::Born;
 use carawayrill_core::direct::quarantine::Admission;
 use carawayrill_core::direct::quarantine::Crash;
 use carawayrill_core::direct::quarantine::CrashReport;
--- a/crates/carawayrill-core/tests/direct_cold.rs
+++ b/crates/carawayrill-core/tests/direct_cold.rs
@@ -7,7 +7,7 @@
 
 use carawayrill_core::direct::cold::ColdServers;
 use carawayrill_core::direct::cold::Origin;
-use carawayrill_core::direct::keys::Born;
+use carawayrill_core::direct::incarnation::Born;
 use carawayrill_core::direct::limit::ColdStatement;
 use carawayrill_core::direct::limit::LimitDivision;
 use carawayrill_core::direct::limit::LimitStatement;
--- a/crates/carawayrill-core/tests/direct_evacuation_keys.rs
+++ b/crates/carawayrill-core/tests/direct_evacuation_keys.rs
@@ -14,7 +14,7 @@
 use carawayrill_core::direct::granter::OrderId;
 use carawayrill_core::direct::granter::OrderResult;
 use carawayrill_core::direct::granter::StoredSpans;
-use carawayrill_core::direct::keys::Born;
+use carawayrill_core::direct::incarnation::Born;
 use carawayrill_core::direct::keys::Fence;
 use carawayrill_core::direct::keys::KeyRange;
 use carawayrill_core::direct::knowledge::StoredVersion;
@@ -61,6 +61,7 @@
         (0..SERVERS).map(move |number| Server {
             id: format!("{place}-{number}").parse().expect("a name"),
             born: Born(1),
+            sequence: 1,
             service: "forms".parse().expect("a name"),
             address: "127.0.0.1:2000".parse().expect("an address"),
             data_centre: data_centre(place),
--- a/crates/carawayrill-core/tests/direct_granter.rs
+++ b/crates/carawayrill-core/tests/direct_granter.rs
@@ -12,7 +12,7 @@
 use carawayrill_core::direct::granter::OrderResult;
 use carawayrill_core::direct::granter::SpanOrder;
 use carawayrill_core::direct::granter::StoredSpans;
-use carawayrill_core::direct::keys::Born;
+use carawayrill_core::direct::incarnation::Born;
 use carawayrill_core::direct::keys::Fence;
 use carawayrill_core::direct::keys::KeyRange;
 use carawayrill_core::direct::knowledge::StoredVersion;
@@ -55,6 +55,7 @@
     let listed = numbers.into_iter().map(|number| Server {
         id: id(number),
         born: Born(1),
+        sequence: 1,
         service: "forms".parse().expect("a name"),
         address: holder(number).address,
         data_centre: data_centre(number).parse().expect("a name"),
@@ -335,3 +336,35 @@
     run.run(Duration::from_secs(15), |_granter| {});
     assert_eq!(held_in_a(&run.granter), (false, true));
 }
+
+/// The list of servers may be behind the record, or name a former incarnation by a late write.
+#[test]
+fn a_holder_of_which_a_former_incarnation_is_listed_is_not_taken_for_ended() {
+    let stored = StoredSpans {
+        version: version(0, 5),
+        record: Some(record(8, |at| at % 4, 0)),
+        ..StoredSpans::default()
+    };
+    let mut run = Run::new(stored, servers(4));
+    run.run(Duration::from_secs(3), |_granter| {});
+    let mut listed: Vec<Server> = servers(4).iter().cloned().collect();
+    listed[0].born = Born(0);
+    listed[0].address = "127.0.0.1:2999".parse().expect("an address");
+    run.servers = Servers::default();
+    run.servers.replace_all(listed, Time(0), Time(0));
+    run.orders.clear();
+    run.run(Duration::from_secs(10), |_granter| {});
+    let held = |range: KeyRange| (range.first / 8_192).is_multiple_of(4);
+    let mut released = BTreeSet::new();
+    for (_, order) in run.orders.iter().filter(|(_, order)| held(order.range)) {
+        if order.command == Command::Release && order.to == holder(0) {
+            released.insert(order.range.first);
+        }
+        let is_new = order.to != holder(0);
+        assert!(
+            !is_new || released.contains(&order.range.first),
+            "{order:?}"
+        );
+    }
+    assert!(!released.is_empty(), "the keys did not move");
+}
--- a/crates/carawayrill-core/tests/direct_limit.rs
+++ b/crates/carawayrill-core/tests/direct_limit.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use carawayrill_core::direct::fronts::DEFAULT_FRONT_COUNT;
-use carawayrill_core::direct::keys::Born;
+use carawayrill_core::direct::incarnation::Born;
 use carawayrill_core::direct::limit::LimitDivision;
 use carawayrill_core::direct::limit::LimitStatement;
 use carawayrill_core::direct::limit::RequestRate;
--- a/crates/carawayrill-core/tests/direct_simulation/mod.rs
+++ b/crates/carawayrill-core/tests/direct_simulation/mod.rs
@@ -16,7 +16,7 @@
 use carawayrill_core::direct::granter::Command;
 use carawayrill_core::direct::granter::OrderResult;
 use carawayrill_core::direct::granter::SpanOrder;
-use carawayrill_core::direct::keys::Born;
+use carawayrill_core::direct::incarnation::Born;
 use carawayrill_core::direct::servers::Servers;
 use carawayrill_core::id::ServerId;
 use carawayrill_core::time::Time;
--- a/crates/carawayrill-core/tests/direct_simulation/server.rs
+++ b/crates/carawayrill-core/tests/direct_simulation/server.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use carawayrill_core::direct::keys::Born;
+use carawayrill_core::direct::incarnation::Born;
 use carawayrill_core::direct::keys::Fence;
 use carawayrill_core::direct::keys::KeyRange;
 use carawayrill_core::direct::servers::Server;
@@ -66,6 +66,7 @@
         (self.up && self.is_listed).then(|| Server {
             id: self.id.clone(),
             born: self.born,
+            sequence: 1,
             service: "forms".parse().expect("valid name"),
             address: self.address,
             data_centre: "a".parse().expect("valid name"),
@@ -130,7 +131,7 @@
     pub fn crash(&mut self, restarts: bool) {
         self.up = restarts;
         self.is_listed = restarts;
-        self.born = self.born.next();
+        self.born = Born(self.born.0 + 1);
         self.held.fill(Held::default());
     }
 }
--- a/crates/carawayrill-core/tests/reach_services.rs
+++ b/crates/carawayrill-core/tests/reach_services.rs
@@ -30,6 +30,7 @@
     let server = |number: u16| Server {
         id: format!("i-{of}-{number}").parse().expect("a name"),
         born: "1".parse().expect("a start time"),
+        sequence: 1,
         service: service(of),
         address: ([10, 0, 1, 1], 1_000 + number).into(),
         data_centre: "a".parse().expect("a name"),
--- a/crates/carawayrill-gateway/src/cold.rs
+++ b/crates/carawayrill-gateway/src/cold.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use carawayrill_core::direct::cold::Origin;
-use carawayrill_core::direct::keys::Born;
+use carawayrill_core::direct::incarnation::Born;
 use carawayrill_core::direct::limit::ColdStatement;
 use carawayrill_core::direct::limit::RequestRate;
 use carawayrill_core::direct::servers::Server;
--- a/crates/carawayrill-gateway/src/granter_runtime/mod.rs
+++ b/crates/carawayrill-gateway/src/granter_runtime/mod.rs
@@ -24,7 +24,7 @@
 use carawayrill_core::direct::granter::OrderResult;
 use carawayrill_core::direct::granter::SpanOrder;
 use carawayrill_core::direct::granter::StoredSpans;
-use carawayrill_core::direct::keys::Born;
+use carawayrill_core::direct::incarnation::Born;
 use carawayrill_core::direct::knowledge::StoredVersion;
 use carawayrill_core::direct::limit::FrontShare;
 use carawayrill_core::direct::limit::LimitReport;
--- a/crates/carawayrill-gateway/src/granter_runtime/quarantine.rs
+++ b/crates/carawayrill-gateway/src/granter_runtime/quarantine.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use carawayrill_core::data;
-use carawayrill_core::direct::keys::Born;
+use carawayrill_core::direct::incarnation::Born;
 use carawayrill_core::direct::quarantine::CrashReport;
 use carawayrill_core::direct::quarantine::Fingerprint;
 use carawayrill_core::direct::quarantine::ReportedCrash;
--- a/crates/carawayrill-gateway/src/granter_stream/convert.rs
+++ b/crates/carawayrill-gateway/src/granter_stream/convert.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use carawayrill_core::direct::egress::facts::EgressShare;
-use carawayrill_core::direct::keys::Born;
+use carawayrill_core::direct::incarnation::Born;
 use carawayrill_core::direct::keys::Fence;
 use carawayrill_core::direct::keys::KeyRange;
 use carawayrill_core::direct::knowledge::Delta;
--- a/crates/carawayrill-gateway/src/granter_stream/crashes.rs
+++ b/crates/carawayrill-gateway/src/granter_stream/crashes.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use carawayrill_core::direct::keys::Born;
+use carawayrill_core::direct::incarnation::Born;
 use carawayrill_core::direct::quarantine::CrashReport;
 use carawayrill_core::direct::quarantine::Fingerprint;
 use carawayrill_core::direct::quarantine::ReportedCrash;
--- a/crates/carawayrill-gateway/src/granter_stream/limits.rs
+++ b/crates/carawayrill-gateway/src/granter_stream/limits.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use carawayrill_core::direct::keys::Born;
+use carawayrill_core::direct::incarnation::Born;
 use carawayrill_core::direct::limit::ColdStatement;
 use carawayrill_core::direct::limit::FrontShare;
 use carawayrill_core::direct::limit::LimitReport;
--- a/crates/carawayrill-gateway/src/knowledge/servers.rs
+++ b/crates/carawayrill-gateway/src/knowledge/servers.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use carawayrill_core::direct::servers::Freshness;
 use carawayrill_core::direct::servers::Server;
 use carawayrill_core::direct::servers::ServerChange;
 use carawayrill_core::event::EventKind;
@@ -21,6 +22,7 @@
 use super::handler::Snapshot;
 use crate::clock;
 use crate::port::StoreSchema;
+use crate::server_changes;
 use crate::state::Shared;
 use crate::upstream::Upstream;
 
@@ -83,12 +85,7 @@
             emit_change(change, revision);
         }
         self.log_retained(revision);
-        if changes.is_empty() {
-            return;
-        }
-        self.discard_stale_state(changes);
-        self.shared.record_homes();
-        self.shared.notify_changed();
+        server_changes::follow(&self.shared, &self.upstream, changes);
     }
 
     /// Emits an event for each server that is retained from now on.
@@ -101,12 +98,35 @@
         self.retained = retained;
     }
 
+    /// Logs an entry that its server has replaced.
+    fn note_stale(&self, entry: &Server, revision: Revision) {
+        let tables = self.shared.tables();
+        let label = match tables.servers.freshness(entry) {
+            Freshness::Current => return,
+            Freshness::Outdated => "outdated",
+            Freshness::Former => "former",
+        };
+        let known_born = tables.servers.get(&entry.id).map(|known| known.born.0);
+        drop(tables);
+        self.shared.metrics.stale_entries.inc();
+        emit(EventKind::ServerEntryStale {
+            server: entry.id.to_compact_string(),
+            entry: label.into(),
+            born: entry.born.0,
+            known_born,
+            revision: revision.0,
+        });
+    }
+
     /// Records which servers are cold by their entries.
     fn note_cold(&mut self, objects: &[Object]) {
         for object in objects.iter().filter(|object| object.version.0 > 0) {
             let Ok(server) = self.schema.decode_server(object) else {
                 continue;
             };
+            if self.shared.tables().servers.freshness(&server) != Freshness::Current {
+                continue;
+            }
             let previous = self.cold_entries.insert(server.id.clone(), object.version);
             if previous == Some(object.version) || server.cold_for.is_zero() {
                 continue;
@@ -124,45 +144,27 @@
         self.cold_entries
             .retain(|id, _| tables.servers.get(id).is_some());
     }
-
-    /// Discards connections and load estimates of servers that restarted or were removed.
-    fn discard_stale_state(&self, changes: &[ServerChange]) {
-        let removed: Vec<&ServerId> = changes
-            .iter()
-            .filter_map(|change| match change {
-                ServerChange::Added(id) | ServerChange::Removed(id) => Some(id),
-                ServerChange::Draining(_) => None,
-            })
-            .collect();
-        self.upstream.evict_idle(|id| !removed.contains(&id));
-        let mut tables = self.shared.tables();
-        for change in changes {
-            if let ServerChange::Added(id) = change {
-                tables.loads.remove(id);
-                tables.limits.remove(id);
-            }
-        }
-        tables.remove_unlisted();
-    }
 }
 
 impl ChangeHandler for ServerHandler {
     fn on_snapshot(&mut self, snapshot: &Snapshot<'_>) {
-        let listed = snapshot
+        let listed: Vec<Server> = snapshot
             .objects
             .iter()
             .filter_map(|object| self.decode_server(object))
             .collect();
+        for entry in &listed {
+            self.note_stale(entry, snapshot.revision);
+        }
         let now = clock::now();
         let complete_at = snapshot.complete_at;
         let applied = {
             let mut tables = self.shared.tables();
             tables.servers_read = true;
             if snapshot.restored {
-                let suspect_for = self.shared.cfg.entry_expiry;
                 tables
                     .servers
-                    .replace_all_restored(listed, now, complete_at, suspect_for)
+                    .replace_all_restored(listed, now, complete_at)
             } else {
                 tables.servers.replace_all(listed, now, complete_at)
             }
@@ -184,9 +186,12 @@
             } else {
                 self.decode_server(object)
             };
+            if let Some(entry) = &decoded {
+                self.note_stale(entry, revision);
+            }
             let mut tables = self.shared.tables();
             match decoded {
-                Some(server) => applied.extend(tables.servers.upsert(server, complete_at)),
+                Some(server) => applied.extend(tables.servers.upsert(server, now, complete_at)),
                 // An entry that can't be decoded counts as removed.
                 None => {
                     if let Ok(id) = ServerId::try_from(object.short_name()) {
--- a/crates/carawayrill-gateway/src/lib.rs
+++ b/crates/carawayrill-gateway/src/lib.rs
@@ -15,6 +15,7 @@
 //! - [`reach`]: finds out when a front that was cut off reaches the servers again,
 //! - [`knowledge`] and [`watcher`]: what is known of the manifest, the servers and the evacuations,
 //!   and reading it from the store,
+//! - `server_changes`: what a change of the servers means for connections and load estimates,
 //! - [`lease_manager`] and [`granter_runtime`]: the granter's lease, and the execution of its
 //!   decisions,
 //! - [`granter_stream`]: the stream between fronts and the granter,
@@ -47,6 +48,7 @@
 pub mod reach;
 pub mod ready;
 pub mod run;
+mod server_changes;
 mod shared_stream;
 pub mod spans;
 pub mod state;
--- a/crates/carawayrill-gateway/src/metrics.rs
+++ b/crates/carawayrill-gateway/src/metrics.rs
@@ -41,6 +41,8 @@
     pub store_calls: IntCounterVec,
     /// Store entries that could not be decoded.
     pub bad_entries: IntCounter,
+    /// Entries of servers that were not their latest word.
+    pub stale_entries: IntCounter,
     /// The changes of the limits that servers name.
     pub limit_changes: IntCounter,
     /// How often a server became cold, as this front learned from its entry or a response.
@@ -179,6 +181,11 @@
             )?,
             unproven: counters(r, "unproven_total", "Messages without a valid proof")?,
             bad_entries: counter(r, "bad_entries_total", "Unreadable entries of the store")?,
+            stale_entries: counter(
+                r,
+                "stale_entries_total",
+                "Entries that servers have replaced",
+            )?,
             left_home_room: counter(
                 r,
                 "left_home_room_total",
--- a/crates/carawayrill-gateway/src/state.rs
+++ b/crates/carawayrill-gateway/src/state.rs
@@ -145,7 +145,7 @@
     #[must_use]
     pub fn new(cfg: Config, metrics: Metrics) -> Self {
         let seed = cfg.incarnation;
-        let min_lapse = cfg.min_lapse;
+        let servers = Servers::new(cfg.min_lapse, cfg.entry_expiry);
         let fronts = FrontCount::new(DEFAULT_FRONT_COUNT, cfg.retry_budget.window, clock::now());
         let fronts = if cfg.first_start {
             fronts.without_predecessor()
@@ -163,7 +163,7 @@
                 manifest: None,
                 routes: Routes::default(),
                 homes,
-                servers: Servers::new(min_lapse),
+                servers,
                 servers_read: false,
                 servers_confirmed: None,
                 evacuations,
--- a/crates/carawayrill-gateway/src/watcher.rs
+++ b/crates/carawayrill-gateway/src/watcher.rs
@@ -6,6 +6,7 @@
 use carawayrill_core::direct::knowledge::NextRead;
 use carawayrill_core::direct::knowledge::confirmed_time;
 use carawayrill_core::direct::knowledge::spread_delay;
+use carawayrill_core::direct::servers::ServerChange;
 use carawayrill_core::event::EventKind;
 use carawayrill_core::id::Revision;
 use carawayrill_core::time::Time;
@@ -20,6 +21,7 @@
 use crate::knowledge::Knowledge;
 use crate::knowledge::KnownKind;
 use crate::lease_manager::LeaseManager;
+use crate::server_changes;
 use crate::state::Shared;
 use crate::upstream::Upstream;
 
@@ -206,7 +208,7 @@
             known.update_metrics(now);
         }
         shared.update_evacuation_metrics();
-        let (limits, removed) = {
+        let (limits, changes) = {
             let mut tables = shared.tables();
             let fronts = tables.fronts.get();
             let limits = tables.limits.refresh(fronts, now);
@@ -220,16 +222,25 @@
         for (server, limit) in &limits {
             shared.emit_limit(server, *limit, "warm");
         }
-        for change in &removed {
-            log::info!("server entry did not reappear after the store outage: {change:?}");
-        }
-        if !removed.is_empty() {
-            shared.record_homes();
-            shared.notify_changed();
-        }
+        log_changes(&changes);
+        server_changes::follow(&shared, &upstream, &changes);
         upstream.evict_idle(|id| {
             let tables = shared.tables();
             tables.servers.get(id).is_some()
         });
     }
 }
+
+/// Logs the servers whose state has changed because time has passed.
+fn log_changes(changes: &[ServerChange]) {
+    for change in changes {
+        match change {
+            ServerChange::Removed(id) => {
+                log::info!("the entry of server {id} did not reappear after the store outage");
+            }
+            ServerChange::Added(id) | ServerChange::Draining(id) => {
+                log::warn!("server {id} is used, since an entry that seemed stale is still listed");
+            }
+        }
+    }
+}
--- a/crates/carawayrill-gateway/tests/spans.rs
+++ b/crates/carawayrill-gateway/tests/spans.rs
@@ -1,6 +1,6 @@
 //! The routing table of a front that receives only the changes that it missed.
 
-use carawayrill_core::direct::keys::Born;
+use carawayrill_core::direct::incarnation::Born;
 use carawayrill_core::direct::keys::Fence;
 use carawayrill_core::direct::keys::KeyRange;
 use carawayrill_core::direct::knowledge::StoredVersion;
