--- a/crates/carawayrill-core/src/direct/lease.rs
+++ b/crates/carawayrill-core/src/direct/lease.rs
@@ -1,12 +1,16 @@
 //! The granter's lease: one object in the store, renewed by conditional writes.
 //!
-//! The front that holds the lease is the granter.
+//! The front that holds the lease is the granter. It holds it for a *term*, which begins
+//! with a claim and ends for good when the lease runs out, is released or is taken by another front.
+//! A renewal prolongs a term only if its result is known before the end of the term: whoever has seen
+//! the end has stopped to act as the granter, and nobody would act for a term that came back.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use compact_str::CompactString;
 
+use crate::counter;
 use crate::data;
 use crate::direct::knowledge::StoredVersion;
 use crate::direct::reach::PeerKey;
@@ -53,6 +57,18 @@
     }
 }
 
+counter! {
+    /// Identifies one term of a front, among those of its present incarnation.
+    TermId;
+}
+
+/// An uninterrupted time for which a front holds the lease.
+#[derive(Debug, Clone, Copy)]
+struct Term {
+    id: TermId,
+    until: Time,
+}
+
 /// A conditional write that acquires, renews or releases the lease.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Claim {
@@ -60,6 +76,8 @@
     pub expected: StoredVersion,
     /// The new content.
     pub lease: Lease,
+    /// The term that it prolongs; `None` if it begins one or releases the lease.
+    pub renews: Option<TermId>,
 }
 
 /// One front's view of the lease.
@@ -71,8 +89,10 @@
     last_claimed: u64,
     /// The stored lease and the time since which it has not changed, on this front's clock.
     observed: Option<(StoredVersion, Option<Lease>, Time)>,
-    /// The time until which this front is the granter.
-    held_until: Time,
+    /// The term in which this front is the granter, unless it has ended.
+    term: Option<Term>,
+    /// The last term that began.
+    last_term: TermId,
     /// Whether the whole system started for the first time with this front.
     first_start: bool,
     /// The era of the first observation.
@@ -90,7 +110,8 @@
             first_era: None,
             last_claimed: 0,
             observed: None,
-            held_until: Time::default(),
+            term: None,
+            last_term: TermId::default(),
         }
     }
 
@@ -141,10 +162,16 @@
             .is_some_and(|lease| lease.front == self.own.front && lease.run == self.own.run)
     }
 
+    /// Returns the term in which this front may act as the granter. A term that has run out ends with
+    /// this call at the latest.
+    pub fn term(&mut self, now: Time) -> Option<TermId> {
+        self.term = self.term.filter(|term| now < term.until);
+        self.term.map(|term| term.id)
+    }
+
     /// Returns whether this front may act as the granter.
-    #[must_use]
-    pub fn holds(&self, now: Time) -> bool {
-        now < self.held_until
+    pub fn holds(&mut self, now: Time) -> bool {
+        self.term(now).is_some()
     }
 
     /// Returns the write that acquires or renews the lease, if this front may claim it.
@@ -156,23 +183,28 @@
     /// Only the front that holds it may claim it before.
     #[must_use]
     pub fn claim(&mut self, now: Time) -> Option<Claim> {
+        let term = self.term(now);
         let (version, lease, since) = self.observed.as_ref()?;
+        let unchanged_for = now.since(*since);
         let free = match lease {
-            None => self.is_first_era() || self.outlasted(self.own.length(), *since, now),
+            None => self.is_first_era() || term.is_some() || unchanged_for > self.own.length(),
             Some(lease) if lease.era != version.era => {
-                self.outlasted(lease.length().max(self.own.length()), *since, now)
+                let length = lease.length().max(self.own.length());
+                term.is_some() || unchanged_for > length
             }
             Some(lease) => {
-                lease.front == self.own.front
-                    || lease.released
-                    || now.since(*since) > lease.length()
+                lease.front == self.own.front || lease.released || unchanged_for > lease.length()
             }
         };
         if !free {
             return None;
         }
         let expected = *version;
-        Some(self.next_claim(expected, false))
+        let claim = self.next_claim(expected, false);
+        Some(Claim {
+            renews: term,
+            ..claim
+        })
     }
 
     /// Returns whether the store was not restored from an older copy since the first start of the
@@ -183,17 +215,12 @@
         version.era == Era::default() || (self.first_start && self.first_era == Some(version.era))
     }
 
-    /// Returns whether this front holds the lease, or any other holder's lease has expired because
-    /// the store has said the same since `since`.
-    fn outlasted(&self, length: Duration, since: Time, now: Time) -> bool {
-        self.holds(now) || now.since(since) > length
-    }
-
     fn next_claim(&mut self, expected: StoredVersion, released: bool) -> Claim {
         let stored = self.current().map_or(0, |lease| lease.renewals);
         self.last_claimed = stored.max(self.last_claimed) + 1;
         Claim {
             expected,
+            renews: None,
             lease: Lease {
                 renewals: self.last_claimed,
                 released,
@@ -210,22 +237,41 @@
         self.is_own().then(|| self.next_claim(expected, true))
     }
 
-    /// Records that a claim was stored; `sent` is a time before the write was sent.
-    pub fn claim_stored(&mut self, claim: Claim, version: Version, sent: Time) {
+    /// Records at `now` that a claim was stored; `sent` is a time before the write was sent. Returns
+    /// the term in which this front is the granter from now on.
+    ///
+    /// A renewal whose term has ended meanwhile belongs to no term. The stored lease keeps other
+    /// fronts from claiming it for a while, and this front may claim it anew.
+    pub fn claim_stored(
+        &mut self,
+        claim: Claim,
+        version: Version,
+        sent: Time,
+        now: Time,
+    ) -> Option<TermId> {
         let version = StoredVersion {
             era: claim.expected.era,
             version,
         };
-        self.held_until = if claim.lease.released {
-            Time::default()
+        let present = self.term(now);
+        let until = sent + claim.lease.length();
+        self.term = if claim.lease.released {
+            None
+        } else if claim.renews == present {
+            let id = present.unwrap_or_else(|| self.last_term.next());
+            Some(Term { id, until })
         } else {
-            sent + claim.lease.length()
+            self.term
         };
+        if let Some(term) = self.term {
+            self.last_term = term.id;
+        }
         self.observed = Some((version, Some(claim.lease), sent));
+        self.term(now)
     }
 
-    /// Ends this front's role as the granter, because another front holds the lease.
-    pub fn step_down(&mut self) {
-        self.held_until = Time::default();
+    /// Ends this front's role as the granter, because it releases the lease or another front holds it.
+    pub fn end_term(&mut self) {
+        self.term = None;
     }
 }
--- a/crates/carawayrill-core/src/event.rs
+++ b/crates/carawayrill-core/src/event.rs
@@ -7,6 +7,7 @@
 
 use crate::assignment::BlockId;
 use crate::data;
+use crate::direct::lease::TermId;
 use crate::hlc::Stamp;
 use crate::id::Generation;
 use crate::id::Incarnation;
@@ -436,9 +437,18 @@
             change: CompactString,
             /// The version of the lease object.
             version: Version,
+            /// The term of this front that began or ended with the change.
+            term: Option<TermId>,
             /// The reason of the change.
             reason: CompactString,
         },
+        /// The granter's decisions for a term of the lease began or ended.
+        GranterRuntime {
+            /// The change: `started` or `ended`.
+            change: CompactString,
+            /// The term.
+            term: TermId,
+        },
         /// A granter stored the span record of a service.
         SpansStored {
             /// The service of the spans.
--- a/crates/carawayrill-core/tests/direct_simulation/front.rs
+++ b/crates/carawayrill-core/tests/direct_simulation/front.rs
@@ -178,13 +178,13 @@
         self.view.observe(found.version, read_lease(found), now);
         let may_renew = self.view.holds(now) && self.view.claim(now).is_some();
         if !self.view.is_own() && !may_renew {
-            self.view.step_down();
+            self.view.end_term();
             self.granter = None;
         }
     }
 
     fn claim_stored(&mut self, claim: Claim, version: Version, now: Time, store: &Store) {
-        self.view.claim_stored(claim, version, now);
+        let _term = self.view.claim_stored(claim, version, now, now);
         self.store_unreachable = false;
         self.next_lease_call = now + RENEWAL;
         let Ok(found) = store.get(self.at, SPANS, now) else {
--- a/crates/carawayrill-core/tests/reach_proof.rs
+++ b/crates/carawayrill-core/tests/reach_proof.rs
@@ -213,7 +213,7 @@
     for number in 1..4 {
         let claim = view.claim(Time(number)).expect("claimable lease");
         assert_eq!(claim.lease.peer_key, Some(key(1)));
-        view.claim_stored(claim, Version(number), Time(number));
+        view.claim_stored(claim, Version(number), Time(number), Time(number));
         assert_eq!(view.peer_key(), Some((&key(1), version(number))));
     }
     let released = view.release().expect("held");
--- a/crates/carawayrill-gateway/src/granter_runtime/mod.rs
+++ b/crates/carawayrill-gateway/src/granter_runtime/mod.rs
@@ -26,6 +26,7 @@
 use carawayrill_core::direct::granter::StoredSpans;
 use carawayrill_core::direct::incarnation::Born;
 use carawayrill_core::direct::knowledge::StoredVersion;
+use carawayrill_core::direct::lease::TermId;
 use carawayrill_core::direct::limit::FrontShare;
 use carawayrill_core::direct::limit::LimitReport;
 use carawayrill_core::direct::quarantine::Scope;
@@ -128,6 +129,8 @@
     store: Arc<dyn ObjectStore>,
     orders: Arc<dyn SpanOrderSender>,
     started: Time,
+    /// The term of the lease for which this runtime decides. It ends with it for good.
+    term: TermId,
     /// The version of the lease with which this runtime began.
     lease: StoredVersion,
     state: Mutex<State>,
@@ -135,13 +138,14 @@
 }
 
 impl GranterRuntime {
-    /// Reads the stored spans and creates the runtime.
+    /// Reads the stored spans and creates the runtime of one term of the lease.
     ///
     /// # Errors
     ///
     /// Fails if the spans can't be read.
     pub async fn load(
         lease_manager: Arc<LeaseManager>,
+        term: TermId,
         store: Arc<dyn ObjectStore>,
         orders: Arc<dyn SpanOrderSender>,
     ) -> Result<Arc<Self>, Error> {
@@ -151,6 +155,7 @@
         let lease = lease_manager.version();
         let known_fronts = shared.tables().fronts.get();
         Ok(Arc::new(Self {
+            term,
             lease,
             lease_manager,
             shared,
@@ -234,20 +239,39 @@
         Some(choose_peers_in_regions(front, serving, distance, regions))
     }
 
-    /// Runs rounds of decisions until this front is no longer the granter.
+    /// Runs rounds of decisions until the term ends.
     pub async fn run(self: Arc<Self>) {
+        self.emit_change("started");
         while self.is_current() {
             self.tick();
             tokio::time::sleep(TICK_INTERVAL).await;
         }
+        self.emit_change("ended");
     }
 
-    fn is_current(self: &Arc<Self>) -> bool {
-        self.lease_manager.holds()
-            && self
-                .lease_manager
-                .granter_runtime()
-                .is_some_and(|current| Arc::ptr_eq(&current, self))
+    fn emit_change(&self, change: &'static str) {
+        emit(EventKind::GranterRuntime {
+            change: change.into(),
+            term: self.term,
+        });
+    }
+
+    /// Returns whether the term has not ended.
+    #[must_use]
+    pub fn is_current(&self) -> bool {
+        self.lease_manager.is_in_term(self.term)
+    }
+
+    /// Returns the term of the lease for which this runtime decides.
+    #[must_use]
+    pub fn term(&self) -> TermId {
+        self.term
+    }
+
+    /// Returns when this runtime has last decided.
+    #[must_use]
+    pub fn decided_at(&self) -> Time {
+        self.state().decided_at
     }
 
     /// Starts no further moves, and waits until those in progress have completed.
@@ -265,6 +289,7 @@
         let actions = {
             let mut state = self.state();
             let tables = self.shared.tables();
+            state.decided_at = now;
             state.update_granters(&tables, self.shared.cfg.granter, now, self.started);
             state.advance_demand(&tables, now);
             state.decide(&tables, now)
--- a/crates/carawayrill-gateway/src/granter_runtime/restore.rs
+++ b/crates/carawayrill-gateway/src/granter_runtime/restore.rs
@@ -79,7 +79,7 @@
     pub(super) fn follow_era(self: &Arc<Self>) {
         let era = self.store.era();
         let mut state = self.state();
-        let renewed = self.lease_manager.version().era == era && self.lease_manager.holds();
+        let renewed = self.lease_manager.version().era == era && self.is_current();
         if era != state.stored.lease.era && renewed && !state.stored.is_reading {
             state.stored.is_reading = true;
             tokio::spawn(Arc::clone(self).enter_era(era));
--- a/crates/carawayrill-gateway/src/granter_runtime/state.rs
+++ b/crates/carawayrill-gateway/src/granter_runtime/state.rs
@@ -69,6 +69,8 @@
     limits: LimitDivision,
     /// The capacity of the servers of each keyed service.
     capacities: BTreeMap<ServiceId, Capacities>,
+    /// When the last round of decisions began.
+    pub(super) decided_at: Time,
     /// When the demand and the capacities were last brought up to date.
     demand_advanced_at: Time,
     pub(super) published_at: Time,
@@ -95,6 +97,7 @@
             peer_changes: 0,
             limits: LimitDivision::new(known_fronts, now),
             capacities: BTreeMap::new(),
+            decided_at: now,
             demand_advanced_at: Time::default(),
             published_at: now,
             published_crashes: 0,
--- a/crates/carawayrill-gateway/src/granter_stream/service.rs
+++ b/crates/carawayrill-gateway/src/granter_stream/service.rs
@@ -115,10 +115,7 @@
     let mut updates = granter_runtime.updates();
     updates.mark_changed();
     loop {
-        let is_current = lease_manager
-            .granter_runtime()
-            .is_some_and(|current| Arc::ptr_eq(&current, &granter_runtime));
-        if !is_current || !lease_manager.holds() {
+        if !granter_runtime.is_current() {
             return;
         }
         tokio::select! {
--- a/crates/carawayrill-gateway/src/lease_manager.rs
+++ b/crates/carawayrill-gateway/src/lease_manager.rs
@@ -11,6 +11,7 @@
 use carawayrill_core::direct::lease::Claim;
 use carawayrill_core::direct::lease::Lease;
 use carawayrill_core::direct::lease::LeaseView;
+use carawayrill_core::direct::lease::TermId;
 use carawayrill_core::event::EventKind;
 use carawayrill_core::id::Version;
 use carawayrill_core::time::Time;
@@ -138,10 +139,10 @@
         self.granter_runtime.borrow().clone()
     }
 
-    /// Returns whether this front holds a valid lease.
+    /// Returns whether this front is the granter in this term, which never comes back once it has ended.
     #[must_use]
-    pub fn holds(&self) -> bool {
-        self.view().holds(clock::now())
+    pub fn is_in_term(&self, term: TermId) -> bool {
+        self.view().term(clock::now()) == Some(term)
     }
 
     /// Returns the lease as last observed.
@@ -206,7 +207,8 @@
         let mut next_read = clock::now() + self.jitter(LEASE_READ_INTERVAL / 2);
         loop {
             let now = clock::now();
-            self.stop_if_lease_lost(now);
+            self.stop_if_term_ended();
+            self.update_decision_age(now);
             if self.granter_runtime().is_some() && self.shared.hands_over_when_cut_off() {
                 self.give_up("this front reaches no server").await;
             }
@@ -239,19 +241,32 @@
         max_jitter.mul_f64(self.shared.tables().rng.random_range(0.0..=1.0))
     }
 
-    /// Stops the granter's runtime if the lease is no longer valid.
-    fn stop_if_lease_lost(&self, now: Time) {
-        if self.granter_runtime().is_some() && !self.view().holds(now) {
+    /// Stops the granter's runtime if its term has ended.
+    fn stop_if_term_ended(&self) {
+        if self
+            .granter_runtime()
+            .is_some_and(|runtime| !runtime.is_current())
+        {
             self.stop_runtime("lost", "not renewed in time");
         }
     }
 
+    /// Exports how long ago the granter of this front has last decided; 0 at the other fronts.
+    fn update_decision_age(&self, now: Time) {
+        let runtime = self.granter_runtime();
+        let age = runtime.map_or(Duration::ZERO, |runtime| now.since(runtime.decided_at()));
+        self.shared.metrics.decision_age.set(age.as_secs_f64());
+    }
+
+    /// Ends the term, and with it the granter's runtime.
     fn stop_runtime(&self, change: &'static str, reason: &'static str) {
-        self.granter_runtime.send_replace(None);
+        self.view().end_term();
+        let stopped = self.granter_runtime.send_replace(None);
         self.set_granter(false);
         emit(EventKind::GranterLease {
             change: change.into(),
             version: self.version().version,
+            term: stopped.map(|runtime| runtime.term()),
             reason: reason.into(),
         });
     }
@@ -259,15 +274,20 @@
     /// Renews the lease and returns the delay until the next step.
     async fn renew(&self, dependency: &mut Dependency) -> Duration {
         let claim = self.view().claim(clock::now());
-        let Some(claim) = claim else {
-            return FOLLOWER_POLL_INTERVAL;
+        let Some(claim) = claim.filter(|claim| claim.renews.is_some()) else {
+            return Duration::ZERO;
         };
         match tokio::time::timeout(RENEWAL_TIMEOUT, self.write_claim(claim)).await {
-            Ok(Ok(())) => {
+            Ok(Ok(Some(_term))) => {
                 dependency.record_success();
                 self.set_store_unreachable(false);
                 RENEWAL_INTERVAL
             }
+            Ok(Ok(None)) => {
+                dependency.record_success();
+                log::warn!("the lease was renewed after its end; claiming it anew");
+                Duration::ZERO
+            }
             Ok(Err(err)) if err.conflicting_version().is_some() => self.after_renewal_conflict(),
             Ok(Err(err)) => self.after_failed_renewal(dependency, &err),
             Err(elapsed) => self.after_failed_renewal(dependency, &elapsed),
@@ -291,7 +311,6 @@
         if self.may_renew(clock::now()) {
             return Duration::ZERO;
         }
-        self.view().step_down();
         self.stop_runtime("lost", "another front wrote the lease");
         FOLLOWER_POLL_INTERVAL
     }
@@ -302,14 +321,13 @@
         }
     }
 
-    /// Writes a claim. If the outcome is unknown, reads the lease back.
-    async fn write_claim(&self, claim: Claim) -> Result<(), Error> {
+    /// Writes a claim, and returns the term in which this front is the granter then. If the outcome is
+    /// unknown, reads the lease back.
+    async fn write_claim(&self, claim: Claim) -> Result<Option<TermId>, Error> {
         let sent_at = clock::now();
         if self.store.era() != claim.expected.era {
-            return self
-                .read_back(&claim, Error::conflict(Version(0)))
-                .await
-                .map(|_version| ());
+            let read = self.read_back(&claim, Error::conflict(Version(0))).await;
+            return read.map(|_version| self.view().term(clock::now()));
         }
         let value =
             serde_json::to_vec(&claim.lease).map_err(|err| Error::malformed(err.to_string()))?;
@@ -326,9 +344,11 @@
             }
             Err(err) => return Err(err),
         };
-        self.view().claim_stored(claim, version, sent_at);
+        let term = self
+            .view()
+            .claim_stored(claim, version, sent_at, clock::now());
         self.learn_peer_key();
-        Ok(())
+        Ok(term)
     }
 
     /// Checks whether the stored lease is the one of this claim.
@@ -379,8 +399,12 @@
             return FOLLOWER_POLL_INTERVAL;
         };
         match self.write_claim(claim).await {
-            Ok(()) => {
-                self.start_runtime().await;
+            Ok(Some(term)) => {
+                self.start_runtime(term).await;
+                FOLLOWER_POLL_INTERVAL
+            }
+            Ok(None) => {
+                log::warn!("the lease had run out when its claim was known to be stored");
                 FOLLOWER_POLL_INTERVAL
             }
             Err(err) => {
@@ -406,14 +430,16 @@
         tables.crashes.set_trier(is_granter);
     }
 
-    async fn start_runtime(self: &Arc<Self>) {
+    async fn start_runtime(self: &Arc<Self>, term: TermId) {
         emit(EventKind::GranterLease {
             change: "taken".into(),
             version: self.version().version,
+            term: Some(term),
             reason: "free".into(),
         });
         let loading = GranterRuntime::load(
             Arc::clone(self),
+            term,
             Arc::clone(&self.store),
             Arc::clone(&self.orders),
         );
@@ -447,7 +473,7 @@
                 return;
             };
             match self.write_claim(claim).await {
-                Ok(()) => return,
+                Ok(_term) => return,
                 // A concurrent renewal was stored first; its version is known now.
                 Err(err) => log::info!("could not release the granter's lease: {err}"),
             }
--- a/crates/carawayrill-gateway/src/metrics.rs
+++ b/crates/carawayrill-gateway/src/metrics.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use prometheus::Encoder;
+use prometheus::Gauge;
 use prometheus::GaugeVec;
 use prometheus::Histogram;
 use prometheus::HistogramOpts;
@@ -83,6 +84,8 @@
     pub refused: IntCounterVec,
     /// 1 while this front is the granter, otherwise 0.
     pub granter: IntGauge,
+    /// The time since the granter has last decided, in seconds; 0 at the other fronts.
+    pub decision_age: Gauge,
     /// The age of what this front knows of the store, in seconds, by kind of object.
     pub knowledge_age: GaugeVec,
     /// 1 while this front itself reads changes of a kind of object from the store, otherwise 0.
@@ -135,6 +138,14 @@
     Ok(gauge)
 }
 
+fn seconds(registry: &Registry, name: &str, help: &str) -> Result<Gauge, Error> {
+    let gauge = Gauge::new(name, help).map_err(Error::metrics)?;
+    registry
+        .register(Box::new(gauge.clone()))
+        .map_err(Error::metrics)?;
+    Ok(gauge)
+}
+
 fn gauges(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> Result<GaugeVec, Error> {
     let gauges = GaugeVec::new(Opts::new(name, help), labels).map_err(Error::metrics)?;
     registry
@@ -212,6 +223,11 @@
             waiting: gauges_by_priority(r, "waiting_requests", "Requests that wait for room")?,
             refused: counters_by_priority(r, "refused_total", "Requests refused for lack of room")?,
             granter: gauge(r, "granter", "1 while this front is the granter")?,
+            decision_age: seconds(
+                r,
+                "granter_decision_age_seconds",
+                "Time since the granter has last decided",
+            )?,
             knowledge_age: gauges(
                 r,
                 "knowledge_age_seconds",
