--- a/crates/carawayrill-gateway/src/upstream.rs
+++ b/crates/carawayrill-gateway/src/upstream.rs
@@ -8,6 +8,7 @@
 use std::error::Error as _;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -62,6 +63,9 @@
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
 /// The maximum size of a response head, in bytes. A server in trouble may send bytes without end.
 const MAX_HEAD_BYTES: usize = 128 << 10;
+/// The statuses of a response, by RFC 9110, section 15. An interim one is not passed on, and no request
+/// asks for another protocol.
+const RESPONSE_STATUSES: RangeInclusive<u16> = 200..=599;
 
 /// A complete response.
 #[derive(Debug)]
@@ -337,6 +341,10 @@
         is_reused: bool,
     ) -> Result<ServerResponse, SendError> {
         let (parts, mut body) = resp.into_parts();
+        if !RESPONSE_STATUSES.contains(&parts.status.as_u16()) {
+            let reason = format_compact!("{} is no status of a response", parts.status.as_str());
+            return Err(SendError::Lost(reason));
+        }
         let mut buffered = BufferedBytes {
             counter: &self.buffered,
             bytes: 0,
