All bytes that are read for a response are limited (report LOST)

Callers saw: requests to a faulty server that sends interim responses (100, 103) without end ended with 504 at their timeout, idempotent ones too, in place of being sent to another server; the front read for all that time. Memory was not bounded for heads: each connection may hold 128 KiB of a head that doesn't end, and nothing limited the sum. A granter read 924 MB of interim responses to its orders in some seconds.

Cause: the HTTP library bounds the head that it parses (128 KiB as set here; its default for orders) and skips interim responses without counting them. Only bodies counted towards the limit on buffered bytes.

So processes could be made to end by heads alone. Ruled out by tests: bodies, extensions, trailers.

Change: MeteredStream counts each byte that a connection reads: 256 KiB until a head is complete (128 KiB of head and what is read with it), then twice the largest body with its framing. What is read of a head counts as buffered until it is complete. The limit on buffered bytes, which stood twice (requests, responses), is one type (buffer_limit).

By reading: probes read nothing; the responses of another front come by the same connections; the store's bodies are cut off at 8 MiB and its heads at the library's default, interim ones run to the call's timeout (0.8 s) - open.

--- a/crates/carawayrill-gateway/src/lib.rs
+++ b/crates/carawayrill-gateway/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`forward`]: forwards one request, with retries and hedging,
 //! - [`homes`]: what the homes of routes mean for the known servers,
 //! - [`upstream`]: connections to servers and to other fronts,
+//! - [`metered_stream`]: limits what is read from such a connection,
 //! - `waiting`: the requests that wait for a server of a service that routes of different priority
 //!   share,
 //! - `quarantine`: records which requests crash servers,
@@ -23,6 +24,7 @@
 
 mod access_log;
 mod body;
+mod buffer_limit;
 mod classes;
 pub mod clock;
 mod cold;
@@ -41,6 +43,7 @@
 mod in_flight;
 pub mod knowledge;
 pub mod lease_manager;
+pub mod metered_stream;
 pub mod metrics;
 mod peer_keys;
 pub mod port;
--- a/crates/carawayrill-gateway/src/upstream.rs
+++ b/crates/carawayrill-gateway/src/upstream.rs
@@ -13,8 +13,6 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
-use std::sync::atomic::AtomicUsize;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -31,6 +29,7 @@
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::body::Incoming;
+use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
@@ -39,7 +38,11 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
+use crate::buffer_limit::BufferLimit;
+use crate::buffer_limit::HeldBytes;
 use crate::clock;
+use crate::metered_stream::MeteredStream;
+use crate::metered_stream::ReadMeter;
 use crate::port::ServerConnector;
 
 /// The timeout for opening a connection to a server.
@@ -63,6 +66,11 @@
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
 /// The maximum size of a response head, in bytes. A server in trouble may send bytes without end.
 const MAX_HEAD_BYTES: usize = 128 << 10;
+/// The most bytes that are read until a head is complete: interim responses, the head, and what is read
+/// of the body with it.
+const MAX_BYTES_TO_HEAD: usize = 2 * MAX_HEAD_BYTES;
+/// The most bytes that are read of a body, with the framing of its chunks.
+const MAX_BODY_WIRE_BYTES: usize = 2 * MAX_RESPONSE_BYTES;
 /// The statuses of a response, by RFC 9110, section 15. An interim one is not passed on, and no request
 /// asks for another protocol.
 const RESPONSE_STATUSES: RangeInclusive<u16> = 200..=599;
@@ -108,6 +116,20 @@
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
+    meter: Arc<ReadMeter>,
+}
+
+impl Connection {
+    /// Sends a request and reads the head of the response.
+    async fn exchange(
+        &mut self,
+        req: Request<Full<Bytes>>,
+    ) -> Result<http::Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        self.meter.begin_head(MAX_BYTES_TO_HEAD);
+        let resp = self.sender.try_send_request(req).await?;
+        self.meter.begin_body(MAX_BODY_WIRE_BYTES);
+        Ok(resp)
+    }
 }
 
 impl Drop for Connection {
@@ -165,20 +187,18 @@
 pub struct Upstream {
     connector: Arc<dyn ServerConnector>,
     idle: Mutex<HashMap<ServerId, VecDeque<IdleConnection>>>,
-    /// The bytes of the response bodies that are being read.
-    buffered: AtomicUsize,
-    max_buffered: usize,
+    /// The bytes of the responses that are being read.
+    buffered: Arc<BufferLimit>,
 }
 
 impl Upstream {
-    /// Creates the connections of a front that may buffer `max_buffered` bytes of response bodies.
+    /// Creates the connections of a front that may buffer `max_buffered` bytes of responses.
     #[must_use]
     pub fn new(connector: Arc<dyn ServerConnector>, max_buffered: usize) -> Self {
         Self {
             connector,
             idle: Mutex::default(),
-            buffered: AtomicUsize::new(0),
-            max_buffered,
+            buffered: BufferLimit::new(max_buffered),
         }
     }
 
@@ -252,7 +272,7 @@
         if reuse == Reuse::Allowed
             && let Some(mut connection) = self.take_idle(to.id)
         {
-            match connection.sender.try_send_request(req).await {
+            match connection.exchange(req).await {
                 Ok(resp) => return self.receive(resp, connection, true).await,
                 Err(mut err) => match err.take_message() {
                     // The connection was already closed; nothing was written to it.
@@ -262,7 +282,7 @@
             }
         }
         let mut connection = self.open(to.address, on_connect).await?;
-        match connection.sender.try_send_request(req).await {
+        match connection.exchange(req).await {
             Ok(resp) => self.receive(resp, connection, false).await,
             Err(mut err) => {
                 let unsent = err.take_message().is_some();
@@ -299,6 +319,8 @@
             return Err(not_sent(&"closed right after the connect"));
         }
         on_connect(ConnectResult::Connected);
+        let meter = ReadMeter::of_responses(self.buffered.hold());
+        let stream = MeteredStream::new(stream, Arc::clone(&meter));
         let (sender, driver) = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
             .handshake(TokioIo::new(stream))
@@ -312,6 +334,7 @@
         Ok(Connection {
             sender,
             task: task.abort_handle(),
+            meter,
         })
     }
 
@@ -345,11 +368,7 @@
             let reason = format_compact!("{} is no status of a response", parts.status.as_str());
             return Err(SendError::Lost(reason));
         }
-        let mut buffered = BufferedBytes {
-            counter: &self.buffered,
-            bytes: 0,
-        };
-        let body = read_body(&mut body, &mut buffered, self.max_buffered).await?;
+        let body = read_body(&mut body, self.buffered.hold()).await?;
         Ok(ServerResponse {
             status: parts.status,
             headers: parts.headers,
@@ -396,11 +415,7 @@
 }
 
 /// Reads a body that has an end within the limits.
-async fn read_body(
-    body: &mut Incoming,
-    buffered: &mut BufferedBytes<'_>,
-    max_buffered: usize,
-) -> Result<Bytes, SendError> {
+async fn read_body(body: &mut Incoming, mut buffered: HeldBytes) -> Result<Bytes, SendError> {
     let lost = |reason: &dyn std::fmt::Display| {
         SendError::Lost(format_compact!("could not read the response: {reason}"))
     };
@@ -410,8 +425,8 @@
         let Ok(data) = frame.into_data() else {
             continue;
         };
-        let total = buffered.add(data.len());
-        if buf.len() + data.len() > MAX_RESPONSE_BYTES || total > max_buffered {
+        buffered.add(data.len()).map_err(|err| lost(&err))?;
+        if buf.len() + data.len() > MAX_RESPONSE_BYTES {
             return Err(lost(&"the body is too long"));
         }
         buf.extend_from_slice(&data);
@@ -419,26 +434,6 @@
     Ok(buf.freeze())
 }
 
-/// Counts bytes of a response body until it is dropped.
-struct BufferedBytes<'a> {
-    counter: &'a AtomicUsize,
-    bytes: usize,
-}
-
-impl BufferedBytes<'_> {
-    /// Adds bytes, and returns the total of all bodies.
-    fn add(&mut self, bytes: usize) -> usize {
-        self.bytes += bytes;
-        self.counter.fetch_add(bytes, Ordering::Relaxed) + bytes
-    }
-}
-
-impl Drop for BufferedBytes<'_> {
-    fn drop(&mut self) {
-        self.counter.fetch_sub(self.bytes, Ordering::Relaxed);
-    }
-}
-
 /// Opens TCP connections to servers.
 #[derive(Debug, Clone, Copy)]
 pub struct TcpConnector;
