A follower counts the age of a lease from the response to its read

Nobody has seen it from outside: two fronts could act as granters for the length of one read of the store (up to 0.8 s), as each of them held the lease by its own clock.

Cause: a follower counted the time for which the lease has not changed from the sending of its read. The holder may have renewed it after that and before the read was carried out, and holds it for two seconds from its renewal.

Change: LeaseView::observe has the time of the response. A takeover comes later by the length of a read, a few milliseconds.

--- a/crates/carawayrill-core/src/direct/lease.rs
+++ b/crates/carawayrill-core/src/direct/lease.rs
@@ -127,15 +127,16 @@
         Some((key, self.version()))
     }
 
-    /// Records a version that was read; `sent` is the time at which the read was sent.
-    pub fn observe(&mut self, version: StoredVersion, lease: Option<Lease>, sent: Time) {
+    /// Records a version that was read; `answered` is the time at which the response arrived. The
+    /// holder may have renewed the lease until then.
+    pub fn observe(&mut self, version: StoredVersion, lease: Option<Lease>, answered: Time) {
         self.first_era.get_or_insert(version.era);
         let is_known = self.observed.as_ref().is_some_and(|(observed, ..)| {
             let was_deleted = version.version.0 == 0 && observed.version.0 != 0;
             *observed >= version && !(was_deleted && observed.era == version.era)
         });
         if !is_known {
-            self.observed = Some((version, lease, sent));
+            self.observed = Some((version, lease, answered));
         }
     }
 
--- a/crates/carawayrill-gateway/src/lease_manager.rs
+++ b/crates/carawayrill-gateway/src/lease_manager.rs
@@ -353,12 +353,11 @@
 
     /// Checks whether the stored lease is the one of this claim.
     async fn read_back(&self, claim: &Claim, err: Error) -> Result<Version, Error> {
-        let read_at = clock::now();
         let (version, lease) = self.read_lease().await?;
         if lease.as_ref() == Some(&claim.lease) && version.era == claim.expected.era {
             return Ok(version.version);
         }
-        self.view().observe(version, lease, read_at);
+        self.view().observe(version, lease, clock::now());
         Err(err)
     }
 
@@ -372,11 +371,10 @@
 
     /// Reads the lease, and claims it if possible.
     async fn try_acquire(self: &Arc<Self>, dependency: &mut Dependency) -> Duration {
-        let read_at = clock::now();
         match self.read_lease().await {
             Ok((version, lease)) => {
                 dependency.record_success();
-                self.view().observe(version, lease, read_at);
+                self.view().observe(version, lease, clock::now());
                 self.learn_peer_key();
             }
             Err(err) => return dependency.record_failure(&self.shared, &err),
@@ -385,9 +383,8 @@
         let may_claim = self.view().claim(clock::now()).is_some();
         if !delay.is_zero() && may_claim {
             tokio::time::sleep(delay).await;
-            let read_at = clock::now();
             if let Ok((version, lease)) = self.read_lease().await {
-                self.view().observe(version, lease, read_at);
+                self.view().observe(version, lease, clock::now());
             }
         }
         if let Some(key) = peer_keys::generate() {
