--- a/crates/carawayrill-core/src/direct/servers.rs
+++ b/crates/carawayrill-core/src/direct/servers/mod.rs
@@ -1,15 +1,16 @@
 //! The table of servers that the platform lists, including those it retains after a store outage.
 
+mod entry;
+
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::net::SocketAddr;
 use std::time::Duration;
 
-use compact_str::CompactString;
-
+use self::entry::EntryPosition;
+pub use self::entry::Freshness;
+pub use self::entry::Server;
 use crate::direct::incarnation::Born;
 use crate::direct::incarnation::IncarnationOrder;
-use crate::id::DataCentreId;
 use crate::id::ServerId;
 use crate::id::ServiceId;
 use crate::time::Time;
@@ -25,32 +26,6 @@
 /// copy may list it again.
 const REMOVED_TTL: Duration = Duration::from_mins(1);
 
-/// A server's entry in the platform's list.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Server {
-    /// Its id.
-    pub id: ServerId,
-    /// The start time that identifies this incarnation.
-    pub born: Born,
-    /// The number of this entry among those that this incarnation has written. An entry that differs
-    /// from the one before in nothing else may not have been stored, so numbers may be left out.
-    pub sequence: u64,
-    /// The service that it runs.
-    pub service: ServiceId,
-    /// Its address.
-    pub address: SocketAddr,
-    /// Its data centre.
-    pub data_centre: DataCentreId,
-    /// The number of requests that it runs concurrently.
-    pub slots: u32,
-    /// Whether it has announced that it will stop.
-    pub draining: bool,
-    /// The remaining warm-up time, as of its last report. The server is slow until then.
-    pub cold_for: Duration,
-    /// The version of its software.
-    pub software: CompactString,
-}
-
 /// A change of the server table.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ServerChange {
@@ -62,20 +37,6 @@
     Removed(ServerId),
 }
 
-/// What an entry says, compared with what is known of its server.
-///
-/// A write that got no answer may be carried out seconds later, so that the store lists an entry that
-/// its server has replaced. It also lists such entries after it was restored from an older copy.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Freshness {
-    /// It is the latest word of the server.
-    Current,
-    /// It is older than the known entry of the same incarnation.
-    Outdated,
-    /// It is of an incarnation that has ended, as far as is known.
-    Former,
-}
-
 /// The table of listed servers, by id.
 #[derive(Debug, Default)]
 pub struct Servers {
@@ -111,33 +72,6 @@
     at: Time,
 }
 
-/// The place of an entry among all those of a server.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct EntryPosition {
-    born: Born,
-    sequence: u64,
-}
-
-impl From<&Server> for EntryPosition {
-    fn from(server: &Server) -> Self {
-        Self {
-            born: server.born,
-            sequence: server.sequence,
-        }
-    }
-}
-
-impl EntryPosition {
-    /// Returns what an entry at this position says if the entry at `known` is known.
-    fn freshness(self, known: Self) -> Freshness {
-        match self.born.relative_to(known.born) {
-            IncarnationOrder::Earlier => Freshness::Former,
-            IncarnationOrder::Same if self.sequence < known.sequence => Freshness::Outdated,
-            IncarnationOrder::Same | IncarnationOrder::Later => Freshness::Current,
-        }
-    }
-}
-
 #[derive(Debug, Clone)]
 struct Suspect {
     server: Server,
--- a/crates/carawayrill-gateway/src/granter_runtime/mod.rs
+++ b/crates/carawayrill-gateway/src/granter_runtime/mod.rs
@@ -5,6 +5,7 @@
 mod egress;
 mod loads;
 mod quarantine;
+mod records;
 mod restore;
 mod state;
 mod stored;
@@ -17,13 +18,11 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
-use bytes::Bytes;
 use carawayrill_core::direct::granter::Action;
 use carawayrill_core::direct::granter::Command;
 use carawayrill_core::direct::granter::Granter;
 use carawayrill_core::direct::granter::OrderResult;
 use carawayrill_core::direct::granter::SpanOrder;
-use carawayrill_core::direct::granter::StoredSpans;
 use carawayrill_core::direct::incarnation::Born;
 use carawayrill_core::direct::knowledge::StoredVersion;
 use carawayrill_core::direct::lease::TermId;
@@ -33,18 +32,13 @@
 use carawayrill_core::direct::reach::Peer;
 use carawayrill_core::direct::reach::choose_peers_in_regions;
 use carawayrill_core::direct::service_load::ServiceLoad;
-use carawayrill_core::direct::spans::SpanRecord;
 use carawayrill_core::event::EventKind;
 use carawayrill_core::id::DataCentreId;
-use carawayrill_core::id::Era;
 use carawayrill_core::id::ServerId;
 use carawayrill_core::id::ServiceId;
-use carawayrill_core::id::Version;
 use carawayrill_core::time::Time;
 use carawayrill_core::time::millis;
-use carawayrill_store::CallOutcome;
 use carawayrill_store::Error;
-use carawayrill_store::port::Object;
 use carawayrill_store::port::ObjectStore;
 use carawayrill_telemetry::emit;
 use compact_str::CompactString;
@@ -55,8 +49,6 @@
 use self::restore::StoredRecords;
 use self::state::State;
 pub use self::stored::SPANS_KIND;
-use self::stored::holds_record;
-use self::stored::read_record;
 pub use self::stored::read_tables;
 use crate::clock;
 use crate::lease_manager::LeaseManager;
@@ -70,8 +62,6 @@
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(300);
 /// The minimum interval between two updates, per reporting front.
 const UPDATE_INTERVAL_PER_FRONT: Duration = Duration::from_micros(700);
-/// The delay before a failed write is retried.
-const WRITE_RETRY_DELAY: Duration = Duration::from_millis(120);
 
 /// An incarnation of a server that has said that it leaves.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -340,86 +330,6 @@
         self.updates.send_replace(Arc::new(update));
     }
 
-    /// Stores a record. A write whose outcome is unknown is resolved by reading back: the record is
-    /// either stored, or superseded by a later write, or not yet stored and written again.
-    async fn write_record(
-        self: Arc<Self>,
-        service: ServiceId,
-        expected: StoredVersion,
-        record: SpanRecord,
-    ) {
-        let name = format_compact!("{SPANS_KIND}/{service}");
-        let value = match serde_json::to_vec(&record) {
-            Ok(value) => Bytes::from(value),
-            Err(err) => {
-                log::error!("could not encode the spans of {service}: {err}");
-                return;
-            }
-        };
-        while self.is_current() && self.store.era() == expected.era {
-            let put = self.store.put(&name, value.clone(), expected.version);
-            let error = match put.await {
-                Ok(version) => return self.after_stored(&service, version, &record),
-                Err(err) => err,
-            };
-            log::info!("could not store the spans of {service}: {error}");
-            if error.outcome() == CallOutcome::NotDone && error.conflicting_version().is_none() {
-                tokio::time::sleep(WRITE_RETRY_DELAY).await;
-                continue;
-            }
-            let found = self.store.get(&name).await;
-            if self.store.era() != expected.era {
-                // The record is written again in the new era.
-                return;
-            }
-            match found {
-                Ok(Some(found)) if holds_record(&found, &record) => {
-                    return self.after_stored(&service, found.version, &record);
-                }
-                Ok(found)
-                    if found.as_ref().map_or(Version(0), |one| one.version) == expected.version => {
-                }
-                Ok(found) => return self.adopt_stored(&service, expected.era, found),
-                Err(err) => {
-                    log::info!("could not read back the spans of {service}: {err}");
-                    tokio::time::sleep(WRITE_RETRY_DELAY).await;
-                }
-            }
-        }
-    }
-
-    /// Restarts a service from the stored record after a late write of an earlier granter.
-    fn adopt_stored(&self, service: &ServiceId, era: Era, found: Option<Object>) {
-        log::warn!("another granter wrote the spans of {service}");
-        let now = clock::now();
-        let version = found.as_ref().map_or(Version(0), |found| found.version);
-        let stored = StoredSpans {
-            version: StoredVersion { era, version },
-            record: found.and_then(|found| Some(read_record(&found)?.1)),
-            may_be_lost: false,
-            lease: self.lease_manager.version(),
-        };
-        if let Some(granter) = self.state().granters.get_mut(service) {
-            granter.adopt(stored, now);
-        }
-        self.publish_update(now);
-    }
-
-    fn after_stored(&self, service: &ServiceId, version: Version, record: &SpanRecord) {
-        let moving = record.spans.iter().filter(|span| span.former.is_some());
-        emit(EventKind::SpansStored {
-            service: service.clone(),
-            version,
-            spans: record.spans.len(),
-            moving: moving.count(),
-        });
-        let now = clock::now();
-        if let Some(granter) = self.state().granters.get_mut(service) {
-            granter.record_stored(version, now);
-        }
-        self.publish_update(now);
-    }
-
     /// Sends an order if this front is still the granter.
     async fn send_order(self: Arc<Self>, service: ServiceId, order: SpanOrder) {
         let sent = clock::now();
--- a/crates/carawayrill-gateway/src/lease_manager.rs
+++ b/crates/carawayrill-gateway/src/lease_manager.rs
@@ -24,6 +24,8 @@
 use tokio::sync::watch;
 
 use crate::clock;
+use crate::contact;
+use crate::contact::GranterContact;
 use crate::granter_runtime::GranterRuntime;
 use crate::knowledge::Knowledge;
 use crate::peer_keys;
@@ -46,11 +48,6 @@
 const LEASE_READ_INTERVAL: Duration = Duration::from_millis(400);
 /// The same for the weaker fronts of a large fleet.
 const LONGER_LEASE_READ_INTERVAL: Duration = Duration::from_millis(800);
-/// How long a follower waits for an update of the granter before it reads the lease.
-const CONTACT_TIMEOUT: Duration = Duration::from_millis(900);
-/// The addition to `CONTACT_TIMEOUT` per front: the granter sends updates to one front after the
-/// other.
-const CONTACT_TIMEOUT_PER_FRONT: Duration = Duration::from_millis(5);
 /// How much longer than the strongest front a front with almost no processor time waits before it
 /// claims a free lease.
 const MAX_CLAIM_DELAY: Duration = Duration::from_millis(700);
@@ -59,15 +56,6 @@
 /// The maximum wait for moves to complete before the lease is released.
 const HANDOVER_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// This front's stream to the granter.
-#[derive(Debug, Clone, Copy, Default)]
-struct Contact {
-    /// When the last update of the granter arrived.
-    last: Option<Time>,
-    /// Whether the stream is open.
-    is_open: bool,
-}
-
 /// Manages this front's participation in the granter's lease.
 #[derive(Debug)]
 pub struct LeaseManager {
@@ -76,7 +64,7 @@
     store: Arc<dyn ObjectStore>,
     orders: Arc<dyn SpanOrderSender>,
     view: Mutex<LeaseView>,
-    contact: Mutex<Contact>,
+    contact: GranterContact,
     granter_runtime: watch::Sender<Option<Arc<GranterRuntime>>>,
     stopping: watch::Sender<bool>,
 }
@@ -107,7 +95,7 @@
             store,
             orders,
             view: Mutex::new(LeaseView::new(own, first_start)),
-            contact: Mutex::default(),
+            contact: GranterContact::default(),
             granter_runtime: watch::Sender::new(None),
             stopping: watch::Sender::new(false),
         }
@@ -117,10 +105,6 @@
         self.view.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn contact(&self) -> MutexGuard<'_, Contact> {
-        self.contact.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     /// Returns the settings and tables of this front.
     #[must_use]
     pub fn shared(&self) -> &Arc<Shared> {
@@ -166,10 +150,7 @@
     /// Records an update of the granter and the lease version in it.
     pub fn record_contact(&self, version: StoredVersion) {
         let now = clock::now();
-        *self.contact() = Contact {
-            last: Some(now),
-            is_open: true,
-        };
+        self.contact.record(now);
         let mut view = self.view();
         let lease = view.current().cloned();
         view.observe(version, lease, now);
@@ -178,27 +159,18 @@
     /// Returns the time since the last update of the granter.
     #[must_use]
     pub fn time_since_contact(&self) -> Option<Duration> {
-        let last = self.contact().last;
-        last.map(|at| clock::now().since(at))
+        self.contact.age(clock::now())
     }
 
     /// Returns the time without an update after which the granter counts as unreachable.
     #[must_use]
     pub fn contact_timeout(&self) -> Duration {
-        let fronts = self.shared.tables().fronts.get();
-        CONTACT_TIMEOUT + CONTACT_TIMEOUT_PER_FRONT.saturating_mul(fronts)
-    }
-
-    fn has_recent_contact(&self) -> bool {
-        let timeout = self.contact_timeout();
-        let is_open = self.contact().is_open;
-        let elapsed = self.time_since_contact();
-        is_open && elapsed.is_some_and(|elapsed| elapsed < timeout)
+        contact::timeout(self.shared.tables().fronts.get())
     }
 
     /// Records that the stream to the granter has ended.
     pub fn clear_contact(&self) {
-        self.contact().is_open = false;
+        self.contact.clear();
     }
 
     /// Claims, renews or follows the lease. Never returns.
@@ -214,7 +186,7 @@
             }
             let wait = if self.granter_runtime().is_some() && self.may_renew(now) {
                 self.renew(&mut dependency).await
-            } else if self.has_recent_contact() || now < next_read {
+            } else if self.contact.is_recent(self.contact_timeout(), now) || now < next_read {
                 FOLLOWER_POLL_INTERVAL
             } else {
                 let interval = if self.shared.waits_longer() {
--- a/crates/carawayrill-gateway/src/lib.rs
+++ b/crates/carawayrill-gateway/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`forward`]: forwards one request, with retries and hedging,
 //! - [`homes`]: what the homes of routes mean for the known servers,
 //! - [`upstream`]: connections to servers and to other fronts,
+//! - [`tcp_connector`]: opens TCP connections to servers,
 //! - [`metered_stream`]: limits what is read from such a connection,
 //! - `waiting`: the requests that wait for a server of a service that routes of different priority
 //!   share,
@@ -17,6 +18,7 @@
 //! - [`knowledge`] and [`watcher`]: what is known of the manifest, the servers and the evacuations,
 //!   and reading it from the store,
 //! - `server_changes`: what a change of the servers means for connections and load estimates,
+//! - `contact`: whether this front hears from the granter,
 //! - [`lease_manager`] and [`granter_runtime`]: the granter's lease, and the execution of its
 //!   decisions,
 //! - [`granter_stream`]: the stream between fronts and the granter,
@@ -30,6 +32,7 @@
 mod cold;
 pub mod config;
 mod connections;
+mod contact;
 mod counting_store;
 pub mod egress;
 mod error;
@@ -55,6 +58,7 @@
 mod shared_stream;
 pub mod spans;
 pub mod state;
+pub mod tcp_connector;
 pub mod upstream;
 mod waiting;
 pub mod watcher;
--- a/crates/carawayrill-gateway/src/run.rs
+++ b/crates/carawayrill-gateway/src/run.rs
@@ -33,7 +33,7 @@
 use crate::ready;
 use crate::ready::Readiness;
 use crate::state::Shared;
-use crate::upstream::TcpConnector;
+use crate::tcp_connector::TcpConnector;
 use crate::upstream::Upstream;
 use crate::waiting;
 use crate::watcher;
--- a/crates/carawayrill-gateway/src/upstream.rs
+++ b/crates/carawayrill-gateway/src/upstream.rs
@@ -15,7 +15,6 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
-use async_trait::async_trait;
 use bytes::Bytes;
 use bytes::BytesMut;
 use carawayrill_core::direct::servers::Server;
@@ -33,9 +32,6 @@
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
-use socket2::SockRef;
-use tokio::net::TcpSocket;
-use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
 use crate::buffer_limit::BufferLimit;
@@ -56,8 +52,6 @@
 const MAX_RESET_WAIT: Duration = Duration::from_millis(30);
 /// The timeout for learning whether an address refuses connections.
 const REFUSAL_TIMEOUT: Duration = Duration::from_millis(150);
-/// How long sent data may stay unacknowledged before a connection counts as dead.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(900);
 /// How long an idle connection is kept if the server does not state a time.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(4);
 /// How much earlier than the server this side closes an idle connection.
@@ -433,20 +427,3 @@
     }
     Ok(buf.freeze())
 }
-
-/// Opens TCP connections to servers.
-#[derive(Debug, Clone, Copy)]
-pub struct TcpConnector;
-
-#[async_trait]
-impl ServerConnector for TcpConnector {
-    async fn connect(&self, address: SocketAddr, timeout: Duration) -> std::io::Result<TcpStream> {
-        let socket = TcpSocket::new_v4()?;
-        SockRef::from(&socket).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
-        let stream = tokio::time::timeout(timeout, socket.connect(address))
-            .await
-            .map_err(|_elapsed| std::io::Error::from(ErrorKind::TimedOut))??;
-        stream.set_nodelay(true)?;
-        Ok(stream)
-    }
-}
