--- a/crates/carawayrill-core/tests/direct_simulation/mod.rs
+++ b/crates/carawayrill-core/tests/direct_simulation/mod.rs
@@ -11,12 +11,14 @@
 mod store;
 
 use std::collections::BTreeMap;
+use std::ops::Range;
 use std::time::Duration;
 
 use carawayrill_core::direct::granter::Command;
 use carawayrill_core::direct::granter::OrderResult;
 use carawayrill_core::direct::granter::SpanOrder;
 use carawayrill_core::direct::incarnation::Born;
+use carawayrill_core::direct::servers::Server;
 use carawayrill_core::direct::servers::Servers;
 use carawayrill_core::id::ServerId;
 use carawayrill_core::time::Time;
@@ -37,6 +39,8 @@
 pub const RECOVERY_PERIOD: Duration = Duration::from_secs(24);
 /// The longest time for which a move for balance may leave a key without a holder.
 pub const MAX_MOVE_TIME: Duration = Duration::from_secs(1);
+/// The time after which the entry of a server that has ended is no longer listed.
+const ENTRY_EXPIRY: Duration = Duration::from_millis(3_480);
 /// The number of the last kind of fault besides restores of the store.
 const LAST_FAULT: u32 = 9;
 /// The number of keys that are checked.
@@ -85,6 +89,10 @@
     faults_ended: bool,
     /// The number of the last kind of fault that may occur.
     last_fault: u32,
+    /// Whether servers restart at other addresses, and the store lists former entries of them late.
+    has_late_entries: bool,
+    /// The table of a front that has read all lists.
+    table: Servers,
     /// Whether steps are printed.
     pub verbose: bool,
     pub violations: Vec<Violation>,
@@ -118,6 +126,8 @@
             last_held: vec![Time(0); CHECKED_KEYS],
             faults_ended: false,
             last_fault: LAST_FAULT,
+            has_late_entries: false,
+            table: Servers::default(),
             verbose: false,
             violations: Vec::new(),
         }
@@ -129,6 +139,14 @@
         self
     }
 
+    /// Adds restarts at another address, after which the store lists an entry of the former
+    /// incarnation for a while. The second front starts often, so that it knows nothing but the list.
+    pub fn with_late_entries(mut self) -> Self {
+        self.has_late_entries = true;
+        self.table = Servers::new(Duration::ZERO, ENTRY_EXPIRY);
+        self
+    }
+
     /// Runs the schedule up to the first violation and returns the violations.
     pub fn run(mut self) -> Vec<Violation> {
         let faults_end = self.now + FAULT_PERIOD;
@@ -155,15 +173,20 @@
         self.check_owners();
     }
 
-    /// Returns the list of servers that all fronts read.
-    fn listed(&self) -> Servers {
-        let mut servers = Servers::default();
-        let rows = self
+    /// Returns the list of servers that all fronts read, as a front knows it that has read no other.
+    fn listed(&mut self) -> Servers {
+        let now = self.now;
+        let rows: Vec<Server> = self
             .servers
             .values()
-            .filter_map(SimServer::listed)
+            .filter_map(|server| server.listed(now))
             .collect();
-        servers.replace_all(rows, self.now, self.now);
+        if self.has_late_entries {
+            self.table.replace_all(rows.clone(), now, now);
+            self.table.expire(now);
+        }
+        let mut servers = Servers::default();
+        servers.replace_all(rows, now, now);
         servers
     }
 
@@ -174,7 +197,9 @@
             if self.fronts[at].is_frozen(now) {
                 continue;
             }
-            let orders = self.fronts[at].tick(now, &servers, &mut self.store, &mut self.rng);
+            let knows_all = self.has_late_entries && at == 0;
+            let servers = if knows_all { &self.table } else { &servers };
+            let orders = self.fronts[at].tick(now, servers, &mut self.store, &mut self.rng);
             let run = self.fronts[at].run;
             for order in orders {
                 self.send(at, run, order);
@@ -386,11 +411,23 @@
 
     fn crash(&mut self, id: &ServerId) {
         let restarts = self.rng.random_bool(0.5);
+        let late = self.has_late_entries.then(|| self.choose_late_entry());
         if let Some(server) = self.servers.get_mut(id) {
             server.crash(restarts);
+            if let Some(late) = late.filter(|_| restarts) {
+                server.restart_elsewhere(late);
+            }
         }
     }
 
+    /// Chooses when the store lists a former entry: a write is carried out some seconds late, and the
+    /// next beat replaces it.
+    fn choose_late_entry(&mut self) -> Range<Time> {
+        let from = self.now + Duration::from_millis(self.rng.random_range(500..=7_000));
+        let until = from + Duration::from_millis(self.rng.random_range(25..=900));
+        from..until
+    }
+
     fn drain_server(&mut self, id: &ServerId) {
         let silent = self.rng.random_bool(0.4);
         if let Some(server) = self.servers.get_mut(id) {
--- a/crates/carawayrill-core/tests/direct_simulation/server.rs
+++ b/crates/carawayrill-core/tests/direct_simulation/server.rs
@@ -1,6 +1,7 @@
 //! A simulated server that holds keys under fences.
 
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::time::Duration;
 
 use carawayrill_core::direct::incarnation::Born;
@@ -12,6 +13,9 @@
 
 use super::checked_keys;
 
+/// The distance between the addresses of two incarnations of a server.
+const ADDRESS_STEP: u16 = 20;
+
 #[derive(Debug, Clone, Copy, Default)]
 struct Held {
     fence: Fence,
@@ -38,6 +42,8 @@
     /// The factor by which this server's clock is slow.
     pub slowness: f64,
     pub born: Born,
+    /// The last entry of the former incarnation, and when the store lists it.
+    late_entry: Option<(Server, Range<Time>)>,
     /// The grant of each checked key.
     held: Vec<Held>,
     /// The highest fence of each checked key, including former incarnations.
@@ -57,13 +63,23 @@
             draining: false,
             slowness: if number.is_multiple_of(2) { 1.02 } else { 1.0 },
             born: Born(1),
+            late_entry: None,
             held: vec![Held::default(); count],
             highest_ever: vec![Fence(0); count],
         }
     }
 
-    pub fn listed(&self) -> Option<Server> {
-        (self.up && self.is_listed).then(|| Server {
+    /// Returns the entry that the store lists.
+    pub fn listed(&self, now: Time) -> Option<Server> {
+        let late = self.late_entry.as_ref();
+        if let Some((entry, _)) = late.filter(|(_, listed)| listed.contains(&now)) {
+            return Some(entry.clone());
+        }
+        (self.up && self.is_listed).then(|| self.entry())
+    }
+
+    fn entry(&self) -> Server {
+        Server {
             id: self.id.clone(),
             born: self.born,
             sequence: 1,
@@ -74,7 +90,19 @@
             draining: self.draining,
             cold_for: Duration::ZERO,
             software: "v1".into(),
-        })
+        }
+    }
+
+    /// Gives the incarnation that has just started an address of its own. The store lists the last
+    /// entry of the former one at `late`.
+    pub fn restart_elsewhere(&mut self, late: Range<Time>) {
+        let former = Server {
+            born: Born(self.born.0 - 1),
+            ..self.entry()
+        };
+        self.late_entry = Some((former, late));
+        let port = self.address.port() + ADDRESS_STEP;
+        self.address.set_port(port);
     }
 
     fn indices(range: KeyRange) -> impl Iterator<Item = usize> {
