A request is not refused as full for servers that other fronts reach

Callers of a front whose cut from the servers comes and goes were refused with `full`, 503, within a millisecond, although the other fronts served everything: 120 of 200 requests for a service in the worst play.

Cause: of two servers, one was in backoff since the front had not reached it, and the other counted as slow, since a response of it had been held up by the cut. The choice is then `Full`, and only a choice of `NoServer` was passed on to another front. Nothing was sent any more, so the front did not find out that it was cut off either.

Evidence: request records of 112 plays of the test (5.1 s, 300 requests at that front) with logs, beside 12 to 20 busy loops: 18 plays were below 250, and 17 of them have 13 to 120 records `full`, most with `servers: 2, usable: 1, unreached: 1`. Beside 20 busy loops 12 of 40 plays were below 250 (164 to 246).

Change: a request that finds the servers full is passed on too if the servers in backoff that were not reached are at least as many as those in use. With a few crashed servers of many, a surplus is refused as before, and the circuit breaker limits what is passed on in vain.

--- a/crates/carawayrill-gateway/src/forward/choose.rs
+++ b/crates/carawayrill-gateway/src/forward/choose.rs
@@ -396,9 +396,18 @@
 
     /// Returns whether `choice` found no server because this front has not reached some, with this
     /// request or before.
+    ///
+    /// Servers that it reaches may be full because they get the requests of those it does not. If these
+    /// are the fewer, others may have room. A few that have crashed leave most servers in use, and
+    /// requests that are too many for these are not passed on.
     fn is_unreached(&self, choice: &Choice, estimate: Option<&LoadEstimateRecord>) -> bool {
-        let unreached = estimate.map_or(0, |estimate| estimate.unreached);
-        *choice == Choice::NoServer && (self.unsent_tries > 0 || unreached > 0)
+        let (unreached, usable) =
+            estimate.map_or((0, 0), |estimate| (estimate.unreached, estimate.usable));
+        match choice {
+            Choice::Send(_) => false,
+            Choice::NoServer => self.unsent_tries > 0 || unreached > 0,
+            Choice::Full(_) | Choice::Reserved(_) => unreached > 0 && unreached >= usable,
+        }
     }
 
     /// Returns the maximum number of servers to which the request may be sent.
