A server that answers is not refused for connections that failed before

Cause: connections that can't be opened make a backoff of up to 2 s, since those of concurrent requests count one after the other. A response on a connection that was open before the cut then took away the mark that the server was not reached, but not the backoff. The backoff so outlived the cut: `forget_unreached`, which ends it when servers are reached again, and the rule that passes such requests on to other fronts, ask for the mark.

Change: a response that shows the server at work ends the backoff with the mark. A refusal for overload keeps its backoff.

The new test failed before.

--- a/crates/carawayrill-core/src/direct/load.rs
+++ b/crates/carawayrill-core/src/direct/load.rs
@@ -97,7 +97,7 @@
     failure_rate_at: Time,
     consecutive_failures: u32,
     backoff_until: Time,
-    /// Whether the last attempt to open a connection failed.
+    /// Whether the last attempt to open a connection failed, and no response has arrived since.
     unreached: bool,
     /// The time until which the server wants no request from this front.
     paused_until: Time,
@@ -199,7 +199,8 @@
         self.unreached
     }
 
-    /// Forgets that the server was not reached, because the failure was this front's own.
+    /// Forgets that the server was not reached, because the failure was this front's own or it is
+    /// reached again.
     pub fn forget_unreached(&mut self) {
         if self.unreached {
             self.unreached = false;
@@ -296,12 +297,13 @@
         total_at_send: f64,
     ) {
         self.in_flight = self.in_flight.saturating_sub(1);
-        self.unreached = match result {
-            AttemptResult::Unreachable => true,
-            AttemptResult::Served | AttemptResult::Shed | AttemptResult::Declined => false,
+        match result {
+            AttemptResult::Unreachable => self.unreached = true,
+            AttemptResult::Served | AttemptResult::Declined => self.forget_unreached(),
+            AttemptResult::Shed => self.unreached = false,
             // The connection may have been an old one, or the attempt may have ended early.
-            AttemptResult::Failed | AttemptResult::Unknown => self.unreached,
-        };
+            AttemptResult::Failed | AttemptResult::Unknown => {}
+        }
         match result {
             AttemptResult::Served => {
                 self.update_service_time(now, took, total_at_send);
--- a/crates/carawayrill-core/tests/direct_reach.rs
+++ b/crates/carawayrill-core/tests/direct_reach.rs
@@ -68,6 +68,32 @@
     assert!(!load.is_unreached());
 }
 
+// A connection that was open before a cut carries a response as soon as the cut ends.
+#[test]
+fn a_server_that_answers_is_not_refused_for_connections_that_could_not_be_opened_before() {
+    let mut load = ServerLoad::new(4, Duration::ZERO, None, Time(0));
+    for _attempt in 0..6 {
+        load.begin_request();
+    }
+    for _attempt in 0..5 {
+        load.end_request(
+            Time(400),
+            AttemptResult::Unreachable,
+            Duration::from_millis(400),
+            0.0,
+        );
+    }
+    assert!(!load.accepts(Time(1_000)));
+    load.end_request(
+        Time(1_000),
+        AttemptResult::Served,
+        Duration::from_secs(1),
+        0.0,
+    );
+    assert!(load.accepts(Time(1_000)));
+    assert!(!load.is_unreached());
+}
+
 #[test]
 fn a_peer_that_does_not_answer_gets_no_further_requests_while_others_answer() {
     let mut rng = ChaCha8Rng::seed_from_u64(7);
