The choice of a server, refusals and retries are modules of their own

choose.rs had 567 lines and three jobs: which server is next, why a request is not sent, and whether it may be sent once more. refusal.rs and retry.rs have the latter two. Moved only; no behaviour changes.

--- a/crates/carawayrill-gateway/src/forward/choose.rs
+++ b/crates/carawayrill-gateway/src/forward/choose.rs
@@ -1,6 +1,5 @@
-//! Chooses the server for the next send, and decides whether a retry is allowed.
+//! Chooses the server for the next send.
 
-use std::collections::BTreeSet;
 use std::time::Duration;
 
 use carawayrill_core::direct::admission;
@@ -8,7 +7,6 @@
 use carawayrill_core::direct::admission::Choice;
 use carawayrill_core::direct::admission::RequestProfile;
 use carawayrill_core::direct::egress::choice::Scope;
-use carawayrill_core::direct::evacuation;
 use carawayrill_core::direct::evacuation::Evacuations;
 use carawayrill_core::direct::homes::room;
 use carawayrill_core::direct::keys::Fence;
@@ -18,22 +16,17 @@
 use carawayrill_core::direct::priority::waiting::may_wait;
 use carawayrill_core::direct::servers::Server;
 use carawayrill_core::event::LoadEstimateRecord;
-use carawayrill_core::event::RetryRecord;
-use carawayrill_core::event::TryRecord;
 use carawayrill_core::id::DataCentreId;
-use carawayrill_core::id::ServerId;
 use carawayrill_core::time::Time;
-use carawayrill_core::time::floor_to_u64;
-use carawayrill_core::time::millis;
-use compact_str::ToCompactString;
-use rand::RngExt;
 
 use super::DEFAULT_RETRY_AFTER;
 use super::Forwarder;
-use super::peer::PEER_CUT_OFF;
-use super::send::NOT_SENT;
+use super::refusal::Refusal;
+use super::refusal::load_estimate;
+use super::refusal::refuse_evacuated;
+use super::refusal::refuse_for_homes;
+use super::refusal::refuse_limited;
 use super::wait::next_usable;
-use crate::clock;
 use crate::state::Tables;
 
 /// The assumed response time of an idle server before any was measured, in milliseconds.
@@ -63,52 +56,6 @@
     }
 }
 
-/// The decision on one more send of a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum RetryDecision {
-    Sent,
-    /// The route allows no further server or send.
-    RouteLimit,
-    /// Servers have declined the request too often.
-    Declines,
-    /// This front's share of the retry budget is used up.
-    Budget,
-}
-
-impl RetryDecision {
-    /// Returns the name in logs and metrics.
-    fn label(self) -> &'static str {
-        match self {
-            Self::Sent => "sent",
-            Self::RouteLimit => "route-limit",
-            Self::Declines => "declines",
-            Self::Budget => "budget",
-        }
-    }
-}
-
-/// The reason why a request is not sent.
-#[derive(Debug)]
-pub(super) struct Refusal {
-    pub(super) reason: &'static str,
-    /// The time after which a server may have capacity again.
-    pub(super) retry_after: Duration,
-    pub(super) load_estimate: Option<LoadEstimateRecord>,
-    /// Whether this front has not reached servers that the request could be sent to.
-    pub(super) is_unreached: bool,
-}
-
-impl Refusal {
-    pub(super) fn new(reason: &'static str, retry_after: Duration) -> Self {
-        Self {
-            reason,
-            retry_after,
-            load_estimate: None,
-            is_unreached: false,
-        }
-    }
-}
-
 impl Forwarder<'_> {
     /// Chooses the next step.
     pub(super) fn choose_next(&self, now: Time) -> NextStep {
@@ -409,159 +356,4 @@
             Choice::Full(_) | Choice::Reserved(_) => unreached > 0 && unreached >= usable,
         }
     }
-
-    /// Returns the maximum number of servers to which the request may be sent.
-    fn max_servers(&self) -> usize {
-        usize::try_from(self.request.matched.route.max_tries).unwrap_or(usize::MAX)
-    }
-
-    /// Returns the sends of this front after which a server may have received the request. Those of a
-    /// front that has refused it are in `refused_sends`.
-    fn arrivals(&self) -> impl Iterator<Item = &TryRecord> {
-        self.tries
-            .iter()
-            .filter(|one| one.outcome != NOT_SENT && one.outcome != PEER_CUT_OFF)
-    }
-
-    /// Returns the number of servers to which the request has been sent.
-    fn servers_tried(&self) -> usize {
-        let servers: BTreeSet<&str> = self.arrivals().map(|one| one.server.as_str()).collect();
-        self.sends_of_others() as usize + servers.len()
-    }
-
-    /// Returns the number of sends after which a server may have received the request, by all fronts.
-    pub(super) fn sends_to_servers(&self) -> u32 {
-        self.sends_of_others().saturating_add(self.own_sends())
-    }
-
-    /// Returns the number of such sends since the request was received by this front.
-    pub(super) fn sends_since_received(&self) -> u32 {
-        self.own_sends().saturating_add(self.refused_sends)
-    }
-
-    fn own_sends(&self) -> u32 {
-        u32::try_from(self.arrivals().count()).unwrap_or(u32::MAX)
-    }
-
-    /// Returns the number of such sends before the request was passed on to this front, and by fronts
-    /// that have refused it.
-    fn sends_of_others(&self) -> u32 {
-        let forwarded = self.request.forwarded;
-        let earlier = forwarded.map_or(0, |forwarded| forwarded.sends);
-        earlier.saturating_add(self.refused_sends)
-    }
-
-    /// Returns whether a server may have received the request from this front.
-    pub(super) fn was_sent_to(&self, server: &ServerId) -> bool {
-        let mut sent = self.tries.iter().filter(|one| one.outcome != NOT_SENT);
-        sent.any(|one| one.server == server.as_str())
-    }
-
-    /// Returns whether one more send, to `server`, is within the route's limit of servers and the
-    /// retry budget. A retry is charged to the budget. Sends that servers have declined don't count
-    /// as long as no further server is involved.
-    pub(super) fn try_acquire_send(&mut self, server: &ServerId) -> bool {
-        let sent = self.sends_to_servers() as usize;
-        if sent == 0 {
-            return true;
-        }
-        let decision = self.decide_retry(sent, server);
-        let retries = &self.shared.metrics.retries;
-        retries.with_label_values(&[decision.label()]).inc();
-        decision == RetryDecision::Sent
-    }
-
-    /// Decides on one more send after `sent` sends, and records the decision.
-    fn decide_retry(&mut self, sent: usize, server: &ServerId) -> RetryDecision {
-        let counted = sent.saturating_sub(self.declines.count());
-        let is_within_servers =
-            self.was_sent_to(server) || self.servers_tried() < self.max_servers();
-        let now = clock::now();
-        let mut tables = self.shared.tables();
-        let fronts = tables.fronts.sharing(now);
-        let budget = tables.budget(&self.request.matched.service, &self.shared.cfg);
-        let usage = budget.usage(now, fronts);
-        let decision = if counted >= self.max_servers() || !is_within_servers {
-            RetryDecision::RouteLimit
-        } else if !self.declines.may_repeat() {
-            RetryDecision::Declines
-        } else if budget.try_acquire(now, fronts) {
-            RetryDecision::Sent
-        } else {
-            RetryDecision::Budget
-        };
-        self.retry = Some(RetryRecord {
-            decision: decision.label().into(),
-            requests: usage.requests,
-            retries: usage.retries,
-            allowed_tenths: floor_to_u64(usage.allowed * 10.0),
-            fronts,
-        });
-        decision
-    }
-}
-
-/// Returns the refusal of a request that only servers in evacuated data centres could serve.
-fn refuse_evacuated(tables: &mut Tables) -> Refusal {
-    let spread = tables.rng.random_range(0.0..=1.0);
-    Refusal::new("evacuated", evacuation::retry_after(spread))
-}
-
-/// Returns the refusal of a request that no server in its homes can serve. It should return as late
-/// as still meets its objective, and not together with others.
-fn refuse_for_homes(
-    tables: &mut Tables,
-    reason: &'static str,
-    profile: &RequestProfile,
-    idle_ms: f64,
-) -> Refusal {
-    let rng = &mut tables.rng;
-    let after = admission::owner_retry_after(profile, idle_ms, Duration::ZERO, rng);
-    Refusal::new(reason, after)
-}
-
-/// Returns the refusal of a request for which only the limits of servers leave none.
-fn refuse_limited(
-    tables: &mut Tables,
-    candidates: &[Candidate],
-    profile: &RequestProfile,
-    idle_ms: f64,
-    now: Time,
-) -> Option<Refusal> {
-    let limits = &tables.limits;
-    let waits = candidates
-        .iter()
-        .map(|candidate| (&candidate.server, limits.wait(&candidate.server, now)))
-        .filter(|(_, wait)| !wait.is_zero());
-    let (server, wait) = waits.min_by_key(|(_, wait)| *wait)?;
-    tables.limits.record_refused(server);
-    let after = admission::owner_retry_after(profile, idle_ms, wait, &mut tables.rng);
-    Some(Refusal::new("limited", after))
-}
-
-/// Returns the load estimates of the candidates, for the log.
-fn load_estimate(
-    tables: &Tables,
-    candidates: &[Candidate],
-    limit_ms: f64,
-    now: Time,
-) -> Option<LoadEstimateRecord> {
-    let first = candidates
-        .iter()
-        .min_by(|one, other| one.response_ms.total_cmp(&other.response_ms))?;
-    let load = tables.loads.get(&first.server)?;
-    let unreached = candidates
-        .iter()
-        .filter_map(|one| tables.loads.get(&one.server))
-        .filter(|load| load.is_unreached());
-    Some(LoadEstimateRecord {
-        servers: candidates.len(),
-        usable: candidates.iter().filter(|one| one.usable).count(),
-        unreached: unreached.count(),
-        limit_ms: floor_to_u64(limit_ms),
-        server: first.server.to_compact_string(),
-        expected_ms: floor_to_u64(first.response_ms),
-        load_tenths: floor_to_u64(load.expected_total(now) * 10.0),
-        age_ms: load.report_age(now).map(millis),
-    })
 }
--- a/crates/carawayrill-gateway/src/forward/mod.rs
+++ b/crates/carawayrill-gateway/src/forward/mod.rs
@@ -5,6 +5,8 @@
 mod egress;
 pub(crate) mod peer;
 pub(crate) mod peer_refusal;
+mod refusal;
+mod retry;
 mod send;
 mod sends;
 mod wait;
--- a/crates/carawayrill-gateway/src/forward/wait.rs
+++ b/crates/carawayrill-gateway/src/forward/wait.rs
@@ -14,7 +14,7 @@
 use super::Forwarder;
 use super::Reply;
 use super::choose::NextStep;
-use super::choose::Refusal;
+use super::refusal::Refusal;
 use crate::clock;
 use crate::state::Tables;
 use crate::waiting::WaitingRequest;
