--- a/crates/carawayrill-gateway/src/granter_runtime/mod.rs
+++ b/crates/carawayrill-gateway/src/granter_runtime/mod.rs
@@ -45,7 +45,6 @@
 use compact_str::ToCompactString;
 use compact_str::format_compact;
 use tokio::sync::watch;
-use tokio::task::JoinSet;
 
 use self::restore::StoredRecords;
 use self::state::State;
@@ -125,8 +124,6 @@
     /// The version of the lease with which this runtime began.
     lease: StoredVersion,
     state: Mutex<State>,
-    /// The calls to the store and to servers, whose results the state waits for.
-    tasks: Mutex<JoinSet<()>>,
     updates: watch::Sender<Arc<Update>>,
 }
 
@@ -156,7 +153,6 @@
             orders,
             started: now,
             state: Mutex::new(State::new(stored, known_fronts, now)),
-            tasks: Mutex::default(),
             updates: watch::Sender::new(Arc::default()),
         }))
     }
@@ -233,37 +229,16 @@
         Some(choose_peers_in_regions(front, serving, distance, regions))
     }
 
-    /// Runs rounds of decisions until the term ends, or until a task has panicked, whose result the
-    /// state would wait for without end.
+    /// Runs rounds of decisions until the term ends.
     pub async fn run(self: Arc<Self>) {
         self.emit_change("started");
-        while self.is_current() && !self.has_task_panicked() {
+        while self.is_current() {
             self.tick();
             tokio::time::sleep(TICK_INTERVAL).await;
         }
         self.emit_change("ended");
     }
 
-    /// Starts a call to the store or to a server.
-    fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
-        self.tasks().spawn(task);
-    }
-
-    fn has_task_panicked(&self) -> bool {
-        let mut tasks = self.tasks();
-        while let Some(ended) = tasks.try_join_next() {
-            if let Err(err) = ended {
-                log::error!("a task of the granter has not ended in order: {err}");
-                return true;
-            }
-        }
-        false
-    }
-
-    fn tasks(&self) -> MutexGuard<'_, JoinSet<()>> {
-        self.tasks.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     fn emit_change(&self, change: &'static str) {
         emit(EventKind::GranterRuntime {
             change: change.into(),
@@ -312,10 +287,10 @@
         for (service, action) in actions {
             match action {
                 Action::Write { expected, record } => {
-                    self.spawn(Arc::clone(self).write_record(service, expected, record));
+                    tokio::spawn(Arc::clone(self).write_record(service, expected, record));
                 }
                 Action::Order(order) => {
-                    self.spawn(Arc::clone(self).send_order(service, order));
+                    tokio::spawn(Arc::clone(self).send_order(service, order));
                 }
             }
         }
--- a/crates/carawayrill-gateway/src/granter_runtime/quarantine.rs
+++ b/crates/carawayrill-gateway/src/granter_runtime/quarantine.rs
@@ -71,13 +71,13 @@
         stored.next_check = now + CHECK_INTERVAL;
         let Some(version) = stored.version else {
             stored.is_busy = true;
-            self.spawn(Arc::clone(self).read_quarantine());
+            tokio::spawn(Arc::clone(self).read_quarantine());
             return;
         };
         let refused = self.shared.tables().crashes.refused(now);
         if fingerprints(&refused).ne(stored.requests.iter().copied()) {
             stored.is_busy = true;
-            self.spawn(Arc::clone(self).write_quarantine(refused, version));
+            tokio::spawn(Arc::clone(self).write_quarantine(refused, version));
         }
     }
 
--- a/crates/carawayrill-gateway/src/granter_runtime/restore.rs
+++ b/crates/carawayrill-gateway/src/granter_runtime/restore.rs
@@ -82,7 +82,7 @@
         let renewed = self.lease_manager.version().era == era && self.is_current();
         if era != state.stored.lease.era && renewed && !state.stored.is_reading {
             state.stored.is_reading = true;
-            self.spawn(Arc::clone(self).enter_era(era));
+            tokio::spawn(Arc::clone(self).enter_era(era));
         }
     }
 
--- a/crates/carawayrill-gateway/src/lease_manager.rs
+++ b/crates/carawayrill-gateway/src/lease_manager.rs
@@ -22,7 +22,6 @@
 use carawayrill_telemetry::emit;
 use rand::RngExt;
 use tokio::sync::watch;
-use tokio::task::JoinHandle;
 
 use crate::clock;
 use crate::contact;
@@ -67,8 +66,6 @@
     view: Mutex<LeaseView>,
     contact: GranterContact,
     granter_runtime: watch::Sender<Option<Arc<GranterRuntime>>>,
-    /// The task of the last granter's runtime.
-    runtime_task: Mutex<Option<JoinHandle<()>>>,
     stopping: watch::Sender<bool>,
 }
 
@@ -100,7 +97,6 @@
             view: Mutex::new(LeaseView::new(own, first_start)),
             contact: GranterContact::default(),
             granter_runtime: watch::Sender::new(None),
-            runtime_task: Mutex::default(),
             stopping: watch::Sender::new(false),
         }
     }
@@ -185,11 +181,6 @@
             let now = clock::now();
             self.stop_if_term_ended();
             self.update_decision_age(now);
-            if self.has_runtime_ended() {
-                self.give_up("the granter's runtime has ended").await;
-                // The fault may be this front's alone, so that another one should be the granter.
-                next_read = now + self.shared.cfg.lease_duration;
-            }
             if self.granter_runtime().is_some() && self.shared.hands_over_when_cut_off() {
                 self.give_up("this front reaches no server").await;
             }
@@ -232,18 +223,6 @@
         }
     }
 
-    /// Returns whether the granter's runtime has ended before its term, so that nobody decides.
-    fn has_runtime_ended(&self) -> bool {
-        let task = self.runtime_task();
-        let has_ended = task.as_ref().is_some_and(JoinHandle::is_finished);
-        has_ended && self.granter_runtime().is_some()
-    }
-
-    fn runtime_task(&self) -> MutexGuard<'_, Option<JoinHandle<()>>> {
-        let task = self.runtime_task.lock();
-        task.unwrap_or_else(PoisonError::into_inner)
-    }
-
     /// Exports how long ago the granter of this front has last decided; 0 at the other fronts.
     fn update_decision_age(&self, now: Time) {
         let runtime = self.granter_runtime();
@@ -438,8 +417,7 @@
                 self.set_granter(true);
                 self.granter_runtime
                     .send_replace(Some(Arc::clone(&granter_runtime)));
-                let task = tokio::spawn(granter_runtime.run());
-                *self.runtime_task() = Some(task);
+                tokio::spawn(granter_runtime.run());
             }
             Err(err) => log::warn!("could not read the stored spans: {err}"),
         }
