--- a/review/standins-3/front.rs
+++ b/review/standins-3/front.rs
@@ -12,8 +12,19 @@
 #[derive(Clone, Copy)]
 pub struct Limits {
     pub memory_mb: u32,
+    pub grace_s: u32,
+    pub drain_ms: u32,
+    pub config_apply_ms: u32,
 }
 
+/// Those of a small deployment, by its site file.
+pub const SMALL: Limits = Limits {
+    memory_mb: 260,
+    grace_s: 6,
+    drain_ms: 2_000,
+    config_apply_ms: 2_000,
+};
+
 pub struct Front {
     pub name: String,
     pub index: usize,
@@ -83,10 +94,10 @@
 stableWindow = "3000ms"
 ack = "4000ms"
 catchUp = "4s"
-drain = "2000ms"
-grace = "6s"
+drain = "{drain}ms"
+grace = "{grace}s"
 lossSlack = "200ms"
-configApply = "2000ms"
+configApply = "{config}ms"
 revertSlack = "250ms"
 skewMax = "5000ms"
 retryRatio = 0.2
@@ -105,6 +116,9 @@
 ttlMin = "1000ms"
 "#,
             memory = limits.memory_mb,
+            drain = limits.drain_ms,
+            grace = limits.grace_s,
+            config = limits.config_apply_ms,
         );
         fs::write(&settings, text).expect("a settings file");
         Self {
--- a/review/standins-3/rig.rs
+++ b/review/standins-3/rig.rs
@@ -7,6 +7,7 @@
 mod front;
 mod http;
 mod json;
+mod late_stop;
 mod server;
 mod stale_peer;
 mod store;
@@ -23,6 +24,7 @@
     };
     let mut record = world::Record::new(dir, scenario, trouble);
     let verdict = match scenario.as_str() {
+        "late-stop" => late_stop::run(&mut record, trouble),
         "stale-peer" => stale_peer::run(&mut record, trouble),
         _ => Err(format!("no scenario {scenario}")),
     };
--- a/review/standins-3/stale_peer.rs
+++ b/review/standins-3/stale_peer.rs
@@ -4,7 +4,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::front::Limits;
+use crate::front::SMALL;
 use crate::http::Message;
 use crate::server::Server;
 use crate::world::{Record, Route, World, ask, manifest};
@@ -35,7 +35,7 @@
 
 pub fn run(record: &mut Record, trouble: bool) -> Result<Vec<String>, String> {
     let services = [("formsvc", true), ("vaultsvc", false)];
-    let mut world = World::new(3, Limits { memory_mb: 260 });
+    let mut world = World::new(3, SMALL);
     world.store.put("config", "main", manifest(3, &routes("vaultsvc"), &services));
     for number in 0..SERVERS {
         for (service, sharded) in services {
