--- a/review/standins-3/rig.rs
+++ b/review/standins-3/rig.rs
@@ -7,6 +7,7 @@
 mod front;
 mod http;
 mod json;
+mod kept_connections;
 mod late_stop;
 mod server;
 mod stale_peer;
@@ -24,6 +25,7 @@
     };
     let mut record = world::Record::new(dir, scenario, trouble);
     let verdict = match scenario.as_str() {
+        "kept-connections" => kept_connections::run(&mut record, trouble),
         "late-stop" => late_stop::run(&mut record, trouble),
         "stale-peer" => stale_peer::run(&mut record, trouble),
         _ => Err(format!("no scenario {scenario}")),
