--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -1,5 +1,13 @@
 #!/bin/sh
 # Run after `review/build-3.sh` and the build of deploy/system.toml.
 cd "$(dirname "$0")/../.." || exit 2
-[ -x target/review-3/rig ] || exit 2
-exec target/review-3/rig kept-connections review/13
+[ -x target/review-3/rig ] && [ -x target/release/carawayrill-platform ] || exit 2
+target/review-3/rig kept-connections review/13 &
+rig=$!
+trap 'pkill -KILL -P $rig; kill -KILL $rig; exit 2' INT TERM
+wait $rig
+case $? in
+    0) exit 0 ;;
+    1) exit 1 ;;
+    *) exit 2 ;;
+esac
--- a/review/standins-3/front.rs
+++ b/review/standins-3/front.rs
@@ -27,7 +27,6 @@
 
 pub struct Front {
     pub name: String,
-    pub index: usize,
     pub listen: SocketAddr,
     ready: SocketAddr,
     settings: PathBuf,
@@ -127,7 +126,6 @@
             log: dir.join(format!("{name}.log")),
             settings,
             name,
-            index,
             child: None,
         }
     }
@@ -199,10 +197,6 @@
         let kib = line.and_then(|line| line.split_whitespace().nth(1)?.parse::<u64>().ok());
         kib.unwrap_or(0) * 1024
     }
-
-    pub fn log_text(&self) -> String {
-        fs::read_to_string(&self.log).unwrap_or_default()
-    }
 }
 
 impl Drop for Front {
--- a/review/standins-3/kept_connections.rs
+++ b/review/standins-3/kept_connections.rs
@@ -69,10 +69,12 @@
                     let was_kept = kept.is_some();
                     match download(kept.take(), to, &id) {
                         Ok(Some(conn)) => {
+                            let took = began.elapsed().as_millis();
+                            record.line(format!("{id} GET /manifest/1: 200, {BODY} bytes in {took} ms"));
                             served.fetch_add(1, Ordering::Relaxed);
                             kept = Some(conn);
                         }
-                        Ok(None) => {}
+                        Ok(None) => record.line(format!("{id} GET /manifest/1: refused")),
                         Err(_) => {
                             if was_kept {
                                 cut.fetch_add(1, Ordering::Relaxed);
@@ -122,6 +124,10 @@
         served.load(Ordering::Relaxed),
         cut.load(Ordering::Relaxed)
     ));
+    for server in &world.servers {
+        let runs = server.runs.lock().unwrap().len();
+        record.line(format!("{} ran {runs} requests", server.id));
+    }
     let mut broken = Vec::new();
     if ends.iter().all(|ends| *ends >= 3) {
         broken.push(format!("Fault: memory over the limit ended both fronts {ends:?} times"));
--- a/review/standins-3/late_stop.rs
+++ b/review/standins-3/late_stop.rs
@@ -48,6 +48,7 @@
         if status.as_ref().map_or(0, |(status, _)| *status) != 200 {
             return Err(format!("the first request on a connection ended with {status:?}"));
         }
+        record.line(format!("first-{caller} POST /sign/x to {}: 200", front.name));
         conns.push(conn);
     }
     record.line(format!("{CALLERS} clients keep connections to {}", front.name));
