--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -2,7 +2,8 @@
 # Run after `review/build-3.sh` and the build of deploy/system.toml.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-3/rig ] && [ -x target/release/carawayrill-platform ] || exit 2
-target/review-3/rig late-stop review/12 &
+rm -f review/12/record.txt
+target/review-3/rig late-stop review/12/record.txt &
 rig=$!
 trap 'pkill -KILL -P $rig; kill -KILL $rig; exit 2' INT TERM
 wait $rig
--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -2,7 +2,8 @@
 # Run after `review/build-3.sh` and the build of deploy/system.toml.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-3/rig ] && [ -x target/release/carawayrill-platform ] || exit 2
-target/review-3/rig kept-connections review/13 &
+rm -f review/13/record.txt
+target/review-3/rig kept-connections review/13/record.txt &
 rig=$!
 trap 'pkill -KILL -P $rig; kill -KILL $rig; exit 2' INT TERM
 wait $rig
--- a/review/standins-3/rig.rs
+++ b/review/standins-3/rig.rs
@@ -1,7 +1,7 @@
 //! Stand-ins of the users' platform, and the scenarios of the cases in `review/11` to `review/15`.
 //!
-//! `rig SCENARIO DIR` is run in the root of the repository. It writes `DIR/record.txt` and exits with 1
-//! if a rule was broken, 0 if it held, and 2 if the case couldn't run. `TROUBLE=0` leaves out the
+//! `rig SCENARIO RECORD` is run in the root of the repository. It writes the file RECORD and exits with 1 if
+//! a rule was broken, 0 if it held, and 2 if the case couldn't run. `TROUBLE=0` leaves out the
 //! disruption.
 
 mod front;
@@ -19,11 +19,11 @@
 fn main() {
     let args: Vec<String> = std::env::args().collect();
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
-    let (Some(scenario), Some(dir)) = (args.get(1), args.get(2)) else {
-        eprintln!("usage: rig SCENARIO DIR");
+    let (Some(scenario), Some(file)) = (args.get(1), args.get(2)) else {
+        eprintln!("usage: rig SCENARIO RECORD");
         exit(2);
     };
-    let mut record = world::Record::new(dir, scenario, trouble);
+    let mut record = world::Record::new(file, scenario, trouble);
     let verdict = match scenario.as_str() {
         "kept-connections" => kept_connections::run(&mut record, trouble),
         "late-stop" => late_stop::run(&mut record, trouble),
@@ -46,6 +46,6 @@
             2
         }
     };
-    println!("{scenario}: exit {code}; see {dir}/record.txt");
+    println!("{scenario}: exit {code}; see {file}");
     exit(code);
 }
