A stopping front takes no request that could outlast it

Callers of a front that was stopped with a grace of 10 s sent uploads 4.2 s after the signal on kept connections.

Cause: requests were taken for 0.45 of the grace and broken off at 0.85 of it. What may be broken off is bound in seconds (3 s after the signal), so that from a grace of 6.7 s on requests were taken too late.

Ruled out: the deadline of the request (8 s, 3.7 s left) and the server (5 s of work; it would have ended in time).

Change: core::direct::shutdown has the moments of a stop. A request is passed on if its own deadline comes before the abort; otherwise only while callers are still directed to other fronts (3 s less 0.3 s for a late signal, at most 0.45 of the grace). The same for a body that ends late. A request that has waited isn't sent if its server would hardly answer before the abort. A request of another front is taken by its deadline alone, and if it is aborted its front can ask a further one: before, its caller got the 504. The event request_aborted says what was aborted where.

A grace of 6 s takes requests until 2.7 s, as before.

--- a/crates/carawayrill-core/src/direct/mod.rs
+++ b/crates/carawayrill-core/src/direct/mod.rs
@@ -32,4 +32,5 @@
 pub mod routes;
 pub mod servers;
 pub mod service_load;
+pub mod shutdown;
 pub mod spans;
--- a/crates/carawayrill-core/src/event.rs
+++ b/crates/carawayrill-core/src/event.rs
@@ -280,6 +280,17 @@
         },
         /// A front answered a request, or the caller closed the connection before.
         Request(Box<RequestRecord>),
+        /// A front that shuts down aborted a request that a server may be running.
+        RequestAborted {
+            /// The caller's id of the request.
+            request: CompactString,
+            /// The server, or the other front, to which it was sent last.
+            server: CompactString,
+            /// The time since it was received, in milliseconds.
+            age_ms: u64,
+            /// The time left until its deadline, in milliseconds.
+            left_ms: u64,
+        },
         /// A process applied a version of the manifest.
         ManifestInForce {
             /// The version of the manifest.
--- a/crates/carawayrill-gateway/src/config.rs
+++ b/crates/carawayrill-gateway/src/config.rs
@@ -38,6 +38,9 @@
     pub retry_budget: Allowance,
     /// The time between the stop signal and the moment by which the process must have exited.
     pub stop_grace: Duration,
+    /// The time after the stop signal within which callers are directed to other fronts. A request
+    /// that arrives later is refused if it could outlast the process.
+    pub stop_redirect: Duration,
     /// Whether the whole system starts for the first time, so that servers are still being added to
     /// the list.
     pub first_start: bool,
--- a/crates/carawayrill-gateway/src/forward/mod.rs
+++ b/crates/carawayrill-gateway/src/forward/mod.rs
@@ -24,11 +24,15 @@
 use carawayrill_core::direct::quarantine::Fingerprints;
 use carawayrill_core::direct::routes::RouteMatch;
 use carawayrill_core::direct::servers::Server;
+use carawayrill_core::event::EventKind;
 use carawayrill_core::event::LoadEstimateRecord;
 use carawayrill_core::event::RetryRecord;
 use carawayrill_core::event::TryRecord;
 use carawayrill_core::id::ServerId;
 use carawayrill_core::time::Time;
+use carawayrill_core::time::floor_to_u64;
+use carawayrill_core::time::millis;
+use carawayrill_telemetry::emit;
 use compact_str::CompactString;
 use http::HeaderMap;
 use http::Method;
@@ -39,6 +43,7 @@
 use self::crash::Admitted;
 use self::crash::CrashChecks;
 use self::peer::FORWARDED_REASON;
+use self::peer_refusal::PeerRefusal;
 use self::send::NotRunReason;
 use self::send::Outcome;
 use self::send::ResponseClass;
@@ -66,6 +71,10 @@
 /// The time to open a connection from which on a failure is not a refusal: the network or the machine
 /// is gone, and a further attempt would take as long.
 const SLOW_CONNECT: Duration = Duration::from_millis(200);
+/// The retry-after time of a request that is refused because this front shuts down: others are ready.
+pub(crate) const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
+/// The reason of a reply because this front shuts down.
+pub(crate) const STOPPING_REASON: &str = "stopping";
 /// The retry-after time of a refusal without a better estimate.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(250);
 
@@ -223,8 +232,54 @@
         }
     }
 
-    /// Returns the reply to a request that must end now.
-    pub fn abort(&mut self, reason: &'static str) -> Reply {
+    /// Returns the reply to a request that must end now because this front shuts down. If another
+    /// front has passed it on, that can ask a further one.
+    pub fn abort_for_shutdown(&mut self) -> Reply {
+        let now = clock::now();
+        if let Some(last) = self.tries.last().filter(|_| self.sends.may_have_run()) {
+            emit(EventKind::RequestAborted {
+                request: self.request.id.clone(),
+                server: last.server.clone(),
+                age_ms: millis(now.since(self.request.received)),
+                left_ms: millis(self.request.deadline.since(now)),
+            });
+        }
+        if self.request.forwarded.is_some() && self.server_error.is_none() {
+            let refusal = self.peer_refusal();
+            return refusal.into_reply(STOPPING_REASON, STOPPING_RETRY_AFTER);
+        }
+        self.end(
+            StatusCode::GATEWAY_TIMEOUT,
+            STOPPING_REASON,
+            STOPPING_RETRY_AFTER,
+        )
+    }
+
+    /// Returns what this front says of a request that it does not serve for another one.
+    fn peer_refusal(&self) -> PeerRefusal {
+        PeerRefusal {
+            sends: self.sends_since_received(),
+            may_have_run: self.sends.may_have_run(),
+        }
+    }
+
+    /// Returns whether a send to `server` would be aborted by the shutdown of this front before a
+    /// response can be expected, although no server may have run the request yet.
+    fn is_too_late_for(&self, server: &Server) -> bool {
+        if self.sends.may_have_run() {
+            return false;
+        }
+        let now = clock::now();
+        let mut tables = self.shared.tables();
+        let Some(schedule) = tables.shutdown else {
+            return false;
+        };
+        let expected_ms = tables.load(server, now).response_ms(now);
+        let expected = Duration::from_millis(floor_to_u64(expected_ms));
+        !schedule.has_time_for(now, expected)
+    }
+
+    fn abort(&mut self, reason: &'static str) -> Reply {
         self.end(StatusCode::GATEWAY_TIMEOUT, reason, DEFAULT_RETRY_AFTER)
     }
 
@@ -332,6 +387,9 @@
 
     /// Sends the request to a server. Returns a reply if no further send follows.
     async fn attempt(&mut self, server: &Server, fence: Option<Fence>) -> Option<Reply> {
+        if self.is_too_late_for(server) {
+            return Some(self.abort_for_shutdown());
+        }
         if !self.try_acquire_send(&server.id) {
             let retry_after = if self.declines.count() > 0 {
                 decline::retry_after(&mut self.shared.tables().rng)
--- a/crates/carawayrill-gateway/src/forward/peer.rs
+++ b/crates/carawayrill-gateway/src/forward/peer.rs
@@ -90,10 +90,7 @@
     /// pass it on to. `reason` is that of the reply.
     pub(super) async fn forward_to_peer(&mut self, reason: &'static str) -> Option<Reply> {
         if self.request.forwarded.is_some() {
-            let refusal = PeerRefusal {
-                sends: self.sends_since_received(),
-                may_have_run: self.sends.may_have_run(),
-            };
+            let refusal = self.peer_refusal();
             return Some(refusal.into_reply("cut-off", DEFAULT_RETRY_AFTER));
         }
         let mut tried = Vec::new();
--- a/crates/carawayrill-gateway/src/front.rs
+++ b/crates/carawayrill-gateway/src/front.rs
@@ -38,6 +38,8 @@
 use crate::forward::AcceptedRequest;
 use crate::forward::Forwarder;
 use crate::forward::Reply;
+use crate::forward::STOPPING_REASON;
+use crate::forward::STOPPING_RETRY_AFTER;
 use crate::forward::peer;
 use crate::forward::peer_refusal::PeerRefusal;
 use crate::head::end_to_end_headers;
@@ -48,6 +50,8 @@
 use crate::port::Key;
 use crate::port::RequestMetadata;
 use crate::shared_stream::SharedStream;
+use crate::shutdown::Phase;
+use crate::shutdown::wait_for_phase;
 use crate::state::Shared;
 use crate::upstream::Upstream;
 
@@ -58,32 +62,9 @@
 /// The smallest header buffer that the HTTP library accepts, in bytes.
 const MIN_HEADER_BUFFER_BYTES: usize = 8_192;
 
-/// The retry-after time of a request that arrives late in a shutdown.
-const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
 /// How long a new connection is kept open for its first request during a shutdown.
 const NEW_CONNECTION_GRACE: Duration = Duration::from_millis(500);
 
-/// The phases of a graceful shutdown.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Phase {
-    /// Serving; no shutdown has begun.
-    Running,
-    /// Serving new requests, and asking callers to close their connections.
-    Draining,
-    /// Finishing requests in flight, and closing idle connections.
-    Closing,
-    /// Aborting the requests that are still in flight with a final reply.
-    Aborting,
-}
-
-/// Waits until the shutdown reaches a phase.
-async fn wait_for_phase(phase: &mut watch::Receiver<Phase>, awaited: Phase) {
-    if phase.wait_for(|phase| *phase >= awaited).await.is_err() {
-        // The sender was dropped, so no shutdown can follow.
-        std::future::pending::<()>().await;
-    }
-}
-
 /// Waits until the shutdown reaches [`Phase::Closing`], but at least for `grace`: the first request of
 /// a new connection may be on its way.
 async fn closing_after(phase: &mut watch::Receiver<Phase>, grace: Duration) {
@@ -228,13 +209,7 @@
         let mut log_entry =
             AccessLogEntry::new(&self.shared, &self.log_limiter, received, &metadata);
         self.shared.metrics.in_flight.inc();
-        // A request that is accepted this late might not end before the process does, and another
-        // front takes it.
-        let reply = if *self.phase.borrow() >= Phase::Closing {
-            stopping_reply(req.headers().contains_key(peer::FORWARDED))
-        } else {
-            self.handle(req, &metadata, &mut log_entry).await
-        };
+        let reply = self.handle(req, &metadata, &mut log_entry).await;
         log_entry.end(&reply);
         self.respond(reply)
     }
@@ -261,11 +236,13 @@
             .clone_from(&request.matched.route.name);
         log_entry.record.service = request.matched.service.to_compact_string();
         log_entry.record.key = request.key;
-        let is_forwarded = request.forwarded.is_some();
+        if !self.admits(&request) {
+            return stopping_reply(&request);
+        }
         let mut phase = self.phase.clone();
         let read = tokio::select! {
             biased;
-            () = wait_for_phase(&mut phase, Phase::Aborting) => return stopping_reply(is_forwarded),
+            () = wait_for_phase(&mut phase, Phase::Aborting) => return stopping_reply(&request),
             read = self.bodies.read(body, manifest.limits.max_body_bytes) => read,
         };
         let (body, _buffered) = match read {
@@ -273,8 +250,8 @@
             Err(reply) => return reply,
         };
         // It may have taken long to read.
-        if *self.phase.borrow() >= Phase::Closing {
-            return stopping_reply(is_forwarded);
+        if !self.admits(&request) {
+            return stopping_reply(&request);
         }
         let fingerprints = fingerprints(&parts, metadata, &body);
         log_entry.record.content = fingerprints.exact.to_compact_string();
@@ -298,7 +275,7 @@
             () = wait_for_phase(&mut phase, Phase::Aborting) => None,
             reply = forwarder.run() => Some(reply),
         };
-        let reply = ended.unwrap_or_else(|| forwarder.abort("stopping"));
+        let reply = ended.unwrap_or_else(|| forwarder.abort_for_shutdown());
         log_entry.record.waited_ms = millis(forwarder.waited);
         log_entry.record.tries = std::mem::take(&mut forwarder.tries);
         log_entry.record.believed = forwarder.load_estimate.take();
@@ -309,6 +286,16 @@
         reply
     }
 
+    /// Returns whether a request may be passed on now. Another front takes one that would not end
+    /// before this process does.
+    fn admits(&self, request: &AcceptedRequest) -> bool {
+        let shutdown = self.shared.tables().shutdown;
+        shutdown.is_none_or(|schedule| match request.forwarded {
+            Some(_) => schedule.admits_of_peer(request.deadline),
+            None => schedule.admits(clock::now(), request.deadline),
+        })
+    }
+
     /// Counts a request that will be forwarded, and returns the age of the list of servers.
     fn count_accepted(&self, request: &AcceptedRequest) -> Option<Duration> {
         let service = &request.matched.service;
@@ -413,10 +400,10 @@
 
 /// Returns the reply to a request that was not sent before this front's planned stop was too far.
 /// If another front has passed it on, that asks a further one.
-fn stopping_reply(is_forwarded: bool) -> Reply {
-    if is_forwarded {
-        return PeerRefusal::UNSENT.into_reply("stopping", STOPPING_RETRY_AFTER);
+fn stopping_reply(request: &AcceptedRequest) -> Reply {
+    if request.forwarded.is_some() {
+        return PeerRefusal::UNSENT.into_reply(STOPPING_REASON, STOPPING_RETRY_AFTER);
     }
     let after = Some(STOPPING_RETRY_AFTER);
-    Reply::local(StatusCode::SERVICE_UNAVAILABLE, "stopping", after)
+    Reply::local(StatusCode::SERVICE_UNAVAILABLE, STOPPING_REASON, after)
 }
--- a/crates/carawayrill-gateway/src/lib.rs
+++ b/crates/carawayrill-gateway/src/lib.rs
@@ -56,6 +56,7 @@
 pub mod run;
 mod server_changes;
 mod shared_stream;
+pub mod shutdown;
 pub mod spans;
 pub mod state;
 pub mod tcp_connector;
--- a/crates/carawayrill-gateway/src/run.rs
+++ b/crates/carawayrill-gateway/src/run.rs
@@ -1,11 +1,9 @@
 //! Runs a gateway from its start to its graceful shutdown.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use carawayrill_core::event::EventKind;
 use carawayrill_core::id::Incarnation;
-use carawayrill_core::time::Time;
 use carawayrill_store::port::ObjectStore;
 use carawayrill_telemetry::emit;
 use tokio::net::TcpListener;
@@ -15,12 +13,10 @@
 use tokio::sync::watch;
 
 use crate::Error;
-use crate::clock;
 use crate::config::Config;
 use crate::counting_store::CountingStore;
 use crate::front;
 use crate::front::Front;
-use crate::front::Phase;
 use crate::granter_stream;
 use crate::knowledge::Knowledge;
 use crate::lease_manager::LeaseManager;
@@ -32,21 +28,14 @@
 use crate::reach;
 use crate::ready;
 use crate::ready::Readiness;
+use crate::shutdown::Phase;
+use crate::shutdown::shut_down;
 use crate::state::Shared;
 use crate::tcp_connector::TcpConnector;
 use crate::upstream::Upstream;
 use crate::waiting;
 use crate::watcher;
 
-/// The share of the grace period after which requests in flight are aborted with a final reply.
-const ABORT_SHARE: f64 = 0.85;
-/// The share of the grace period within which a graceful shutdown ends.
-const STOP_SHARE: f64 = 0.93;
-/// The share of the grace period during which new requests are still served.
-const DRAIN_SHARE: f64 = 0.45;
-/// How often a graceful shutdown checks whether all connections have ended.
-const STOP_POLL_INTERVAL: Duration = Duration::from_millis(25);
-
 /// The external systems of a gateway.
 #[derive(Debug, Clone)]
 pub struct Ports {
@@ -212,40 +201,3 @@
         }
     }
 }
-
-/// Lets requests in flight finish, and aborts those that are left near the end of the grace period
-/// with a final reply.
-async fn shut_down(
-    shared: &Shared,
-    front: &Front,
-    lease_manager: &Arc<LeaseManager>,
-    phase: &watch::Sender<Phase>,
-) {
-    let started = clock::now();
-    let in_flight = || u32::try_from(shared.metrics.in_flight.get()).unwrap_or(0);
-    emit(EventKind::Stopping {
-        in_flight: in_flight(),
-    });
-    shared.tables().is_stopping = true;
-    phase.send_replace(Phase::Draining);
-    let grace = shared.cfg.stop_grace;
-    let drain_until = started + grace.mul_f64(DRAIN_SHARE);
-    // The store may be unreachable, so releasing the lease must not delay the rest of the shutdown.
-    let lease_manager = Arc::clone(lease_manager);
-    tokio::spawn(async move { lease_manager.stop().await });
-    tokio::time::sleep(drain_until.since(clock::now())).await;
-    phase.send_replace(Phase::Closing);
-    wait_for_connections(front, started + grace.mul_f64(ABORT_SHARE)).await;
-    phase.send_replace(Phase::Aborting);
-    wait_for_connections(front, started + grace.mul_f64(STOP_SHARE)).await;
-    emit(EventKind::Stopped {
-        cut_off: in_flight(),
-    });
-}
-
-/// Waits until callers have no open connections, at most until `until`.
-async fn wait_for_connections(front: &Front, until: Time) {
-    while front.connections() > 0 && clock::now() < until {
-        tokio::time::sleep(STOP_POLL_INTERVAL).await;
-    }
-}
--- a/crates/carawayrill-gateway/src/state.rs
+++ b/crates/carawayrill-gateway/src/state.rs
@@ -32,6 +32,7 @@
 use carawayrill_core::direct::servers::Server;
 use carawayrill_core::direct::servers::Servers;
 use carawayrill_core::direct::service_load::ServiceLoad;
+use carawayrill_core::direct::shutdown::ShutdownSchedule;
 use carawayrill_core::event::EventKind;
 use carawayrill_core::id::DataCentreId;
 use carawayrill_core::id::ServerId;
@@ -96,8 +97,8 @@
     pub peers: PeerTable,
     /// The services whose servers other fronts are asked to reach for this one.
     pub detours: Detours,
-    /// Whether the planned stop of this front has begun.
-    pub is_stopping: bool,
+    /// The schedule of this front's graceful shutdown, once that has begun.
+    pub shutdown: Option<ShutdownSchedule>,
     /// The keys with which fronts prove to each other that they are fronts.
     pub peer_keys: PeerKeys,
     /// The spans of each keyed service.
@@ -176,7 +177,7 @@
                 reach: ServerReach::default(),
                 peers: PeerTable::default(),
                 detours: Detours::default(),
-                is_stopping: false,
+                shutdown: None,
                 peer_keys: PeerKeys::default(),
                 spans: HashMap::new(),
                 retry_budgets: HashMap::new(),
@@ -312,7 +313,7 @@
     /// Returns why requests can't be served, or `None` if they can.
     #[must_use]
     pub fn not_ready(&self) -> Option<&'static str> {
-        if self.is_stopping {
+        if self.shutdown.is_some() {
             Some("stopping")
         } else if self.manifest.is_none() {
             Some("no-manifest")
