A caller's connection keeps no copy of its largest response

Cause: the stream of a caller's connection had no vectored writes, so that the HTTP library copied each response into the connection's write buffer, which keeps its capacity until the connection ends. Nothing counted it.

Ruled out: slow readers (these callers read at once) and the limit on buffered bytes (responses no longer count once they are read from the server).

--- a/crates/carawayrill-gateway/src/shared_stream.rs
+++ b/crates/carawayrill-gateway/src/shared_stream.rs
@@ -136,6 +136,26 @@
         }
     }
 
+    // Without vectored writes the HTTP library copies each body into a buffer of the connection, which
+    // keeps the capacity of the largest one.
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.stream.poll_write_ready(cx))?;
+            match self.stream.try_write_vectored(bufs) {
+                Err(err) if err.kind() == io::ErrorKind::WouldBlock => {}
+                result => return Poll::Ready(result),
+            }
+        }
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
     fn poll_flush(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         Poll::Ready(Ok(()))
     }
