All bytes held for callers and servers count towards one limit

What a front held for a caller that does not read its response was counted nowhere: the count ended once the response was read from its server. Twelve callers that stop reading 8 MiB each took 96 MB, whatever the limit, for as long as they liked. A body that never arrives was held as long. Requests, responses of servers and responses of other fronts had a limit of 0.4 of the memory each.

Change: HeldData carries its count until its last copy is dropped, towards one limit. Requests get 0.6 of it: one that is refused can go to another front, a response that is lost has run. Callers that read nothing for the idle timeout are cut off; from half of the limit on also those that have taken longest, the sooner the less room is left, none within a second. Other responses wait for that room (1.5 s at most), and a response without room is not held against its server. A body is read until the deadline of its request, and told 408 then, which is true: it was not sent.

Tests: slow_callers. Before: none of 18 slow callers cut off; no response to a body that doesn't arrive within 4 s. Now: quick callers beside 18 slow ones get all their responses, held_bytes stays within the limit, 408 after 1 s.

The metrics held_bytes by purpose and callers_cut_off_total, and the event caller_cut_off, show it. A request's future is allocated when there is one, so that an idle connection takes 14.7 KiB, not 21.7 (1,000 connections).

--- a/crates/carawayrill-core/src/event.rs
+++ b/crates/carawayrill-core/src/event.rs
@@ -291,6 +291,14 @@
             /// The time left until its deadline, in milliseconds.
             left_ms: u64,
         },
+        /// A front ended the connection of a caller that took too long to read a response.
+        CallerCutOff {
+            /// The reason: `stalled` if the caller had stopped reading, `slow` if it had taken long and
+            /// memory ran out.
+            reason: CompactString,
+            /// The time since the response was first written, in milliseconds.
+            took_ms: u64,
+        },
         /// A process applied a version of the manifest.
         ManifestInForce {
             /// The version of the manifest.
--- a/crates/carawayrill-gateway/src/body.rs
+++ b/crates/carawayrill-gateway/src/body.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use bytes::BytesMut;
 use http::StatusCode;
 use http_body_util::BodyExt;
@@ -11,9 +10,10 @@
 use hyper::body::Incoming;
 
 use crate::buffer_limit::BufferLimit;
-use crate::buffer_limit::HeldBytes;
 use crate::buffer_limit::NoMemory;
+use crate::buffer_limit::Purpose;
 use crate::forward::Reply;
+use crate::held_data::HeldData;
 
 /// The retry-after time of a request for whose body there is no memory.
 const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -23,30 +23,26 @@
 pub(crate) struct BodyBuffer(Arc<BufferLimit>);
 
 impl BodyBuffer {
-    /// Creates the buffer of a front that may hold `max_bytes` of bodies.
-    pub(crate) fn new(max_bytes: usize) -> Self {
-        Self(BufferLimit::new(max_bytes))
+    /// Creates a buffer whose bodies count towards `buffers`.
+    pub(crate) fn new(buffers: Arc<BufferLimit>) -> Self {
+        Self(buffers)
     }
 
     /// Reads a body of at most `limit` bytes. They count from the moment at which they are announced or
-    /// arrive, since other bodies are read at the same time, until the second value is dropped.
+    /// arrive, since other bodies are read at the same time.
     ///
     /// # Errors
     ///
     /// Fails with the reply to the caller if the body is too long or breaks off, or if there is no
     /// memory for it.
-    pub(crate) async fn read(
-        &self,
-        mut body: Incoming,
-        limit: usize,
-    ) -> Result<(Bytes, HeldBytes), Reply> {
+    pub(crate) async fn read(&self, mut body: Incoming, limit: usize) -> Result<HeldData, Reply> {
         let too_long = || Reply::local(StatusCode::PAYLOAD_TOO_LARGE, "body-too-long", None);
         let announced = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
         if announced > limit {
             return Err(too_long());
         }
-        let mut buffered = self.0.hold();
-        buffered.grow_to(announced)?;
+        let mut held = self.0.hold(Purpose::RequestBody);
+        held.grow_to(announced)?;
         let mut buf = BytesMut::with_capacity(announced);
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|err| {
@@ -60,10 +56,10 @@
             if bytes > limit {
                 return Err(too_long());
             }
-            buffered.grow_to(bytes)?;
+            held.grow_to(bytes)?;
             buf.extend_from_slice(&data);
         }
-        Ok((buf.freeze(), buffered))
+        Ok(HeldData::new(buf.freeze(), held))
     }
 }
 
--- a/crates/carawayrill-gateway/src/config.rs
+++ b/crates/carawayrill-gateway/src/config.rs
@@ -63,6 +63,6 @@
     pub granter: granter::Config,
     /// The validity of the granter's lease after a renewal.
     pub lease_duration: Duration,
-    /// The maximum number of bytes of request bodies that are buffered at a time.
+    /// The maximum number of bytes of requests and responses that are held at a time.
     pub max_buffered_bytes: usize,
 }
--- a/crates/carawayrill-gateway/src/forward/mod.rs
+++ b/crates/carawayrill-gateway/src/forward/mod.rs
@@ -16,7 +16,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use carawayrill_core::direct::decline;
 use carawayrill_core::direct::decline::Declines;
 use carawayrill_core::direct::keys::Fence;
@@ -50,6 +49,7 @@
 use self::sends::SendLedger;
 use self::wait::WaitEnd;
 use crate::clock;
+use crate::held_data::HeldData;
 use crate::port::HeaderCodec;
 use crate::quarantine::ClosedSend;
 use crate::state::Shared;
@@ -113,7 +113,7 @@
     /// The end-to-end headers.
     pub headers: HeaderMap,
     /// The body.
-    pub body: Bytes,
+    pub body: HeldData,
     /// When the request was received.
     pub received: Time,
     /// When the response is due.
@@ -130,7 +130,7 @@
     /// The server's headers, if this is the response of a server.
     pub headers: HeaderMap,
     /// The body.
-    pub body: Bytes,
+    pub body: HeldData,
     /// The outcome for the log and metrics.
     pub reason: &'static str,
     /// The time after which the caller may retry.
@@ -144,7 +144,7 @@
         Self {
             status,
             headers: HeaderMap::new(),
-            body: Bytes::from_static(reason.as_bytes()),
+            body: HeldData::from_static(reason.as_bytes()),
             reason,
             retry_after,
         }
--- a/crates/carawayrill-gateway/src/forward/peer.rs
+++ b/crates/carawayrill-gateway/src/forward/peer.rs
@@ -125,7 +125,7 @@
             Ok(_) if refusal.is_some() => PEER_CUT_OFF,
             Ok(_) => "answered",
             Err(SendError::NotSent(_)) => NOT_SENT,
-            Err(SendError::Closed(_) | SendError::Lost(_)) => "lost",
+            Err(SendError::Closed(_) | SendError::Lost(_) | SendError::NoMemory) => "lost",
         };
         self.end_peer_try(now, outcome, result.as_ref().err());
         match (result, refusal) {
@@ -140,7 +140,7 @@
                 }
             }
             (Err(SendError::NotSent(_)), _) => send.prove_not_run(&mut self.sends),
-            (Err(SendError::Closed(_) | SendError::Lost(_)), _) => {}
+            (Err(SendError::Closed(_) | SendError::Lost(_) | SendError::NoMemory), _) => {}
         }
         if let Some(reply) = self.refuse_second_run() {
             return Some(reply);
@@ -236,7 +236,7 @@
         self.shared.metrics.record_try(outcome, took);
         if let Some(record) = self.tries.last_mut() {
             record.outcome = outcome.into();
-            record.error = error.map(|err| err.reason().clone()).unwrap_or_default();
+            record.error = error.map(SendError::reason).unwrap_or_default();
             record.took_ms = millis(took);
         }
     }
--- a/crates/carawayrill-gateway/src/forward/send.rs
+++ b/crates/carawayrill-gateway/src/forward/send.rs
@@ -3,7 +3,6 @@
 use std::pin::Pin;
 use std::time::Duration;
 
-use bytes::Bytes;
 use carawayrill_core::direct::keys::Fence;
 use carawayrill_core::direct::limit::LimitStatement;
 use carawayrill_core::direct::load::AttemptResult;
@@ -27,6 +26,7 @@
 use super::sends::UnprovenSend;
 use super::sends::promises_not_run;
 use crate::clock;
+use crate::held_data::HeldData;
 use crate::in_flight::InFlight;
 use crate::port::LimitHeader;
 use crate::port::ResponseMetadata;
@@ -113,7 +113,7 @@
 }
 
 impl<'a> Forwarder<'a> {
-    fn build_request(&self, server: &Server, timeout: Duration) -> Request<Full<Bytes>> {
+    fn build_request(&self, server: &Server, timeout: Duration) -> Request<Full<HeldData>> {
         let mut req = Request::new(Full::new(self.request.body.clone()));
         *req.method_mut() = self.request.method.clone();
         *req.uri_mut() = self.request.uri.clone();
@@ -232,7 +232,7 @@
         if matches!(result, Err(SendError::Closed(_))) {
             self.note_closed(&pending.server, pending.started);
         }
-        let error = result.as_ref().err().map(|err| err.reason().clone());
+        let error = result.as_ref().err().map(SendError::reason);
         let (outcome, label) = self.classify_result(&pending.server, result, pending.in_flight);
         if matches!(outcome, Outcome::NotRun(_) | Outcome::NotSent) {
             pending.send.prove_not_run(&mut self.sends);
@@ -293,6 +293,11 @@
                 in_flight.end(AttemptResult::Unreachable, None);
                 return (Outcome::NotSent, NOT_SENT);
             }
+            Err(SendError::NoMemory) => {
+                // The server did its work.
+                in_flight.end(AttemptResult::Unknown, None);
+                return (Outcome::Lost, "no-memory");
+            }
             Err(SendError::Closed(reason) | SendError::Lost(reason)) => {
                 log::debug!("no response from {}: {reason}", server.id);
                 in_flight.end(AttemptResult::Failed, None);
--- a/crates/carawayrill-gateway/src/front.rs
+++ b/crates/carawayrill-gateway/src/front.rs
@@ -7,7 +7,6 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use bytes::Bytes;
 use carawayrill_core::direct::manifest::CallerLimits;
 use carawayrill_core::direct::manifest::Manifest;
 use carawayrill_core::direct::quarantine::Fingerprints;
@@ -35,6 +34,7 @@
 use crate::access_log::LogLineLimiter;
 use crate::body::BodyBuffer;
 use crate::clock;
+use crate::delivery::DeliveryStream;
 use crate::forward::AcceptedRequest;
 use crate::forward::Forwarder;
 use crate::forward::Reply;
@@ -46,6 +46,7 @@
 use crate::head::fingerprints;
 use crate::head::forwarded_headers;
 use crate::head::origin_form;
+use crate::held_data::HeldData;
 use crate::port::HeaderCodec;
 use crate::port::Key;
 use crate::port::RequestMetadata;
@@ -111,7 +112,7 @@
         header_codec: Arc<dyn HeaderCodec>,
         phase: watch::Receiver<Phase>,
     ) -> Self {
-        let bodies = BodyBuffer::new(shared.cfg.max_buffered_bytes);
+        let bodies = BodyBuffer::new(Arc::clone(&shared.buffers));
         Self {
             shared,
             upstream,
@@ -172,14 +173,18 @@
         let front = Arc::clone(&self);
         let stream = SharedStream::new(stream);
         let caller = stream.clone();
+        let stream = DeliveryStream::new(stream, Arc::clone(&self.shared), limits.idle_timeout);
         let service = service_fn(move |req| {
             let front = Arc::clone(&front);
             let caller = caller.clone();
             async move {
-                tokio::select! {
-                    resp = front.serve(req) => Ok(resp),
+                // The HTTP library keeps room for the future of a request on each idle connection.
+                let serving = Box::pin(front.serve(req));
+                let resp = tokio::select! {
+                    resp = serving => Ok(resp),
                     () = caller.closed() => Err(std::io::Error::from(ErrorKind::ConnectionAborted)),
-                }
+                };
+                resp
             }
         });
         let mut builder = http1::Builder::new();
@@ -203,7 +208,7 @@
         self.open_connections.fetch_sub(1, Ordering::Relaxed);
     }
 
-    async fn serve(&self, req: Request<Incoming>) -> Response<Full<Bytes>> {
+    async fn serve(&self, req: Request<Incoming>) -> Response<Full<HeldData>> {
         let received = clock::now();
         let metadata = self.header_codec.parse_request(req.headers());
         let mut log_entry =
@@ -243,9 +248,9 @@
         let read = tokio::select! {
             biased;
             () = wait_for_phase(&mut phase, Phase::Aborting) => return stopping_reply(&request),
-            read = self.bodies.read(body, manifest.limits.max_body_bytes) => read,
+            read = self.read_body(body, manifest.limits.max_body_bytes, request.deadline) => read,
         };
-        let (body, _buffered) = match read {
+        let body = match read {
             Ok(read) => read,
             Err(reply) => return reply,
         };
@@ -286,6 +291,23 @@
         reply
     }
 
+    /// Reads the body of a request until its deadline. What has arrived is held no longer.
+    async fn read_body(
+        &self,
+        body: Incoming,
+        max_bytes: usize,
+        deadline: Time,
+    ) -> Result<HeldData, Reply> {
+        let left = deadline.since(clock::now());
+        match tokio::time::timeout(left, self.bodies.read(body, max_bytes)).await {
+            Ok(read) => read,
+            Err(_elapsed) => {
+                let status = StatusCode::REQUEST_TIMEOUT;
+                Err(Reply::local(status, "body-too-slow", None))
+            }
+        }
+    }
+
     /// Returns whether a request may be passed on now. Another front takes one that would not end
     /// before this process does.
     fn admits(&self, request: &AcceptedRequest) -> bool {
@@ -372,7 +394,7 @@
             method: parts.method.clone(),
             uri: origin_form(&parts.uri),
             headers: forwarded_headers(&parts.headers),
-            body: Bytes::new(),
+            body: HeldData::default(),
             received,
             deadline: received + timeout,
             objective: received + objective,
@@ -380,7 +402,7 @@
         })
     }
 
-    fn respond(&self, reply: Reply) -> Response<Full<Bytes>> {
+    fn respond(&self, reply: Reply) -> Response<Full<HeldData>> {
         let mut resp = Response::new(Full::new(reply.body));
         *resp.status_mut() = reply.status;
         *resp.headers_mut() = end_to_end_headers(&reply.headers);
--- a/crates/carawayrill-gateway/src/lib.rs
+++ b/crates/carawayrill-gateway/src/lib.rs
@@ -26,7 +26,7 @@
 
 mod access_log;
 mod body;
-mod buffer_limit;
+pub mod buffer_limit;
 mod classes;
 pub mod clock;
 mod cold;
@@ -34,6 +34,7 @@
 mod connections;
 mod contact;
 mod counting_store;
+mod delivery;
 pub mod egress;
 mod error;
 mod evacuation;
@@ -42,6 +43,7 @@
 pub mod granter_runtime;
 pub mod granter_stream;
 mod head;
+pub mod held_data;
 pub mod homes;
 mod in_flight;
 pub mod knowledge;
--- a/crates/carawayrill-gateway/src/metrics.rs
+++ b/crates/carawayrill-gateway/src/metrics.rs
@@ -77,6 +77,10 @@
     pub evacuated_keys: IntGauge,
     /// Requests in flight.
     pub in_flight: IntGauge,
+    /// The bytes that are held for callers and servers, by purpose.
+    pub held_bytes: IntGaugeVec,
+    /// The callers' connections that were ended because the caller read too slowly, by reason.
+    pub callers_cut_off: IntCounterVec,
     /// Requests that wait for a server of a service that routes of different priority share, by
     /// priority.
     pub waiting: IntGaugeVec,
@@ -114,8 +118,13 @@
     Ok(counters)
 }
 
-fn gauges_by_priority(registry: &Registry, name: &str, help: &str) -> Result<IntGaugeVec, Error> {
-    let gauges = IntGaugeVec::new(Opts::new(name, help), &["priority"]).map_err(Error::metrics)?;
+fn int_gauges(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+    label: &str,
+) -> Result<IntGaugeVec, Error> {
+    let gauges = IntGaugeVec::new(Opts::new(name, help), &[label]).map_err(Error::metrics)?;
     registry
         .register(Box::new(gauges.clone()))
         .map_err(Error::metrics)?;
@@ -220,7 +229,14 @@
             )?,
             evacuated_keys: gauge(r, "evacuated_keys", "Keys owned in evacuated data centres")?,
             in_flight: gauge(r, "in_flight", "Requests in flight")?,
-            waiting: gauges_by_priority(r, "waiting_requests", "Requests that wait for room")?,
+            held_bytes: int_gauges(r, "held_bytes", "Bytes that are held", "purpose")?,
+            callers_cut_off: counters(r, "callers_cut_off_total", "Callers that read slowly")?,
+            waiting: int_gauges(
+                r,
+                "waiting_requests",
+                "Requests that wait for room",
+                "priority",
+            )?,
             refused: counters_by_priority(r, "refused_total", "Requests refused for lack of room")?,
             granter: gauge(r, "granter", "1 while this front is the granter")?,
             decision_age: seconds(
--- a/crates/carawayrill-gateway/src/run.rs
+++ b/crates/carawayrill-gateway/src/run.rs
@@ -85,14 +85,9 @@
         ..ports
     };
     let (phase, phases) = watch::channel(Phase::Running);
-    let upstream = Arc::new(Upstream::new(
-        Arc::clone(&ports.connector),
-        shared.cfg.max_buffered_bytes,
-    ));
-    let peers = Arc::new(Upstream::new(
-        Arc::new(TcpConnector),
-        shared.cfg.max_buffered_bytes,
-    ));
+    let connections = |connector| Arc::new(Upstream::new(connector, Arc::clone(&shared.buffers)));
+    let upstream = connections(Arc::clone(&ports.connector));
+    let peers = connections(Arc::new(TcpConnector));
     let front = Arc::new(Front::new(
         Arc::clone(&shared),
         Arc::clone(&upstream),
--- a/crates/carawayrill-gateway/src/state.rs
+++ b/crates/carawayrill-gateway/src/state.rs
@@ -46,6 +46,7 @@
 use tokio::sync::Notify;
 use tokio::sync::watch;
 
+use crate::buffer_limit::BufferLimit;
 use crate::classes::ClassShares;
 use crate::clock;
 use crate::config::Config;
@@ -132,6 +133,8 @@
     pub cfg: Config,
     /// The metrics.
     pub metrics: Metrics,
+    /// The limit on the bytes that are held for callers and servers.
+    pub buffers: Arc<BufferLimit>,
     /// The requests that wait for a server.
     pub waiting: WaitingRequests,
     tables: Mutex<Tables>,
@@ -156,9 +159,11 @@
         let evacuations = Evacuations::new(cfg.evacuation_bound);
         let egress = EgressState::new(cfg.region_egress.is_some());
         let homes = HomeTable::new(cfg.regions.clone());
+        let buffers = BufferLimit::new(cfg.max_buffered_bytes, metrics.held_bytes.clone());
         Self {
             cfg,
             metrics,
+            buffers,
             waiting: WaitingRequests::default(),
             tables: Mutex::new(Tables {
                 manifest: None,
--- a/crates/carawayrill-gateway/src/upstream.rs
+++ b/crates/carawayrill-gateway/src/upstream.rs
@@ -15,18 +15,19 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
-use bytes::Bytes;
 use bytes::BytesMut;
 use carawayrill_core::direct::servers::Server;
 use carawayrill_core::id::ServerId;
 use carawayrill_core::time::Time;
 use compact_str::CompactString;
+use compact_str::ToCompactString;
 use compact_str::format_compact;
 use http::HeaderMap;
 use http::Request;
 use http::StatusCode;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1;
@@ -36,7 +37,10 @@
 
 use crate::buffer_limit::BufferLimit;
 use crate::buffer_limit::HeldBytes;
+use crate::buffer_limit::NoMemory;
+use crate::buffer_limit::Purpose;
 use crate::clock;
+use crate::held_data::HeldData;
 use crate::metered_stream::MeteredStream;
 use crate::metered_stream::ReadMeter;
 use crate::port::ServerConnector;
@@ -77,7 +81,7 @@
     /// The headers.
     pub headers: HeaderMap,
     /// The body.
-    pub body: Bytes,
+    pub body: HeldData,
     /// Whether the connection has carried another request before.
     pub is_reused: bool,
     connection: Connection,
@@ -93,14 +97,17 @@
     Closed(CompactString),
     /// The response was lost; the server may have run the request.
     Lost(CompactString),
+    /// This process has no memory for the response; the server may have run the request.
+    NoMemory,
 }
 
 impl SendError {
     /// Returns what went wrong.
     #[must_use]
-    pub fn reason(&self) -> &CompactString {
+    pub fn reason(&self) -> CompactString {
         match self {
-            Self::NotSent(reason) | Self::Closed(reason) | Self::Lost(reason) => reason,
+            Self::NotSent(reason) | Self::Closed(reason) | Self::Lost(reason) => reason.clone(),
+            Self::NoMemory => NoMemory::LimitReached.to_compact_string(),
         }
     }
 }
@@ -108,7 +115,7 @@
 /// A connection that is closed when it is dropped.
 #[derive(Debug)]
 struct Connection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<Full<HeldData>>,
     task: AbortHandle,
     meter: Arc<ReadMeter>,
 }
@@ -117,8 +124,8 @@
     /// Sends a request and reads the head of the response.
     async fn exchange(
         &mut self,
-        req: Request<Full<Bytes>>,
-    ) -> Result<http::Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        req: Request<Full<HeldData>>,
+    ) -> Result<http::Response<Incoming>, TrySendError<Request<Full<HeldData>>>> {
         self.meter.begin_head(MAX_BYTES_TO_HEAD);
         let resp = self.sender.try_send_request(req).await?;
         self.meter.begin_body(MAX_BODY_WIRE_BYTES);
@@ -181,18 +188,18 @@
 pub struct Upstream {
     connector: Arc<dyn ServerConnector>,
     idle: Mutex<HashMap<ServerId, VecDeque<IdleConnection>>>,
-    /// The bytes of the responses that are being read.
-    buffered: Arc<BufferLimit>,
+    /// The bytes of the responses that are held.
+    buffers: Arc<BufferLimit>,
 }
 
 impl Upstream {
-    /// Creates the connections of a front that may buffer `max_buffered` bytes of responses.
+    /// Creates the connections of a front. The responses count towards `buffers`.
     #[must_use]
-    pub fn new(connector: Arc<dyn ServerConnector>, max_buffered: usize) -> Self {
+    pub fn new(connector: Arc<dyn ServerConnector>, buffers: Arc<BufferLimit>) -> Self {
         Self {
             connector,
             idle: Mutex::default(),
-            buffered: BufferLimit::new(max_buffered),
+            buffers,
         }
     }
 
@@ -259,7 +266,7 @@
     pub async fn send(
         &self,
         to: Destination<'_>,
-        mut req: Request<Full<Bytes>>,
+        mut req: Request<Full<HeldData>>,
         reuse: Reuse,
         on_connect: impl FnOnce(ConnectResult),
     ) -> Result<ServerResponse, SendError> {
@@ -313,7 +320,7 @@
             return Err(not_sent(&"closed right after the connect"));
         }
         on_connect(ConnectResult::Connected);
-        let meter = ReadMeter::of_responses(self.buffered.hold());
+        let meter = ReadMeter::of_responses(self.buffers.hold(Purpose::ResponseHead));
         let stream = MeteredStream::new(stream, Arc::clone(&meter));
         let (sender, driver) = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
@@ -350,6 +357,10 @@
         })
     }
 
+    fn max_response_bytes(&self) -> usize {
+        MAX_RESPONSE_BYTES.min(self.buffers.max_response_bytes())
+    }
+
     /// Reads the body of a response.
     async fn receive(
         &self,
@@ -362,7 +373,12 @@
             let reason = format_compact!("{} is no status of a response", parts.status.as_str());
             return Err(SendError::Lost(reason));
         }
-        let body = read_body(&mut body, self.buffered.hold()).await?;
+        let body = read_body(
+            &mut body,
+            self.max_response_bytes(),
+            self.buffers.hold(Purpose::ResponseBody),
+        )
+        .await?;
         Ok(ServerResponse {
             status: parts.status,
             headers: parts.headers,
@@ -373,6 +389,12 @@
     }
 }
 
+impl From<NoMemory> for SendError {
+    fn from(_: NoMemory) -> Self {
+        Self::NoMemory
+    }
+}
+
 /// Returns the error of a request whose response did not begin.
 fn without_response(err: &hyper::Error) -> SendError {
     let reason = match err.source() {
@@ -409,21 +431,26 @@
 }
 
 /// Reads a body that has an end within the limits.
-async fn read_body(body: &mut Incoming, mut buffered: HeldBytes) -> Result<Bytes, SendError> {
+async fn read_body(
+    body: &mut Incoming,
+    max_bytes: usize,
+    mut held: HeldBytes,
+) -> Result<HeldData, SendError> {
     let lost = |reason: &dyn std::fmt::Display| {
         SendError::Lost(format_compact!("could not read the response: {reason}"))
     };
-    let mut buf = BytesMut::new();
+    let announced = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+    let mut buf = BytesMut::with_capacity(announced.min(max_bytes));
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|err| lost(&err))?;
         let Ok(data) = frame.into_data() else {
             continue;
         };
-        buffered.add(data.len()).map_err(|err| lost(&err))?;
-        if buf.len() + data.len() > MAX_RESPONSE_BYTES {
+        if buf.len() + data.len() > max_bytes {
             return Err(lost(&"the body is too long"));
         }
+        held.add_with_room(data.len()).await?;
         buf.extend_from_slice(&data);
     }
-    Ok(buf.freeze())
+    Ok(HeldData::new(buf.freeze(), held))
 }
