Idle connections of callers leave descriptors for servers

Callers keep connections open for up to four fifths of the idle timeout. With most fronts lost, those that are left get more connections than they have descriptors (2,300 requests a second with 12 s each are 27,600 connections for two fronts of 4,100), can accept no more, and reach no server either: the two share the descriptors.

At the limit the connection that has been idle for longest is closed for a new one, as a caller has to expect of an idle connection. If none is idle, the new one is closed unread.

Not shown with real descriptors that run out. Metrics caller_connections, idle_closed_total.

--- a/crates/carawayrill-gateway/src/config.rs
+++ b/crates/carawayrill-gateway/src/config.rs
@@ -65,4 +65,6 @@
     pub lease_duration: Duration,
     /// The maximum number of bytes of requests and responses that are held at a time.
     pub max_buffered_bytes: usize,
+    /// The maximum number of open connections of callers.
+    pub max_caller_connections: usize,
 }
--- a/crates/carawayrill-gateway/src/front.rs
+++ b/crates/carawayrill-gateway/src/front.rs
@@ -3,8 +3,6 @@
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::AtomicUsize;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use carawayrill_core::direct::manifest::CallerLimits;
@@ -33,6 +31,8 @@
 use crate::access_log::AccessLogEntry;
 use crate::access_log::LogLineLimiter;
 use crate::body::BodyBuffer;
+use crate::caller_connections::CallerConnection;
+use crate::caller_connections::CallerConnections;
 use crate::clock;
 use crate::delivery::DeliveryStream;
 use crate::forward::AcceptedRequest;
@@ -81,7 +81,7 @@
     peers: Arc<Upstream>,
     header_codec: Arc<dyn HeaderCodec>,
     phase: watch::Receiver<Phase>,
-    open_connections: AtomicUsize,
+    connections: Arc<CallerConnections>,
     bodies: BodyBuffer,
     log_limiter: LogLineLimiter,
 }
@@ -113,13 +113,14 @@
         phase: watch::Receiver<Phase>,
     ) -> Self {
         let bodies = BodyBuffer::new(Arc::clone(&shared.buffers));
+        let connections = CallerConnections::new(shared.cfg.max_caller_connections);
         Self {
             shared,
             upstream,
             peers,
             header_codec,
             phase,
-            open_connections: AtomicUsize::new(0),
+            connections,
             bodies,
             log_limiter: LogLineLimiter::default(),
         }
@@ -128,7 +129,7 @@
     /// Returns the number of open connections from callers.
     #[must_use]
     pub fn connections(&self) -> usize {
-        self.open_connections.load(Ordering::Relaxed)
+        self.connections.open()
     }
 
     /// Accepts connections until the shutdown reaches [`Phase::Aborting`], and then those that wait
@@ -153,8 +154,11 @@
     }
 
     fn spawn_connection(self: &Arc<Self>, stream: TcpStream) {
-        self.open_connections.fetch_add(1, Ordering::Relaxed);
-        tokio::spawn(Arc::clone(self).serve_connection(stream));
+        let Some(connection) = self.connections.add() else {
+            // Its caller can tell that nothing was read, and goes to another front.
+            return;
+        };
+        tokio::spawn(Arc::clone(self).serve_connection(stream, connection));
     }
 
     fn caller_limits(&self) -> CallerLimits {
@@ -165,25 +169,32 @@
             .map_or_else(CallerLimits::default, |manifest| manifest.limits)
     }
 
-    async fn serve_connection(self: Arc<Self>, stream: TcpStream) {
+    async fn serve_connection(self: Arc<Self>, stream: TcpStream, connection: CallerConnection) {
         if let Err(err) = stream.set_nodelay(true) {
             log::debug!("could not set TCP_NODELAY on a caller's connection: {err}");
         }
         let limits = self.caller_limits();
+        let open = &self.shared.metrics.caller_connections;
+        open.inc();
         let front = Arc::clone(&self);
         let stream = SharedStream::new(stream);
         let caller = stream.clone();
         let stream = DeliveryStream::new(stream, Arc::clone(&self.shared), limits.idle_timeout);
+        let connection = Arc::new(connection);
+        let served_connection = Arc::clone(&connection);
         let service = service_fn(move |req| {
             let front = Arc::clone(&front);
             let caller = caller.clone();
+            let connection = Arc::clone(&served_connection);
             async move {
+                connection.begin_request();
                 // The HTTP library keeps room for the future of a request on each idle connection.
                 let serving = Box::pin(front.serve(req));
                 let resp = tokio::select! {
                     resp = serving => Ok(resp),
                     () = caller.closed() => Err(std::io::Error::from(ErrorKind::ConnectionAborted)),
                 };
+                connection.end_request();
                 resp
             }
         });
@@ -201,11 +212,16 @@
                 served.as_mut().graceful_shutdown();
                 served.await
             }
+            () = connection.closing() => {
+                self.shared.metrics.idle_closed.inc();
+                served.as_mut().graceful_shutdown();
+                served.await
+            }
         };
         if let Err(err) = ended {
             log::debug!("connection from a caller failed: {err}");
         }
-        self.open_connections.fetch_sub(1, Ordering::Relaxed);
+        open.dec();
     }
 
     async fn serve(&self, req: Request<Incoming>) -> Response<Full<HeldData>> {
--- a/crates/carawayrill-gateway/src/lib.rs
+++ b/crates/carawayrill-gateway/src/lib.rs
@@ -27,6 +27,7 @@
 mod access_log;
 mod body;
 pub mod buffer_limit;
+mod caller_connections;
 mod classes;
 pub mod clock;
 mod cold;
--- a/crates/carawayrill-gateway/src/metrics.rs
+++ b/crates/carawayrill-gateway/src/metrics.rs
@@ -79,8 +79,12 @@
     pub in_flight: IntGauge,
     /// The bytes that are held for callers and servers, by purpose.
     pub held_bytes: IntGaugeVec,
+    /// The open connections of callers.
+    pub caller_connections: IntGauge,
     /// The callers' connections that were ended because the caller read too slowly, by reason.
     pub callers_cut_off: IntCounterVec,
+    /// The idle connections of callers that were closed to make room for others.
+    pub idle_closed: IntCounter,
     /// Requests that wait for a server of a service that routes of different priority share, by
     /// priority.
     pub waiting: IntGaugeVec,
@@ -230,7 +234,9 @@
             evacuated_keys: gauge(r, "evacuated_keys", "Keys owned in evacuated data centres")?,
             in_flight: gauge(r, "in_flight", "Requests in flight")?,
             held_bytes: int_gauges(r, "held_bytes", "Bytes that are held", "purpose")?,
+            caller_connections: gauge(r, "caller_connections", "Open connections of callers")?,
             callers_cut_off: counters(r, "callers_cut_off_total", "Callers that read slowly")?,
+            idle_closed: counter(r, "idle_closed_total", "Idle connections closed for others")?,
             waiting: int_gauges(
                 r,
                 "waiting_requests",
