A front does not decide for another one that knows more

Cause: a front that does not reach the owner of a key passes the request on to another one, which looks it up in what it knows itself. It may know less: the store turned it away, and nobody relayed the change to it. Neither side compared. The class is wider than the manifest: evacuations and servers that have left are decided on in the same way.

The new test, before: an upload was run by the old service, a request by a server in an evacuated data centre, and one by a server that had left, each 2 s and more after the first front knew. Ruled out: a stale manifest at the front that clients ask (its own requests were served by the new one), and a server's own 404.

Change: the last change of each kind of object that a front knows (era and revision) goes with a request that it passes on. The other front waits up to 0.2 s until it knows as much, and else refuses it as not run, reason `behind`, so that a further one is asked. It holds on all ways that pass a request on, since they share one function. A decision of the other front itself (404, 400, 413) counts only if it says that it knows as much; that of an older build, which can't, counts as a refusal. Older builds get what they got before. The refusing front's reason is in `error` of the tries.

What is not compared, since the server itself decides: spans and fences (a server that does not hold the key refuses).

Tests: stale_peer, direct_changes_known.

--- a/crates/carawayrill-core/src/direct/knowledge/mod.rs
+++ b/crates/carawayrill-core/src/direct/knowledge/mod.rs
@@ -7,10 +7,14 @@
 //! itself, from the point up to which it knows the history.
 
 mod change_log;
+mod changes_known;
 mod freshness;
 
 pub use self::change_log::ChangeLog;
 pub use self::change_log::Delta;
+pub use self::changes_known::KnownHistories;
+pub use self::changes_known::KnownHistory;
+pub use self::changes_known::LatestChanges;
 pub use self::freshness::Freshness;
 pub use self::freshness::Limits;
 pub use self::freshness::NextRead;
--- a/crates/carawayrill-gateway/src/forward/mod.rs
+++ b/crates/carawayrill-gateway/src/forward/mod.rs
@@ -19,6 +19,7 @@
 use carawayrill_core::direct::decline;
 use carawayrill_core::direct::decline::Declines;
 use carawayrill_core::direct::keys::Fence;
+use carawayrill_core::direct::knowledge::LatestChanges;
 use carawayrill_core::direct::manifest::Repeat;
 use carawayrill_core::direct::quarantine::Fingerprints;
 use carawayrill_core::direct::routes::RouteMatch;
@@ -79,12 +80,14 @@
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(250);
 
 /// What a front that passes a request on says of it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Forwarded {
     /// The sends after which a server may have received the request.
     pub sends: u32,
     /// Whether it has counted the request as one of its callers'.
     pub is_counted: bool,
+    /// The last changes of the store that it knows. Older builds don't name them.
+    pub changes: Option<LatestChanges>,
 }
 
 /// A request that was read completely.
--- a/crates/carawayrill-gateway/src/forward/peer.rs
+++ b/crates/carawayrill-gateway/src/forward/peer.rs
@@ -44,6 +44,9 @@
 /// Says that the front which has passed the request on has counted it as one of its callers'. Older
 /// builds don't say it.
 pub(crate) const COUNTED: HeaderName = HeaderName::from_static("carawayrill-counted");
+/// The last changes of the store that the front knows which has passed the request on, or, in a reply,
+/// that it is the decision of a front which knows them all. Older builds don't name them.
+pub(crate) const CHANGES: HeaderName = HeaderName::from_static("carawayrill-changes");
 /// The reason of a reply from another front, asked because this one is cut off from all servers.
 pub(super) const FORWARDED_REASON: &str = "forwarded";
 /// The same if this front only does not reach those that the request could be sent to.
@@ -120,14 +123,21 @@
     ) -> Option<Reply> {
         let send = self.sends.begin();
         let result = self.send_to_peer(peer, now).await;
-        let refusal = result.as_ref().ok().and_then(PeerRefusal::parse);
+        let refusal = result.as_ref().ok().and_then(|response| {
+            let refusal = PeerRefusal::parse(response);
+            refusal.or_else(|| self.distrust(response))
+        });
         let outcome = match &result {
             Ok(_) if refusal.is_some() => PEER_CUT_OFF,
             Ok(_) => "answered",
             Err(SendError::NotSent(_)) => NOT_SENT,
             Err(SendError::Closed(_) | SendError::Lost(_) | SendError::NoMemory) => "lost",
         };
-        self.end_peer_try(now, outcome, result.as_ref().err());
+        let error = match &result {
+            Ok(response) => refusal.map(|_| String::from_utf8_lossy(&response.body).into()),
+            Err(err) => Some(err.reason()),
+        };
+        self.end_peer_try(now, outcome, error.unwrap_or_default());
         match (result, refusal) {
             (Ok(response), None) => {
                 let reply = self.peer_reply(peer, response, reason);
@@ -150,6 +160,20 @@
         None
     }
 
+    /// Returns the refusal that the reply of a peer counts as if it rests on what that peer knows, and
+    /// nothing shows that it knows as much as this front: it has sent the request to no server.
+    fn distrust(&self, response: &ServerResponse) -> Option<PeerRefusal> {
+        let metadata = self
+            .header_codec
+            .parse_response(response.status, &response.headers);
+        let is_of_server = metadata.request.as_ref() == Some(&self.request.id);
+        let is_decision = !is_of_server
+            && !promises_not_run(response.status)
+            && response.status.is_client_error();
+        let is_current = response.headers.contains_key(CHANGES);
+        (is_decision && !is_current).then_some(PeerRefusal::UNSENT)
+    }
+
     /// Returns the reply to the caller after a peer has replied. That the request has not run holds
     /// for the sends of the peer only.
     fn take_peer_reply(&mut self, reply: Reply, send: UnprovenSend) -> Reply {
@@ -204,6 +228,10 @@
             .write_request(req.headers_mut(), &metadata);
         req.headers_mut().insert(FORWARDED, self.mark());
         req.headers_mut().insert(SENDS, HeaderValue::from(sends));
+        let changes = self.shared.known.borrow().latest_changes().to_string();
+        if let Ok(changes) = HeaderValue::try_from(changes) {
+            req.headers_mut().insert(CHANGES, changes);
+        }
         if self.request.is_counted {
             let counted = HeaderValue::from_static("1");
             req.headers_mut().insert(COUNTED, counted);
@@ -231,21 +259,23 @@
             .unwrap_or(HeaderValue::from_static("1"))
     }
 
-    fn end_peer_try(&mut self, started: Time, outcome: &'static str, error: Option<&SendError>) {
+    fn end_peer_try(&mut self, started: Time, outcome: &'static str, error: CompactString) {
         let took = clock::now().since(started);
         self.shared.metrics.record_try(outcome, took);
         if let Some(record) = self.tries.last_mut() {
             record.outcome = outcome.into();
-            record.error = error.map(SendError::reason).unwrap_or_default();
+            record.error = error;
             record.took_ms = millis(took);
         }
     }
 
     /// Returns what the peer replied, whether it is the response of a server or of its own.
     fn peer_reply(&self, peer: &Peer, response: ServerResponse, reason: &'static str) -> Reply {
+        let mut headers = response.headers.clone();
+        headers.remove(CHANGES);
         let reply = Reply {
             status: response.status,
-            headers: response.headers.clone(),
+            headers,
             body: response.body.clone(),
             reason,
             retry_after: None,
@@ -291,10 +321,12 @@
         unproven.with_label_values(&["request"]).inc();
         return None;
     }
-    let sends = headers.get(SENDS).and_then(|value| value.to_str().ok());
+    let text = |name| headers.get(name).and_then(|value| value.to_str().ok());
+    let sends = text(SENDS);
     Some(Forwarded {
         sends: sends.and_then(|sends| sends.parse().ok()).unwrap_or(0),
         is_counted: headers.contains_key(COUNTED),
+        changes: text(CHANGES).and_then(|changes| changes.parse().ok()),
     })
 }
 
--- a/crates/carawayrill-gateway/src/forward/retry.rs
+++ b/crates/carawayrill-gateway/src/forward/retry.rs
@@ -73,7 +73,7 @@
     /// Returns the number of such sends before the request was passed on to this front, and by fronts
     /// that have refused it.
     fn sends_of_others(&self) -> u32 {
-        let forwarded = self.request.forwarded;
+        let forwarded = self.request.forwarded.as_ref();
         let earlier = forwarded.map_or(0, |forwarded| forwarded.sends);
         earlier.saturating_add(self.refused_sends)
     }
--- a/crates/carawayrill-gateway/src/front.rs
+++ b/crates/carawayrill-gateway/src/front.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use carawayrill_core::direct::knowledge::LatestChanges;
 use carawayrill_core::direct::manifest::CallerLimits;
 use carawayrill_core::direct::manifest::Manifest;
 use carawayrill_core::direct::quarantine::Fingerprints;
@@ -36,6 +37,7 @@
 use crate::clock;
 use crate::delivery::DeliveryStream;
 use crate::forward::AcceptedRequest;
+use crate::forward::Forwarded;
 use crate::forward::Forwarder;
 use crate::forward::Reply;
 use crate::forward::STOPPING_REASON;
@@ -63,6 +65,11 @@
 /// The smallest header buffer that the HTTP library accepts, in bytes.
 const MIN_HEADER_BUFFER_BYTES: usize = 8_192;
 
+/// How long a request of another front waits for a change that this front does not know yet. The
+/// granter relays changes at once.
+const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(200);
+/// The retry-after time of a request of another front that knows more than this one.
+const BEHIND_RETRY_AFTER: Duration = Duration::from_millis(250);
 /// How long a new connection is kept open for its first request during a shutdown.
 const NEW_CONNECTION_GRACE: Duration = Duration::from_millis(500);
 
@@ -242,12 +249,47 @@
         log_entry: &mut AccessLogEntry<'_>,
     ) -> Reply {
         let (parts, body) = req.into_parts();
+        let id = metadata.id.as_deref();
+        let earlier = id.and_then(|id| peer::parse_forwarded(&self.shared, &parts.headers, id));
+        let changes = earlier.as_ref().and_then(|earlier| earlier.changes.clone());
+        let Some(changes) = changes else {
+            return self
+                .pass_on(parts, body, metadata, earlier, log_entry)
+                .await;
+        };
+        if !self.catch_up(&changes).await {
+            return PeerRefusal::UNSENT.into_reply("behind", BEHIND_RETRY_AFTER);
+        }
+        let mut reply = self
+            .pass_on(parts, body, metadata, earlier, log_entry)
+            .await;
+        if reply.headers.is_empty() {
+            // The decision of a front that knows as much as the one which has passed the request on.
+            reply
+                .headers
+                .insert(peer::CHANGES, HeaderValue::from_static("1"));
+        }
+        reply
+    }
+
+    /// Checks a request, reads its body and forwards it. `earlier` is what another front says that has
+    /// passed it on.
+    async fn pass_on(
+        &self,
+        parts: http::request::Parts,
+        body: Incoming,
+        metadata: &RequestMetadata,
+        earlier: Option<Forwarded>,
+        log_entry: &mut AccessLogEntry<'_>,
+    ) -> Reply {
         let Some(manifest) = self.shared.tables().manifest.clone() else {
             let after = Some(Duration::from_millis(300));
             return Reply::local(StatusCode::SERVICE_UNAVAILABLE, "no-manifest", after);
         };
         log_entry.record.manifest = manifest.version.0;
-        let request = match self.check_request(&parts, metadata, &manifest, log_entry.received) {
+        let received = log_entry.received;
+        let checked = self.check_request(&parts, metadata, earlier, &manifest, received);
+        let request = match checked {
             Ok(request) => request,
             Err(reply) => return *reply,
         };
@@ -334,17 +376,27 @@
         })
     }
 
+    /// Waits until this front knows all that the front knew which has passed a request on. Returns
+    /// `false` if that takes too long.
+    async fn catch_up(&self, changes: &LatestChanges) -> bool {
+        let mut known = self.shared.known.subscribe();
+        let caught_up = known.wait_for(|known| known.include(changes));
+        let waited = tokio::time::timeout(CATCH_UP_TIMEOUT, caught_up).await;
+        waited.is_ok_and(|known| known.is_ok())
+    }
+
     /// Counts a request that will be forwarded, and returns the age of the list of servers.
     fn count_accepted(&self, request: &AcceptedRequest) -> Option<Duration> {
         let service = &request.matched.service;
         let mut tables = self.shared.tables();
-        let is_counted_there = request.forwarded.is_some_and(|earlier| earlier.is_counted);
+        let earlier = request.forwarded.as_ref();
+        let is_counted_there = earlier.is_some_and(|earlier| earlier.is_counted);
         if !request.is_counted || is_counted_there {
             // The front that the request is passed on to counts it, or has passed it on to this one.
             return Some(clock::now().since(tables.servers_confirmed?));
         }
         // A front that has sent it before has counted it.
-        if request.forwarded.is_none_or(|earlier| earlier.sends == 0) {
+        if earlier.is_none_or(|earlier| earlier.sends == 0) {
             let budget = tables.budget(service, &self.shared.cfg);
             budget.record_request(request.received);
         }
@@ -362,6 +414,7 @@
         &self,
         parts: &http::request::Parts,
         metadata: &RequestMetadata,
+        forwarded: Option<Forwarded>,
         manifest: &Manifest,
         received: Time,
     ) -> Result<AcceptedRequest, Box<Reply>> {
@@ -400,7 +453,7 @@
         let elapsed = matched.route.timeout.saturating_sub(timeout);
         let objective = matched.route.objective.saturating_sub(elapsed);
         Ok(AcceptedRequest {
-            forwarded: peer::parse_forwarded(&self.shared, &parts.headers, &id),
+            forwarded,
             is_counted: false,
             id,
             keyed,
--- a/crates/carawayrill-gateway/src/head.rs
+++ b/crates/carawayrill-gateway/src/head.rs
@@ -51,7 +51,7 @@
 /// Copies the headers of a request that are sent to the server.
 pub(crate) fn forwarded_headers(headers: &HeaderMap) -> HeaderMap {
     let mut copy = end_to_end_headers(headers);
-    for mark in [peer::FORWARDED, peer::SENDS, peer::COUNTED] {
+    for mark in [peer::FORWARDED, peer::SENDS, peer::COUNTED, peer::CHANGES] {
         copy.remove(mark);
     }
     copy
--- a/crates/carawayrill-gateway/src/knowledge/mod.rs
+++ b/crates/carawayrill-gateway/src/knowledge/mod.rs
@@ -20,10 +20,12 @@
 use carawayrill_core::direct::knowledge::ChangeLog;
 use carawayrill_core::direct::knowledge::Delta;
 use carawayrill_core::direct::knowledge::Freshness;
+use carawayrill_core::direct::knowledge::KnownHistory;
 use carawayrill_core::direct::knowledge::Limits;
 use carawayrill_core::direct::knowledge::NextRead;
 use carawayrill_core::direct::knowledge::StorePosition;
 use carawayrill_core::event::EventKind;
+use carawayrill_core::id::Revision;
 use carawayrill_core::id::Version;
 use carawayrill_core::time::Time;
 use carawayrill_core::time::millis;
@@ -144,6 +146,8 @@
     log: Option<ChangeLog<Object>>,
     /// The versions of all objects.
     versions: BTreeMap<CompactString, Version>,
+    /// The last change of an object that is known.
+    changed: StorePosition,
     freshness: Freshness,
     source: Option<Source>,
     /// Since when the knowledge has been too old.
@@ -157,6 +161,9 @@
         handler: Box<dyn ChangeHandler>,
         known_within: Duration,
     ) -> Self {
+        shared
+            .known
+            .send_modify(|histories| histories.record(kind, KnownHistory::default()));
         Self {
             shared,
             kind,
@@ -165,6 +172,7 @@
                 handler,
                 log: None,
                 versions: BTreeMap::new(),
+                changed: StorePosition::default(),
                 freshness: Freshness::default(),
                 source: None,
                 stale_since: None,
@@ -278,6 +286,7 @@
             complete_at,
         };
         state.handler.on_snapshot(&snapshot);
+        self.publish(&state);
     }
 
     /// Applies the changes after `after` that a watch of this front has returned. The knowledge was
@@ -339,9 +348,24 @@
                 .handler
                 .on_changes(&changed, delta.position.revision, complete_at);
         }
+        self.publish(&state);
         true
     }
 
+    /// Publishes how far the history is known, once the tables hold what is known.
+    fn publish(&self, state: &State) {
+        let Some(position) = state.log.as_ref().map(ChangeLog::position) else {
+            return;
+        };
+        let known = KnownHistory {
+            position,
+            changed: state.changed,
+        };
+        self.shared
+            .known
+            .send_modify(|histories| histories.record(self.kind, known));
+    }
+
     /// Emits an event if changes come from another source than before.
     fn note_source(&self, state: &mut State, source: Source) {
         if state.source.replace(source) == Some(source) {
@@ -408,6 +432,7 @@
             });
         changed.extend(removed);
         self.versions = versions;
+        self.note_changes(position, &changed);
         let named = changed.into_iter().map(|one| (one.name.clone(), one));
         match &mut self.log {
             Some(log) => log.append(position, named),
@@ -415,7 +440,22 @@
         }
     }
 
+    /// Advances the last change that is known. An object has the revision of its last change as its
+    /// version; when one was removed is only known to be before `position`.
+    fn note_changes(&mut self, position: StorePosition, changed: &[Object]) {
+        let revisions = changed.iter().map(|object| match object.version {
+            Version(0) => position.revision,
+            Version(revision) => Revision(revision.min(position.revision.0)),
+        });
+        let latest = revisions.max().map(|revision| StorePosition {
+            era: position.era,
+            revision,
+        });
+        self.changed = self.changed.max(latest.unwrap_or_default());
+    }
+
     fn append(&mut self, position: StorePosition, changed: &[Object]) {
+        self.note_changes(position, changed);
         for object in changed {
             if object.version.0 == 0 {
                 self.versions.remove(&object.name);
--- a/crates/carawayrill-gateway/src/state.rs
+++ b/crates/carawayrill-gateway/src/state.rs
@@ -17,6 +17,7 @@
 use carawayrill_core::direct::fronts;
 use carawayrill_core::direct::fronts::DEFAULT_FRONT_COUNT;
 use carawayrill_core::direct::fronts::FrontCount;
+use carawayrill_core::direct::knowledge::KnownHistories;
 use carawayrill_core::direct::limit::RequestRate;
 use carawayrill_core::direct::limit::ServerLimits;
 use carawayrill_core::direct::load;
@@ -137,6 +138,8 @@
     pub buffers: Arc<BufferLimit>,
     /// The requests that wait for a server.
     pub waiting: WaitingRequests,
+    /// How far this front knows the history of the store.
+    pub known: watch::Sender<KnownHistories>,
     tables: Mutex<Tables>,
     changed: watch::Sender<u64>,
     crash_observed: Notify,
@@ -165,6 +168,7 @@
             metrics,
             buffers,
             waiting: WaitingRequests::default(),
+            known: watch::Sender::default(),
             tables: Mutex::new(Tables {
                 manifest: None,
                 routes: Routes::default(),
