A front that the store turns away learns from a granter that started later

Cause: a granter relays changes from a log that begins when it has first read the store. After its restart it had nothing for a front that had stopped before, which read on by itself, or not at all.

Change: the granter keeps the objects of each kind, and relays all of them to a front that has lacked changes for so long that it must have asked the store in vain (1.6 s at a drain of 2 s): at most 3 MiB a kind, 512 KiB a second to all. `after` is the position itself then, so that older builds do nothing. A front that has lacked a change for over a second is not named to others.

Found by the test of a server that has left: a front that was turned away retains servers that are no longer listed for 2 s.

--- a/crates/carawayrill-core/src/direct/knowledge/freshness.rs
+++ b/crates/carawayrill-core/src/direct/knowledge/freshness.rs
@@ -47,7 +47,13 @@
     /// Returns whether knowledge of this age means that the front asked the store in vain.
     #[must_use]
     pub fn is_overdue(&self, age: Duration) -> bool {
-        age > self.longest() + self.relay_wait
+        age > self.overdue_age()
+    }
+
+    /// Returns the age of knowledge above which the front has asked the store in vain.
+    #[must_use]
+    pub fn overdue_age(&self) -> Duration {
+        self.longest() + self.relay_wait
     }
 }
 
--- a/crates/carawayrill-core/src/direct/knowledge/mod.rs
+++ b/crates/carawayrill-core/src/direct/knowledge/mod.rs
@@ -9,6 +9,7 @@
 mod change_log;
 mod changes_known;
 mod freshness;
+mod relay_budget;
 
 pub use self::change_log::ChangeLog;
 pub use self::change_log::Delta;
@@ -20,6 +21,7 @@
 pub use self::freshness::NextRead;
 pub use self::freshness::confirmed_time;
 pub use self::freshness::spread_delay;
+pub use self::relay_budget::RelayBudget;
 use crate::id::Era;
 use crate::id::Revision;
 use crate::id::Version;
--- a/crates/carawayrill-core/src/event.rs
+++ b/crates/carawayrill-core/src/event.rs
@@ -291,6 +291,23 @@
             /// The time left until its deadline, in milliseconds.
             left_ms: u64,
         },
+        /// The granter noticed that a front lacks a change of the store for longer than a relay takes, or
+        /// that it no longer does. Meanwhile it is not named to others.
+        FrontBehind {
+            /// The name of the front.
+            front: CompactString,
+            /// Whether it lacks a change.
+            is_behind: bool,
+        },
+        /// The granter relayed all objects of one kind to a front that could not learn of changes otherwise.
+        CompleteRelayed {
+            /// The name of the front.
+            front: CompactString,
+            /// The kind of object.
+            kind: CompactString,
+            /// The number of objects.
+            objects: usize,
+        },
         /// A front ended the connection of a caller that took too long to read a response.
         CallerCutOff {
             /// The reason: `stalled` if the caller had stopped reading, `slow` if it had taken long and
--- a/crates/carawayrill-gateway/src/granter_stream/convert.rs
+++ b/crates/carawayrill-gateway/src/granter_stream/convert.rs
@@ -244,32 +244,8 @@
     }
 }
 
-/// Adds the changes of the store that a front does not have yet, and advances its positions.
-pub(super) fn add_changes(
-    update: wire::GranterUpdate,
-    knowledge: &Knowledge,
-    positions: &mut StorePositions,
-    echo: Time,
-    now: Time,
-) -> wire::GranterUpdate {
-    let mut kinds = Vec::new();
-    for known in knowledge.kinds() {
-        let Some(position) = positions.get_mut(known.kind()) else {
-            continue;
-        };
-        if let Some(relayed) = known.relayed_since(*position, now) {
-            *position = relayed.delta.position;
-            kinds.push(encode_changes(known.kind(), relayed));
-        }
-    }
-    wire::GranterUpdate {
-        kinds,
-        echo_ms: echo.0,
-        ..update
-    }
-}
-
-fn encode_changes(kind: &str, relayed: RelayedChanges) -> wire::KindChanges {
+/// Encodes changes of one kind of object.
+pub(super) fn encode_changes(kind: &str, relayed: RelayedChanges) -> wire::KindChanges {
     let objects = relayed
         .delta
         .objects
@@ -287,6 +263,7 @@
         objects: objects.collect(),
         age_ms: millis(relayed.age),
         retention_ms: millis(relayed.retention),
+        is_complete: relayed.is_complete,
     }
 }
 
@@ -321,6 +298,7 @@
             },
             age,
             retention: Duration::from_millis(changes.retention_ms),
+            is_complete: changes.is_complete,
         },
     }
 }
--- a/crates/carawayrill-gateway/src/granter_stream/mod.rs
+++ b/crates/carawayrill-gateway/src/granter_stream/mod.rs
@@ -8,6 +8,7 @@
 mod limits;
 mod loads;
 mod peers;
+mod relay;
 mod service;
 
 use std::collections::BTreeMap;
--- a/crates/carawayrill-gateway/src/granter_stream/service.rs
+++ b/crates/carawayrill-gateway/src/granter_stream/service.rs
@@ -30,6 +30,7 @@
 use crate::granter_stream::egress;
 use crate::granter_stream::limits;
 use crate::granter_stream::peers;
+use crate::granter_stream::relay::ChangeRelay;
 use crate::lease_manager::LeaseManager;
 use crate::quarantine;
 use crate::quarantine::ReportSource;
@@ -95,10 +96,10 @@
         return;
     };
     let mut known = convert::decode_known(&first);
-    let mut positions = convert::decode_positions(&first);
     let mut echo = Time(first.sent_ms);
     let knowledge = Arc::clone(lease_manager.knowledge());
     let front = CompactString::from(first.front.as_str());
+    let mut relay = ChangeRelay::new(front.clone(), convert::decode_positions(&first));
     let shared = Arc::clone(lease_manager.shared());
     let mut crashes_told = 0;
     let source = ReportSource::Front(&front);
@@ -122,14 +123,18 @@
             report = tokio::time::timeout(REPORT_TIMEOUT, reports.message()) => match report {
                 Ok(Ok(Some(report))) => {
                     echo = Time(report.sent_ms);
-                    advance(&mut positions, convert::decode_positions(&report));
+                    relay.advance(convert::decode_positions(&report));
                     quarantine::merge_reports(&shared, &crashes::decode(&report.crashes), source);
+                    let report = convert::decode_report(report);
+                    let changes = shared.known.borrow().latest_changes();
+                    let is_behind = relay.is_behind(&changes, clock::now());
                     granter_runtime.add_report(Report {
                         // Only the first report was proved.
                         front: front.clone(),
                         peer: None,
                         data_centre: data_centre.clone(),
-                        ..convert::decode_report(report)
+                        serves_for_others: report.serves_for_others && !is_behind,
+                        ..report
                     });
                 }
                 Ok(Ok(None) | Err(_)) | Err(_) => return,
@@ -140,7 +145,11 @@
                 }
                 let update = convert::encode_update(&updates.borrow_and_update(), &mut known);
                 let now = clock::now();
-                let update = convert::add_changes(update, &knowledge, &mut positions, echo, now);
+                let update = wire::GranterUpdate {
+                    kinds: relay.next_changes(&knowledge, now),
+                    echo_ms: echo.0,
+                    ..update
+                };
                 let update = limits::add_shares(update, &granter_runtime.shares_of(&front, now));
                 let mut update = add_crashes(update, &shared, &mut crashes_told, now);
                 if let Some(data_centre) = &data_centre {
@@ -185,11 +194,3 @@
     let key = tables.peer_keys.current();
     key.map_or_else(Bytes::new, |key| Bytes::copy_from_slice(key.as_bytes()))
 }
-
-/// Applies the positions that a front has reported. It may have read on in the store by itself.
-fn advance(positions: &mut convert::StorePositions, reported: convert::StorePositions) {
-    for (kind, position) in reported {
-        let known = positions.entry(kind).or_insert(position);
-        *known = (*known).max(position);
-    }
-}
--- a/crates/carawayrill-gateway/src/knowledge/handler.rs
+++ b/crates/carawayrill-gateway/src/knowledge/handler.rs
@@ -34,6 +34,12 @@
     /// `complete_at`.
     fn on_confirmed(&mut self, confirmed: Time, complete_at: Time);
 
+    /// Returns whether the tables hold what the store said last. While they retain objects that the store
+    /// no longer lists, another front may know for certain that these are gone.
+    fn is_settled(&self) -> bool {
+        true
+    }
+
     /// Returns the delay between a change and the next watch call, so that successive changes are
     /// read together.
     fn batch_delay(&self) -> Duration;
--- a/crates/carawayrill-gateway/src/knowledge/mod.rs
+++ b/crates/carawayrill-gateway/src/knowledge/mod.rs
@@ -23,6 +23,7 @@
 use carawayrill_core::direct::knowledge::KnownHistory;
 use carawayrill_core::direct::knowledge::Limits;
 use carawayrill_core::direct::knowledge::NextRead;
+use carawayrill_core::direct::knowledge::RelayBudget;
 use carawayrill_core::direct::knowledge::StorePosition;
 use carawayrill_core::event::EventKind;
 use carawayrill_core::id::Revision;
@@ -74,6 +75,19 @@
     pub age: Duration,
     /// For how long missing servers are retained, because the granter noticed a store outage.
     pub retention: Duration,
+    /// Whether the objects are all that there are, and not those that changed.
+    pub is_complete: bool,
+}
+
+impl RelayedChanges {
+    /// Returns the size of the objects, in bytes.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        let objects = self.delta.objects.iter();
+        objects
+            .map(|object| object.name.len() + object.value.len())
+            .sum()
+    }
 }
 
 /// All kinds of objects that a front keeps up with.
@@ -85,6 +99,8 @@
     pub servers: Arc<KnownKind>,
     /// The evacuations, if the deployment has any.
     pub evacuations: Option<Arc<KnownKind>>,
+    /// The bytes of complete lists that this front may relay as the granter.
+    relay_budget: Mutex<RelayBudget>,
 }
 
 impl Knowledge {
@@ -112,9 +128,17 @@
             manifest: known(schema.manifest_kind(), Box::new(manifest), cfg.drain),
             servers: known(schema.server_kind(), Box::new(servers), cfg.drain),
             evacuations,
+            relay_budget: Mutex::new(RelayBudget::new(clock::now())),
         }
     }
 
+    /// Returns whether this front may relay a complete list of this many bytes now, as the granter.
+    pub fn try_relay_complete(&self, bytes: usize, now: Time) -> bool {
+        let budget = self.relay_budget.lock();
+        let mut budget = budget.unwrap_or_else(PoisonError::into_inner);
+        budget.try_take(bytes as u64, now)
+    }
+
     /// Iterates over all kinds.
     pub fn kinds(&self) -> impl Iterator<Item = &KnownKind> {
         let evacuations = self.evacuations.as_deref();
@@ -144,8 +168,8 @@
 struct State {
     handler: Box<dyn ChangeHandler>,
     log: Option<ChangeLog<Object>>,
-    /// The versions of all objects.
-    versions: BTreeMap<CompactString, Version>,
+    /// All objects.
+    objects: BTreeMap<CompactString, Object>,
     /// The last change of an object that is known.
     changed: StorePosition,
     freshness: Freshness,
@@ -171,7 +195,7 @@
             state: Mutex::new(State {
                 handler,
                 log: None,
-                versions: BTreeMap::new(),
+                objects: BTreeMap::new(),
                 changed: StorePosition::default(),
                 freshness: Freshness::default(),
                 source: None,
@@ -259,6 +283,17 @@
             era: changes.era,
             revision: changes.revision,
         };
+        self.apply_complete(position, &changes.objects, Source::Store, sent);
+    }
+
+    /// Applies the complete list of objects at `position`, which was complete at `confirmed`.
+    fn apply_complete(
+        &self,
+        position: StorePosition,
+        objects: &[Object],
+        source: Source,
+        confirmed: Time,
+    ) {
         let mut state = self.state();
         let known = state.log.as_ref().map(ChangeLog::position);
         if known.is_some_and(|known| position < known) {
@@ -276,11 +311,11 @@
                 revision: position.revision.0,
             });
         }
-        state.append_snapshot(position, &changes.objects);
-        let complete_at = state.confirm(sent);
-        self.note_source(&mut state, Source::Store);
+        state.append_snapshot(position, objects);
+        let complete_at = state.confirm(confirmed);
+        self.note_source(&mut state, source);
         let snapshot = Snapshot {
-            objects: &changes.objects,
+            objects,
             revision: position.revision,
             restored,
             complete_at,
@@ -311,6 +346,13 @@
             let until = now + relayed.retention;
             self.shared.tables().servers.retain_missing(until);
         }
+        if relayed.is_complete {
+            let Delta {
+                position, objects, ..
+            } = &relayed.delta;
+            self.apply_complete(*position, objects, Source::Relay, confirmed);
+            return true;
+        }
         self.apply(&relayed.delta, Source::Relay, confirmed)
     }
 
@@ -339,7 +381,7 @@
         let changed: Vec<Object> = delta
             .objects
             .iter()
-            .filter(|object| state.versions.get(&object.name) != Some(&object.version))
+            .filter(|object| state.is_changed(object))
             .cloned()
             .collect();
         state.append(delta.position, &changed);
@@ -357,6 +399,9 @@
         let Some(position) = state.log.as_ref().map(ChangeLog::position) else {
             return;
         };
+        if !state.handler.is_settled() {
+            return;
+        }
         let known = KnownHistory {
             position,
             changed: state.changed,
@@ -388,16 +433,44 @@
     /// there.
     #[must_use]
     pub fn relayed_since(&self, known: StorePosition, now: Time) -> Option<RelayedChanges> {
-        let retention = self.shared.tables().servers.retention_left(now);
         let state = self.state();
-        let age = state.freshness.age(now)?;
         let delta = state.log.as_ref()?.since(known)?;
+        self.relay(&state, delta, false, now)
+    }
+
+    /// Returns all objects for another front that lacks changes which can't be relayed one by one.
+    #[must_use]
+    pub fn relayed_complete(&self, now: Time) -> Option<RelayedChanges> {
+        let state = self.state();
+        let position = state.log.as_ref()?.position();
+        let delta = Delta {
+            after: position,
+            position,
+            objects: state.objects.values().cloned().collect(),
+        };
+        self.relay(&state, delta, true, now)
+    }
+
+    fn relay(
+        &self,
+        state: &State,
+        delta: Delta<Object>,
+        is_complete: bool,
+        now: Time,
+    ) -> Option<RelayedChanges> {
         Some(RelayedChanges {
             delta,
-            age,
-            retention,
+            age: state.freshness.age(now)?,
+            retention: self.shared.tables().servers.retention_left(now),
+            is_complete,
         })
     }
+
+    /// Returns the time after which a front that lacks changes has asked the store in vain.
+    #[must_use]
+    pub fn overdue_age(&self) -> Duration {
+        Limits::for_drain(self.known_within).overdue_age()
+    }
 }
 
 impl State {
@@ -410,28 +483,34 @@
         complete_at
     }
 
+    /// Returns whether an object is in another version than known.
+    fn is_changed(&self, object: &Object) -> bool {
+        let known = self.objects.get(&object.name);
+        known.is_none_or(|known| known.version != object.version)
+    }
+
     /// Adds the differences between what is known and a complete list to the log.
     fn append_snapshot(&mut self, position: StorePosition, objects: &[Object]) {
-        let versions: BTreeMap<CompactString, Version> = objects
+        let listed: BTreeMap<CompactString, Object> = objects
             .iter()
-            .map(|object| (object.name.clone(), object.version))
+            .map(|object| (object.name.clone(), object.clone()))
             .collect();
         let mut changed: Vec<Object> = objects
             .iter()
-            .filter(|object| self.versions.get(&object.name) != Some(&object.version))
+            .filter(|object| self.is_changed(object))
             .cloned()
             .collect();
         let removed = self
-            .versions
+            .objects
             .keys()
-            .filter(|name| !versions.contains_key(*name))
+            .filter(|name| !listed.contains_key(*name))
             .map(|name| Object {
                 name: name.clone(),
                 version: Version(0),
                 value: bytes::Bytes::new(),
             });
         changed.extend(removed);
-        self.versions = versions;
+        self.objects = listed;
         self.note_changes(position, &changed);
         let named = changed.into_iter().map(|one| (one.name.clone(), one));
         match &mut self.log {
@@ -458,9 +537,9 @@
         self.note_changes(position, changed);
         for object in changed {
             if object.version.0 == 0 {
-                self.versions.remove(&object.name);
+                self.objects.remove(&object.name);
             } else {
-                self.versions.insert(object.name.clone(), object.version);
+                self.objects.insert(object.name.clone(), object.clone());
             }
         }
         if let Some(log) = &mut self.log {
--- a/crates/carawayrill-gateway/src/knowledge/servers.rs
+++ b/crates/carawayrill-gateway/src/knowledge/servers.rs
@@ -214,6 +214,10 @@
         tables.servers.confirm(confirmed, clock::now(), complete_at);
     }
 
+    fn is_settled(&self) -> bool {
+        self.shared.tables().servers.retained().next().is_none()
+    }
+
     fn batch_delay(&self) -> Duration {
         let cfg = &self.shared.cfg;
         let starting = cfg.first_start && clock::now().since(self.started) < STARTUP_PERIOD;
