Fronts that lost the race for the lease prove what they are

Fronts that start together: those that read the lease before the first one took it joined it without a proof.

Cause: the key of the fronts is in the lease record. It was learned from the first read and from an own claim that was stored, but not from the read before a delayed claim, nor from the one after a claim that was refused.

Change: each read of the lease learns the key.

--- a/crates/carawayrill-gateway/src/lease_manager.rs
+++ b/crates/carawayrill-gateway/src/lease_manager.rs
@@ -329,10 +329,16 @@
         if lease.as_ref() == Some(&claim.lease) && version.era == claim.expected.era {
             return Ok(version.version);
         }
-        self.view().observe(version, lease, clock::now());
+        self.observe(version, lease);
         Err(err)
     }
 
+    /// Applies a read of the lease, and learns the key of its holder.
+    fn observe(&self, version: StoredVersion, lease: Option<Lease>) {
+        self.view().observe(version, lease, clock::now());
+        self.learn_peer_key();
+    }
+
     /// Reads the lease and its version.
     async fn read_lease(&self) -> Result<(StoredVersion, Option<Lease>), Error> {
         let found = self.store.get(LEASE_OBJECT).await?;
@@ -346,8 +352,7 @@
         match self.read_lease().await {
             Ok((version, lease)) => {
                 dependency.record_success();
-                self.view().observe(version, lease, clock::now());
-                self.learn_peer_key();
+                self.observe(version, lease);
             }
             Err(err) => return dependency.record_failure(&self.shared, &err),
         }
@@ -356,7 +361,7 @@
         if !delay.is_zero() && may_claim {
             tokio::time::sleep(delay).await;
             if let Ok((version, lease)) = self.read_lease().await {
-                self.view().observe(version, lease, clock::now());
+                self.observe(version, lease);
             }
         }
         if let Some(key) = peer_keys::generate() {
