--- a/crates/carawayrill-gateway/src/granter_runtime/mod.rs
+++ b/crates/carawayrill-gateway/src/granter_runtime/mod.rs
@@ -299,8 +299,12 @@
         self.publish_update(now);
     }
 
-    /// Publishes an update to the fronts if something changed or the heartbeat is due.
+    /// Publishes an update to the fronts if something changed or the heartbeat is due. Results of orders
+    /// and writes may arrive after the term has ended, when another granter decides.
     fn publish_update(&self, now: Time) {
+        if !self.is_current() {
+            return;
+        }
         let crashes = self.shared.tables().crashes.last_change(Scope::Shared);
         let update = {
             let mut state = self.state();
