--- a/crates/carawayrill-core/tests/direct_knowledge.rs
+++ b/crates/carawayrill-core/tests/direct_knowledge.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use carawayrill_core::direct::knowledge::ChangeLog;
+use carawayrill_core::direct::knowledge::RelayBudget;
 use carawayrill_core::direct::knowledge::StorePosition;
 use carawayrill_core::direct::knowledge::confirmed_time;
 use carawayrill_core::id::Era;
@@ -152,3 +153,20 @@
         assert!(outcome.max_age <= max_age, "{outcome:?}");
     }
 }
+
+/// Complete lists to hundreds of fronts at the same moment keep the granter's link busy.
+#[test]
+fn complete_lists_are_relayed_at_a_limited_rate() {
+    const LIST_BYTES: u64 = 160 << 10;
+    let mut budget = RelayBudget::new(Time(1_000));
+    let mut relayed = 0;
+    for now_ms in (1_000..=11_000).step_by(50) {
+        for _front in 0..300 {
+            relayed += u64::from(budget.try_take(LIST_BYTES, Time(now_ms)));
+        }
+    }
+    let bytes = relayed * LIST_BYTES;
+    assert!(bytes <= (3 << 20) + 10 * (512 << 10), "{bytes}");
+    assert!(bytes >= 10 * (512 << 10), "{bytes}");
+    assert!(!budget.try_take(4 << 20, Time(1_000_000)));
+}
