A response that waits for room is counted once

Found by reading, before the landing: a response that lost the race for room against another one was counted, waited, and was counted again, so that it took twice its room until it ended. Room is now checked and taken in one step, and a response that finds room at once sets no timer.

--- a/crates/carawayrill-gateway/src/buffer_limit.rs
+++ b/crates/carawayrill-gateway/src/buffer_limit.rs
@@ -154,13 +154,16 @@
     ///
     /// Fails if there is no room in time. The bytes are not counted then.
     pub(crate) async fn add_with_room(&mut self, bytes: usize) -> Result<(), NoMemory> {
+        if self.try_add(bytes) {
+            return Ok(());
+        }
         let limit = Arc::clone(&self.limit);
         let added = tokio::time::timeout(MAX_ROOM_WAIT, async {
             loop {
                 let released = limit.released.notified();
                 tokio::pin!(released);
                 released.as_mut().enable();
-                if self.has_room(bytes) && self.add(bytes).is_ok() {
+                if self.try_add(bytes) {
                     return;
                 }
                 released.await;
@@ -169,9 +172,18 @@
         added.await.map_err(|_elapsed| NoMemory::LimitReached)
     }
 
-    fn has_room(&self, bytes: usize) -> bool {
-        let held = self.limit.bytes.load(Ordering::Relaxed);
-        held.saturating_add(bytes) <= self.max_bytes
+    /// Counts `bytes` more if there is room for them.
+    fn try_add(&mut self, bytes: usize) -> bool {
+        let max_bytes = self.max_bytes;
+        let counted = &self.limit.bytes;
+        let added = counted.fetch_update(Ordering::Relaxed, Ordering::Relaxed, |held| {
+            held.checked_add(bytes).filter(|sum| *sum <= max_bytes)
+        });
+        if added.is_ok() {
+            self.gauge.add(gauge_value(bytes));
+            self.bytes += bytes;
+        }
+        added.is_ok()
     }
 
     /// Counts `bytes` in all, if it is more than before.
