A granter looks at a complete list only if it may relay it

For each front that lacked changes, each update copied the list of 3,003 servers before the budget refused it.

--- a/crates/carawayrill-gateway/src/granter_stream/relay.rs
+++ b/crates/carawayrill-gateway/src/granter_stream/relay.rs
@@ -123,13 +123,15 @@
         if now.since(since) < known.overdue_age() {
             return None;
         }
-        let complete = known.relayed_complete(now)?;
+        // Whatever comes of it, the list is not looked at again for as long: it has thousands of objects.
+        self.lacking.insert(known.kind(), now);
+        let position = known.position()?;
         let sent = self.sent.get(known.kind());
-        let is_newer = sent.is_none_or(|sent| *sent < complete.delta.position);
-        if !is_newer || !knowledge.try_relay_complete(complete.bytes(), now) {
+        let is_newer = sent.is_none_or(|sent| *sent < position);
+        if !is_newer || !knowledge.try_relay_complete(known.complete_bytes(), now) {
             return None;
         }
-        self.lacking.remove(known.kind());
+        let complete = known.relayed_complete(now)?;
         emit(EventKind::CompleteRelayed {
             front: self.front.clone(),
             kind: known.kind().into(),
--- a/crates/carawayrill-gateway/src/knowledge/known_kind.rs
+++ b/crates/carawayrill-gateway/src/knowledge/known_kind.rs
@@ -317,6 +317,16 @@
         self.relay(&state, delta, false, now)
     }
 
+    /// Returns the size of all objects, in bytes.
+    #[must_use]
+    pub fn complete_bytes(&self) -> usize {
+        let state = self.state();
+        let objects = state.objects.values();
+        objects
+            .map(|object| object.name.len() + object.value.len())
+            .sum()
+    }
+
     /// Returns all objects for another front that lacks changes which can't be relayed one by one.
     #[must_use]
     pub fn relayed_complete(&self, now: Time) -> Option<RelayedChanges> {
--- a/crates/carawayrill-gateway/src/knowledge/mod.rs
+++ b/crates/carawayrill-gateway/src/knowledge/mod.rs
@@ -63,17 +63,6 @@
     pub is_complete: bool,
 }
 
-impl RelayedChanges {
-    /// Returns the size of the objects, in bytes.
-    #[must_use]
-    pub fn bytes(&self) -> usize {
-        let objects = self.delta.objects.iter();
-        objects
-            .map(|object| object.name.len() + object.value.len())
-            .sum()
-    }
-}
-
 /// All kinds of objects that a front keeps up with.
 #[derive(Debug)]
 pub struct Knowledge {
